--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -7,6 +7,8 @@
 #include "base/http_server.h"
 }
 
+#include "test_address.h"
+
 namespace {
 
 struct Fixture : public ::testing::Test {
@@ -54,17 +56,19 @@
             {"/echo", on_echo}, {"/hold/", on_hold}, {nullptr, nullptr}};
         http_server_opts_t server_opts = {};
         http_client_opts_t client_opts = {};
+        char address[32];
         GError *error = nullptr;
 
+        test_address(address, 1);
         server_opts.loop = loop;
-        server_opts.listen = "127.0.0.1:18080";
+        server_opts.listen = address;
         server_opts.max_body = 1024;
         server_opts.routes = routes;
         server_opts.data = this;
         server = http_server_new(&server_opts, &error);
         ASSERT_NE(server, nullptr) << error->message;
         client_opts.loop = loop;
-        client_opts.address = "127.0.0.1:18080";
+        client_opts.address = address;
         client_opts.max_connections = 8;
         client = http_client_new(&client_opts, &error);
         ASSERT_NE(client, nullptr);
