--- a/libteasel/wire/peer.h
+++ b/libteasel/wire/peer.h
@@ -60,7 +60,8 @@
  *
  * Messages queued in one turn of the loop are written together.
  *
- * Return: false if the connection is closing; the message was then not sent.
+ * Return: false if the connection is closing or the message exceeds
+ * FRAME_MAX_SIZE; the message was then not sent.
  */
 bool peer_send(peer_t *peer, const Teasel__Envelope *message);
 
