--- /dev/null
+++ b/libteasel/request/attempt.c
@@ -0,0 +1,86 @@
+#include "request/attempt.h"
+
+#include <string.h>
+
+void
+attempt_init(attempt_t *attempt, bool idempotent, unsigned max_attempts,
+             struct timespec deadline, budget_t *budget)
+{
+    memset(attempt, 0, sizeof(*attempt));
+    attempt->idempotent = idempotent;
+    attempt->max_attempts = max_attempts;
+    attempt->deadline = deadline;
+    attempt->budget = budget;
+    attempt->kind = ERROR_NO_EXECUTOR;
+}
+
+bool
+attempt_begin(attempt_t *attempt, struct timespec now)
+{
+    if (attempt->running || attempt->over ||
+        !timespec_is_before(now, attempt->deadline)) {
+        return false;
+    }
+    attempt->running = true;
+    attempt->count++;
+    return true;
+}
+
+/* The reason of an attempt that may have run is kept, because it explains
+   the answer "unknown". */
+static void
+note_failure(attempt_t *attempt, attempt_outcome_t outcome, error_kind_t kind)
+{
+    if (outcome == ATTEMPT_UNKNOWN) {
+        attempt->maybe_run = true;
+        attempt->kind = kind;
+    }
+    else if (!attempt->maybe_run) {
+        attempt->kind = kind;
+    }
+}
+
+static bool
+may_retry(const attempt_t *attempt, struct timespec now)
+{
+    if (attempt->maybe_run && !attempt->idempotent) {
+        return false;
+    }
+    return attempt->count < attempt->max_attempts &&
+           timespec_is_before(now, attempt->deadline);
+}
+
+attempt_next_t
+attempt_end(attempt_t *attempt, attempt_outcome_t outcome, error_kind_t kind,
+            struct timespec now)
+{
+    attempt->running = false;
+    if (outcome == ATTEMPT_ANSWERED) {
+        attempt->answered = true;
+        attempt->over = true;
+        return ATTEMPT_TELL;
+    }
+    note_failure(attempt, outcome, kind);
+    if (may_retry(attempt, now) && budget_take(attempt->budget)) {
+        return ATTEMPT_RETRY;
+    }
+    attempt->over = true;
+    return ATTEMPT_TELL;
+}
+
+void
+attempt_give_up(attempt_t *attempt, error_kind_t kind)
+{
+    attempt_outcome_t outcome =
+        attempt->running ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
+
+    attempt->running = false;
+    attempt->over = true;
+    note_failure(attempt, outcome, kind);
+}
+
+bool
+attempt_maybe_run(const attempt_t *attempt)
+{
+    return attempt->maybe_run || attempt->answered || attempt->running;
+}
