Refuse text after the end of a settings object

The reader ignored everything after the first JSON object, so a second object pasted below the first was silently lost. Comments may still follow.

--- a/libteasel/base/settings.c
+++ b/libteasel/base/settings.c
@@ -17,29 +17,46 @@
     return line;
 }
 
+/* Comments and white space may follow the object, nothing else. */
+static bool
+is_blank(const char *text)
+{
+    struct json_tokener *tokener = json_tokener_new();
+    struct json_object *object =
+        json_tokener_parse_ex(tokener, text, (int)strlen(text));
+    bool blank = object == NULL &&
+                 json_tokener_get_error(tokener) == json_tokener_continue;
+
+    json_object_put(object);
+    json_tokener_free(tokener);
+    return blank;
+}
+
 static struct json_object *
 parse_text(const char *path, const char *text, size_t length, GError **error)
 {
     struct json_tokener *tokener = json_tokener_new();
     struct json_object *root;
+    size_t offset;
 
     root = json_tokener_parse_ex(tokener, text, (int)length + 1);
+    offset = json_tokener_get_parse_end(tokener);
     if (root == NULL) {
-        enum json_tokener_error reason = json_tokener_get_error(tokener);
-        const char *detail = reason == json_tokener_continue
-                                 ? "unexpected end of file"
-                                 : json_tokener_error_desc(reason);
-        size_t offset = json_tokener_get_parse_end(tokener);
-
         g_set_error(error, TEASEL_ERROR, ERROR_INVALID, "%s:%u: %s", path,
-                    line_of_offset(text, offset), detail);
+                    line_of_offset(text, offset),
+                    json_tokener_error_desc(json_tokener_get_error(tokener)));
     }
     else if (!json_object_is_type(root, json_type_object)) {
         g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
                     "%s: found %s; allowed: a JSON object", path,
                     json_object_to_json_string(root));
-        json_object_put(root);
-        root = NULL;
+        g_clear_pointer(&root, json_object_put);
+    }
+    else if (offset < length && !is_blank(text + offset)) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "%s:%u: text after the end of the object", path,
+                    line_of_offset(text, offset));
+        g_clear_pointer(&root, json_object_put);
     }
     json_tokener_free(tokener);
     return root;
