--- /dev/null
+++ b/libteasel/operator/admin_handler.h
@@ -0,0 +1,89 @@
+#ifndef TEASEL_OPERATOR_ADMIN_HANDLER_H
+#define TEASEL_OPERATOR_ADMIN_HANDLER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/http_server.h"
+#include "config/config_reader.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct admin_member - an agent as one entry sees it
+ * @connected: false for a member whose connection is gone; entries keep such
+ *     members for 60 s, so that a frozen agent is shown as lagging
+ * @report_age_ms: since the last load report
+ * @config_next: from its last load report
+ */
+typedef struct admin_member {
+    const char *agent_id;
+    uint64_t incarnation;
+    const char *data_centre;
+    const char *rack;
+    const char *const *services; /* NULL-terminated, may be NULL */
+    bool connected;
+    bool leaving;
+    bool ejected;
+    uint32_t running;
+    uint32_t queued;
+    uint32_t slots;
+    uint32_t service_time_us;
+    uint64_t report_age_ms;
+    uint64_t config_next;
+} admin_member_t;
+
+/**
+ * struct admin_job - a job of the cell
+ * @state: "queued", "running", "done", "failed", "cancelled", ...
+ * @worker: empty or NULL unless it runs
+ */
+typedef struct admin_job {
+    const char *job_id;
+    const char *state;
+    const char *team;
+    const char *submitter;
+    const char *worker;
+    const char *detail;
+    uint32_t attempt;
+    uint64_t submit_offset;
+    bool cancel_wanted;
+} admin_job_t;
+
+typedef void (*admin_member_fn)(const admin_member_t *member, void *fn_data);
+typedef void (*admin_job_fn)(const admin_job_t *job, void *fn_data);
+
+/**
+ * struct admin_provider - what an entry offers to the admin pages
+ * @entry_id: name of this entry
+ * @data_centre: of this entry
+ * @config: reader of stream "config" of this entry
+ * @each_member: calls @fn for each known agent
+ * @each_job: calls @fn for each job of the cell; may be NULL
+ * @data: passed to the callbacks
+ */
+typedef struct admin_provider {
+    const char *entry_id;
+    const char *data_centre;
+    const config_reader_t *config;
+    void (*each_member)(void *data, admin_member_fn fn, void *fn_data);
+    void (*each_job)(void *data, admin_job_fn fn, void *fn_data);
+    void *data;
+} admin_provider_t;
+
+/**
+ * admin_handle() - answer GET /admin/members, /admin/config, /admin/jobs
+ *
+ * The entry calls it from the handler of the route "/admin/". Other paths
+ * are answered 404, other methods 405.
+ */
+void admin_handle(const admin_provider_t *provider, http_exchange_t *exchange);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
