Let late drain records lose against newer ones

A drain record whose append takes effect late, or twice, could undo a newer drain of the same agent.

--- a/libteasel/config/config_types.h
+++ b/libteasel/config/config_types.h
@@ -44,9 +44,10 @@
 /**
  * struct config_team - object "team/NAME"
  * @weight: share relative to other teams, 100 is the usual one
- * @cpu_milli: most that the team's running jobs use together; 0 is unlimited
+ * @cpu_milli: most that the team's running jobs use together; the preset is
+ *     the largest value, which is no limit in practice
  * @memory_mb: as @cpu_milli
- * @accelerators: as @cpu_milli; -1 is none at all
+ * @accelerators: as @cpu_milli
  */
 typedef struct config_team {
     bool declared;
--- a/libteasel/wire/teasel.pb-c.c
+++ b/libteasel/wire/teasel.pb-c.c
@@ -1807,6 +1807,51 @@
   assert(message->base.descriptor == &teasel__config_ticket__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__config_drain__init
+                     (Teasel__ConfigDrain         *message)
+{
+  static const Teasel__ConfigDrain init_value = TEASEL__CONFIG_DRAIN__INIT;
+  *message = init_value;
+}
+size_t teasel__config_drain__get_packed_size
+                     (const Teasel__ConfigDrain *message)
+{
+  assert(message->base.descriptor == &teasel__config_drain__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__config_drain__pack
+                     (const Teasel__ConfigDrain *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__config_drain__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__config_drain__pack_to_buffer
+                     (const Teasel__ConfigDrain *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__config_drain__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__ConfigDrain *
+       teasel__config_drain__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__ConfigDrain *)
+     protobuf_c_message_unpack (&teasel__config_drain__descriptor,
+                                allocator, len, data);
+}
+void   teasel__config_drain__free_unpacked
+                     (Teasel__ConfigDrain *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__config_drain__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__config_snapshot__init
                      (Teasel__ConfigSnapshot         *message)
 {
@@ -4044,7 +4089,7 @@
   (ProtobufCMessageInit) teasel__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__drain__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__drain__field_descriptors[5] =
 {
   {
     "agent_id",
@@ -4094,17 +4139,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_next",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__Drain, seen_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__drain__field_indices_by_name[] = {
   0,   /* field[0] = agent_id */
   2,   /* field[2] = author */
   1,   /* field[1] = on */
   3,   /* field[3] = reason */
+  4,   /* field[4] = seen_next */
 };
 static const ProtobufCIntRange teasel__drain__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__drain__descriptor =
 {
@@ -4114,7 +4172,7 @@
   "Teasel__Drain",
   "teasel",
   sizeof(Teasel__Drain),
-  4,
+  5,
   teasel__drain__field_descriptors,
   teasel__drain__field_indices_by_name,
   1,  teasel__drain__number_ranges,
@@ -5458,7 +5516,7 @@
   (ProtobufCMessageInit) teasel__config_object__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__config_ticket__field_descriptors[3] =
+static const ProtobufCFieldDescriptor teasel__config_ticket__field_descriptors[5] =
 {
   {
     "number",
@@ -5496,16 +5554,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "author",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigTicket, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigTicket, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__config_ticket__field_indices_by_name[] = {
   2,   /* field[2] = accepted */
+  3,   /* field[3] = author */
   1,   /* field[1] = hash */
   0,   /* field[0] = number */
+  4,   /* field[4] = offset */
 };
 static const ProtobufCIntRange teasel__config_ticket__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__config_ticket__descriptor =
 {
@@ -5515,14 +5599,104 @@
   "Teasel__ConfigTicket",
   "teasel",
   sizeof(Teasel__ConfigTicket),
-  3,
+  5,
   teasel__config_ticket__field_descriptors,
   teasel__config_ticket__field_indices_by_name,
   1,  teasel__config_ticket__number_ranges,
   (ProtobufCMessageInit) teasel__config_ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__config_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__config_drain__field_descriptors[5] =
+{
+  {
+    "agent_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigDrain, agent_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigDrain, on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigDrain, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "author",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigDrain, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigDrain, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__config_drain__field_indices_by_name[] = {
+  0,   /* field[0] = agent_id */
+  3,   /* field[3] = author */
+  2,   /* field[2] = offset */
+  1,   /* field[1] = on */
+  4,   /* field[4] = reason */
+};
+static const ProtobufCIntRange teasel__config_drain__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor teasel__config_drain__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.ConfigDrain",
+  "ConfigDrain",
+  "Teasel__ConfigDrain",
+  "teasel",
+  sizeof(Teasel__ConfigDrain),
+  5,
+  teasel__config_drain__field_descriptors,
+  teasel__config_drain__field_indices_by_name,
+  1,  teasel__config_drain__number_ranges,
+  (ProtobufCMessageInit) teasel__config_drain__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__config_snapshot__field_descriptors[5] =
 {
   {
     "objects",
@@ -5555,7 +5729,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Teasel__ConfigSnapshot, n_drains),
     offsetof(Teasel__ConfigSnapshot, drains),
-    &teasel__drain__descriptor,
+    &teasel__config_drain__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5572,8 +5746,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drain_floor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ConfigSnapshot, drain_floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__config_snapshot__field_indices_by_name[] = {
+  4,   /* field[4] = drain_floor */
   2,   /* field[2] = drains */
   3,   /* field[3] = floor */
   0,   /* field[0] = objects */
@@ -5582,7 +5769,7 @@
 static const ProtobufCIntRange teasel__config_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__config_snapshot__descriptor =
 {
@@ -5592,7 +5779,7 @@
   "Teasel__ConfigSnapshot",
   "teasel",
   sizeof(Teasel__ConfigSnapshot),
-  4,
+  5,
   teasel__config_snapshot__field_descriptors,
   teasel__config_snapshot__field_indices_by_name,
   1,  teasel__config_snapshot__number_ranges,
--- a/libteasel/wire/teasel.pb-c.h
+++ b/libteasel/wire/teasel.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Teasel__LogRecord Teasel__LogRecord;
 typedef struct Teasel__ConfigObject Teasel__ConfigObject;
 typedef struct Teasel__ConfigTicket Teasel__ConfigTicket;
+typedef struct Teasel__ConfigDrain Teasel__ConfigDrain;
 typedef struct Teasel__ConfigSnapshot Teasel__ConfigSnapshot;
 typedef struct Teasel__CellJob Teasel__CellJob;
 typedef struct Teasel__CellSnapshot Teasel__CellSnapshot;
@@ -502,10 +503,14 @@
   protobuf_c_boolean on;
   char *author;
   char *reason;
+  /*
+   * config offset read by the author; a drain that
+   */
+  uint64_t seen_next;
 };
 #define TEASEL__DRAIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__drain__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Teasel__JobSubmit
@@ -778,12 +783,34 @@
 {
   ProtobufCMessage base;
   uint64_t number;
+  /*
+   * XXH64 of the canonical body
+   */
   uint64_t hash;
   protobuf_c_boolean accepted;
+  char *author;
+  uint64_t offset;
 };
 #define TEASEL__CONFIG_TICKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__config_ticket__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Teasel__ConfigDrain
+{
+  ProtobufCMessage base;
+  char *agent_id;
+  protobuf_c_boolean on;
+  /*
+   * of the record that changed it last
+   */
+  uint64_t offset;
+  char *author;
+  char *reason;
+};
+#define TEASEL__CONFIG_DRAIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__config_drain__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Teasel__ConfigSnapshot
@@ -794,15 +821,19 @@
   size_t n_tickets;
   Teasel__ConfigTicket **tickets;
   size_t n_drains;
-  Teasel__Drain **drains;
+  Teasel__ConfigDrain **drains;
   /*
    * numbers below are refused as too old
    */
   uint64_t floor;
+  /*
+   * drains not seen after this offset are refused
+   */
+  uint64_t drain_floor;
 };
 #define TEASEL__CONFIG_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__config_snapshot__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -1608,6 +1639,25 @@
 void   teasel__config_ticket__free_unpacked
                      (Teasel__ConfigTicket *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__ConfigDrain methods */
+void   teasel__config_drain__init
+                     (Teasel__ConfigDrain         *message);
+size_t teasel__config_drain__get_packed_size
+                     (const Teasel__ConfigDrain   *message);
+size_t teasel__config_drain__pack
+                     (const Teasel__ConfigDrain   *message,
+                      uint8_t             *out);
+size_t teasel__config_drain__pack_to_buffer
+                     (const Teasel__ConfigDrain   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__ConfigDrain *
+       teasel__config_drain__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__config_drain__free_unpacked
+                     (Teasel__ConfigDrain *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__ConfigSnapshot methods */
 void   teasel__config_snapshot__init
                      (Teasel__ConfigSnapshot         *message);
@@ -1787,6 +1837,9 @@
 typedef void (*Teasel__ConfigTicket_Closure)
                  (const Teasel__ConfigTicket *message,
                   void *closure_data);
+typedef void (*Teasel__ConfigDrain_Closure)
+                 (const Teasel__ConfigDrain *message,
+                  void *closure_data);
 typedef void (*Teasel__ConfigSnapshot_Closure)
                  (const Teasel__ConfigSnapshot *message,
                   void *closure_data);
@@ -1844,6 +1897,7 @@
 extern const ProtobufCMessageDescriptor teasel__log_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__config_object__descriptor;
 extern const ProtobufCMessageDescriptor teasel__config_ticket__descriptor;
+extern const ProtobufCMessageDescriptor teasel__config_drain__descriptor;
 extern const ProtobufCMessageDescriptor teasel__config_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor teasel__cell_job__descriptor;
 extern const ProtobufCMessageDescriptor teasel__cell_snapshot__descriptor;
