--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -15,6 +15,24 @@
 #define EVENT_TABLE(EVENT)                                                    \
     EVENT(EVENT_ENTRY_STARTED, 1001, G_LOG_LEVEL_MESSAGE, "entry-started")    \
     EVENT(EVENT_AGENT_STARTED, 2001, G_LOG_LEVEL_MESSAGE, "agent-started")    \
+    EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
+          "config-ticket-accepted")                                           \
+    EVENT(EVENT_CONFIG_TICKET_REFUSED, 5002, G_LOG_LEVEL_WARNING,             \
+          "config-ticket-refused")                                            \
+    EVENT(EVENT_CONFIG_DRAIN_CHANGED, 5003, G_LOG_LEVEL_MESSAGE,              \
+          "config-drain-changed")                                             \
+    EVENT(EVENT_CONFIG_DRAIN_REFUSED, 5004, G_LOG_LEVEL_WARNING,              \
+          "config-drain-refused")                                             \
+    EVENT(EVENT_CONFIG_CAUGHT_UP, 5005, G_LOG_LEVEL_MESSAGE,                  \
+          "config-caught-up")                                                 \
+    EVENT(EVENT_CONFIG_SNAPSHOT_LOADED, 5006, G_LOG_LEVEL_MESSAGE,            \
+          "config-snapshot-loaded")                                           \
+    EVENT(EVENT_CONFIG_SNAPSHOT_INVALID, 5007, G_LOG_LEVEL_WARNING,           \
+          "config-snapshot-invalid")                                          \
+    EVENT(EVENT_CONFIG_SNAPSHOT_WRITTEN, 5008, G_LOG_LEVEL_MESSAGE,           \
+          "config-snapshot-written")                                          \
+    EVENT(EVENT_CONFIG_SNAPSHOT_FAILED, 5009, G_LOG_LEVEL_WARNING,            \
+          "config-snapshot-failed")                                           \
     EVENT(EVENT_PROCESS_LEAVING, 9001, G_LOG_LEVEL_MESSAGE,                   \
           "process-leaving")                                                  \
     EVENT(EVENT_PROCESS_STOPPED, 9002, G_LOG_LEVEL_MESSAGE,                   \
