--- a/libteasel/wire/teasel.pb-c.c
+++ b/libteasel/wire/teasel.pb-c.c
@@ -5819,7 +5819,7 @@
   (ProtobufCMessageInit) teasel__cell_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__cell_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__cell_snapshot__field_descriptors[5] =
 {
   {
     "epoch",
@@ -5869,17 +5869,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recent_ids",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CellSnapshot, recent_ids),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__cell_snapshot__field_indices_by_name[] = {
   1,   /* field[1] = claim */
   0,   /* field[0] = epoch */
   2,   /* field[2] = jobs */
+  4,   /* field[4] = recent_ids */
   3,   /* field[3] = workers */
 };
 static const ProtobufCIntRange teasel__cell_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__cell_snapshot__descriptor =
 {
@@ -5889,7 +5902,7 @@
   "Teasel__CellSnapshot",
   "teasel",
   sizeof(Teasel__CellSnapshot),
-  4,
+  5,
   teasel__cell_snapshot__field_descriptors,
   teasel__cell_snapshot__field_indices_by_name,
   1,  teasel__cell_snapshot__number_ranges,
--- a/libteasel/wire/teasel.pb-c.h
+++ b/libteasel/wire/teasel.pb-c.h
@@ -842,10 +842,14 @@
   Teasel__CellJob **jobs;
   size_t n_workers;
   Teasel__DecisionWorker **workers;
+  /*
+   * 16 bytes each, oldest first
+   */
+  ProtobufCBinaryData recent_ids;
 };
 #define TEASEL__CELL_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__cell_snapshot__descriptor) \
-    , 0, NULL, 0,NULL, 0,NULL }
+    , 0, NULL, 0,NULL, 0,NULL, {0,NULL} }
 
 
 /* Teasel__Header methods */
