--- /dev/null
+++ b/libteasel/batch/lease.c
@@ -0,0 +1,66 @@
+#include "batch/lease.h"
+
+#include <string.h>
+
+void
+lease_init(lease_t *lease, const clock_source_t *clock)
+{
+    memset(lease, 0, sizeof(*lease));
+    lease->clock = clock;
+}
+
+void
+lease_note_heartbeat(lease_t *lease, uint64_t sequence)
+{
+    lease_heartbeat_t *slot = &lease->heartbeats[sequence % LEASE_HEARTBEATS];
+
+    slot->sequence = sequence;
+    slot->sent = clock_get_monotonic(lease->clock);
+}
+
+bool
+lease_accepts(lease_t *lease, uint64_t epoch)
+{
+    if (epoch < lease->epoch || epoch == 0) {
+        return false;
+    }
+    lease->epoch = epoch;
+    return true;
+}
+
+lease_result_t
+lease_renew(lease_t *lease, uint64_t epoch, uint64_t sequence,
+            uint64_t lease_ms)
+{
+    const lease_heartbeat_t *slot =
+        &lease->heartbeats[sequence % LEASE_HEARTBEATS];
+    struct timespec end;
+
+    if (!lease_accepts(lease, epoch)) {
+        return LEASE_STALE;
+    }
+    if (sequence == 0 || slot->sequence != sequence) {
+        return LEASE_UNKNOWN;
+    }
+    end = timespec_add_ms(slot->sent, (int64_t)lease_ms);
+    /* Within an epoch renewals may arrive out of order. A new coordinator
+       counts only what it granted itself, so its first renewal may shorten
+       the lease. */
+    if (epoch != lease->granted_epoch || timespec_is_before(lease->end, end)) {
+        lease->end = end;
+        lease->granted_epoch = epoch;
+    }
+    return LEASE_RENEWED;
+}
+
+uint64_t
+lease_get_rest_ms(const lease_t *lease)
+{
+    int64_t rest;
+
+    if (lease->granted_epoch == 0) {
+        return 0;
+    }
+    rest = timespec_diff_ms(lease->end, clock_get_monotonic(lease->clock));
+    return rest > 0 ? (uint64_t)rest : 0;
+}
