--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -15,6 +15,17 @@
 #define EVENT_TABLE(EVENT)                                                    \
     EVENT(EVENT_ENTRY_STARTED, 1001, G_LOG_LEVEL_MESSAGE, "entry-started")    \
     EVENT(EVENT_AGENT_STARTED, 2001, G_LOG_LEVEL_MESSAGE, "agent-started")    \
+    EVENT(EVENT_LOG_LOST, 3001, G_LOG_LEVEL_WARNING, "log-lost")              \
+    EVENT(EVENT_LOG_BACK, 3002, G_LOG_LEVEL_MESSAGE, "log-back")              \
+    EVENT(EVENT_RECORD_MALFORMED, 3003, G_LOG_LEVEL_WARNING,                  \
+          "record-malformed")                                                 \
+    EVENT(EVENT_SNAPSHOT_LOADED, 3004, G_LOG_LEVEL_MESSAGE,                   \
+          "snapshot-loaded")                                                  \
+    EVENT(EVENT_SNAPSHOT_BAD, 3005, G_LOG_LEVEL_WARNING, "snapshot-bad")      \
+    EVENT(EVENT_STREAM_GAP, 3006, G_LOG_LEVEL_CRITICAL, "stream-gap")         \
+    EVENT(EVENT_LOG_BEHIND, 3007, G_LOG_LEVEL_WARNING, "log-behind")          \
+    EVENT(EVENT_SNAPSHOT_WRITTEN, 3008, G_LOG_LEVEL_MESSAGE,                  \
+          "snapshot-written")                                                 \
     EVENT(EVENT_PROCESS_LEAVING, 9001, G_LOG_LEVEL_MESSAGE,                   \
           "process-leaving")                                                  \
     EVENT(EVENT_PROCESS_STOPPED, 9002, G_LOG_LEVEL_MESSAGE,                   \
--- a/libteasel/platform/plog.h
+++ b/libteasel/platform/plog.h
@@ -50,7 +50,7 @@
  * @read: read records from an offset, waiting up to @wait_ms for the first;
  *     @cb is called once, never from inside; returns a handle
  * @cancel: cancel a read; its callback is not called
- * @free: cancel everything and free
+ * @free: cancel reads, end appends as PLOG_UNKNOWN, and free
  */
 typedef struct plog_vtbl {
     void (*append)(plog_t *log, const char *stream, const uint8_t *data,
