--- a/libteasel/base/http_server.c
+++ b/libteasel/base/http_server.c
@@ -334,6 +334,24 @@
     g_free(exchange);
 }
 
+void
+http_exchange_abort(http_exchange_t *exchange, const void *raw, size_t length)
+{
+    exchange_state_t *state = exchange->internal;
+
+    if (state->req != NULL) {
+        h2o_conn_t *conn = state->req->conn;
+        int fd = h2o_socket_get_fd(conn->callbacks->get_socket(conn));
+
+        if (length > 0) {
+            (void)!send(fd, raw, length, MSG_NOSIGNAL | MSG_DONTWAIT);
+        }
+        shutdown(fd, SHUT_RDWR);
+    }
+    /* The write of this answer fails, and h2o then closes the connection. */
+    http_exchange_reply(exchange, 500, NULL, 0, NULL, 0);
+}
+
 void
 http_exchange_reply_text(http_exchange_t *exchange, int status,
                          const char *content_type, const char *text)
--- a/libteasel/base/http_server.h
+++ b/libteasel/base/http_server.h
@@ -116,6 +116,16 @@
                          const http_header_t *headers, size_t header_count,
                          const void *body, size_t body_length);
 
+/**
+ * http_exchange_abort() - close the connection without a whole answer, and
+ * free the exchange
+ * @raw: bytes to write first, may be NULL
+ *
+ * For fault injection by the stand-ins.
+ */
+void http_exchange_abort(http_exchange_t *exchange, const void *raw,
+                         size_t length);
+
 /**
  * http_exchange_reply_text() - answer with a body of one content type
  */
