--- a/libteasel/config/canonical_json.c
+++ b/libteasel/config/canonical_json.c
@@ -98,6 +98,7 @@
 canonical_json_parse(const char *text, size_t length, size_t max_length,
                      const char *what, GError **error)
 {
+    g_autofree char *copy = NULL;
     struct json_tokener *tokener;
     struct json_object *value;
     size_t end;
@@ -114,7 +115,9 @@
     tokener = json_tokener_new();
     json_tokener_set_flags(tokener,
                            JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
-    value = json_tokener_parse_ex(tokener, text, (int)length);
+    /* Without the NUL, json-c waits for more digits after a bare number. */
+    copy = g_strndup(text, length);
+    value = json_tokener_parse_ex(tokener, copy, (int)length + 1);
     end = json_tokener_get_parse_end(tokener);
     if (value == NULL || end != length) {
         enum json_tokener_error reason = json_tokener_get_error(tokener);
@@ -125,9 +128,7 @@
         }
         g_set_error(error, TEASEL_ERROR, ERROR_INVALID, "%s:%u: %s", what,
                     line_of_offset(text, MIN(end, length)),
-                    reason == json_tokener_continue
-                        ? "unexpected end of text"
-                        : json_tokener_error_desc(reason));
+                    json_tokener_error_desc(reason));
         g_clear_pointer(&value, json_object_put);
     }
     json_tokener_free(tokener);
--- a/libteasel/config/config_codec.c
+++ b/libteasel/config/config_codec.c
@@ -4,33 +4,36 @@
 #include "config/config.h"
 #include "config/config_state.h"
 
-/* The arrays borrow the strings of the state. */
-static void
-fill_objects(const config_t *config, Teasel__ConfigSnapshot *out,
-             Teasel__ConfigObject *items)
+/* The items borrow the strings of the state. */
+static GPtrArray *
+collect_objects(const config_t *config)
 {
+    GPtrArray *items = g_ptr_array_new_with_free_func(g_free);
+
     for (GTreeNode *node = g_tree_node_first(config->objects); node != NULL;
          node = g_tree_node_next(node)) {
         const config_object_t *object = g_tree_node_value(node);
-        Teasel__ConfigObject *item = &items[out->n_objects];
+        Teasel__ConfigObject *item = g_new(Teasel__ConfigObject, 1);
 
         teasel__config_object__init(item);
         item->name = object->name;
         item->ticket = object->ticket;
         item->body.data = (uint8_t *)object->body;
         item->body.len = object->body != NULL ? strlen(object->body) : 0;
-        out->objects[out->n_objects++] = item;
+        g_ptr_array_add(items, item);
     }
+    return items;
 }
 
-static void
-fill_tickets(const config_t *config, Teasel__ConfigSnapshot *out,
-             Teasel__ConfigTicket *items)
+static GPtrArray *
+collect_tickets(const config_t *config)
 {
+    GPtrArray *items = g_ptr_array_new_with_free_func(g_free);
+
     for (GTreeNode *node = g_tree_node_first(config->tickets); node != NULL;
          node = g_tree_node_next(node)) {
         const config_ticket_t *ticket = g_tree_node_value(node);
-        Teasel__ConfigTicket *item = &items[out->n_tickets];
+        Teasel__ConfigTicket *item = g_new(Teasel__ConfigTicket, 1);
 
         teasel__config_ticket__init(item);
         item->number = ticket->number;
@@ -38,18 +41,20 @@
         item->accepted = ticket->accepted;
         item->author = ticket->author;
         item->offset = ticket->offset;
-        out->tickets[out->n_tickets++] = item;
+        g_ptr_array_add(items, item);
     }
+    return items;
 }
 
-static void
-fill_drains(const config_t *config, Teasel__ConfigSnapshot *out,
-            Teasel__ConfigDrain *items)
+static GPtrArray *
+collect_drains(const config_t *config)
 {
+    GPtrArray *items = g_ptr_array_new_with_free_func(g_free);
+
     for (GTreeNode *node = g_tree_node_first(config->drains); node != NULL;
          node = g_tree_node_next(node)) {
         const config_drain_t *drain = g_tree_node_value(node);
-        Teasel__ConfigDrain *item = &items[out->n_drains];
+        Teasel__ConfigDrain *item = g_new(Teasel__ConfigDrain, 1);
 
         teasel__config_drain__init(item);
         item->agent_id = drain->agent_id;
@@ -57,39 +62,28 @@
         item->offset = drain->offset;
         item->author = drain->author;
         item->reason = drain->reason;
-        out->drains[out->n_drains++] = item;
+        g_ptr_array_add(items, item);
     }
+    return items;
 }
 
 GByteArray *
 config_encode(const config_t *config)
 {
-    size_t objects = (size_t)g_tree_nnodes(config->objects);
-    size_t tickets = (size_t)g_tree_nnodes(config->tickets);
-    size_t drains = (size_t)g_tree_nnodes(config->drains);
-    g_autofree Teasel__ConfigObject *object_items =
-        g_new(Teasel__ConfigObject, objects);
-    g_autofree Teasel__ConfigTicket *ticket_items =
-        g_new(Teasel__ConfigTicket, tickets);
-    g_autofree Teasel__ConfigDrain *drain_items =
-        g_new(Teasel__ConfigDrain, drains);
-    g_autofree Teasel__ConfigObject **object_list =
-        g_new(Teasel__ConfigObject *, objects);
-    g_autofree Teasel__ConfigTicket **ticket_list =
-        g_new(Teasel__ConfigTicket *, tickets);
-    g_autofree Teasel__ConfigDrain **drain_list =
-        g_new(Teasel__ConfigDrain *, drains);
+    g_autoptr(GPtrArray) objects = collect_objects(config);
+    g_autoptr(GPtrArray) tickets = collect_tickets(config);
+    g_autoptr(GPtrArray) drains = collect_drains(config);
     Teasel__ConfigSnapshot snapshot = TEASEL__CONFIG_SNAPSHOT__INIT;
     GByteArray *out = g_byte_array_new();
 
-    snapshot.objects = object_list;
-    snapshot.tickets = ticket_list;
-    snapshot.drains = drain_list;
+    snapshot.objects = (Teasel__ConfigObject **)objects->pdata;
+    snapshot.n_objects = objects->len;
+    snapshot.tickets = (Teasel__ConfigTicket **)tickets->pdata;
+    snapshot.n_tickets = tickets->len;
+    snapshot.drains = (Teasel__ConfigDrain **)drains->pdata;
+    snapshot.n_drains = drains->len;
     snapshot.floor = config->floor;
     snapshot.drain_floor = config->drain_floor;
-    fill_objects(config, &snapshot, object_items);
-    fill_tickets(config, &snapshot, ticket_items);
-    fill_drains(config, &snapshot, drain_items);
     g_byte_array_set_size(
         out, (guint)teasel__config_snapshot__get_packed_size(&snapshot));
     teasel__config_snapshot__pack(&snapshot, out->data);
--- a/libteasel/config/config_fold.c
+++ b/libteasel/config/config_fold.c
@@ -162,6 +162,13 @@
                AGENT_ID_MAX_BYTES);
         return;
     }
+    if (drain->seen_next > offset) {
+        refuse(result, ERROR_INVALID,
+               "drain of agent \"%s\": the author claims to have read up to "
+               "offset %" PRIu64 "; allowed: at most %" PRIu64,
+               drain->agent_id, drain->seen_next, offset);
+        return;
+    }
     before = g_tree_lookup(config->drains, drain->agent_id);
     changed_at = before != NULL ? before->offset : config->drain_floor;
     if (drain->seen_next <= changed_at) {
