Add admin pages of the entry

Operators need members and the configuration in force from each entry; the job list is passed on to the job handler, which follows the cell.

--- a/libteasel/operator/admin_handler.h
+++ b/libteasel/operator/admin_handler.h
@@ -37,24 +37,17 @@
 } admin_member_t;
 
 /**
- * struct admin_job - a job of the cell
- * @state: "queued", "running", "done", "failed", "cancelled", ...
- * @worker: empty or NULL unless it runs
+ * struct admin_entry - another entry, known from its announcement
+ * @http_address: IPv4:PORT where its admin pages are
  */
-typedef struct admin_job {
-    const char *job_id;
-    const char *state;
-    const char *team;
-    const char *submitter;
-    const char *worker;
-    const char *detail;
-    uint32_t attempt;
-    uint64_t submit_offset;
-    bool cancel_wanted;
-} admin_job_t;
+typedef struct admin_entry {
+    const char *entry_id;
+    const char *http_address;
+    const char *data_centre;
+} admin_entry_t;
 
+typedef void (*admin_entry_fn)(const admin_entry_t *entry, void *fn_data);
 typedef void (*admin_member_fn)(const admin_member_t *member, void *fn_data);
-typedef void (*admin_job_fn)(const admin_job_t *job, void *fn_data);
 
 /**
  * struct admin_provider - what an entry offers to the admin pages
@@ -62,7 +55,8 @@
  * @data_centre: of this entry
  * @config: reader of stream "config" of this entry
  * @each_member: calls @fn for each known agent
- * @each_job: calls @fn for each job of the cell; may be NULL
+ * @each_entry: calls @fn for each known entry but this one; may be NULL
+ * @on_jobs: answers GET /admin/jobs, see job_handler_on_list()
  * @data: passed to the callbacks
  */
 typedef struct admin_provider {
@@ -70,13 +64,18 @@
     const char *data_centre;
     const config_reader_t *config;
     void (*each_member)(void *data, admin_member_fn fn, void *fn_data);
-    void (*each_job)(void *data, admin_job_fn fn, void *fn_data);
+    void (*each_entry)(void *data, admin_entry_fn fn, void *fn_data);
+    void (*on_jobs)(void *data, http_exchange_t *exchange);
     void *data;
 } admin_provider_t;
 
 /**
  * admin_handle() - answer GET /admin/members, /admin/config, /admin/jobs
  *
+ * /admin/members: {"entry_id", "members": [...]}. /admin/config: {"entry_id",
+ * "data_centre", "config_next", "caught_up", "log_reachable", "objects",
+ * "drains", "entries"}, objects with all their keys.
+ *
  * The entry calls it from the handler of the route "/admin/". Other paths
  * are answered 404, other methods 405.
  */
