--- a/libteasel/config/config.c
+++ b/libteasel/config/config.c
@@ -219,6 +219,23 @@
     return g_tree_lookup(config->tickets, &number);
 }
 
+const config_ticket_t *
+config_find_newest_ticket(const config_t *config, uint64_t next)
+{
+    const config_ticket_t *newest = NULL;
+
+    for (GTreeNode *node = g_tree_node_first(config->tickets); node != NULL;
+         node = g_tree_node_next(node)) {
+        const config_ticket_t *ticket = g_tree_node_value(node);
+
+        if (ticket->accepted && ticket->offset < next &&
+            (newest == NULL || ticket->offset > newest->offset)) {
+            newest = ticket;
+        }
+    }
+    return newest;
+}
+
 const config_drain_t *
 config_find_drain(const config_t *config, const char *agent_id)
 {
--- a/libteasel/config/config.h
+++ b/libteasel/config/config.h
@@ -8,6 +8,7 @@
 
 #include "base/error.h"
 #include "config/config_object.h"
+#include "config/ticket.h"
 #include "wire/teasel.pb-c.h"
 
 #ifdef __cplusplus
@@ -100,6 +101,18 @@
                   uint64_t offset, config_result_t *result);
 void config_result_clear(config_result_t *result);
 
+/**
+ * config_judge_ticket() - what would become of a ticket if it were next
+ * @result: clear with config_result_clear()
+ */
+void config_judge_ticket(const config_t *config, const ticket_t *ticket,
+                         config_result_t *result);
+
+/**
+ * config_clone() - an independent copy, for trying records
+ */
+config_t *config_clone(const config_t *config);
+
 /**
  * config_encode() - the state as a snapshot; equal states give equal bytes
  */
@@ -138,6 +151,13 @@
                                        config_kind_t kind, const char *name);
 const config_ticket_t *config_find_ticket(const config_t *config,
                                           uint64_t number);
+
+/**
+ * config_find_newest_ticket() - the accepted ticket with the highest offset
+ * below @next, or NULL if none is remembered
+ */
+const config_ticket_t *config_find_newest_ticket(const config_t *config,
+                                                 uint64_t next);
 const config_drain_t *config_find_drain(const config_t *config,
                                         const char *agent_id);
 
--- a/libteasel/config/config_codec.c
+++ b/libteasel/config/config_codec.c
@@ -179,3 +179,13 @@
     config_free(loaded);
     return valid;
 }
+
+config_t *
+config_clone(const config_t *config)
+{
+    g_autoptr(GByteArray) bytes = config_encode(config);
+    config_t *clone = config_new();
+
+    config_load(clone, bytes->data, bytes->len, config->next - 1);
+    return clone;
+}
--- a/libteasel/config/config_fold.c
+++ b/libteasel/config/config_fold.c
@@ -65,9 +65,29 @@
     return NULL;
 }
 
+void
+config_judge_ticket(const config_t *config, const ticket_t *ticket,
+                    config_result_t *result)
+{
+    const config_object_t *newer;
+
+    memset(result, 0, sizeof(*result));
+    if (judge_number(config, ticket->number, ticket->hash, result)) {
+        return;
+    }
+    newer = find_newer_object(config, ticket);
+    if (newer != NULL) {
+        refuse(result, ERROR_STALE,
+               "ticket %" PRIu64 ": object \"%s\" was changed by the newer "
+               "ticket %" PRIu64 "; use a higher number",
+               ticket->number, newer->name, newer->ticket);
+        return;
+    }
+    result->verdict = CONFIG_ACCEPTED;
+}
+
 static void
-accept_ticket(config_t *config, const ticket_t *ticket,
-              config_result_t *result)
+put_objects(config_t *config, const ticket_t *ticket)
 {
     for (guint i = 0; i < ticket->objects->len; i++) {
         const ticket_object_t *change = ticket->objects->pdata[i];
@@ -75,32 +95,25 @@
         config_put_object(config, change->name, change->kind, ticket->number,
                           change->body, &change->value);
     }
-    result->verdict = CONFIG_ACCEPTED;
-    result->changed = true;
 }
 
 static void
 apply_valid_ticket(config_t *config, const ticket_t *ticket, uint64_t offset,
                    config_result_t *result)
 {
-    const config_object_t *newer;
+    bool known = ticket->number < config->floor ||
+                 config_find_ticket(config, ticket->number) != NULL;
 
-    if (judge_number(config, ticket->number, ticket->hash, result)) {
+    config_judge_ticket(config, ticket, result);
+    if (known) {
         return;
     }
-    newer = find_newer_object(config, ticket);
-    if (newer != NULL) {
-        refuse(result, ERROR_STALE,
-               "ticket %" PRIu64 ": object \"%s\" was changed by the newer "
-               "ticket %" PRIu64 "; use a higher number",
-               ticket->number, newer->name, newer->ticket);
-    }
-    else {
-        accept_ticket(config, ticket, result);
+    if (result->verdict == CONFIG_ACCEPTED) {
+        put_objects(config, ticket);
+        result->changed = true;
     }
-    config_put_ticket(config, ticket->number, ticket->hash,
-                      result->verdict == CONFIG_ACCEPTED, ticket->author,
-                      offset);
+    config_put_ticket(config, ticket->number, ticket->hash, result->changed,
+                      ticket->author, offset);
 }
 
 /* An invalid ticket holds its number too: a number names one document. */
--- a/libteasel/config/config_reader.c
+++ b/libteasel/config/config_reader.c
@@ -10,6 +10,7 @@
     config_t *config;
     stream_t *stream;
     config_changed_cb on_change;
+    config_record_cb on_record;
     void *data;
     bool writing;
 };
@@ -23,9 +24,11 @@
 }
 
 static void
-log_ticket(const Teasel__Ticket *ticket, uint64_t offset,
+log_ticket(const Teasel__LogRecord *record, uint64_t offset,
            const config_result_t *result)
 {
+    const Teasel__Ticket *ticket = record->ticket;
+
     if (result->verdict == CONFIG_ACCEPTED) {
         event_log(EVENT_CONFIG_TICKET_ACCEPTED,
                   "ticket=%" PRIu64 " author=\"%s\" offset=%" PRIu64,
@@ -40,9 +43,11 @@
 }
 
 static void
-log_drain(const Teasel__Drain *drain, uint64_t offset,
+log_drain(const Teasel__LogRecord *record, uint64_t offset,
           const config_result_t *result)
 {
+    const Teasel__Drain *drain = record->drain;
+
     if (result->verdict == CONFIG_ACCEPTED) {
         event_log(EVENT_CONFIG_DRAIN_CHANGED,
                   "agent=%s drained=%s author=\"%s\" offset=%" PRIu64,
@@ -56,6 +61,22 @@
     }
 }
 
+/* Records from before the start of this process are not logged again. */
+static void
+log_record(const config_reader_t *reader, const Teasel__LogRecord *record,
+           uint64_t offset, const config_result_t *result)
+{
+    if (!stream_is_caught_up(reader->stream)) {
+        return;
+    }
+    if (record->body_case == TEASEL__LOG_RECORD__BODY_TICKET) {
+        log_ticket(record, offset, result);
+    }
+    if (record->body_case == TEASEL__LOG_RECORD__BODY_DRAIN) {
+        log_drain(record, offset, result);
+    }
+}
+
 static void
 on_apply(const Teasel__LogRecord *record, uint64_t offset, void *data)
 {
@@ -63,11 +84,9 @@
     config_result_t result;
 
     config_apply(reader->config, record, offset, &result);
-    if (record->body_case == TEASEL__LOG_RECORD__BODY_TICKET) {
-        log_ticket(record->ticket, offset, &result);
-    }
-    if (record->body_case == TEASEL__LOG_RECORD__BODY_DRAIN) {
-        log_drain(record->drain, offset, &result);
+    log_record(reader, record, offset, &result);
+    if (reader->on_record != NULL) {
+        reader->on_record(record, offset, &result, reader->data);
     }
     if (result.changed) {
         notify(reader);
@@ -121,6 +140,7 @@
 
     reader->config = config_new();
     reader->on_change = opts->on_change;
+    reader->on_record = opts->on_record;
     reader->data = opts->data;
     reader->stream = stream_new(&stream_opts);
     return reader;
--- a/libteasel/config/config_reader.h
+++ b/libteasel/config/config_reader.h
@@ -16,6 +16,7 @@
 
 typedef struct config_reader config_reader_t;
 struct config;
+struct config_result;
 
 /**
  * typedef config_changed_cb - an object or a drain changed
@@ -26,11 +27,21 @@
  */
 typedef void (*config_changed_cb)(config_reader_t *reader, void *data);
 
+/**
+ * typedef config_record_cb - a record was folded; @result tells what became
+ * of it
+ */
+typedef void (*config_record_cb)(const Teasel__LogRecord *record,
+                                 uint64_t offset,
+                                 const struct config_result *result,
+                                 void *data);
+
 /**
  * struct config_reader_opts - options of config_reader_new()
  * @log: kept by the caller, outlives the reader
  * @writer: put on each record that is appended, for example "entry entry-1"
  * @on_change: may be NULL
+ * @on_record: for tools; may be NULL
  */
 typedef struct config_reader_opts {
     loop_t *loop;
@@ -38,6 +49,7 @@
     plog_t *log;
     const char *writer;
     config_changed_cb on_change;
+    config_record_cb on_record;
     void *data;
 } config_reader_opts_t;
 
