--- a/libteasel/wire/teasel.pb-c.c
+++ b/libteasel/wire/teasel.pb-c.c
@@ -4185,7 +4185,7 @@
   (ProtobufCMessageInit) teasel__job_submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__job_cancel__field_descriptors[3] =
+static const ProtobufCFieldDescriptor teasel__job_cancel__field_descriptors[4] =
 {
   {
     "job_id",
@@ -4223,16 +4223,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_ids",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Teasel__JobCancel, n_more_ids),
+    offsetof(Teasel__JobCancel, more_ids),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__job_cancel__field_indices_by_name[] = {
   1,   /* field[1] = author */
   0,   /* field[0] = job_id */
+  3,   /* field[3] = more_ids */
   2,   /* field[2] = reason */
 };
 static const ProtobufCIntRange teasel__job_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor teasel__job_cancel__descriptor =
 {
@@ -4242,7 +4255,7 @@
   "Teasel__JobCancel",
   "teasel",
   sizeof(Teasel__JobCancel),
-  3,
+  4,
   teasel__job_cancel__field_descriptors,
   teasel__job_cancel__field_indices_by_name,
   1,  teasel__job_cancel__number_ranges,
--- a/libteasel/wire/teasel.pb-c.h
+++ b/libteasel/wire/teasel.pb-c.h
@@ -529,10 +529,15 @@
   char *job_id;
   char *author;
   char *reason;
+  /*
+   * a burst shares one record
+   */
+  size_t n_more_ids;
+  char **more_ids;
 };
 #define TEASEL__JOB_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__job_cancel__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Teasel__Claim
