Add placement, quotas, learned sizes and quarantine

Cause: the coordinator needs policies without I/O. Change: batch/place (best fit and first fit behind one vtable, index of blocks), batch/quota, batch/learn, batch/quarantine.

--- /dev/null
+++ b/libteasel/batch/learn.h
@@ -0,0 +1,47 @@
+#ifndef TEASEL_BATCH_LEARN_H
+#define TEASEL_BATCH_LEARN_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "batch/job.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+    LEARN_WINDOW = 32,        /* newest observations of a class */
+    LEARN_ENOUGH = 4,         /* below this the declared values are believed */
+    LEARN_FLOOR = 4,          /* never below declared / 4 */
+    LEARN_MAX_CLASSES = 4096, /* 400 bytes each; more are not learned */
+};
+
+typedef struct learn learn_t;
+
+learn_t *learn_new(void);
+void learn_free(learn_t *learn);
+
+/**
+ * learn_add() - an attempt that ended well
+ * @peak: highest measured use; 0 in a dimension that was not measured
+ * @run_ms: 0 if it is not known
+ */
+void learn_add(learn_t *learn, const job_spec_t *spec, const job_size_t *peak,
+               uint64_t run_ms);
+
+/**
+ * learn_get() - expected size and run time of a job
+ *
+ * The ratio of use to declaration is learned per class, as a quantile of the
+ * observed ratios: the highest for memory, because exceeding it is fatal; 95%
+ * for processors and the median for the run time.
+ */
+void learn_get(const learn_t *learn, const job_spec_t *spec, job_size_t *size,
+               uint64_t *run_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/batch/place.c
@@ -0,0 +1,216 @@
+#include "batch/place.h"
+
+#include <math.h>
+
+typedef struct block {
+    uint32_t cpu;
+    uint32_t memory;
+    uint32_t accelerators;
+} block_t;
+
+struct place {
+    const place_vtbl_t *vtbl;
+    GArray *workers; /* place_worker_t */
+    GArray *blocks;  /* block_t: largest free resources */
+    GArray *unused;  /* int: removed indexes */
+};
+
+static double
+best_fit_cost(const place_worker_t *worker, const job_size_t *size)
+{
+    double cpu =
+        (double)(worker->cpu - size->cpu_milli) / (double)worker->cpu_capacity;
+    double memory = (double)(worker->memory - size->memory_mb) /
+                    (double)worker->memory_capacity;
+    double free = worker->accelerators - size->accelerators;
+    double capacity = worker->accelerator_capacity;
+    double cost = cpu + memory + fabs(cpu - memory) / 2;
+
+    if (capacity == 0) {
+        return cost;
+    }
+    if (size->accelerators == 0) {
+        /* Accelerators whose share of processors or memory is gone cannot
+           be used by the jobs that need them. */
+        cost += 4 + MAX(0, free - capacity * MIN(cpu, memory));
+    }
+    return cost + 2 * free / capacity;
+}
+
+const place_vtbl_t place_best_fit = {"best fit", best_fit_cost};
+const place_vtbl_t place_first_fit = {"first fit", NULL};
+
+place_t *
+place_new(const place_vtbl_t *vtbl)
+{
+    place_t *place = g_new0(place_t, 1);
+
+    place->vtbl = vtbl;
+    place->workers = g_array_new(FALSE, TRUE, sizeof(place_worker_t));
+    place->blocks = g_array_new(FALSE, TRUE, sizeof(block_t));
+    place->unused = g_array_new(FALSE, FALSE, sizeof(int));
+    return place;
+}
+
+void
+place_free(place_t *place)
+{
+    if (place == NULL) {
+        return;
+    }
+    g_array_unref(place->workers);
+    g_array_unref(place->blocks);
+    g_array_unref(place->unused);
+    g_free(place);
+}
+
+int
+place_add(place_t *place)
+{
+    guint index = place->workers->len;
+
+    if (place->unused->len > 0) {
+        guint last = place->unused->len - 1;
+        int reused = g_array_index(place->unused, int, last);
+
+        g_array_set_size(place->unused, last);
+        return reused;
+    }
+    g_array_set_size(place->workers, index + 1);
+    g_array_set_size(place->blocks, index / PLACE_BLOCK + 1);
+    return (int)index;
+}
+
+static void
+refresh_block(place_t *place, guint number)
+{
+    block_t *block = &g_array_index(place->blocks, block_t, number);
+    guint end = MIN((number + 1) * PLACE_BLOCK, place->workers->len);
+
+    *block = (block_t){0};
+    for (guint i = number * PLACE_BLOCK; i < end; i++) {
+        const place_worker_t *worker =
+            &g_array_index(place->workers, place_worker_t, i);
+
+        block->cpu = MAX(block->cpu, worker->cpu);
+        block->memory = MAX(block->memory, worker->memory);
+        block->accelerators = MAX(block->accelerators, worker->accelerators);
+    }
+}
+
+void
+place_set(place_t *place, int index, const job_size_t *capacity,
+          const job_size_t *room)
+{
+    place_worker_t *worker =
+        &g_array_index(place->workers, place_worker_t, (guint)index);
+
+    worker->cpu = room->cpu_milli;
+    worker->memory = (uint32_t)room->memory_mb;
+    worker->accelerators = room->accelerators;
+    worker->cpu_capacity = capacity->cpu_milli;
+    worker->memory_capacity = (uint32_t)capacity->memory_mb;
+    worker->accelerator_capacity = capacity->accelerators;
+    refresh_block(place, (guint)index / PLACE_BLOCK);
+}
+
+void
+place_remove(place_t *place, int index)
+{
+    static const job_size_t none = {0};
+
+    place_set(place, index, &none, &none);
+    g_array_append_val(place->unused, index);
+}
+
+static bool
+is_avoided(int index, const int *avoid, size_t avoid_count)
+{
+    for (size_t i = 0; i < avoid_count; i++) {
+        if (avoid[i] == index) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+has_room(uint32_t cpu, uint32_t memory, uint32_t accelerators,
+         const job_size_t *size)
+{
+    return size->cpu_milli <= cpu && size->memory_mb <= memory &&
+           size->accelerators <= accelerators;
+}
+
+int
+place_choose(const place_t *place, const job_size_t *size, const int *avoid,
+             size_t avoid_count)
+{
+    const place_worker_t *workers = (place_worker_t *)place->workers->data;
+    const block_t *blocks = (block_t *)place->blocks->data;
+    double best_cost = INFINITY;
+    int best = PLACE_NONE;
+
+    for (guint i = 0; i < place->workers->len; i++) {
+        const block_t *block = &blocks[i / PLACE_BLOCK];
+        double cost;
+
+        if (i % PLACE_BLOCK == 0 &&
+            !has_room(block->cpu, block->memory, block->accelerators, size)) {
+            i += PLACE_BLOCK - 1;
+            continue;
+        }
+        if (!has_room(workers[i].cpu, workers[i].memory,
+                      workers[i].accelerators, size) ||
+            is_avoided((int)i, avoid, avoid_count)) {
+            continue;
+        }
+        if (place->vtbl->cost == NULL) {
+            return (int)i;
+        }
+        cost = place->vtbl->cost(&workers[i], size);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+static double
+get_readiness(const place_worker_t *worker, const job_size_t *size)
+{
+    double cpu = (double)worker->cpu / size->cpu_milli;
+    double memory = (double)worker->memory / (double)size->memory_mb;
+    double ready = MIN(cpu, memory);
+
+    if (size->accelerators > 0) {
+        ready = MIN(ready, (double)worker->accelerators / size->accelerators);
+    }
+    return ready;
+}
+
+int
+place_choose_future(const place_t *place, const job_size_t *size,
+                    const int *avoid, size_t avoid_count)
+{
+    const place_worker_t *workers = (place_worker_t *)place->workers->data;
+    double most = -1;
+    int best = PLACE_NONE;
+
+    for (guint i = 0; i < place->workers->len; i++) {
+        double ready;
+
+        if (!has_room(workers[i].cpu_capacity, workers[i].memory_capacity,
+                      workers[i].accelerator_capacity, size) ||
+            is_avoided((int)i, avoid, avoid_count)) {
+            continue;
+        }
+        ready = get_readiness(&workers[i], size);
+        if (ready > most) {
+            most = ready;
+            best = (int)i;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/libteasel/batch/quota.h
@@ -0,0 +1,58 @@
+#ifndef TEASEL_BATCH_QUOTA_H
+#define TEASEL_BATCH_QUOTA_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "batch/job.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct quota_team - use and quota of a team
+ * @weight: a team of weight 2 is due twice the share of one of weight 1
+ * @limit: largest dominant share, 1.0 is the whole cell
+ */
+typedef struct quota_team {
+    char *name;
+    double weight;
+    double limit;
+    job_size_t used;
+} quota_team_t;
+
+typedef struct quota quota_t;
+
+quota_t *quota_new(void);
+void quota_free(quota_t *quota);
+
+/**
+ * quota_get_team() - a team; created with weight 1 and limit 1
+ */
+quota_team_t *quota_get_team(quota_t *quota, const char *name);
+
+/**
+ * quota_set_total() - resources of all workers
+ */
+void quota_set_total(quota_t *quota, const job_size_t *total);
+
+/**
+ * quota_get_share() - dominant share of a team, divided by its weight
+ */
+double quota_get_share(const quota_t *quota, const quota_team_t *team);
+
+/**
+ * quota_allows() - true if the team stays within its limit with this job
+ *
+ * A team that uses nothing may always run one job: a job larger than the
+ * limit would otherwise never run.
+ */
+bool quota_allows(const quota_t *quota, const quota_team_t *team,
+                  const job_size_t *size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
