--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -26,6 +26,24 @@
     EVENT(EVENT_LOG_BEHIND, 3007, G_LOG_LEVEL_WARNING, "log-behind")          \
     EVENT(EVENT_SNAPSHOT_WRITTEN, 3008, G_LOG_LEVEL_MESSAGE,                  \
           "snapshot-written")                                                 \
+    EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
+          "config-ticket-accepted")                                           \
+    EVENT(EVENT_CONFIG_TICKET_REFUSED, 5002, G_LOG_LEVEL_WARNING,             \
+          "config-ticket-refused")                                            \
+    EVENT(EVENT_CONFIG_DRAIN_CHANGED, 5003, G_LOG_LEVEL_MESSAGE,              \
+          "config-drain-changed")                                             \
+    EVENT(EVENT_CONFIG_DRAIN_REFUSED, 5004, G_LOG_LEVEL_WARNING,              \
+          "config-drain-refused")                                             \
+    EVENT(EVENT_CONFIG_CAUGHT_UP, 5005, G_LOG_LEVEL_MESSAGE,                  \
+          "config-caught-up")                                                 \
+    EVENT(EVENT_CONFIG_SNAPSHOT_LOADED, 5006, G_LOG_LEVEL_MESSAGE,            \
+          "config-snapshot-loaded")                                           \
+    EVENT(EVENT_CONFIG_SNAPSHOT_INVALID, 5007, G_LOG_LEVEL_WARNING,           \
+          "config-snapshot-invalid")                                          \
+    EVENT(EVENT_CONFIG_SNAPSHOT_WRITTEN, 5008, G_LOG_LEVEL_MESSAGE,           \
+          "config-snapshot-written")                                          \
+    EVENT(EVENT_CONFIG_SNAPSHOT_FAILED, 5009, G_LOG_LEVEL_WARNING,            \
+          "config-snapshot-failed")                                           \
     EVENT(EVENT_PROCESS_LEAVING, 9001, G_LOG_LEVEL_MESSAGE,                   \
           "process-leaving")                                                  \
     EVENT(EVENT_PROCESS_STOPPED, 9002, G_LOG_LEVEL_MESSAGE,                   \
--- a/tests/standins/executord.c
+++ b/tests/standins/executord.c
@@ -92,7 +92,7 @@
 answer(http_exchange_t *exchange)
 {
     int64_t bytes = (int64_t)standin_get_query(exchange, "bytes", -1);
-    g_autofree char *filler = NULL;
+    char *filler = NULL;
     const char *body = exchange->body;
     size_t length = exchange->body_length;
 
@@ -113,6 +113,7 @@
                             faults.status > 0 ? (int)faults.status : 200, NULL,
                             0, body, length);
     }
+    g_free(filler);
 }
 
 static void start_next(void);
