--- a/libteasel/platform/stream_loader.c
+++ b/libteasel/platform/stream_loader.c
@@ -111,7 +111,6 @@
 load_stored(stream_t *stream, const stored_snapshot_t *stored)
 {
     g_autoptr(GByteArray) data = g_byte_array_new();
-    size_t used;
 
     for (uint32_t i = 0; i < stored->count; i++) {
         gsize size;
@@ -122,13 +121,11 @@
     if (XXH64(data->data, data->len, 0) != stored->checksum) {
         return false;
     }
-    used = stream_recent_measure(data->data, data->len);
-    if (used == 0 || !stream->opts.handler->load_snapshot(
-                         data->data + used, data->len - used,
-                         stored->covers_through, stream->opts.data)) {
+    if (!stream->opts.handler->load_snapshot(data->data, data->len,
+                                             stored->covers_through,
+                                             stream->opts.data)) {
         return false;
     }
-    stream_recent_decode(&stream->recent, data->data, used);
     stream->next = stored->covers_through + 1;
     stream->loaded_through = stored->covers_through;
     stream->snapshot_offset =
