--- a/libteasel/platform/stream.h
+++ b/libteasel/platform/stream.h
@@ -18,7 +18,8 @@
 
 /**
  * struct stream_handler - consumer of a stream
- * @apply: fold one record; called in offset order, each offset once
+ * @apply: fold one record; called in offset order, each offset once. The log
+ *     may hold a record twice; the fold must ignore the second one.
  * @load_snapshot: replace the state by a snapshot; false if the snapshot
  *     cannot be decoded, the next best one is then tried. NULL if the stream
  *     has no snapshots: reading goes on at the oldest kept record.
--- a/libteasel/platform/stream_internal.h
+++ b/libteasel/platform/stream_internal.h
@@ -8,48 +8,6 @@
     STREAM_ID_SIZE = 16,
 };
 
-/**
- * struct stream_recent - ids of the last records that need it
- *
- * A fold recognises repeated records by their content: job ids, attempts,
- * epochs, ticket numbers, keys. A Drain has no such content: a late second
- * copy of "drain on" would undo a later "drain off". The follower therefore
- * drops repeated ids of Drain records. The ids are part of each snapshot, so
- * that all readers drop the same records.
- */
-typedef struct stream_recent {
-    GQueue order; /* GBytes, oldest first; owned by the set */
-    GHashTable *set;
-} stream_recent_t;
-
-void stream_recent_init(stream_recent_t *recent);
-void stream_recent_clear(stream_recent_t *recent);
-
-/**
- * stream_recent_is_repeat() - check and remember a record
- */
-bool stream_recent_is_repeat(stream_recent_t *recent,
-                             const Teasel__LogRecord *record);
-
-/**
- * stream_recent_encode() - append the ids to a snapshot
- */
-void stream_recent_encode(const stream_recent_t *recent, GByteArray *out);
-
-/**
- * stream_recent_measure() - size of the ids at the start of a snapshot
- *
- * Return: 0 if the data is malformed.
- */
-size_t stream_recent_measure(const uint8_t *data, size_t length);
-
-/**
- * stream_recent_decode() - replace the ids by those of a snapshot
- * @size: result of stream_recent_measure()
- */
-void stream_recent_decode(stream_recent_t *recent, const uint8_t *data,
-                          size_t size);
-
 /**
  * struct stream_loader - reads NAME.snapshots from its oldest record to its
  * end and collects complete snapshots
@@ -80,7 +38,6 @@
     void *read;
     loop_timer_t retry;
     unsigned failures;
-    stream_recent_t recent;
     stream_loader_t loader;
     list_t appends;
     list_t snapshot_writes;
