--- a/libteasel/batch/cell.c
+++ b/libteasel/batch/cell.c
@@ -299,6 +299,12 @@
     worker->quarantined = decision->quarantined;
     g_free(worker->reason);
     worker->reason = decision->reason[0] ? g_strdup(decision->reason) : NULL;
+    /* Without capacity and tasks it is removed; replaced workers would
+       otherwise stay for ever. */
+    if (worker->capacity.cpu_milli == 0 && list_is_empty(&worker->jobs)) {
+        cell_drop_worker(cell, worker);
+        return true;
+    }
     if (cell->listener != NULL) {
         cell->listener->on_worker(worker, cell->listener_data);
     }
--- a/libteasel/batch/cell.h
+++ b/libteasel/batch/cell.h
@@ -177,6 +177,7 @@
 cell_job_t *cell_add_job(cell_t *cell, const char *id);
 cell_worker_t *cell_add_worker(cell_t *cell, const char *name);
 void cell_drop_job(cell_t *cell, cell_job_t *job);
+void cell_drop_worker(cell_t *cell, cell_worker_t *worker);
 void cell_bind_job(cell_t *cell, cell_job_t *job);
 
 #ifdef __cplusplus
--- a/libteasel/batch/cell_store.c
+++ b/libteasel/batch/cell_store.c
@@ -70,8 +70,8 @@
     free_job(job);
 }
 
-static void
-drop_worker(cell_t *cell, cell_worker_t *worker)
+void
+cell_drop_worker(cell_t *cell, cell_worker_t *worker)
 {
     if (cell->listener != NULL) {
         cell->listener->on_worker_gone(worker, cell->listener_data);
@@ -93,7 +93,7 @@
         cell_drop_job(cell, job);
     }
     LIST_FOREACH_SAFE (worker, &cell->worker_list, cell_worker_t, link) {
-        drop_worker(cell, worker);
+        cell_drop_worker(cell, worker);
     }
     g_hash_table_remove_all(cell->recent_set);
     g_clear_pointer(&cell->claim_agent, g_free);
--- /dev/null
+++ b/libteasel/batch/coordinator.c
@@ -0,0 +1,193 @@
+#include "batch/coordinator.h"
+
+#include <string.h>
+
+#include "batch/coordinator_internal.h"
+
+static void
+free_member(gpointer data)
+{
+    member_t *member = data;
+
+    g_free(member->name);
+    g_free(member);
+}
+
+static void
+free_report(gpointer data)
+{
+    teasel__task_report__free_unpacked(data, NULL);
+}
+
+member_t *
+coordinator_get_member(coordinator_t *coordinator, const char *name)
+{
+    member_t *member = g_hash_table_lookup(coordinator->members, name);
+
+    if (member == NULL) {
+        member = g_new0(member_t, 1);
+        member->name = g_strdup(name);
+        member->place_index = place_add(coordinator->place);
+        if ((guint)member->place_index >= coordinator->by_index->len) {
+            g_ptr_array_set_size(coordinator->by_index,
+                                 member->place_index + 1);
+        }
+        coordinator->by_index->pdata[member->place_index] = member;
+        g_hash_table_insert(coordinator->members, member->name, member);
+    }
+    return member;
+}
+
+int64_t
+coordinator_get_silence_ms(const coordinator_t *coordinator,
+                           const member_t *member, struct timespec now)
+{
+    return timespec_diff_ms(now, member->heard ? member->last_heard
+                                               : coordinator->begun);
+}
+
+static bool
+is_open(const coordinator_t *coordinator, const member_t *member)
+{
+    const cell_worker_t *worker = member->worker;
+    struct timespec now = clock_get_monotonic(coordinator->opts.clock);
+
+    if (worker == NULL || !member->heard || !member->leased ||
+        member->leaving || member->expiring || worker->quarantined ||
+        worker->incarnation != member->incarnation) {
+        return false;
+    }
+    if (coordinator_get_silence_ms(coordinator, member, now) >=
+        COORDINATOR_FRESH_MS) {
+        return false;
+    }
+    return !quarantine_is_on_probation(coordinator->quarantine,
+                                       member->name) ||
+           worker->used.cpu_milli + member->planned.cpu_milli == 0;
+}
+
+void
+coordinator_sync_member(coordinator_t *coordinator, member_t *member)
+{
+    static const job_size_t none = {0};
+    job_size_t capacity;
+    job_size_t room;
+
+    if (!is_open(coordinator, member)) {
+        coordinator_unkeep(coordinator, member);
+        place_set(coordinator->place, member->place_index, &none, &none);
+        return;
+    }
+    capacity.cpu_milli =
+        MIN(member->capacity.cpu_milli, member->worker->capacity.cpu_milli);
+    capacity.memory_mb =
+        MIN(member->capacity.memory_mb, member->worker->capacity.memory_mb);
+    capacity.accelerators = MIN(member->capacity.accelerators,
+                                member->worker->capacity.accelerators);
+    room = capacity;
+    job_size_subtract(&room, &member->worker->used);
+    job_size_subtract(&room, &member->planned);
+    if (member->kept_for != NULL) {
+        place_set(coordinator->place, member->place_index, &none, &none);
+        return;
+    }
+    place_set(coordinator->place, member->place_index, &capacity, &room);
+}
+
+void
+coordinator_unkeep(coordinator_t *coordinator, member_t *member)
+{
+    waiting_t *waiting;
+
+    if (member->kept_for == NULL) {
+        return;
+    }
+    waiting = member->kept_for->policy;
+    waiting->kept = NULL;
+    member->kept_for = NULL;
+    coordinator->kept_count--;
+    coordinator_sync_member(coordinator, member);
+}
+
+coordinator_t *
+coordinator_new(const coordinator_opts_t *opts)
+{
+    coordinator_t *coordinator = g_new0(coordinator_t, 1);
+
+    coordinator->opts = *opts;
+    coordinator->cell = opts->cell;
+    if (coordinator->opts.max_items == 0) {
+        coordinator->opts.max_items = COORDINATOR_MAX_ITEMS;
+    }
+    coordinator->members =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
+    coordinator->by_index = g_ptr_array_new();
+    coordinator->by_team =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    coordinator->reports =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_report);
+    list_init(&coordinator->queues);
+    coordinator->place =
+        place_new(opts->placement ? opts->placement : &place_best_fit);
+    coordinator->quota = quota_new();
+    coordinator->learn = learn_new();
+    coordinator->quarantine = quarantine_new(opts->clock);
+    cell_set_listener(opts->cell, &coordinator_listener, coordinator);
+    return coordinator;
+}
+
+void
+coordinator_free(coordinator_t *coordinator)
+{
+    if (coordinator == NULL) {
+        return;
+    }
+    cell_set_listener(coordinator->cell, NULL, NULL);
+    LIST_FOREACH (job, &coordinator->cell->live, cell_job_t, link) {
+        coordinator_drop_waiting(coordinator, job);
+    }
+    coordinator_end(coordinator);
+    g_hash_table_destroy(coordinator->members);
+    g_ptr_array_unref(coordinator->by_index);
+    g_hash_table_destroy(coordinator->by_team);
+    g_hash_table_destroy(coordinator->reports);
+    place_free(coordinator->place);
+    quota_free(coordinator->quota);
+    learn_free(coordinator->learn);
+    quarantine_free(coordinator->quarantine);
+    g_free(coordinator);
+}
+
+void
+coordinator_begin(coordinator_t *coordinator, uint64_t epoch)
+{
+    coordinator->epoch = epoch;
+    coordinator->active = true;
+    coordinator->dirty = true;
+    coordinator->begun = clock_get_monotonic(coordinator->opts.clock);
+}
+
+void
+coordinator_end(coordinator_t *coordinator)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    coordinator->active = false;
+    coordinator_on_result(coordinator);
+    g_hash_table_remove_all(coordinator->reports);
+    g_hash_table_iter_init(&iter, coordinator->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+
+        member->heard = false;
+        member->leased = false;
+        coordinator_sync_member(coordinator, member);
+    }
+}
+
+bool
+coordinator_is_active(const coordinator_t *coordinator)
+{
+    return coordinator->active;
+}
--- /dev/null
+++ b/libteasel/batch/coordinator_listener.c
@@ -0,0 +1,221 @@
+#include "batch/coordinator_internal.h"
+
+static queue_t *
+get_queue(coordinator_t *coordinator, const char *team)
+{
+    queue_t *queue = g_hash_table_lookup(coordinator->by_team, team);
+
+    if (queue == NULL) {
+        queue = g_new0(queue_t, 1);
+        queue->team = quota_get_team(coordinator->quota, team);
+        list_init(&queue->jobs[JOB_NORMAL]);
+        list_init(&queue->jobs[JOB_URGENT]);
+        list_append(&coordinator->queues, &queue->link);
+        g_hash_table_insert(coordinator->by_team, queue->team->name, queue);
+    }
+    return queue;
+}
+
+static waiting_t *
+add_waiting(coordinator_t *coordinator, cell_job_t *job)
+{
+    waiting_t *waiting = g_new0(waiting_t, 1);
+
+    waiting->job = job;
+    waiting->queue = get_queue(coordinator, job->spec.team);
+    waiting->class_ = learn_get_class(coordinator->learn, &job->spec);
+    waiting->since = clock_get_monotonic(coordinator->opts.clock);
+    list_init(&waiting->link);
+    job->policy = waiting;
+    return waiting;
+}
+
+void
+coordinator_drop_waiting(coordinator_t *coordinator, cell_job_t *job)
+{
+    waiting_t *waiting = job->policy;
+
+    if (waiting == NULL) {
+        return;
+    }
+    if (waiting->kept != NULL) {
+        coordinator_unkeep(coordinator, waiting->kept);
+    }
+    list_remove(&waiting->link);
+    g_free(waiting);
+    job->policy = NULL;
+}
+
+static void
+sync_worker_of(coordinator_t *coordinator, const cell_job_t *job)
+{
+    if (job->worker != NULL) {
+        coordinator_sync_member(
+            coordinator, coordinator_get_member(coordinator, job->worker));
+    }
+}
+
+static void
+account(waiting_t *waiting, const cell_job_t *job, int before)
+{
+    bool was_running = before == CELL_RUNNING || before == CELL_REVOKED;
+    quota_team_t *team = waiting->queue->team;
+
+    if (!was_running && cell_job_is_running(job)) {
+        job_size_add(&team->used, &job->size);
+    }
+    if (was_running && !cell_job_is_running(job)) {
+        job_size_subtract(&team->used, &job->size);
+    }
+}
+
+static void
+act_on_job(coordinator_t *coordinator, const cell_job_t *job, int before)
+{
+    bool was_running = before == CELL_RUNNING || before == CELL_REVOKED;
+
+    if (!coordinator->active) {
+        return;
+    }
+    if (job->state == CELL_RUNNING && before == CELL_QUEUED) {
+        coordinator_send_start(coordinator, job);
+    }
+    else if (cell_job_is_running(job)) {
+        coordinator_send_stop(coordinator, job->worker, job->id, job->attempt,
+                              job->cancel_wanted
+                                  ? TEASEL__STOP_REASON__STOP_REASON_CANCEL
+                                  : TEASEL__STOP_REASON__STOP_REASON_EVICT);
+    }
+    else if (was_running) {
+        coordinator_answer_report(coordinator, job->worker, job->id,
+                                  job->attempt);
+    }
+}
+
+static void
+on_job(cell_job_t *job, int before, void *data)
+{
+    coordinator_t *coordinator = data;
+    waiting_t *waiting = job->policy;
+
+    if (waiting == NULL) {
+        waiting = add_waiting(coordinator, job);
+    }
+    account(waiting, job, before);
+    list_remove(&waiting->link);
+    if (job->state == CELL_QUEUED) {
+        waiting->absent = false;
+        waiting->since = clock_get_monotonic(coordinator->opts.clock);
+        list_append(&waiting->queue->jobs[job->spec.priority], &waiting->link);
+    }
+    else if (waiting->kept != NULL) {
+        coordinator_unkeep(coordinator, waiting->kept);
+    }
+    if (!cell_job_is_running(job)) {
+        g_hash_table_remove(coordinator->reports, job->id);
+    }
+    act_on_job(coordinator, job, before);
+    sync_worker_of(coordinator, job);
+    if (cell_job_is_ended(job)) {
+        coordinator_drop_waiting(coordinator, job);
+    }
+    coordinator->dirty = true;
+}
+
+static void
+on_finish(cell_job_t *job, const Teasel__DecisionFinish *finish, void *data)
+{
+    coordinator_t *coordinator = data;
+    waiting_t *waiting = job->policy;
+    job_size_t peak = {.cpu_milli = finish->peak_cpu_milli,
+                       .memory_mb = finish->peak_memory_mb};
+
+    if (finish->outcome == TEASEL__OUTCOME__OUTCOME_DONE) {
+        learn_add(waiting->class_, &job->spec, &peak, finish->run_ms);
+        quarantine_note_result(coordinator->quarantine, job->worker, job->id,
+                               false);
+    }
+    if (finish->outcome != TEASEL__OUTCOME__OUTCOME_FAILED) {
+        return;
+    }
+    quarantine_note_result(coordinator->quarantine, job->worker, job->id,
+                           true);
+    if (job->state == CELL_FAILED) {
+        quarantine_note_bad_job(coordinator->quarantine, job->id);
+    }
+}
+
+static void
+count_workers(coordinator_t *coordinator)
+{
+    job_size_t total = {0};
+    job_size_t *largest = &coordinator->largest;
+
+    *largest = total;
+    coordinator->quarantined_count = 0;
+    LIST_FOREACH (worker, &coordinator->cell->worker_list, cell_worker_t,
+                  link) {
+        const job_size_t *capacity = &worker->capacity;
+
+        job_size_add(&total, capacity);
+        largest->cpu_milli = MAX(largest->cpu_milli, capacity->cpu_milli);
+        largest->memory_mb = MAX(largest->memory_mb, capacity->memory_mb);
+        largest->accelerators =
+            MAX(largest->accelerators, capacity->accelerators);
+        coordinator->quarantined_count += worker->quarantined;
+    }
+    quota_set_total(coordinator->quota, &total);
+}
+
+static void
+on_worker(cell_worker_t *worker, void *data)
+{
+    coordinator_t *coordinator = data;
+    member_t *member = coordinator_get_member(coordinator, worker->name);
+
+    member->worker = worker;
+    worker->policy = member;
+    count_workers(coordinator);
+    coordinator_sync_member(coordinator, member);
+    coordinator->dirty = true;
+}
+
+static void
+on_job_gone(cell_job_t *job, void *data)
+{
+    coordinator_t *coordinator = data;
+    waiting_t *waiting = job->policy;
+
+    if (waiting != NULL && cell_job_is_running(job)) {
+        job_size_subtract(&waiting->queue->team->used, &job->size);
+    }
+    coordinator_drop_waiting(coordinator, job);
+}
+
+static void
+on_worker_gone(cell_worker_t *worker, void *data)
+{
+    member_t *member = worker->policy;
+
+    member->worker = NULL;
+    coordinator_sync_member(data, member);
+}
+
+static void
+on_claim(uint64_t epoch, void *data)
+{
+    coordinator_t *coordinator = data;
+
+    if (coordinator->active && epoch != coordinator->epoch) {
+        coordinator_end(coordinator);
+    }
+}
+
+const cell_listener_t coordinator_listener = {
+    .on_job = on_job,
+    .on_finish = on_finish,
+    .on_worker = on_worker,
+    .on_job_gone = on_job_gone,
+    .on_worker_gone = on_worker_gone,
+    .on_claim = on_claim,
+};
--- a/libteasel/batch/learn.c
+++ b/libteasel/batch/learn.c
@@ -3,20 +3,25 @@
 #include <math.h>
 #include <string.h>
 
+/**
+ * struct ratios - observed / declared
+ * @ratio: quantile, 0 while there are too few observations
+ */
 typedef struct ratios {
     float values[LEARN_WINDOW];
     uint8_t count;
     uint8_t next;
+    float ratio;
 } ratios_t;
 
-typedef struct job_class {
+struct learn_class {
     ratios_t cpu;
     ratios_t memory;
     ratios_t run;
-} job_class_t;
+};
 
 struct learn {
-    GHashTable *classes; /* "team/class" -> job_class_t */
+    GHashTable *classes; /* "team/class" -> learn_class_t */
 };
 
 learn_t *
@@ -39,84 +44,84 @@
     g_free(learn);
 }
 
-static void
-make_key(const job_spec_t *spec, char out[160])
+learn_class_t *
+learn_get_class(learn_t *learn, const job_spec_t *spec)
+{
+    learn_class_t *class_;
+    char key[160];
+
+    g_snprintf(key, sizeof(key), "%s/%s", spec->team, spec->class_name);
+    class_ = g_hash_table_lookup(learn->classes, key);
+    if (class_ == NULL &&
+        g_hash_table_size(learn->classes) < LEARN_MAX_CLASSES) {
+        class_ = g_new0(learn_class_t, 1);
+        g_hash_table_insert(learn->classes, g_strdup(key), class_);
+    }
+    return class_;
+}
+
+static int
+compare_floats(const void *a, const void *b)
 {
-    g_snprintf(out, 160, "%s/%s", spec->team, spec->class_name);
+    float x = *(const float *)a;
+    float y = *(const float *)b;
+
+    return (x > y) - (x < y);
 }
 
 static void
-add_ratio(ratios_t *ratios, uint64_t observed, uint64_t declared)
+add_ratio(ratios_t *ratios, uint64_t observed, uint64_t declared,
+          double quantile)
 {
+    float sorted[LEARN_WINDOW];
+
     if (observed == 0 || declared == 0) {
         return;
     }
     ratios->values[ratios->next] = (float)observed / (float)declared;
     ratios->next = (ratios->next + 1) % LEARN_WINDOW;
     ratios->count = MIN(ratios->count + 1, LEARN_WINDOW);
+    if (ratios->count < LEARN_ENOUGH) {
+        return;
+    }
+    memcpy(sorted, ratios->values, sizeof(sorted));
+    qsort(sorted, ratios->count, sizeof(float), compare_floats);
+    ratios->ratio = sorted[(size_t)(quantile * (ratios->count - 1) + 0.5)];
 }
 
 void
-learn_add(learn_t *learn, const job_spec_t *spec, const job_size_t *peak,
-          uint64_t run_ms)
+learn_add(learn_class_t *class_, const job_spec_t *spec,
+          const job_size_t *peak, uint64_t run_ms)
 {
-    job_class_t *class;
-    char key[160];
-
-    make_key(spec, key);
-    class = g_hash_table_lookup(learn->classes, key);
-    if (class == NULL) {
-        if (g_hash_table_size(learn->classes) >= LEARN_MAX_CLASSES) {
-            return;
-        }
-        class = g_new0(job_class_t, 1);
-        g_hash_table_insert(learn->classes, g_strdup(key), class);
+    if (class_ == NULL) {
+        return;
     }
-    add_ratio(&class->cpu, peak->cpu_milli, spec->size.cpu_milli);
-    add_ratio(&class->memory, peak->memory_mb, spec->size.memory_mb);
-    add_ratio(&class->run, run_ms, spec->run_ms);
-}
-
-static int
-compare_floats(const void *a, const void *b)
-{
-    float x = *(const float *)a;
-    float y = *(const float *)b;
-
-    return (x > y) - (x < y);
+    add_ratio(&class_->cpu, peak->cpu_milli, spec->size.cpu_milli, 0.95);
+    add_ratio(&class_->memory, peak->memory_mb, spec->size.memory_mb, 1.0);
+    add_ratio(&class_->run, run_ms, spec->run_ms, 0.5);
 }
 
 static uint64_t
-scale(const ratios_t *ratios, double quantile, uint64_t declared)
+scale(const ratios_t *ratios, uint64_t declared)
 {
-    float sorted[LEARN_WINDOW];
     uint64_t floor = (declared + LEARN_FLOOR - 1) / LEARN_FLOOR;
-    double ratio;
 
-    if (ratios->count < LEARN_ENOUGH) {
+    if (ratios->ratio <= 0) {
         return declared;
     }
-    memcpy(sorted, ratios->values, sizeof(sorted));
-    qsort(sorted, ratios->count, sizeof(float), compare_floats);
-    ratio = sorted[(size_t)(quantile * (ratios->count - 1) + 0.5)];
-    return MAX((uint64_t)ceil((double)declared * ratio), floor);
+    return MAX((uint64_t)ceil((double)declared * ratios->ratio), floor);
 }
 
 void
-learn_get(const learn_t *learn, const job_spec_t *spec, job_size_t *size,
-          uint64_t *run_ms)
+learn_get(const learn_class_t *class_, const job_spec_t *spec,
+          job_size_t *size, uint64_t *run_ms)
 {
-    const job_class_t *class;
-    char key[160];
-
-    make_key(spec, key);
     *size = spec->size;
     *run_ms = spec->run_ms;
-    class = g_hash_table_lookup(learn->classes, key);
-    if (class == NULL) {
+    if (class_ == NULL) {
         return;
     }
-    size->cpu_milli = (uint32_t)scale(&class->cpu, 0.95, spec->size.cpu_milli);
-    size->memory_mb = scale(&class->memory, 1.0, spec->size.memory_mb);
-    *run_ms = scale(&class->run, 0.5, spec->run_ms);
+    size->cpu_milli = (uint32_t)scale(&class_->cpu, spec->size.cpu_milli);
+    size->memory_mb = scale(&class_->memory, spec->size.memory_mb);
+    *run_ms = scale(&class_->run, spec->run_ms);
 }
--- a/libteasel/batch/learn.h
+++ b/libteasel/batch/learn.h
@@ -18,27 +18,37 @@
 };
 
 typedef struct learn learn_t;
+typedef struct learn_class learn_class_t;
 
 learn_t *learn_new(void);
 void learn_free(learn_t *learn);
 
+/**
+ * learn_get_class() - class of a job; lives as long as @learn
+ *
+ * Return: NULL if too many classes are known.
+ */
+learn_class_t *learn_get_class(learn_t *learn, const job_spec_t *spec);
+
 /**
  * learn_add() - an attempt that ended well
+ * @class_: NULL is ignored
  * @peak: highest measured use; 0 in a dimension that was not measured
  * @run_ms: 0 if it is not known
  */
-void learn_add(learn_t *learn, const job_spec_t *spec, const job_size_t *peak,
-               uint64_t run_ms);
+void learn_add(learn_class_t *class_, const job_spec_t *spec,
+               const job_size_t *peak, uint64_t run_ms);
 
 /**
  * learn_get() - expected size and run time of a job
+ * @class_: with NULL the declared values are taken
  *
  * The ratio of use to declaration is learned per class, as a quantile of the
  * observed ratios: the highest for memory, because exceeding it is fatal; 95%
  * for processors and the median for the run time.
  */
-void learn_get(const learn_t *learn, const job_spec_t *spec, job_size_t *size,
-               uint64_t *run_ms);
+void learn_get(const learn_class_t *class_, const job_spec_t *spec,
+               job_size_t *size, uint64_t *run_ms);
 
 #ifdef __cplusplus
 }
