--- /dev/null
+++ b/bench/loadgen.c
@@ -0,0 +1,455 @@
+/* Open-loop load generator. Arrivals are a Poisson process and service times
+   are drawn from the seed, so that runs with one seed offer the same load.
+   Latency counts from the intended send time. */
+
+#include <json-c/json.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/histogram.h"
+#include "base/http_client.h"
+
+enum {
+    MAX_RESPONSE = 1024 * 1024,
+    MAX_CONNECTIONS = 4096,
+    HEALTH_TIMEOUT_MS = 1000,
+    SLOT_MS = 100, /* resolution of the time line */
+    DRAIN_MS = 15000,
+    STATUS_COUNT = 600,
+};
+
+typedef struct target {
+    const char *address;
+    http_client_t *client;
+    bool healthy;
+    bool probing;
+} target_t;
+
+typedef struct slot {
+    uint64_t sent;
+    uint64_t ok;
+    uint64_t rejected; /* not run */
+    uint64_t unknown;
+    histogram_t *latency; /* of answers with 2xx */
+} slot_t;
+
+typedef struct request {
+    int64_t intended_us;
+    uint64_t number;
+} request_t;
+
+static char *option_targets;
+static char *option_path = "/svc/bench/x";
+static char *option_method = "GET";
+static char *option_name = "load";
+static char *option_service = "exp";
+static char *option_timeline;
+static char **option_headers;
+static double option_rate = 1000;
+static double option_seconds = 5;
+static double option_warmup;
+static double option_service_ms;
+static int64_t option_seed = 1;
+static int64_t option_body;
+static int64_t option_timeout_ms = 10000;
+static int64_t option_health_ms;
+
+static loop_t *loop;
+static target_t *targets;
+static size_t target_count;
+static http_header_t *headers; /* the first one names the request */
+static size_t header_count;
+static char *body;
+static uint64_t random_state;
+static uint64_t sent;
+static uint64_t completed;
+static uint64_t measured;
+static uint64_t statuses[STATUS_COUNT];
+static uint64_t errors[ERROR_KIND_COUNT];
+static uint64_t executed_no;
+static uint64_t executed_unknown;
+static uint64_t unhealthy;
+static histogram_t ok_latency;
+static histogram_t other_latency;
+static histogram_t lateness;
+static int64_t start_us;
+static GArray *slots;
+static loop_timer_t health_timer;
+
+static int64_t
+now_us(void)
+{
+    struct timespec now = clock_get_monotonic(clock_system());
+
+    return now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* splitmix64, uniform in (0, 1] */
+static double
+draw(void)
+{
+    uint64_t z = (random_state += 0x9e3779b97f4a7c15ULL);
+
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    z ^= z >> 31;
+    return ((double)(z >> 11) + 1) / 9007199254740992.0;
+}
+
+static slot_t *
+get_slot(int64_t at_us)
+{
+    guint index = (guint)(MAX(at_us - start_us, 0) / (SLOT_MS * 1000));
+
+    if (index >= slots->len) {
+        g_array_set_size(slots, index + 1);
+    }
+    return &g_array_index(slots, slot_t, index);
+}
+
+static void
+count_answer(const http_response_t *response, int64_t intended_us)
+{
+    uint64_t latency_us = (uint64_t)MAX(now_us() - intended_us, 0);
+    slot_t *slot = get_slot(now_us());
+    bool ok = response->ok && response->status / 100 == 2;
+    const char *executed = response->body;
+
+    measured++;
+    histogram_add(ok ? &ok_latency : &other_latency, latency_us);
+    if (ok) {
+        statuses[response->status]++;
+        slot->ok++;
+        if (slot->latency == NULL) {
+            slot->latency = g_new0(histogram_t, 1);
+        }
+        histogram_add(slot->latency, latency_us);
+        return;
+    }
+    if (!response->ok) {
+        errors[response->kind]++;
+        slot->unknown++;
+        return;
+    }
+    statuses[CLAMP(response->status, 0, STATUS_COUNT - 1)]++;
+    executed = executed != NULL ? strstr(executed, "\"executed\"") : NULL;
+    if (executed != NULL && strstr(executed, "\"no\"") != NULL) {
+        executed_no++;
+        slot->rejected++;
+        return;
+    }
+    if (executed != NULL) {
+        executed_unknown++;
+    }
+    slot->unknown++;
+}
+
+static void
+on_answer(const http_response_t *response, void *data)
+{
+    request_t *request = data;
+    int64_t warm_us = start_us + (int64_t)(option_warmup * 1e6);
+
+    completed++;
+    if (request->intended_us >= warm_us) {
+        count_answer(response, request->intended_us);
+    }
+    g_free(request);
+}
+
+static http_client_t *
+choose_client(void)
+{
+    size_t first = (size_t)(draw() * (double)target_count) % target_count;
+
+    for (size_t i = 0; i < target_count; i++) {
+        target_t *target = &targets[(first + i) % target_count];
+
+        if (target->healthy) {
+            return target->client;
+        }
+    }
+    unhealthy++;
+    return targets[first].client;
+}
+
+static void
+send_request(int64_t intended_us)
+{
+    request_t *request = g_new0(request_t, 1);
+    double service_ms = option_service_ms;
+    g_autofree char *target = NULL;
+    char id[96];
+    http_call_opts_t opts = {
+        .method = option_method,
+        .headers = headers,
+        .header_count = header_count,
+        .body = body,
+        .body_length = (size_t)option_body,
+        .timeout_ms = (uint64_t)option_timeout_ms,
+        .max_response = MAX_RESPONSE,
+    };
+
+    if (strcmp(option_service, "exp") == 0) {
+        service_ms *= -log(draw());
+    }
+    target = option_service_ms > 0
+                 ? g_strdup_printf("%s?ms=%.3f", option_path, service_ms)
+                 : g_strdup(option_path);
+    snprintf(id, sizeof(id), "%s-%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
+             option_name, option_seed, (guint64)sent);
+    headers[0].value = id;
+    opts.target = target;
+    request->intended_us = intended_us;
+    request->number = sent++;
+    get_slot(intended_us)->sent++;
+    histogram_add(&lateness, (uint64_t)MAX(now_us() - intended_us, 0));
+    http_client_send(choose_client(), &opts, on_answer, request);
+}
+
+static void
+on_health(const http_response_t *response, void *data)
+{
+    target_t *target = data;
+
+    target->probing = false;
+    target->healthy = response->ok && response->status == 200;
+}
+
+/* Acts as the platform's balancer: only healthy entries get requests. */
+static void
+on_health_timer(loop_timer_t *timer)
+{
+    http_call_opts_t opts = {
+        .method = "GET",
+        .target = "/healthz",
+        .timeout_ms = HEALTH_TIMEOUT_MS,
+        .max_response = MAX_RESPONSE,
+        .fresh_connection = true,
+    };
+
+    for (size_t i = 0; i < target_count; i++) {
+        if (!targets[i].probing) {
+            targets[i].probing = true;
+            http_client_send(targets[i].client, &opts, on_health, &targets[i]);
+        }
+    }
+    loop_timer_start(timer, (uint64_t)option_health_ms);
+}
+
+static void
+offer_load(void)
+{
+    double next_us = (double)start_us;
+    double end_us = next_us + option_seconds * 1e6;
+
+    while (next_us < end_us) {
+        int64_t wait_us = (int64_t)next_us - now_us();
+
+        if (wait_us > 0) {
+            /* Whole milliseconds are slept, the rest is polled. */
+            loop_run_once(loop, (int)(wait_us / 1000));
+            continue;
+        }
+        send_request((int64_t)next_us);
+        next_us += -log(draw()) / option_rate * 1e6;
+        if (sent % 16 == 0) {
+            loop_run_once(loop, 0);
+        }
+    }
+    end_us += DRAIN_MS * 1e3;
+    while (completed < sent && (double)now_us() < end_us) {
+        loop_run_once(loop, 10);
+    }
+}
+
+static json_object *
+describe_histogram(const histogram_t *histogram)
+{
+    static const struct {
+        const char *name;
+        double quantile;
+    } columns[] = {{"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"p999", 0.999}};
+    json_object *out = json_object_new_object();
+
+    json_object_object_add(out, "count",
+                           json_object_new_int64((int64_t)histogram->count));
+    for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
+        uint64_t us = histogram_get_quantile(histogram, columns[i].quantile);
+
+        json_object_object_add(out, columns[i].name,
+                               json_object_new_double((double)us / 1000));
+    }
+    json_object_object_add(
+        out, "max", json_object_new_double((double)histogram->max / 1000));
+    return out;
+}
+
+static void
+add_count(json_object *object, const char *key, uint64_t value)
+{
+    json_object_object_add(object, key, json_object_new_int64((int64_t)value));
+}
+
+static void
+print_report(void)
+{
+    json_object *report = json_object_new_object();
+    json_object *by_status = json_object_new_object();
+    json_object *by_error = json_object_new_object();
+
+    for (int i = 0; i < STATUS_COUNT; i++) {
+        if (statuses[i] > 0) {
+            char name[8];
+
+            snprintf(name, sizeof(name), "%d", i);
+            add_count(by_status, name, statuses[i]);
+        }
+    }
+    for (int i = 0; i < ERROR_KIND_COUNT; i++) {
+        if (errors[i] > 0) {
+            add_count(by_error, error_get_answer((unsigned)i)->name,
+                      errors[i]);
+        }
+    }
+    add_count(report, "sent", sent);
+    add_count(report, "measured", measured);
+    add_count(report, "unanswered", sent - completed);
+    add_count(report, "sent_while_unhealthy", unhealthy);
+    add_count(report, "executed_no", executed_no);
+    add_count(report, "executed_unknown", executed_unknown);
+    json_object_object_add(report, "status", by_status);
+    json_object_object_add(report, "errors", by_error);
+    json_object_object_add(report, "ok_ms", describe_histogram(&ok_latency));
+    json_object_object_add(report, "other_ms",
+                           describe_histogram(&other_latency));
+    json_object_object_add(report, "late_send_ms",
+                           describe_histogram(&lateness));
+    printf("%s\n",
+           json_object_to_json_string_ext(report, JSON_C_TO_STRING_SPACED));
+    json_object_put(report);
+}
+
+static void
+write_timeline(void)
+{
+    FILE *file = fopen(option_timeline, "w");
+
+    if (file == NULL) {
+        fprintf(stderr, "loadgen: cannot write %s\n", option_timeline);
+        return;
+    }
+    fprintf(file, "ms sent ok rejected unknown p50_ms p99_ms\n");
+    for (guint i = 0; i < slots->len; i++) {
+        const slot_t *slot = &g_array_index(slots, slot_t, i);
+        histogram_t empty = {0};
+        const histogram_t *latency = slot->latency ? slot->latency : &empty;
+
+        fprintf(file, "%u %lu %lu %lu %lu %.2f %.2f\n", i * SLOT_MS,
+                (unsigned long)slot->sent, (unsigned long)slot->ok,
+                (unsigned long)slot->rejected, (unsigned long)slot->unknown,
+                (double)histogram_get_quantile(latency, 0.5) / 1000,
+                (double)histogram_get_quantile(latency, 0.99) / 1000);
+    }
+    fclose(file);
+}
+
+static void
+add_header(const char *text)
+{
+    char **parts = g_strsplit(text, ":", 2);
+
+    if (parts[0] != NULL && parts[1] != NULL) {
+        headers[header_count].name = parts[0];
+        headers[header_count++].value = g_strstrip(parts[1]);
+    }
+}
+
+static void
+prepare(void)
+{
+    char **addresses = g_strsplit(option_targets, ",", 0);
+    size_t extra = option_headers ? g_strv_length(option_headers) : 0;
+
+    target_count = g_strv_length(addresses);
+    targets = g_new0(target_t, target_count);
+    for (size_t i = 0; i < target_count; i++) {
+        http_client_opts_t opts = {loop, addresses[i], MAX_CONNECTIONS};
+        GError *error = NULL;
+
+        targets[i].address = addresses[i];
+        targets[i].healthy = true;
+        targets[i].client = http_client_new(&opts, &error);
+        if (targets[i].client == NULL) {
+            fprintf(stderr, "loadgen: %s\n", error->message);
+            exit(2);
+        }
+    }
+    headers = g_new0(http_header_t, extra + 1);
+    headers[0].name = "teasel-request-id";
+    header_count = 1;
+    for (size_t i = 0; i < extra; i++) {
+        add_header(option_headers[i]);
+    }
+    body = g_malloc((size_t)option_body + 1);
+    memset(body, 'b', (size_t)option_body);
+    slots = g_array_new(FALSE, TRUE, sizeof(slot_t));
+    random_state = (uint64_t)option_seed;
+    if (option_health_ms > 0) {
+        loop_timer_init(&health_timer, loop, on_health_timer, NULL);
+        loop_timer_start(&health_timer, 0);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    const GOptionEntry entries[] = {
+        {"targets", 0, 0, G_OPTION_ARG_STRING, &option_targets,
+         "entries, chosen at random", "IP:PORT,..."},
+        {"path", 0, 0, G_OPTION_ARG_STRING, &option_path, NULL, "PATH"},
+        {"method", 0, 0, G_OPTION_ARG_STRING, &option_method, NULL, "NAME"},
+        {"header", 0, 0, G_OPTION_ARG_STRING_ARRAY, &option_headers, NULL,
+         "NAME: VALUE"},
+        {"name", 0, 0, G_OPTION_ARG_STRING, &option_name,
+         "start of the request ids", "TEXT"},
+        {"rate", 0, 0, G_OPTION_ARG_DOUBLE, &option_rate, NULL, "PER_SECOND"},
+        {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &option_seconds, NULL, "S"},
+        {"warmup", 0, 0, G_OPTION_ARG_DOUBLE, &option_warmup,
+         "seconds that are not counted", "S"},
+        {"service-ms", 0, 0, G_OPTION_ARG_DOUBLE, &option_service_ms,
+         "mean service time, asked from the executor stand-in", "MS"},
+        {"service", 0, 0, G_OPTION_ARG_STRING, &option_service, "exp or fixed",
+         "KIND"},
+        {"seed", 0, 0, G_OPTION_ARG_INT64, &option_seed, NULL, "N"},
+        {"body", 0, 0, G_OPTION_ARG_INT64, &option_body, NULL, "BYTES"},
+        {"timeout-ms", 0, 0, G_OPTION_ARG_INT64, &option_timeout_ms, NULL,
+         "MS"},
+        {"health-ms", 0, 0, G_OPTION_ARG_INT64, &option_health_ms,
+         "interval of GET /healthz; 0: none", "MS"},
+        {"timeline", 0, 0, G_OPTION_ARG_FILENAME, &option_timeline,
+         "counts per 100 ms", "FILE"},
+        {NULL}};
+    g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+    g_autoptr(GError) error = NULL;
+
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error) ||
+        option_targets == NULL) {
+        fprintf(stderr, "loadgen: %s\n",
+                error ? error->message : "--targets is required");
+        return 2;
+    }
+    loop = loop_new();
+    prepare();
+    start_us = now_us();
+    offer_load();
+    print_report();
+    if (option_timeline != NULL) {
+        write_timeline();
+    }
+    return 0;
+}
--- a/tests/standins/standin.h
+++ b/tests/standins/common/standin.c
@@ -1,50 +1,32 @@
-#ifndef TEASEL_TESTS_STANDIN_H
-#define TEASEL_TESTS_STANDIN_H
+#include "standin.h"
 
-/* Parts that the stand-ins share; each stand-in is one program of one file. */
-
-#include <glib.h>
-#include <json-c/json.h>
-#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/clock.h"
-#include "base/http_server.h"
-#include "base/loop.h"
-
-#define STANDIN_UNUSED __attribute__((unused))
-
-/* One key of POST /standin/fault; the field is an int64_t. */
-typedef struct standin_fault {
-    const char *key;
-    size_t offset;
-} standin_fault_t;
-
 /* Answer that is sent after a delay. */
-typedef struct standin_delayed {
+typedef struct delayed {
     loop_timer_t timer;
     http_exchange_t *exchange;
     int status;
     char *body;
-} standin_delayed_t;
+} delayed_t;
 
-static loop_t *standin_loop;
+loop_t *standin_loop;
 
-STANDIN_UNUSED static int64_t
+int64_t
 standin_now_ms(void)
 {
     return (int64_t)timespec_to_ms(clock_get_monotonic(clock_system()));
 }
 
-STANDIN_UNUSED static int64_t
+int64_t
 standin_wall_ms(void)
 {
     return (int64_t)timespec_to_ms(clock_get_wall(clock_system()));
 }
 
-STANDIN_UNUSED static int64_t
+int64_t
 standin_get_int(json_object *object, const char *key, int64_t fallback)
 {
     json_object *value = NULL;
@@ -55,7 +37,7 @@
     return json_object_get_int64(value);
 }
 
-STANDIN_UNUSED static const char *
+const char *
 standin_get_string(json_object *object, const char *key, const char *fallback)
 {
     json_object *value = NULL;
@@ -66,20 +48,19 @@
     return json_object_get_string(value);
 }
 
-STANDIN_UNUSED static void
+void
 standin_add_int(json_object *object, const char *key, int64_t value)
 {
     json_object_object_add(object, key, json_object_new_int64(value));
 }
 
-STANDIN_UNUSED static void
+void
 standin_add_string(json_object *object, const char *key, const char *value)
 {
     json_object_object_add(object, key, json_object_new_string(value));
 }
 
-/* Value of a query parameter, or the fallback. */
-STANDIN_UNUSED static double
+double
 standin_get_query(const http_exchange_t *exchange, const char *key,
                   double fallback)
 {
@@ -96,8 +77,7 @@
     return fallback;
 }
 
-/* One unit of a counted fault. */
-STANDIN_UNUSED static bool
+bool
 standin_take(int64_t *counter)
 {
     if (*counter <= 0) {
@@ -107,8 +87,7 @@
     return true;
 }
 
-/* Frees @body. */
-STANDIN_UNUSED static void
+void
 standin_reply_json(http_exchange_t *exchange, int status, json_object *body)
 {
     http_exchange_reply_text(exchange, status, "application/json",
@@ -116,16 +95,16 @@
     json_object_put(body);
 }
 
-STANDIN_UNUSED static void
+void
 standin_reply_error(http_exchange_t *exchange, int status, const char *text)
 {
     http_exchange_reply_text(exchange, status, "text/plain", text);
 }
 
-STANDIN_UNUSED static void
-standin_on_delayed(loop_timer_t *timer)
+static void
+on_delayed(loop_timer_t *timer)
 {
-    standin_delayed_t *delayed = timer->data;
+    delayed_t *delayed = timer->data;
 
     http_exchange_reply_text(delayed->exchange, delayed->status,
                              "application/json", delayed->body);
@@ -133,28 +112,26 @@
     g_free(delayed);
 }
 
-STANDIN_UNUSED static void
+void
 standin_reply_later(http_exchange_t *exchange, int64_t ms, int status,
                     json_object *body)
 {
-    standin_delayed_t *delayed;
+    delayed_t *delayed;
 
     if (ms <= 0) {
         standin_reply_json(exchange, status, body);
         return;
     }
-    delayed = g_new0(standin_delayed_t, 1);
+    delayed = g_new0(delayed_t, 1);
     delayed->exchange = exchange;
     delayed->status = status;
     delayed->body = g_strdup(json_object_to_json_string(body));
     json_object_put(body);
-    loop_timer_init(&delayed->timer, standin_loop, standin_on_delayed,
-                    delayed);
+    loop_timer_init(&delayed->timer, standin_loop, on_delayed, delayed);
     loop_timer_start(&delayed->timer, (uint64_t)ms);
 }
 
-/* Parses the body, or answers 400 and returns NULL. */
-STANDIN_UNUSED static json_object *
+json_object *
 standin_parse_body(http_exchange_t *exchange)
 {
     json_object *body = json_tokener_parse(exchange->body);
@@ -167,8 +144,7 @@
     return body;
 }
 
-/* Sets the fields of the keys that are present. */
-STANDIN_UNUSED static void
+void
 standin_set_faults(json_object *body, const standin_fault_t *table,
                    void *faults)
 {
@@ -179,7 +155,7 @@
     }
 }
 
-STANDIN_UNUSED static void
+void
 standin_parse_options(int argc, char **argv, const GOptionEntry *entries)
 {
     g_autoptr(GOptionContext) context = g_option_context_new(NULL);
@@ -193,13 +169,13 @@
     standin_loop = loop_new();
 }
 
-STANDIN_UNUSED static void
-standin_on_signal(int signal_number, void *data)
+static void
+on_signal(int signal_number, void *data)
 {
     loop_stop(standin_loop);
 }
 
-STANDIN_UNUSED static http_server_t *
+http_server_t *
 standin_listen(const char *address, const http_route_t *routes)
 {
     http_server_opts_t opts = {
@@ -218,16 +194,14 @@
     return server;
 }
 
-STANDIN_UNUSED static void
+void
 standin_run(void)
 {
     GError *error = NULL;
 
-    if (!loop_on_signals(standin_loop, standin_on_signal, NULL, &error)) {
+    if (!loop_on_signals(standin_loop, on_signal, NULL, &error)) {
         fprintf(stderr, "%s\n", error->message);
         exit(1);
     }
     loop_run(standin_loop);
 }
-
-#endif
