--- a/bench/loadgen.c
+++ b/bench/loadgen.c
@@ -2,23 +2,20 @@
    are drawn from the seed, so that runs with one seed offer the same load.
    Latency counts from the intended send time. */
 
-#include <json-c/json.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
-#include "base/histogram.h"
 #include "base/http_client.h"
+#include "results.h"
 
 enum {
     MAX_RESPONSE = 1024 * 1024,
     MAX_CONNECTIONS = 4096,
     HEALTH_TIMEOUT_MS = 1000,
-    SLOT_MS = 100, /* resolution of the time line */
     DRAIN_MS = 15000,
-    STATUS_COUNT = 600,
 };
 
 typedef struct target {
@@ -28,14 +25,6 @@
     bool probing;
 } target_t;
 
-typedef struct slot {
-    uint64_t sent;
-    uint64_t ok;
-    uint64_t rejected; /* not run */
-    uint64_t unknown;
-    histogram_t *latency; /* of answers with 2xx */
-} slot_t;
-
 typedef struct request {
     int64_t intended_us;
     uint64_t number;
@@ -57,6 +46,8 @@
 static int64_t option_timeout_ms = 10000;
 static int64_t option_health_ms;
 
+results_t results;
+
 static loop_t *loop;
 static target_t *targets;
 static size_t target_count;
@@ -64,19 +55,7 @@
 static size_t header_count;
 static char *body;
 static uint64_t random_state;
-static uint64_t sent;
-static uint64_t completed;
-static uint64_t measured;
-static uint64_t statuses[STATUS_COUNT];
-static uint64_t errors[ERROR_KIND_COUNT];
-static uint64_t executed_no;
-static uint64_t executed_unknown;
-static uint64_t unhealthy;
-static histogram_t ok_latency;
-static histogram_t other_latency;
-static histogram_t lateness;
 static int64_t start_us;
-static GArray *slots;
 static loop_timer_t health_timer;
 
 static int64_t
@@ -104,10 +83,10 @@
 {
     guint index = (guint)(MAX(at_us - start_us, 0) / (SLOT_MS * 1000));
 
-    if (index >= slots->len) {
-        g_array_set_size(slots, index + 1);
+    if (index >= results.slots->len) {
+        g_array_set_size(results.slots, index + 1);
     }
-    return &g_array_index(slots, slot_t, index);
+    return &g_array_index(results.slots, slot_t, index);
 }
 
 static void
@@ -118,10 +97,11 @@
     bool ok = response->ok && response->status / 100 == 2;
     const char *executed = response->body;
 
-    measured++;
-    histogram_add(ok ? &ok_latency : &other_latency, latency_us);
+    results.measured++;
+    histogram_add(ok ? &results.ok_latency : &results.other_latency,
+                  latency_us);
     if (ok) {
-        statuses[response->status]++;
+        results.statuses[response->status]++;
         slot->ok++;
         if (slot->latency == NULL) {
             slot->latency = g_new0(histogram_t, 1);
@@ -130,19 +110,19 @@
         return;
     }
     if (!response->ok) {
-        errors[response->kind]++;
+        results.errors[response->kind]++;
         slot->unknown++;
         return;
     }
-    statuses[CLAMP(response->status, 0, STATUS_COUNT - 1)]++;
+    results.statuses[CLAMP(response->status, 0, STATUS_COUNT - 1)]++;
     executed = executed != NULL ? strstr(executed, "\"executed\"") : NULL;
     if (executed != NULL && strstr(executed, "\"no\"") != NULL) {
-        executed_no++;
+        results.executed_no++;
         slot->rejected++;
         return;
     }
     if (executed != NULL) {
-        executed_unknown++;
+        results.executed_unknown++;
     }
     slot->unknown++;
 }
@@ -153,7 +133,7 @@
     request_t *request = data;
     int64_t warm_us = start_us + (int64_t)(option_warmup * 1e6);
 
-    completed++;
+    results.completed++;
     if (request->intended_us >= warm_us) {
         count_answer(response, request->intended_us);
     }
@@ -172,7 +152,7 @@
             return target->client;
         }
     }
-    unhealthy++;
+    results.unhealthy++;
     return targets[first].client;
 }
 
@@ -200,13 +180,13 @@
                  ? g_strdup_printf("%s?ms=%.3f", option_path, service_ms)
                  : g_strdup(option_path);
     snprintf(id, sizeof(id), "%s-%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
-             option_name, option_seed, (guint64)sent);
+             option_name, option_seed, (guint64)results.sent);
     headers[0].value = id;
     opts.target = target;
     request->intended_us = intended_us;
-    request->number = sent++;
+    request->number = results.sent++;
     get_slot(intended_us)->sent++;
-    histogram_add(&lateness, (uint64_t)MAX(now_us() - intended_us, 0));
+    histogram_add(&results.lateness, (uint64_t)MAX(now_us() - intended_us, 0));
     http_client_send(choose_client(), &opts, on_answer, request);
 }
 
@@ -256,107 +236,16 @@
         }
         send_request((int64_t)next_us);
         next_us += -log(draw()) / option_rate * 1e6;
-        if (sent % 16 == 0) {
+        if (results.sent % 16 == 0) {
             loop_run_once(loop, 0);
         }
     }
     end_us += DRAIN_MS * 1e3;
-    while (completed < sent && (double)now_us() < end_us) {
+    while (results.completed < results.sent && (double)now_us() < end_us) {
         loop_run_once(loop, 10);
     }
 }
 
-static json_object *
-describe_histogram(const histogram_t *histogram)
-{
-    static const struct {
-        const char *name;
-        double quantile;
-    } columns[] = {{"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"p999", 0.999}};
-    json_object *out = json_object_new_object();
-
-    json_object_object_add(out, "count",
-                           json_object_new_int64((int64_t)histogram->count));
-    for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
-        uint64_t us = histogram_get_quantile(histogram, columns[i].quantile);
-
-        json_object_object_add(out, columns[i].name,
-                               json_object_new_double((double)us / 1000));
-    }
-    json_object_object_add(
-        out, "max", json_object_new_double((double)histogram->max / 1000));
-    return out;
-}
-
-static void
-add_count(json_object *object, const char *key, uint64_t value)
-{
-    json_object_object_add(object, key, json_object_new_int64((int64_t)value));
-}
-
-static void
-print_report(void)
-{
-    json_object *report = json_object_new_object();
-    json_object *by_status = json_object_new_object();
-    json_object *by_error = json_object_new_object();
-
-    for (int i = 0; i < STATUS_COUNT; i++) {
-        if (statuses[i] > 0) {
-            char name[8];
-
-            snprintf(name, sizeof(name), "%d", i);
-            add_count(by_status, name, statuses[i]);
-        }
-    }
-    for (int i = 0; i < ERROR_KIND_COUNT; i++) {
-        if (errors[i] > 0) {
-            add_count(by_error, error_get_answer((unsigned)i)->name,
-                      errors[i]);
-        }
-    }
-    add_count(report, "sent", sent);
-    add_count(report, "measured", measured);
-    add_count(report, "unanswered", sent - completed);
-    add_count(report, "sent_while_unhealthy", unhealthy);
-    add_count(report, "executed_no", executed_no);
-    add_count(report, "executed_unknown", executed_unknown);
-    json_object_object_add(report, "status", by_status);
-    json_object_object_add(report, "errors", by_error);
-    json_object_object_add(report, "ok_ms", describe_histogram(&ok_latency));
-    json_object_object_add(report, "other_ms",
-                           describe_histogram(&other_latency));
-    json_object_object_add(report, "late_send_ms",
-                           describe_histogram(&lateness));
-    printf("%s\n",
-           json_object_to_json_string_ext(report, JSON_C_TO_STRING_SPACED));
-    json_object_put(report);
-}
-
-static void
-write_timeline(void)
-{
-    FILE *file = fopen(option_timeline, "w");
-
-    if (file == NULL) {
-        fprintf(stderr, "loadgen: cannot write %s\n", option_timeline);
-        return;
-    }
-    fprintf(file, "ms sent ok rejected unknown p50_ms p99_ms\n");
-    for (guint i = 0; i < slots->len; i++) {
-        const slot_t *slot = &g_array_index(slots, slot_t, i);
-        histogram_t empty = {0};
-        const histogram_t *latency = slot->latency ? slot->latency : &empty;
-
-        fprintf(file, "%u %lu %lu %lu %lu %.2f %.2f\n", i * SLOT_MS,
-                (unsigned long)slot->sent, (unsigned long)slot->ok,
-                (unsigned long)slot->rejected, (unsigned long)slot->unknown,
-                (double)histogram_get_quantile(latency, 0.5) / 1000,
-                (double)histogram_get_quantile(latency, 0.99) / 1000);
-    }
-    fclose(file);
-}
-
 static void
 add_header(const char *text)
 {
@@ -396,7 +285,7 @@
     }
     body = g_malloc((size_t)option_body + 1);
     memset(body, 'b', (size_t)option_body);
-    slots = g_array_new(FALSE, TRUE, sizeof(slot_t));
+    results.slots = g_array_new(FALSE, TRUE, sizeof(slot_t));
     random_state = (uint64_t)option_seed;
     if (option_health_ms > 0) {
         loop_timer_init(&health_timer, loop, on_health_timer, NULL);
@@ -447,9 +336,9 @@
     prepare();
     start_us = now_us();
     offer_load();
-    print_report();
+    results_print();
     if (option_timeline != NULL) {
-        write_timeline();
+        results_write_timeline(option_timeline);
     }
     return 0;
 }
