--- a/bench/loadgen.c
+++ b/bench/loadgen.c
@@ -89,42 +89,54 @@
     return &g_array_index(results.slots, slot_t, index);
 }
 
+static bool
+is_rejected(const http_response_t *response)
+{
+    const char *executed = strstr(response->body, "\"executed\"");
+
+    return executed != NULL && strstr(executed, "\"no\"") != NULL;
+}
+
+static void
+count_failure(const http_response_t *response, slot_t *slot,
+              uint64_t latency_us)
+{
+    if (!response->ok) {
+        results.errors[response->kind]++;
+    }
+    else {
+        results.statuses[CLAMP(response->status, 0, STATUS_COUNT - 1)]++;
+        if (is_rejected(response)) {
+            results.executed_no++;
+            slot->rejected++;
+            histogram_add(&results.rejected_latency, latency_us);
+            return;
+        }
+        results.executed_unknown +=
+            strstr(response->body, "\"executed\"") != NULL;
+    }
+    slot->unknown++;
+    histogram_add(&results.other_latency, latency_us);
+}
+
 static void
 count_answer(const http_response_t *response, int64_t intended_us)
 {
     uint64_t latency_us = (uint64_t)MAX(now_us() - intended_us, 0);
     slot_t *slot = get_slot(now_us());
-    bool ok = response->ok && response->status / 100 == 2;
-    const char *executed = response->body;
 
     results.measured++;
-    histogram_add(ok ? &results.ok_latency : &results.other_latency,
-                  latency_us);
-    if (ok) {
-        results.statuses[response->status]++;
-        slot->ok++;
-        if (slot->latency == NULL) {
-            slot->latency = g_new0(histogram_t, 1);
-        }
-        histogram_add(slot->latency, latency_us);
+    if (!response->ok || response->status / 100 != 2) {
+        count_failure(response, slot, latency_us);
         return;
     }
-    if (!response->ok) {
-        results.errors[response->kind]++;
-        slot->unknown++;
-        return;
-    }
-    results.statuses[CLAMP(response->status, 0, STATUS_COUNT - 1)]++;
-    executed = executed != NULL ? strstr(executed, "\"executed\"") : NULL;
-    if (executed != NULL && strstr(executed, "\"no\"") != NULL) {
-        results.executed_no++;
-        slot->rejected++;
-        return;
+    results.statuses[response->status]++;
+    histogram_add(&results.ok_latency, latency_us);
+    slot->ok++;
+    if (slot->latency == NULL) {
+        slot->latency = g_new0(histogram_t, 1);
     }
-    if (executed != NULL) {
-        results.executed_unknown++;
-    }
-    slot->unknown++;
+    histogram_add(slot->latency, latency_us);
 }
 
 static void
--- a/bench/loadgen/results.h
+++ b/bench/loadgen/results.h
@@ -29,6 +29,7 @@
     uint64_t executed_unknown;
     uint64_t unhealthy;
     histogram_t ok_latency;
+    histogram_t rejected_latency; /* answered with executed "no" */
     histogram_t other_latency;
     histogram_t lateness;
     GArray *slots; /* slot_t */
