--- /dev/null
+++ b/libteasel/agent/request_answer.h
@@ -0,0 +1,34 @@
+#ifndef TEASEL_AGENT_REQUEST_ANSWER_H
+#define TEASEL_AGENT_REQUEST_ANSWER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agent/agent_link.h"
+#include "base/error.h"
+#include "executor/executor.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * request_answer_send() - answer a request with its result
+ *
+ * A complete answer that does not fit into a frame is sent as unknown.
+ */
+void request_answer_send(agent_link_t *link, uint64_t request_id,
+                         const executor_result_t *result, Teasel__Load *load);
+
+/**
+ * request_answer_send_not_run() - answer a request that was refused
+ */
+void request_answer_send_not_run(agent_link_t *link, uint64_t request_id,
+                                 error_kind_t kind, const char *detail,
+                                 Teasel__Load *load);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
