--- a/libteasel/agent/agent_settings.c
+++ b/libteasel/agent/agent_settings.c
@@ -69,8 +69,8 @@
     }
     g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
                 "%s: key \"%s\": found %" PRId64
-                "; allowed: at most the value of \"%s\", which is %" PRId64,
-                path, low_key, low, high_key, high);
+                "; allowed: at most %" PRId64 ", from key \"%s\"",
+                path, low_key, low, high, high_key);
     return false;
 }
 
@@ -81,6 +81,8 @@
                        settings->connections, error) &&
            check_order(path, "ping_ms", settings->ping_ms, "silence_ms",
                        settings->silence_ms, error) &&
+           check_order(path, "report_ms", settings->report_ms, "silence_ms",
+                       settings->silence_ms / 2, error) &&
            check_order(path, "heartbeat_ms", settings->heartbeat_ms,
                        "lease_ms", settings->lease_ms, error) &&
            check_order(path, "backoff_ms", settings->backoff_ms,
--- a/libteasel/agent/request_answer.c
+++ b/libteasel/agent/request_answer.c
@@ -22,10 +22,10 @@
 {
     Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
     Teasel__Reply reply = TEASEL__REPLY__INIT;
-    g_autofree Teasel__Header *headers =
-        g_new(Teasel__Header, result->header_count + 1);
-    g_autofree Teasel__Header **pointers =
+    Teasel__Header *headers = g_new(Teasel__Header, result->header_count + 1);
+    Teasel__Header **pointers =
         g_new(Teasel__Header *, result->header_count + 1);
+    bool sent;
 
     for (size_t i = 0; i < result->header_count; i++) {
         teasel__header__init(&headers[i]);
@@ -42,7 +42,10 @@
     reply.load = load;
     envelope.body_case = TEASEL__ENVELOPE__BODY_REPLY;
     envelope.reply = &reply;
-    return agent_link_send(link, &envelope);
+    sent = agent_link_send(link, &envelope);
+    g_free(headers);
+    g_free(pointers);
+    return sent;
 }
 
 void
--- /dev/null
+++ b/libteasel/agent/task_lease.c
@@ -0,0 +1,140 @@
+#include "agent/task_runner_internal.h"
+#include "base/events.h"
+
+enum {
+    /* Taken off the lease that is passed on, for the way to the worker. */
+    WORKER_MARGIN_MS = 500,
+    /* Longer delays of loop timers are rounded up by up to a tenth. */
+    EXACT_DELAY_MS = 20,
+};
+
+bool
+task_lease_is_live(const task_runner_t *runner)
+{
+    return lease_is_live(&runner->lease);
+}
+
+bool
+task_lease_is_worker_live(const task_runner_t *runner)
+{
+    struct timespec now = clock_get_monotonic(runner->opts.clock);
+
+    return runner->worker_leased &&
+           timespec_is_before(now, runner->worker_lease_end);
+}
+
+static void
+on_worker_renewed(worker_outcome_t outcome, const void *checkpoint,
+                  size_t length, const char *detail, void *data)
+{
+    task_runner_t *runner = data;
+
+    runner->renewing = false;
+    if (outcome != WORKER_OK) {
+        return;
+    }
+    runner->worker_leased = true;
+    runner->worker_lease_end =
+        timespec_add_ms(runner->renew_sent, (int64_t)runner->renew_ms);
+    task_step_all(runner);
+}
+
+static void
+pass_on(task_runner_t *runner)
+{
+    uint64_t rest = lease_get_rest_ms(&runner->lease);
+    worker_t *worker = runner->opts.worker;
+
+    if (runner->renewing || rest == 0) {
+        return;
+    }
+    runner->renewing = true;
+    runner->renew_sent = clock_get_monotonic(runner->opts.clock);
+    runner->renew_ms = rest - MIN((uint64_t)WORKER_MARGIN_MS, rest / 4);
+    worker->vtbl->renew(worker, runner->renew_ms, on_worker_renewed, runner);
+}
+
+static void
+start_timer(task_runner_t *runner)
+{
+    uint64_t rest = lease_get_rest_ms(&runner->lease);
+
+    loop_timer_start(&runner->lease_timer,
+                     rest > EXACT_DELAY_MS ? rest * 10 / 11 : rest);
+}
+
+static void
+note_expiry(task_runner_t *runner)
+{
+    if (!runner->expired) {
+        runner->expired = true;
+        runner->expirations.value++;
+        event_log(EVENT_LEASE_EXPIRED, "epoch=%" G_GUINT64_FORMAT,
+                  runner->lease.granted_epoch);
+    }
+    runner->resume_blocked = true;
+    runner->resume_sequence = 0;
+}
+
+void
+task_runner_check_lease(task_runner_t *runner)
+{
+    if (runner->lease.granted_epoch == 0) {
+        return;
+    }
+    if (task_lease_is_live(runner)) {
+        start_timer(runner);
+        return;
+    }
+    loop_timer_stop(&runner->lease_timer);
+    if (!runner->expired) {
+        note_expiry(runner);
+        task_step_all(runner);
+    }
+}
+
+/* The coordinator discards tasks in its answer to a heartbeat. Only after the
+   answer to a heartbeat that was sent since the contact it is certain that it
+   has seen, and left in force, the suspended tasks. */
+static void
+resume_after_contact(task_runner_t *runner, uint64_t sequence)
+{
+    if (!runner->resume_blocked) {
+        return;
+    }
+    if (runner->resume_sequence == 0) {
+        runner->resume_sequence = runner->sequence + 1;
+        task_report_send_heartbeat(runner);
+    }
+    else if (sequence >= runner->resume_sequence) {
+        runner->expired = false;
+        runner->resume_blocked = false;
+        event_log(EVENT_LEASE_RESTORED, "epoch=%" G_GUINT64_FORMAT,
+                  runner->lease.granted_epoch);
+    }
+}
+
+void
+task_lease_renew(task_runner_t *runner, const Teasel__Renew *renew)
+{
+    lease_result_t result;
+
+    task_runner_check_lease(runner);
+    result = lease_renew(&runner->lease, renew->epoch, renew->sequence,
+                         renew->lease_ms);
+    if (result == LEASE_STALE) {
+        event_log(EVENT_EPOCH_REFUSED,
+                  "message=renew epoch=%" G_GUINT64_FORMAT
+                  " newest=%" G_GUINT64_FORMAT,
+                  renew->epoch, runner->lease.epoch);
+        return;
+    }
+    runner->opts.handler->on_contact(renew->epoch, runner->opts.data);
+    if (result == LEASE_UNKNOWN || !task_lease_is_live(runner)) {
+        return;
+    }
+    start_timer(runner);
+    resume_after_contact(runner, renew->sequence);
+    pass_on(runner);
+    task_step_all(runner);
+}
--- /dev/null
+++ b/libteasel/agent/task_watch.c
@@ -0,0 +1,216 @@
+#include "agent/task_runner_internal.h"
+#include "base/events.h"
+
+enum {
+    WATCH_WAIT_MS = 1000,
+    /* Between two watches, so that a busy worker is not asked all the time. */
+    WATCH_PAUSE_MS = 10,
+    WATCH_RETRY_MS = 200,
+};
+
+static task_t *
+find_task(task_runner_t *runner, const worker_task_t *status)
+{
+    LIST_FOREACH (task, &runner->tasks, task_t, link) {
+        if (task->attempt == status->attempt &&
+            strcmp(task->job_id, status->job_id) == 0) {
+            return task;
+        }
+    }
+    return NULL;
+}
+
+/* Found after a restart of this agent. Until the coordinator tells its size,
+   what the worker measured is reserved. */
+static task_t *
+recover(task_runner_t *runner, const worker_task_t *status)
+{
+    task_t *task = task_new(runner, status->job_id, status->attempt);
+
+    list_append(&runner->tasks, &task->link);
+    task->state = TASK_ACTIVE;
+    task->sent = true;
+    task->size.units[LEDGER_CPU_MILLI] = status->cpu_milli;
+    task->size.units[LEDGER_MEMORY_MB] = status->memory_mb;
+    task_reserve(task, NULL);
+    event_log(EVENT_TASK_RECOVERED, "job=%s attempt=%u state=%d",
+              status->job_id, status->attempt, (int)status->state);
+    return task;
+}
+
+static void
+apply_end(task_t *task, Teasel__Outcome outcome, const char *detail)
+{
+    if (task->state == TASK_STOPPING &&
+        task->stop_reason == TEASEL__STOP_REASON__STOP_REASON_DISCARD) {
+        task_unreserve(task);
+        task->state = TASK_FORGETTING;
+    }
+    else {
+        task_end(task, outcome, detail);
+    }
+    task_step(task);
+}
+
+static void
+apply_task(task_t *task, const worker_task_t *status)
+{
+    if (!task_is_on_worker(task)) {
+        return;
+    }
+    if (task->state == TASK_STARTING) {
+        task->state = TASK_ACTIVE;
+        task->runner->started.value++;
+    }
+    if (!task->call_pending) {
+        task_set_measured(task, status);
+    }
+    switch (status->state) {
+    case WORKER_TASK_DONE:
+        apply_end(task, TEASEL__OUTCOME__OUTCOME_DONE, "");
+        break;
+    case WORKER_TASK_FAILED:
+        apply_end(task, TEASEL__OUTCOME__OUTCOME_FAILED, status->detail);
+        break;
+    case WORKER_TASK_STOPPED:
+        /* Stopping it once more answers the checkpoint. */
+        if (task->state != TASK_STOPPING) {
+            task_stop(task, TEASEL__STOP_REASON__STOP_REASON_EVICT);
+        }
+        else {
+            task_step(task);
+        }
+        break;
+    default:
+        task_step(task);
+        break;
+    }
+}
+
+static bool
+is_listed(const task_t *task, const worker_status_t *status)
+{
+    for (size_t i = 0; i < status->task_count; i++) {
+        if (task->attempt == status->tasks[i].attempt &&
+            strcmp(task->job_id, status->tasks[i].job_id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+apply_missing(task_t *task)
+{
+    task_runner_t *runner = task->runner;
+
+    if (task->call_pending || task->confirmed_watch >= runner->watch) {
+        return;
+    }
+    if (task->state == TASK_GONE) {
+        task_free(task);
+    }
+    else if (task->state == TASK_ACTIVE || task->state == TASK_STOPPING) {
+        event_log(EVENT_TASK_LOST, "job=%s attempt=%u", task->job_id,
+                  task->attempt);
+        apply_end(task, TEASEL__OUTCOME__OUTCOME_EVICTED,
+                  "the worker lost the task");
+    }
+}
+
+static void
+apply_capacity(task_runner_t *runner, const worker_status_t *status)
+{
+    ledger_t *ledger = runner->opts.ledger;
+    ledger_amount_t capacity = ledger->capacity;
+
+    capacity.units[LEDGER_CPU_MILLI] = status->cpu_milli;
+    capacity.units[LEDGER_MEMORY_MB] = status->memory_mb;
+    capacity.units[LEDGER_ACCELERATORS] = status->accelerators;
+    ledger_set_capacity(ledger, &capacity);
+    ledger_release(ledger, &runner->reserved);
+    for (int kind = 0; kind < LEDGER_KIND_COUNT; kind++) {
+        runner->reserved.units[kind] = MIN(runner->opts.reserved.units[kind],
+                                           ledger_get_free(ledger, kind));
+    }
+    ledger_reserve(ledger, &runner->reserved, NULL);
+}
+
+static void
+apply_status(task_runner_t *runner, const worker_status_t *status)
+{
+    apply_capacity(runner, status);
+    for (size_t i = 0; i < status->task_count; i++) {
+        task_t *task = find_task(runner, &status->tasks[i]);
+
+        if (task == NULL) {
+            task = recover(runner, &status->tasks[i]);
+        }
+        apply_task(task, &status->tasks[i]);
+    }
+    LIST_FOREACH_SAFE (task, &runner->tasks, task_t, link) {
+        if (!is_listed(task, status)) {
+            apply_missing(task);
+        }
+    }
+}
+
+static void
+note_answering(task_runner_t *runner, const worker_status_t *status)
+{
+    if (status->ok == runner->worker_answering) {
+        return;
+    }
+    runner->worker_answering = status->ok;
+    event_log(status->ok ? EVENT_WORKER_BACK : EVENT_WORKER_SILENT,
+              "detail=\"%s\"", status->detail);
+}
+
+static void
+on_status(const worker_status_t *status, void *data)
+{
+    task_runner_t *runner = data;
+    bool first = !runner->worker_known;
+
+    note_answering(runner, status);
+    if (!status->ok) {
+        loop_timer_start(&runner->watch_timer, WATCH_RETRY_MS);
+        return;
+    }
+    runner->worker_known = true;
+    runner->worker_heard = clock_get_monotonic(runner->opts.clock);
+    runner->worker_version = status->version;
+    if (!first && runner->worker_incarnation != status->incarnation) {
+        event_log(EVENT_WORKER_RESTARTED, "incarnation=%" G_GUINT64_FORMAT,
+                  status->incarnation);
+        runner->worker_leased = false;
+    }
+    runner->worker_incarnation = status->incarnation;
+    apply_status(runner, status);
+    if (first) {
+        task_runner_on_connected(runner);
+    }
+    loop_timer_start(&runner->watch_timer, WATCH_PAUSE_MS);
+    if (runner->leaving && task_runner_is_idle(runner)) {
+        runner->opts.handler->on_idle(runner->opts.data);
+    }
+}
+
+static void
+on_watch_timer(loop_timer_t *timer)
+{
+    task_runner_t *runner = timer->data;
+    worker_t *worker = runner->opts.worker;
+
+    runner->watch++;
+    worker->vtbl->watch(worker, runner->worker_version, WATCH_WAIT_MS,
+                        on_status, runner);
+}
+
+void
+task_watch_start(task_runner_t *runner)
+{
+    loop_timer_init(&runner->watch_timer, runner->opts.loop, on_watch_timer,
+                    runner);
+    loop_timer_start(&runner->watch_timer, 0);
+}
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -15,6 +15,30 @@
 #define EVENT_TABLE(EVENT)                                                    \
     EVENT(EVENT_ENTRY_STARTED, 1001, G_LOG_LEVEL_MESSAGE, "entry-started")    \
     EVENT(EVENT_AGENT_STARTED, 2001, G_LOG_LEVEL_MESSAGE, "agent-started")    \
+    EVENT(EVENT_ENTRY_CONNECTED, 2002, G_LOG_LEVEL_MESSAGE,                   \
+          "entry-connected")                                                  \
+    EVENT(EVENT_ENTRY_LOST, 2003, G_LOG_LEVEL_WARNING, "entry-lost")          \
+    EVENT(EVENT_COORDINATOR_CONNECTED, 2004, G_LOG_LEVEL_MESSAGE,             \
+          "coordinator-connected")                                            \
+    EVENT(EVENT_COORDINATOR_LOST, 2005, G_LOG_LEVEL_WARNING,                  \
+          "coordinator-lost")                                                 \
+    EVENT(EVENT_AGENT_FROZEN, 2006, G_LOG_LEVEL_WARNING, "agent-frozen")      \
+    EVENT(EVENT_LEASE_EXPIRED, 2007, G_LOG_LEVEL_WARNING, "lease-expired")    \
+    EVENT(EVENT_LEASE_RESTORED, 2008, G_LOG_LEVEL_MESSAGE, "lease-restored")  \
+    EVENT(EVENT_EPOCH_REFUSED, 2009, G_LOG_LEVEL_WARNING, "epoch-refused")    \
+    EVENT(EVENT_TASK_ENDED, 2010, G_LOG_LEVEL_MESSAGE, "task-ended")          \
+    EVENT(EVENT_TASK_RECOVERED, 2011, G_LOG_LEVEL_MESSAGE, "task-recovered")  \
+    EVENT(EVENT_TASK_LOST, 2012, G_LOG_LEVEL_WARNING, "task-lost")            \
+    EVENT(EVENT_TASK_EFFECTS_LOST, 2013, G_LOG_LEVEL_CRITICAL,                \
+          "task-effects-lost")                                                \
+    EVENT(EVENT_PRESSURE_STEP, 2014, G_LOG_LEVEL_MESSAGE, "pressure-step")    \
+    EVENT(EVENT_WORKER_BACK, 2015, G_LOG_LEVEL_MESSAGE, "worker-answers")     \
+    EVENT(EVENT_WORKER_SILENT, 2016, G_LOG_LEVEL_WARNING, "worker-silent")    \
+    EVENT(EVENT_WORKER_RESTARTED, 2017, G_LOG_LEVEL_WARNING,                  \
+          "worker-restarted")                                                 \
+    EVENT(EVENT_STOP_UNFINISHED, 2018, G_LOG_LEVEL_WARNING,                   \
+          "stop-unfinished")                                                  \
+    EVENT(EVENT_DRAIN_STATE, 2019, G_LOG_LEVEL_MESSAGE, "drain-state")        \
     EVENT(EVENT_LOG_LOST, 3001, G_LOG_LEVEL_WARNING, "log-lost")              \
     EVENT(EVENT_LOG_BACK, 3002, G_LOG_LEVEL_MESSAGE, "log-back")              \
     EVENT(EVENT_RECORD_MALFORMED, 3003, G_LOG_LEVEL_WARNING,                  \
