--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -66,7 +66,8 @@
 int
 main(int argc, char **argv)
 {
-    const slope_t *const tables[] = {slopes_wire, slopes_config};
+    const slope_t *const tables[] = {slopes_wire, slopes_config, slopes_cell,
+                                     slopes_request};
     const char *wanted = argc > 1 ? argv[1] : "";
 
     printf("| slope | unit | processor ns | memory bytes | wire bytes |\n");
--- /dev/null
+++ b/bench/slopes/cell.c
@@ -0,0 +1,284 @@
+#include <string.h>
+
+#include "batch/cell.h"
+#include "batch/place.h"
+#include "slopes.h"
+
+enum {
+    WORKERS = 1000,    /* of one cell; 24 cells have 24,000 */
+    PER_DECISION = 26, /* 1,300 starts/s in ticks of 20 ms */
+    LIVE_JOBS = 12000, /* 280,000 running tasks in 24 cells, and a queue */
+};
+
+typedef struct world {
+    cell_t *cell;
+    uint64_t offset;
+    double bytes;
+} world_t;
+
+static char *
+job_name(uint64_t number)
+{
+    return g_strdup_printf("typeset-2026-12-04-%09u", (unsigned)number);
+}
+
+static char *
+worker_name(uint64_t number)
+{
+    return g_strdup_printf("agent-accra-%05u", (unsigned)(number % WORKERS));
+}
+
+/* Packs the record, then unpacks and folds it like a reader of the log. */
+static void
+apply(world_t *world, Teasel__LogRecord *record)
+{
+    uint64_t id[2] = {++world->offset, 7};
+    g_autofree uint8_t *packed = NULL;
+    Teasel__LogRecord *unpacked;
+    size_t length;
+
+    record->id.data = (uint8_t *)id;
+    record->id.len = sizeof(id);
+    record->writer = "agent-accra-00017";
+    record->wall_ms = 1796367422761;
+    length = teasel__log_record__get_packed_size(record);
+    packed = g_malloc(length);
+    teasel__log_record__pack(record, packed);
+    world->bytes += (double)length;
+    unpacked = teasel__log_record__unpack(NULL, length, packed);
+    cell_apply(world->cell, unpacked, world->offset);
+    teasel__log_record__free_unpacked(unpacked, NULL);
+}
+
+static void
+apply_decision(world_t *world, Teasel__DecisionItem **items, size_t count)
+{
+    Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
+    Teasel__Decision decision = TEASEL__DECISION__INIT;
+
+    decision.epoch = world->cell->epoch;
+    decision.n_items = count;
+    decision.items = items;
+    record.body_case = TEASEL__LOG_RECORD__BODY_DECISION;
+    record.decision = &decision;
+    apply(world, &record);
+}
+
+static void
+add_workers(world_t *world)
+{
+    for (uint64_t i = 0; i < WORKERS; i++) {
+        g_autofree char *name = worker_name(i);
+        Teasel__DecisionItem item = TEASEL__DECISION_ITEM__INIT;
+        Teasel__DecisionWorker worker = TEASEL__DECISION_WORKER__INIT;
+        Teasel__Resources size = TEASEL__RESOURCES__INIT;
+        Teasel__DecisionItem *items[] = {&item};
+
+        size.cpu_milli = 32000;
+        size.memory_mb = 125000;
+        worker.worker = name;
+        worker.incarnation = 1;
+        worker.capacity = &size;
+        item.item_case = TEASEL__DECISION_ITEM__ITEM_WORKER;
+        item.worker = &worker;
+        apply_decision(world, items, 1);
+    }
+}
+
+static world_t
+make_world(void)
+{
+    world_t world = {cell_new(), 0, 0};
+    Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
+    Teasel__Claim claim = TEASEL__CLAIM__INIT;
+
+    claim.agent_id = "agent-accra-00017";
+    claim.incarnation = 1;
+    claim.peer_address = "10.0.0.1:7000";
+    record.body_case = TEASEL__LOG_RECORD__BODY_CLAIM;
+    record.claim = &claim;
+    apply(&world, &record);
+    add_workers(&world);
+    world.bytes = 0;
+    return world;
+}
+
+static void
+submit_jobs(world_t *world, uint64_t count)
+{
+    for (uint64_t i = 0; i < count; i++) {
+        g_autofree char *name = job_name(i);
+        g_autofree char *spec = g_strdup_printf(
+            "{\"checkpoint_ms\":60000,\"class\":\"typeset-a5\",\"cpu_milli\":"
+            "2000,\"memory_mb\":8000,\"priority\":\"normal\",\"run_ms\":"
+            "600000,\"team\":\"team-%u\"}",
+            (unsigned)(i % 74));
+        Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
+        Teasel__JobSubmit submit = TEASEL__JOB_SUBMIT__INIT;
+
+        submit.job_id = name;
+        submit.spec.data = (uint8_t *)spec;
+        submit.spec.len = strlen(spec);
+        submit.submitter = "entry-accra-1";
+        record.body_case = TEASEL__LOG_RECORD__BODY_JOB_SUBMIT;
+        record.job_submit = &submit;
+        apply(world, &record);
+    }
+}
+
+typedef void (*fill_fn)(Teasel__DecisionItem *item, uint64_t number);
+
+static void
+fill_start(Teasel__DecisionItem *item, uint64_t number)
+{
+    Teasel__DecisionStart *start = g_new0(Teasel__DecisionStart, 1);
+
+    teasel__decision_start__init(start);
+    start->job_id = job_name(number);
+    start->attempt = 1;
+    start->worker = worker_name(number);
+    start->incarnation = 1;
+    start->size = g_new0(Teasel__Resources, 1);
+    teasel__resources__init(start->size);
+    start->size->cpu_milli = 2000;
+    start->size->memory_mb = 8000;
+    item->item_case = TEASEL__DECISION_ITEM__ITEM_START;
+    item->start = start;
+}
+
+static void
+fill_finish(Teasel__DecisionItem *item, uint64_t number)
+{
+    Teasel__DecisionFinish *finish = g_new0(Teasel__DecisionFinish, 1);
+
+    teasel__decision_finish__init(finish);
+    finish->job_id = job_name(number);
+    finish->attempt = 1;
+    finish->detail = "";
+    finish->run_ms = 601234;
+    finish->peak_cpu_milli = 1900;
+    finish->peak_memory_mb = 7800;
+    item->item_case = TEASEL__DECISION_ITEM__ITEM_FINISH;
+    item->finish = finish;
+}
+
+static void
+decide(world_t *world, uint64_t count, fill_fn fill)
+{
+    Teasel__DecisionItem items[PER_DECISION];
+    Teasel__DecisionItem *list[PER_DECISION];
+
+    for (uint64_t i = 0; i < count; i += PER_DECISION) {
+        size_t used = MIN(PER_DECISION, count - i);
+
+        for (size_t k = 0; k < used; k++) {
+            teasel__decision_item__init(&items[k]);
+            fill(&items[k], i + k);
+            list[k] = &items[k];
+        }
+        apply_decision(world, list, used);
+    }
+}
+
+static void
+run_submit(uint64_t count, slope_result_t *result)
+{
+    world_t world = make_world();
+    slope_mark_t mark;
+
+    slope_begin(&mark);
+    submit_jobs(&world, count);
+    slope_end(&mark, count, result);
+    result->bytes = world.bytes / (double)count;
+    cell_free(world.cell);
+}
+
+static void
+run_start(uint64_t count, slope_result_t *result)
+{
+    world_t world = make_world();
+    slope_mark_t mark;
+
+    submit_jobs(&world, count);
+    world.bytes = 0;
+    slope_begin(&mark);
+    decide(&world, count, fill_start);
+    slope_end(&mark, count, result);
+    result->memory = -1;
+    result->bytes = world.bytes / (double)count;
+    cell_free(world.cell);
+}
+
+static void
+run_finish(uint64_t count, slope_result_t *result)
+{
+    world_t world = make_world();
+    slope_mark_t mark;
+
+    submit_jobs(&world, count);
+    decide(&world, count, fill_start);
+    world.bytes = 0;
+    slope_begin(&mark);
+    decide(&world, count, fill_finish);
+    slope_end(&mark, count, result);
+    result->memory = -1;
+    result->bytes = world.bytes / (double)count;
+    cell_free(world.cell);
+}
+
+static void
+run_snapshot(uint64_t count, slope_result_t *result)
+{
+    world_t world = make_world();
+    cell_t *copy = cell_new();
+    slope_mark_t mark;
+    GByteArray *snapshot;
+
+    submit_jobs(&world, count);
+    decide(&world, count, fill_start);
+    slope_begin(&mark);
+    snapshot = cell_encode(world.cell);
+    cell_load(copy, snapshot->data, snapshot->len, NULL);
+    slope_end(&mark, count, result);
+    result->memory = -1;
+    result->bytes = (double)snapshot->len / (double)count;
+    g_byte_array_unref(snapshot);
+    cell_free(world.cell);
+    cell_free(copy);
+}
+
+static void
+run_place(uint64_t count, slope_result_t *result)
+{
+    place_t *place = place_new(&place_best_fit);
+    job_size_t capacity = {.cpu_milli = 32000, .memory_mb = 125000};
+    job_size_t size = {.cpu_milli = 2000, .memory_mb = 8000};
+    slope_mark_t mark;
+
+    for (uint32_t i = 0; i < WORKERS; i++) {
+        job_size_t room = {.cpu_milli = 1000 * (i % 32),
+                           .memory_mb = 4000 * (i % 32)};
+
+        place_set(place, place_add(place), &capacity, &room);
+    }
+    slope_begin(&mark);
+    for (uint64_t i = 0; i < count; i++) {
+        place_choose(place, &size, NULL, 0);
+    }
+    slope_end(&mark, count, result);
+    result->memory = -1;
+    place_free(place);
+}
+
+const slope_t slopes_cell[] = {
+    {"job-submit", "submission, read and folded; a live job", LIVE_JOBS,
+     run_submit},
+    {"job-start", "start, 26 in a record, read and folded", LIVE_JOBS,
+     run_start},
+    {"job-finish", "finish, 26 in a record, read and folded", LIVE_JOBS,
+     run_finish},
+    {"job-snapshot", "running job, written and loaded", LIVE_JOBS,
+     run_snapshot},
+    {"place-choose", "choice among 1,000 workers", 100000, run_place},
+    {NULL, NULL, 0, NULL},
+};
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -51,5 +51,7 @@
 extern const slope_t slopes_config[];
 extern const slope_t slopes_cell[];
 extern const slope_t slopes_request[];
+extern const slope_t slopes_cell[];
+extern const slope_t slopes_request[];
 
 #endif
