--- /dev/null
+++ b/libteasel/platform/worker_status.h
@@ -0,0 +1,26 @@
+#ifndef TEASEL_PLATFORM_WORKER_STATUS_H
+#define TEASEL_PLATFORM_WORKER_STATUS_H
+
+#include <json-c/json.h>
+
+#include "platform/worker.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * worker_status_parse() - read the answer of GET /status
+ * @status: set if well-formed; its strings belong to @root, its tasks are
+ *     freed with worker_status_clear()
+ *
+ * Return: false if a member is missing or has another type.
+ */
+bool worker_status_parse(struct json_object *root, worker_status_t *status);
+void worker_status_clear(worker_status_t *status);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
