Pass worker leases as an end time

A lease was passed to the worker as a duration that the worker counted from the moment it read the message. A worker that was paused in between let its tasks run past the agent's lease, next to the restarted attempt. The lease is now an end time on the machine's monotonic clock, and the worker stand-in no longer counts progress after it. Ruled out: a larger margin, since a pause has no bound.

--- a/libteasel/agent/task_lease.c
+++ b/libteasel/agent/task_lease.c
@@ -34,8 +34,7 @@
         return;
     }
     runner->worker_leased = true;
-    runner->worker_lease_end =
-        timespec_add_ms(runner->renew_sent, (int64_t)runner->renew_ms);
+    runner->worker_lease_end = runner->renew_until;
     task_step_all(runner);
 }
 
@@ -49,9 +48,11 @@
         return;
     }
     runner->renewing = true;
-    runner->renew_sent = clock_get_monotonic(runner->opts.clock);
-    runner->renew_ms = rest - MIN((uint64_t)WORKER_MARGIN_MS, rest / 4);
-    worker->vtbl->renew(worker, runner->renew_ms, on_worker_renewed, runner);
+    runner->renew_until =
+        timespec_add_ms(runner->lease.end,
+                        -(int64_t)MIN((uint64_t)WORKER_MARGIN_MS, rest / 4));
+    worker->vtbl->renew(worker, runner->renew_until, on_worker_renewed,
+                        runner);
 }
 
 static void
--- a/libteasel/agent/task_runner_internal.h
+++ b/libteasel/agent/task_runner_internal.h
@@ -31,8 +31,7 @@
     uint64_t resume_sequence;
     bool leaving;
     bool renewing;
-    struct timespec renew_sent;
-    uint64_t renew_ms;
+    struct timespec renew_until;
     bool worker_leased;
     struct timespec worker_lease_end;
     bool worker_known;
--- a/libteasel/platform/worker.h
+++ b/libteasel/platform/worker.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -89,13 +90,14 @@
  * struct worker_vtbl - functions of a client of a worker
  * @watch: report the status at once, then again when @version changes or
  *     after @wait_ms; one watch at a time
- * @renew: let tasks run for @lease_ms more; tasks are suspended at its end,
- *     and stay so until WORKER_RESUME
+ * @renew: let tasks run until @until, on the machine's monotonic clock; tasks
+ *     are suspended then, and stay so until WORKER_RESUME. It is a time and
+ *     not a duration because a worker that was paused reads the message late.
  */
 typedef struct worker_vtbl {
     void (*watch)(worker_t *worker, uint64_t version, uint64_t wait_ms,
                   worker_status_cb cb, void *data);
-    void (*renew)(worker_t *worker, uint64_t lease_ms, worker_cb cb,
+    void (*renew)(worker_t *worker, struct timespec until, worker_cb cb,
                   void *data);
     void (*start)(worker_t *worker, const worker_start_t *task, worker_cb cb,
                   void *data);
--- a/libteasel/platform/worker_http.c
+++ b/libteasel/platform/worker_http.c
@@ -3,6 +3,7 @@
 #include <json-c/json.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/http_client.h"
 #include "base/list.h"
 #include "platform/worker_status.h"
@@ -151,10 +152,10 @@
 }
 
 static void
-renew(worker_t *super, uint64_t lease_ms, worker_cb cb, void *data)
+renew(worker_t *super, struct timespec until, worker_cb cb, void *data)
 {
-    g_autofree char *body =
-        g_strdup_printf("{\"lease_ms\": %" G_GUINT64_FORMAT "}", lease_ms);
+    g_autofree char *body = g_strdup_printf(
+        "{\"until_ms\": %" G_GUINT64_FORMAT "}", timespec_to_ms(until));
 
     post((worker_http_t *)super, "/lease", body, strlen(body), cb, data);
 }
--- a/tests/standins/workerd.c
+++ b/tests/standins/workerd.c
@@ -111,8 +111,9 @@
     }
     body = standin_parse_body(exchange);
     if (body != NULL) {
-        worker.lease_end_ms =
-            standin_now_ms() + standin_get_int(body, "lease_ms", 0);
+        /* After a pause the old lease may have ended unnoticed. */
+        task_check_lease(&lease_timer);
+        worker.lease_end_ms = standin_get_int(body, "until_ms", 0);
         task_check_lease(&lease_timer);
         reply_effect(exchange, 200, body);
     }
--- a/tests/standins/workerd/task.c
+++ b/tests/standins/workerd/task.c
@@ -54,10 +54,19 @@
     return item;
 }
 
+/* A task does not run past the lease, even if the timer is late. */
+static int64_t
+get_late_ms(const task_t *task)
+{
+    int64_t end = MAX(worker.lease_end_ms, task->counted_ms);
+
+    return MAX(standin_now_ms() - end, 0);
+}
+
 void
 task_count_progress(task_t *task)
 {
-    int64_t now = standin_now_ms();
+    int64_t now = standin_now_ms() - get_late_ms(task);
 
     task->progress_ms +=
         (double)(now - task->counted_ms) * (double)speed_of(task) / FULL_SPEED;
@@ -111,6 +120,7 @@
 task_set_state(task_t *task, task_state_t state, int64_t throttle)
 {
     bool was_running = task->state == RUNNING;
+    int64_t late_ms = get_late_ms(task);
 
     task_count_progress(task);
     if (is_usage_known(task)) {
@@ -125,7 +135,8 @@
         span_t span = {standin_wall_ms(), 0};
 
         if (was_running) {
-            g_array_index(spans, span_t, spans->len - 1).to_ms = span.from_ms;
+            g_array_index(spans, span_t, spans->len - 1).to_ms =
+                span.from_ms - late_ms;
         }
         else {
             g_array_append_val(spans, span);
@@ -137,11 +148,24 @@
     worker.on_change();
 }
 
+static void
+suspend_all(void)
+{
+    LIST_FOREACH (task, &worker.tasks, task_t, link) {
+        if (task->state == RUNNING) {
+            task_set_state(task, SUSPENDED, task->throttle);
+        }
+    }
+}
+
 static void
 on_task_timer(loop_timer_t *timer)
 {
     task_t *task = timer->data;
 
+    if (worker.lease_end_ms <= standin_now_ms()) {
+        suspend_all();
+    }
     task_count_progress(task);
     if (task->progress_ms < (double)task->run_ms) {
         schedule_end(task);
@@ -158,12 +182,9 @@
     if (left > 0) {
         loop_timer_start(
             timer, (uint64_t)(left > EXACT_DELAY_MS ? left * 10 / 11 : left));
-        return;
     }
-    LIST_FOREACH (task, &worker.tasks, task_t, link) {
-        if (task->state == RUNNING) {
-            task_set_state(task, SUSPENDED, task->throttle);
-        }
+    else {
+        suspend_all();
     }
 }
 
