--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -14,6 +14,21 @@
  */
 #define EVENT_TABLE(EVENT)                                                    \
     EVENT(EVENT_ENTRY_STARTED, 1001, G_LOG_LEVEL_MESSAGE, "entry-started")    \
+    EVENT(EVENT_MEMBER_JOINED, 1002, G_LOG_LEVEL_MESSAGE, "member-joined")    \
+    EVENT(EVENT_MEMBER_LOST, 1003, G_LOG_LEVEL_WARNING, "member-lost")        \
+    EVENT(EVENT_MEMBER_REFUSED, 1004, G_LOG_LEVEL_WARNING, "member-refused")  \
+    EVENT(EVENT_MEMBER_LEAVING, 1005, G_LOG_LEVEL_MESSAGE, "member-leaving")  \
+    EVENT(EVENT_MEMBER_EJECTED, 1006, G_LOG_LEVEL_WARNING, "member-ejected")  \
+    EVENT(EVENT_PEER_REFUSED, 1007, G_LOG_LEVEL_WARNING, "peer-refused")      \
+    EVENT(EVENT_ENTRY_KNOWN, 1008, G_LOG_LEVEL_MESSAGE, "entry-known")        \
+    EVENT(EVENT_ENTRY_FORGOTTEN, 1009, G_LOG_LEVEL_MESSAGE,                   \
+          "entry-forgotten")                                                  \
+    EVENT(EVENT_KEY_RESULT_DELAYED, 1010, G_LOG_LEVEL_WARNING,                \
+          "key-result-delayed")                                               \
+    EVENT(EVENT_KEY_CLAIM_ABANDONED, 1011, G_LOG_LEVEL_WARNING,               \
+          "key-claim-abandoned")                                              \
+    EVENT(EVENT_STOP_INCOMPLETE, 1012, G_LOG_LEVEL_WARNING,                   \
+          "stop-incomplete")                                                  \
     EVENT(EVENT_AGENT_STARTED, 2001, G_LOG_LEVEL_MESSAGE, "agent-started")    \
     EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
           "config-ticket-accepted")                                           \
--- /dev/null
+++ b/libteasel/caller/problem.h
@@ -0,0 +1,44 @@
+#ifndef TEASEL_CALLER_PROBLEM_H
+#define TEASEL_CALLER_PROBLEM_H
+
+#include <stdbool.h>
+
+#include "base/error.h"
+#include "base/http_server.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct problem - an answer that is no result
+ * @maybe_run: true: executed "unknown"; false: executed "no", which is a
+ *     promise that the request was not run and will not be run
+ * @detail: names the input; may be NULL
+ */
+typedef struct problem {
+    error_kind_t kind;
+    bool maybe_run;
+    const char *detail;
+} problem_t;
+
+/**
+ * problem_get_status() - HTTP status of a problem
+ */
+int problem_get_status(const problem_t *problem);
+
+/**
+ * problem_render() - problem document of RFC 9457; free with g_free()
+ */
+char *problem_render(const problem_t *problem);
+
+/**
+ * problem_reply() - answer an exchange with a problem document
+ */
+void problem_reply(http_exchange_t *exchange, const problem_t *problem);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/caller/service_handler.c
@@ -0,0 +1,201 @@
+#include "caller/service_handler.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum {
+    /* Longer keys would make the records of stream "keys" large. */
+    MAX_KEY_LENGTH = 255,
+    MAX_TIMEOUT_MS = 3600 * 1000,
+};
+
+static const char prefix[] = "/svc/";
+
+/* Headers that concern one connection (RFC 9110, section 7.6.1), and those
+   that the HTTP library writes itself. */
+static const char *const hop_headers[] = {
+    "connection", "content-length",    "expect",
+    "host",       "keep-alive",        "proxy-authenticate",
+    "te",         "proxy-connection",  "proxy-authorization",
+    "trailer",    "transfer-encoding", "upgrade",
+};
+
+/* Whether the value of a Connection header lists a name. */
+static bool
+lists_name(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+
+    while (list != NULL && *list != '\0') {
+        size_t item = strcspn(list, ", \t");
+
+        if (item == length && strncasecmp(list, name, length) == 0) {
+            return true;
+        }
+        list += item;
+        list += strspn(list, ", \t");
+    }
+    return false;
+}
+
+static bool
+is_hop_header(const char *name, const char *connection)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++) {
+        if (strcasecmp(name, hop_headers[i]) == 0) {
+            return true;
+        }
+    }
+    return lists_name(connection, name);
+}
+
+static void
+copy_headers(service_call_t *call)
+{
+    const http_exchange_t *exchange = call->exchange;
+    const char *connection = http_exchange_get_header(exchange, "connection");
+
+    call->headers = g_new(http_header_t, exchange->header_count + 1);
+    for (size_t i = 0; i < exchange->header_count; i++) {
+        if (!is_hop_header(exchange->headers[i].name, connection)) {
+            call->headers[call->header_count++] = exchange->headers[i];
+        }
+    }
+}
+
+static bool
+parse_path(service_call_t *call)
+{
+    const char *name = call->exchange->target + strlen(prefix);
+    size_t length = strcspn(name, "/?");
+
+    call->service = g_strndup(name, length);
+    call->target = name[length] == '/' ? name + length : "/";
+    return length > 0;
+}
+
+static bool
+parse_timeout(service_call_t *call)
+{
+    const char *text =
+        http_exchange_get_header(call->exchange, "teasel-timeout-ms");
+    guint64 number;
+
+    if (text == NULL) {
+        return true;
+    }
+    if (!g_ascii_string_to_unsigned(text, 10, 1, MAX_TIMEOUT_MS, &number,
+                                    NULL)) {
+        return false;
+    }
+    call->timeout_ms = (uint32_t)number;
+    return true;
+}
+
+static bool
+parse_idempotent(service_call_t *call)
+{
+    const char *text =
+        http_exchange_get_header(call->exchange, "teasel-idempotent");
+
+    if (text == NULL) {
+        return true;
+    }
+    if (strcmp(text, "yes") == 0) {
+        call->idempotent = SERVICE_IDEMPOTENT_YES;
+        return true;
+    }
+    call->idempotent = SERVICE_IDEMPOTENT_NO;
+    return strcmp(text, "no") == 0;
+}
+
+static bool
+parse_key(service_call_t *call)
+{
+    size_t length;
+
+    call->key = http_exchange_get_header(call->exchange, "idempotency-key");
+    if (call->key == NULL) {
+        return true;
+    }
+    length = strlen(call->key);
+    return length > 0 && length <= MAX_KEY_LENGTH;
+}
+
+typedef struct parse_step {
+    bool (*parse)(service_call_t *call);
+    const char *allowed;
+} parse_step_t;
+
+static const parse_step_t steps[] = {
+    {parse_path, "the path must be /svc/NAME/..."},
+    {parse_timeout, "Teasel-Timeout-Ms must be an integer from 1 to 3600000"},
+    {parse_idempotent, "Teasel-Idempotent must be \"yes\" or \"no\""},
+    {parse_key, "Idempotency-Key must have 1 to 255 bytes"},
+};
+
+static void
+call_free(service_call_t *call)
+{
+    g_free(call->headers);
+    g_free(call->service);
+    g_free(call);
+}
+
+void
+service_handler_handle(http_exchange_t *exchange, service_submit_fn submit,
+                       void *data)
+{
+    service_call_t *call = g_new0(service_call_t, 1);
+
+    call->exchange = exchange;
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        if (!steps[i].parse(call)) {
+            problem_t problem = {ERROR_INVALID, false, steps[i].allowed};
+
+            service_call_fail(call, &problem);
+            return;
+        }
+    }
+    copy_headers(call);
+    submit(call, data);
+}
+
+static const char *
+find_connection_header(Teasel__Header *const *headers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcasecmp(headers[i]->name, "connection") == 0) {
+            return headers[i]->value;
+        }
+    }
+    return NULL;
+}
+
+void
+service_call_reply(service_call_t *call, int status,
+                   Teasel__Header *const *headers, size_t header_count,
+                   const void *body, size_t body_length)
+{
+    g_autofree http_header_t *kept = g_new(http_header_t, header_count + 1);
+    const char *connection = find_connection_header(headers, header_count);
+    size_t count = 0;
+
+    for (size_t i = 0; i < header_count; i++) {
+        if (!is_hop_header(headers[i]->name, connection)) {
+            kept[count].name = headers[i]->name;
+            kept[count].value = headers[i]->value;
+            count++;
+        }
+    }
+    http_exchange_reply(call->exchange, status, kept, count, body,
+                        body_length);
+    call_free(call);
+}
+
+void
+service_call_fail(service_call_t *call, const problem_t *problem)
+{
+    problem_reply(call->exchange, problem);
+    call_free(call);
+}
--- /dev/null
+++ b/libteasel/entry/directory.c
@@ -0,0 +1,165 @@
+#include "entry/directory.h"
+
+#include <string.h>
+
+#include "base/events.h"
+#include "base/settings.h"
+
+/* An entry that left is kept without being listed, so that a late
+   announcement from before does not bring it back. */
+typedef struct known_entry {
+    char *address;
+    uint64_t incarnation;
+    bool leaving;
+    struct timespec announced;
+} known_entry_t;
+
+struct directory {
+    directory_opts_t opts;
+    char *own_address;
+    bool left;
+    GHashTable *entries; /* address -> known_entry_t */
+};
+
+static void
+known_entry_free(void *data)
+{
+    known_entry_t *entry = data;
+
+    g_free(entry->address);
+    g_free(entry);
+}
+
+directory_t *
+directory_new(const directory_opts_t *opts)
+{
+    directory_t *directory = g_new0(directory_t, 1);
+
+    directory->opts = *opts;
+    directory->own_address = g_strdup(opts->own_address);
+    directory->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_entry_free);
+    return directory;
+}
+
+void
+directory_free(directory_t *directory)
+{
+    if (directory == NULL) {
+        return;
+    }
+    g_hash_table_unref(directory->entries);
+    g_free(directory->own_address);
+    g_free(directory);
+}
+
+static known_entry_t *
+get_or_add(directory_t *directory, const char *address, bool *added)
+{
+    known_entry_t *entry = g_hash_table_lookup(directory->entries, address);
+
+    *added = entry == NULL;
+    if (entry == NULL) {
+        entry = g_new0(known_entry_t, 1);
+        entry->address = g_strdup(address);
+        g_hash_table_insert(directory->entries, entry->address, entry);
+        event_log(EVENT_ENTRY_KNOWN, "address=%s", address);
+    }
+    entry->announced = clock_get_monotonic(directory->opts.clock);
+    return entry;
+}
+
+static bool
+is_other_entry(const directory_t *directory, const char *address)
+{
+    return strcmp(address, directory->own_address) != 0 &&
+           address_parse(address, NULL, NULL, NULL);
+}
+
+bool
+directory_announce(directory_t *directory,
+                   const Teasel__EntryAnnounce *announce)
+{
+    known_entry_t *entry;
+    bool added;
+    bool was_leaving;
+
+    if (!is_other_entry(directory, announce->peer_address)) {
+        return false;
+    }
+    entry = g_hash_table_lookup(directory->entries, announce->peer_address);
+    if (entry != NULL && announce->incarnation < entry->incarnation) {
+        return false;
+    }
+    if (entry != NULL && announce->incarnation == entry->incarnation &&
+        entry->leaving) {
+        return false;
+    }
+    entry = get_or_add(directory, announce->peer_address, &added);
+    was_leaving = entry->leaving;
+    entry->incarnation = announce->incarnation;
+    entry->leaving = announce->leaving;
+    return added ? !entry->leaving : was_leaving != entry->leaving;
+}
+
+bool
+directory_add_address(directory_t *directory, const char *address)
+{
+    bool added = false;
+
+    if (is_other_entry(directory, address) &&
+        !g_hash_table_contains(directory->entries, address)) {
+        get_or_add(directory, address, &added);
+    }
+    return added;
+}
+
+bool
+directory_expire(directory_t *directory)
+{
+    struct timespec now = clock_get_monotonic(directory->opts.clock);
+    GHashTableIter iter;
+    void *value;
+    bool changed = false;
+
+    g_hash_table_iter_init(&iter, directory->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        known_entry_t *entry = value;
+
+        if (timespec_diff_ms(now, entry->announced) >=
+            (int64_t)directory->opts.keep_ms) {
+            event_log(EVENT_ENTRY_FORGOTTEN, "address=%s", entry->address);
+            changed = changed || !entry->leaving;
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    return changed;
+}
+
+void
+directory_leave(directory_t *directory)
+{
+    directory->left = true;
+}
+
+char **
+directory_list(const directory_t *directory)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter iter;
+    void *value;
+
+    if (!directory->left) {
+        g_ptr_array_add(list, g_strdup(directory->own_address));
+    }
+    g_hash_table_iter_init(&iter, directory->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        known_entry_t *entry = value;
+
+        if (!entry->leaving) {
+            g_ptr_array_add(list, g_strdup(entry->address));
+        }
+    }
+    g_ptr_array_add(list, NULL);
+    return (char **)g_ptr_array_free(list, FALSE);
+}
--- /dev/null
+++ b/libteasel/entry/directory.h
@@ -0,0 +1,72 @@
+#ifndef TEASEL_ENTRY_DIRECTORY_H
+#define TEASEL_ENTRY_DIRECTORY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "wire/teasel.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct directory directory_t;
+
+/**
+ * struct directory_opts - options of directory_new()
+ * @own_address: peer address of this entry; always listed until it leaves
+ * @keep_ms: an entry that was not announced for this long is forgotten
+ */
+typedef struct directory_opts {
+    const clock_source_t *clock;
+    const char *own_address;
+    uint64_t keep_ms;
+} directory_opts_t;
+
+/**
+ * directory_new() - the entries that this entry knows
+ */
+directory_t *directory_new(const directory_opts_t *opts);
+void directory_free(directory_t *directory);
+
+/**
+ * directory_announce() - handle an announcement
+ *
+ * An older incarnation of a known entry is ignored.
+ *
+ * Return: true if the list of addresses changed.
+ */
+bool directory_announce(directory_t *directory,
+                        const Teasel__EntryAnnounce *announce);
+
+/**
+ * directory_add_address() - an entry of which only the address is known
+ *
+ * Return: true if the list of addresses changed.
+ */
+bool directory_add_address(directory_t *directory, const char *address);
+
+/**
+ * directory_expire() - forget entries that were not announced for long
+ *
+ * Return: true if the list of addresses changed.
+ */
+bool directory_expire(directory_t *directory);
+
+/**
+ * directory_leave() - no longer list this entry
+ */
+void directory_leave(directory_t *directory);
+
+/**
+ * directory_list() - peer addresses, NULL-terminated; free with g_strfreev()
+ */
+char **directory_list(const directory_t *directory);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/entry/forward_metrics.h
@@ -0,0 +1,44 @@
+#ifndef TEASEL_ENTRY_FORWARD_METRICS_H
+#define TEASEL_ENTRY_FORWARD_METRICS_H
+
+#include "base/metrics.h"
+#include "request/attempt.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum forward_counter {
+    FORWARD_ANSWERED, /* in the order of attempt_outcome_t */
+    FORWARD_NOT_RUN,
+    FORWARD_UNKNOWN,
+    FORWARD_ATTEMPTS,
+    FORWARD_LATE,
+    FORWARD_COUNTERS
+} forward_counter_t;
+
+/**
+ * struct forward_metrics - what an entry counts about requests
+ */
+typedef struct forward_metrics {
+    metric_t counters[FORWARD_COUNTERS];
+    metric_t in_flight;
+    metric_t latency;
+} forward_metrics_t;
+
+void forward_metrics_init(forward_metrics_t *own, metrics_t *metrics);
+void forward_metrics_clear(forward_metrics_t *own);
+void forward_metrics_count(forward_metrics_t *own, forward_counter_t counter);
+
+/**
+ * forward_metrics_end() - a request ended
+ * @latency_us: since it was submitted
+ */
+void forward_metrics_end(forward_metrics_t *own, attempt_outcome_t outcome,
+                         int64_t latency_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/entry/forwarder.c
@@ -0,0 +1,403 @@
+#include "entry/forwarder.h"
+
+#include "base/events.h"
+#include "entry/forward_message.h"
+#include "entry/forward_metrics.h"
+#include "request/verdict.h"
+
+enum {
+    MAX_TRIED = 8,
+    /* A new entry does not know all services yet. */
+    START_GRACE_MS = 5000,
+};
+
+typedef struct forward {
+    list_t link;        /* in forwarder.pending */
+    list_t uplink_link; /* in uplink.forwards */
+    list_t parked_link; /* in forwarder.parked */
+    forwarder_t *owner;
+    forward_request_t request;
+    forward_cb cb;
+    void *data;
+    attempt_t attempt;
+    uint64_t id; /* of the attempt under way */
+    uplink_t *uplink;
+    bool probe;
+    struct timespec started;
+    struct timespec sent;
+    struct timespec parked;
+    loop_timer_t timer;
+    const member_t *tried[MAX_TRIED];
+    char *detail;
+} forward_t;
+
+struct forwarder {
+    forwarder_opts_t opts;
+    uint64_t last_id;
+    GHashTable *by_id; /* id -> forward_t */
+    budget_set_t *budgets;
+    list_t pending;
+    list_t parked;
+    struct timespec started;
+    forward_metrics_t metrics;
+};
+
+forwarder_t *
+forwarder_new(const forwarder_opts_t *opts)
+{
+    forwarder_t *forwarder = g_new0(forwarder_t, 1);
+
+    forwarder->opts = *opts;
+    forwarder->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    forwarder->budgets =
+        budget_set_new(opts->retry_reserve, opts->retry_percent);
+    list_init(&forwarder->pending);
+    list_init(&forwarder->parked);
+    forwarder->started = clock_get_monotonic(opts->clock);
+    forward_metrics_init(&forwarder->metrics, opts->metrics);
+    return forwarder;
+}
+
+static void
+forward_free(forward_t *forward)
+{
+    loop_timer_stop(&forward->timer);
+    list_remove(&forward->link);
+    list_remove(&forward->uplink_link);
+    list_remove(&forward->parked_link);
+    g_free(forward->detail);
+    g_free(forward);
+}
+
+void
+forwarder_free(forwarder_t *forwarder)
+{
+    if (forwarder == NULL) {
+        return;
+    }
+    LIST_FOREACH_SAFE (forward, &forwarder->pending, forward_t, link) {
+        forward_free(forward);
+    }
+    forward_metrics_clear(&forwarder->metrics);
+    g_hash_table_unref(forwarder->by_id);
+    budget_set_free(forwarder->budgets);
+    g_free(forwarder);
+}
+
+static void
+finish(forward_t *forward, forward_result_t *result)
+{
+    forwarder_t *forwarder = forward->owner;
+    struct timespec now = clock_get_monotonic(forwarder->opts.clock);
+
+    forward_metrics_end(&forwarder->metrics, result->outcome,
+                        timespec_diff_us(now, forward->started));
+    forward->cb(result, forward->data);
+    forward_free(forward);
+}
+
+static void
+finish_without_answer(forward_t *forward)
+{
+    forward_result_t result = {
+        .outcome = attempt_maybe_run(&forward->attempt) ? ATTEMPT_UNKNOWN
+                                                        : ATTEMPT_NOT_RUN,
+        .kind = forward->attempt.kind,
+        .detail = forward->detail,
+    };
+
+    finish(forward, &result);
+}
+
+static void
+give_up(forward_t *forward, error_kind_t kind, const char *detail)
+{
+    if (!forward->attempt.maybe_run) {
+        g_free(forward->detail);
+        forward->detail = g_strdup(detail);
+    }
+    attempt_give_up(&forward->attempt, kind);
+    finish_without_answer(forward);
+}
+
+/* A member with another connection by now is not judged by this one. */
+static void
+judge_member(forward_t *forward, attempt_outcome_t outcome, error_kind_t kind,
+             int status)
+{
+    forwarder_t *forwarder = forward->owner;
+    struct timespec now = clock_get_monotonic(forwarder->opts.clock);
+    member_t *member = forward->uplink->member;
+    verdict_t verdict = verdict_of_attempt(
+        outcome, kind, status, timespec_diff_ms(now, forward->sent));
+
+    if (member->connection == forward->uplink &&
+        member_end_request(forwarder->opts.members, member, forward->probe,
+                           verdict)) {
+        event_log(EVENT_MEMBER_EJECTED, "agent=%s ejections=%u",
+                  member->agent_id, member->outlier.ejections);
+    }
+}
+
+static void
+detach(forward_t *forward)
+{
+    g_hash_table_remove(forward->owner->by_id, &forward->id);
+    list_remove(&forward->uplink_link);
+    forward->uplink = NULL;
+}
+
+static void send_next(forward_t *forward);
+
+static void
+end_attempt(forward_t *forward, attempt_outcome_t outcome, error_kind_t kind,
+            const char *detail)
+{
+    struct timespec now = clock_get_monotonic(forward->owner->opts.clock);
+
+    judge_member(forward, outcome, kind, 0);
+    detach(forward);
+    if (outcome == ATTEMPT_UNKNOWN || !forward->attempt.maybe_run) {
+        g_free(forward->detail);
+        forward->detail = g_strdup(detail);
+    }
+    if (attempt_end(&forward->attempt, outcome, kind, now) == ATTEMPT_RETRY) {
+        send_next(forward);
+        return;
+    }
+    finish_without_answer(forward);
+}
+
+/* Long timers are rounded up by up to a tenth, so most of the time is waited
+   for first and the rest, precisely, after that. */
+static void
+start_timer(forward_t *forward, struct timespec end)
+{
+    struct timespec now = clock_get_monotonic(forward->owner->opts.clock);
+    int64_t ms = timespec_diff_us(end, now) / 1000 + 1;
+
+    if (ms < 0) {
+        ms = 0;
+    }
+    loop_timer_start(&forward->timer, (uint64_t)(ms < 20 ? ms : ms - ms / 8));
+}
+
+static struct timespec
+get_timer_end(const forward_t *forward)
+{
+    struct timespec park_end = timespec_add_ms(
+        forward->parked, (int64_t)forward->owner->opts.park_ms);
+
+    if (forward->uplink == NULL &&
+        timespec_is_before(park_end, forward->attempt.deadline)) {
+        return park_end;
+    }
+    return forward->attempt.deadline;
+}
+
+static void
+on_timer(loop_timer_t *timer)
+{
+    forward_t *forward = timer->data;
+    struct timespec end = get_timer_end(forward);
+
+    if (timespec_is_before(clock_get_monotonic(forward->owner->opts.clock),
+                           end)) {
+        start_timer(forward, end);
+        return;
+    }
+    if (forward->uplink == NULL) {
+        give_up(forward, ERROR_NO_EXECUTOR, "no usable executor is known");
+        return;
+    }
+    forward_message_send_cancel(forward->uplink->peer, forward->id);
+    end_attempt(forward, ATTEMPT_UNKNOWN, ERROR_TIMEOUT,
+                "the agent did not answer before the deadline");
+}
+
+static void
+park(forward_t *forward)
+{
+    forwarder_t *forwarder = forward->owner;
+    struct timespec now = clock_get_monotonic(forwarder->opts.clock);
+    bool is_known = member_table_get_group(forwarder->opts.members,
+                                           forward->request.service) != NULL;
+
+    if (!is_known &&
+        timespec_diff_ms(now, forwarder->started) >= START_GRACE_MS) {
+        give_up(forward, ERROR_NOT_FOUND, "no agent offers this service");
+        return;
+    }
+    if (list_is_empty(&forward->parked_link)) {
+        forward->parked = now;
+        list_append(&forwarder->parked, &forward->parked_link);
+    }
+    start_timer(forward, get_timer_end(forward));
+}
+
+static bool
+send_request(forward_t *forward, member_t *member)
+{
+    forwarder_t *forwarder = forward->owner;
+    uplink_t *uplink = member->connection;
+
+    forward->id = ++forwarder->last_id;
+    forward->uplink = uplink;
+    forward->sent = clock_get_monotonic(forwarder->opts.clock);
+    forward->probe = member_begin_request(member);
+    forward->tried[(forward->attempt.count - 1) % MAX_TRIED] = member;
+    g_hash_table_insert(forwarder->by_id, &forward->id, forward);
+    list_append(&uplink->forwards, &forward->uplink_link);
+    forward_metrics_count(&forwarder->metrics, FORWARD_ATTEMPTS);
+    return forward_message_send(
+        uplink->peer, &forward->request, forward->id,
+        timespec_diff_ms(forward->attempt.deadline, forward->sent));
+}
+
+static void
+send_next(forward_t *forward)
+{
+    forwarder_t *forwarder = forward->owner;
+    route_query_t query = {
+        .service = forward->request.service,
+        .tried = forward->tried,
+        .tried_count = MIN(forward->attempt.count, MAX_TRIED),
+        .now = clock_get_monotonic(forwarder->opts.clock),
+    };
+    member_t *member = route_choose(forwarder->opts.route, &query);
+
+    if (member == NULL) {
+        park(forward);
+        return;
+    }
+    list_remove(&forward->parked_link);
+    if (!attempt_begin(&forward->attempt, query.now)) {
+        give_up(forward, ERROR_EXPIRED, "the deadline passed");
+        return;
+    }
+    if (!send_request(forward, member)) {
+        end_attempt(forward, ATTEMPT_NOT_RUN, ERROR_CONNECT,
+                    "the connection to the agent is closing");
+        return;
+    }
+    start_timer(forward, forward->attempt.deadline);
+}
+
+void
+forwarder_submit(forwarder_t *forwarder, const forward_request_t *request,
+                 forward_cb cb, void *data)
+{
+    forward_t *forward = g_new0(forward_t, 1);
+    budget_t *budget = budget_set_get(forwarder->budgets, request->service);
+
+    forward->owner = forwarder;
+    forward->request = *request;
+    forward->cb = cb;
+    forward->data = data;
+    forward->started = clock_get_monotonic(forwarder->opts.clock);
+    list_init(&forward->uplink_link);
+    list_init(&forward->parked_link);
+    list_append(&forwarder->pending, &forward->link);
+    loop_timer_init(&forward->timer, forwarder->opts.loop, on_timer, forward);
+    attempt_init(
+        &forward->attempt, request->idempotent, forwarder->opts.max_attempts,
+        timespec_add_ms(forward->started, request->timeout_ms), budget);
+    budget_earn(budget);
+    forwarder->metrics.in_flight.value++;
+    send_next(forward);
+}
+
+static void
+finish_answered(forward_t *forward, const Teasel__Reply *reply)
+{
+    forward_result_t result = {
+        .outcome = ATTEMPT_ANSWERED,
+        .status = (int)reply->status,
+        .headers = reply->headers,
+        .header_count = reply->n_headers,
+        .body = reply->body.data,
+        .body_length = reply->body.len,
+    };
+
+    judge_member(forward, ATTEMPT_ANSWERED, ERROR_INTERNAL, result.status);
+    detach(forward);
+    attempt_end(&forward->attempt, ATTEMPT_ANSWERED, ERROR_INTERNAL,
+                clock_get_monotonic(forward->owner->opts.clock));
+    finish(forward, &result);
+}
+
+static void
+on_reply(forward_t *forward, const Teasel__Reply *reply)
+{
+    if (reply->status < 200 || reply->status > 599) {
+        end_attempt(forward, ATTEMPT_UNKNOWN, ERROR_PROTOCOL,
+                    "the answer has no valid status");
+        return;
+    }
+    finish_answered(forward, reply);
+}
+
+void
+forwarder_on_message(forwarder_t *forwarder, uplink_t *uplink,
+                     const Teasel__Envelope *message)
+{
+    uint64_t id = forward_message_get_id(message);
+    forward_t *forward = g_hash_table_lookup(forwarder->by_id, &id);
+
+    if (forward == NULL || forward->uplink != uplink) {
+        forward_metrics_count(&forwarder->metrics, FORWARD_LATE);
+        return;
+    }
+    switch (message->body_case) {
+    case TEASEL__ENVELOPE__BODY_REPLY:
+        on_reply(forward, message->reply);
+        break;
+    case TEASEL__ENVELOPE__BODY_NOT_RUN:
+        end_attempt(forward, ATTEMPT_NOT_RUN, message->not_run->kind,
+                    message->not_run->detail);
+        break;
+    default:
+        end_attempt(forward, ATTEMPT_UNKNOWN, message->unknown->kind,
+                    message->unknown->detail);
+        break;
+    }
+}
+
+void
+forwarder_on_disconnect(forwarder_t *forwarder, uplink_t *uplink)
+{
+    while (!list_is_empty(&uplink->forwards)) {
+        forward_t *forward =
+            LIST_ENTRY(uplink->forwards.next, forward_t, uplink_link);
+
+        end_attempt(forward, ATTEMPT_UNKNOWN, ERROR_CONNECTION_LOST,
+                    "the connection to the agent was lost");
+    }
+}
+
+void
+forwarder_on_member(forwarder_t *forwarder)
+{
+    list_t waiting;
+
+    if (list_is_empty(&forwarder->parked)) {
+        return;
+    }
+    /* Those that find no member are parked again, on the emptied list. */
+    list_init(&waiting);
+    list_insert_before(forwarder->parked.next, &waiting);
+    list_remove(&forwarder->parked);
+    while (!list_is_empty(&waiting)) {
+        forward_t *forward = LIST_ENTRY(waiting.next, forward_t, parked_link);
+
+        list_remove(&forward->parked_link);
+        list_append(&forwarder->parked, &forward->parked_link);
+        send_next(forward);
+    }
+}
+
+size_t
+forwarder_get_pending(const forwarder_t *forwarder)
+{
+    return (size_t)forwarder->metrics.in_flight.value;
+}
--- a/libteasel/request/budget.c
+++ b/libteasel/request/budget.c
@@ -1,9 +1,17 @@
 #include "request/budget.h"
 
+#include <glib.h>
+
 enum {
     TOKEN = 100
 };
 
+struct budget_set {
+    uint32_t reserve;
+    uint32_t percent;
+    GHashTable *budgets; /* service -> budget_t */
+};
+
 void
 budget_init(budget_t *budget, uint32_t reserve, uint32_t percent)
 {
@@ -32,3 +40,37 @@
     budget->hundredths -= TOKEN;
     return true;
 }
+
+budget_set_t *
+budget_set_new(uint32_t reserve, uint32_t percent)
+{
+    budget_set_t *set = g_new0(budget_set_t, 1);
+
+    set->reserve = reserve;
+    set->percent = percent;
+    set->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return set;
+}
+
+void
+budget_set_free(budget_set_t *set)
+{
+    if (set != NULL) {
+        g_hash_table_unref(set->budgets);
+        g_free(set);
+    }
+}
+
+budget_t *
+budget_set_get(budget_set_t *set, const char *service)
+{
+    budget_t *budget = g_hash_table_lookup(set->budgets, service);
+
+    if (budget == NULL) {
+        budget = g_new0(budget_t, 1);
+        budget_init(budget, set->reserve, set->percent);
+        g_hash_table_insert(set->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
--- a/libteasel/request/budget.h
+++ b/libteasel/request/budget.h
@@ -36,6 +36,20 @@
  */
 bool budget_take(budget_t *budget);
 
+typedef struct budget_set budget_set_t;
+
+/**
+ * budget_set_new() - one budget per service, so that failures of one service
+ * do not use up the retries of another
+ */
+budget_set_t *budget_set_new(uint32_t reserve, uint32_t percent);
+void budget_set_free(budget_set_t *set);
+
+/**
+ * budget_set_get() - budget of a service, full at first
+ */
+budget_t *budget_set_get(budget_set_t *set, const char *service);
+
 #ifdef __cplusplus
 }
 #endif
--- a/libteasel/request/member.c
+++ b/libteasel/request/member.c
@@ -272,6 +272,34 @@
            outlier_is_allowed(&member->outlier, now);
 }
 
+bool
+member_begin_request(member_t *member)
+{
+    member->in_flight++;
+    member->sent++;
+    return outlier_begin(&member->outlier);
+}
+
+bool
+member_end_request(member_table_t *table, member_t *member, bool probe,
+                   verdict_t verdict)
+{
+    struct timespec now = clock_get_monotonic(table->opts.clock);
+    outlier_state_t before = member->outlier.state;
+
+    member->in_flight--;
+    if (verdict != VERDICT_NOTHING) {
+        outlier_end(&table->outliers, &member->outlier, probe,
+                    verdict == VERDICT_FAILED, now);
+    }
+    else if (probe) {
+        outlier_abandon_probe(&member->outlier);
+    }
+    return before != OUTLIER_EJECTED &&
+           member->outlier.state == OUTLIER_EJECTED &&
+           verdict == VERDICT_FAILED;
+}
+
 uint32_t
 member_get_load(const member_t *member)
 {
--- a/libteasel/request/member.h
+++ b/libteasel/request/member.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/list.h"
 #include "request/outlier.h"
+#include "request/verdict.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -146,6 +147,22 @@
 bool member_is_usable(const member_table_t *table, const member_t *member,
                       struct timespec now);
 
+/**
+ * member_begin_request() - a request is sent to a member
+ *
+ * Return: true if it probes a member that returns from ejection.
+ */
+bool member_begin_request(member_t *member);
+
+/**
+ * member_end_request() - a request ended
+ * @probe: result of member_begin_request()
+ *
+ * Return: true if the member is ejected for that.
+ */
+bool member_end_request(member_table_t *table, member_t *member, bool probe,
+                        verdict_t verdict);
+
 /**
  * member_get_load() - requests at the member, as far as this entry knows
  */
