--- a/libteasel/platform/snapshot.c
+++ b/libteasel/platform/snapshot.c
@@ -122,10 +122,9 @@
     write->cb_data = cb_data;
     write->covers_through = stream->next - 1;
     write->data = g_byte_array_new();
-    stream_recent_encode(&stream->recent, write->data);
     g_byte_array_append(write->data, snapshot, (guint)length);
     write->checksum = XXH64(write->data->data, write->data->len, 0);
-    write->count = (write->data->len + CHUNK_SIZE - 1) / CHUNK_SIZE;
+    write->count = MAX(1, (write->data->len + CHUNK_SIZE - 1) / CHUNK_SIZE);
     stream_fill_record(stream, &record, write->id);
     list_append(&stream->snapshot_writes, &write->link);
     append_chunk(write);
--- a/libteasel/platform/stream.c
+++ b/libteasel/platform/stream.c
@@ -13,7 +13,6 @@
     stream->writer = g_strdup(opts->writer != NULL ? opts->writer : "");
     stream->next = 1;
     stream->wants_snapshot = opts->handler->load_snapshot != NULL;
-    stream_recent_init(&stream->recent);
     list_init(&stream->appends);
     list_init(&stream->snapshot_writes);
     stream_follower_init(stream);
@@ -30,7 +29,6 @@
     stream_loader_clear(stream);
     stream_append_clear(stream);
     stream_snapshot_clear(stream);
-    stream_recent_clear(&stream->recent);
     g_free(stream->name);
     g_free(stream->snapshot_name);
     g_free(stream->writer);
--- a/libteasel/request/admission.c
+++ b/libteasel/request/admission.c
@@ -127,9 +127,9 @@
 }
 
 void
-admission_leave(admission_t *admission)
+admission_set_leaving(admission_t *admission, bool leaving)
 {
-    admission->leaving = true;
+    admission->leaving = leaving;
 }
 
 bool
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -96,7 +96,7 @@
     EXPECT_EQ(kind, ERROR_EXPIRED);
     admission_cancel(&fixture.admission, &items[1]);
     EXPECT_EQ(fixture.admission.queued, 0U);
-    admission_leave(&fixture.admission);
+    admission_set_leaving(&fixture.admission, true);
     EXPECT_EQ(fixture.offer(&items[3], 900, &kind), ADMISSION_REFUSED);
     EXPECT_EQ(kind, ERROR_LEAVING);
 }
