--- a/libteasel/caller/service_handler.c
+++ b/libteasel/caller/service_handler.c
@@ -20,6 +20,9 @@
     "trailer",    "transfer-encoding", "upgrade",
 };
 
+/* Headers of an answer that the HTTP library writes itself. */
+static const char *const own_headers[] = {"date", "server"};
+
 /* Whether the value of a Connection header lists a name. */
 static bool
 lists_name(const char *list, const char *name)
@@ -49,6 +52,17 @@
     return lists_name(connection, name);
 }
 
+static bool
+is_own_header(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(own_headers); i++) {
+        if (strcasecmp(name, own_headers[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 copy_headers(service_call_t *call)
 {
@@ -138,6 +152,7 @@
 call_free(service_call_t *call)
 {
     g_free(call->headers);
+    g_free(call->added_value);
     g_free(call->service);
     g_free(call);
 }
@@ -161,6 +176,16 @@
     submit(call, data);
 }
 
+void
+service_call_add_header(service_call_t *call, const http_header_t *header)
+{
+    /* copy_headers() left room for one. */
+    call->added_value = g_strdup(header->value);
+    call->headers[call->header_count].name = header->name;
+    call->headers[call->header_count].value = call->added_value;
+    call->header_count++;
+}
+
 static const char *
 find_connection_header(Teasel__Header *const *headers, size_t count)
 {
@@ -182,7 +207,8 @@
     size_t count = 0;
 
     for (size_t i = 0; i < header_count; i++) {
-        if (!is_hop_header(headers[i]->name, connection)) {
+        if (!is_hop_header(headers[i]->name, connection) &&
+            !is_own_header(headers[i]->name)) {
             kept[count].name = headers[i]->name;
             kept[count].value = headers[i]->value;
             count++;
--- a/libteasel/caller/service_handler.h
+++ b/libteasel/caller/service_handler.h
@@ -37,8 +37,7 @@
     uint32_t timeout_ms;
     http_header_t *headers;
     size_t header_count;
-    struct timespec arrived;
-    void *user_data;
+    char *added_value;
 } service_call_t;
 
 typedef void (*service_submit_fn)(service_call_t *call, void *data);
@@ -52,6 +51,14 @@
 void service_handler_handle(http_exchange_t *exchange,
                             service_submit_fn submit, void *data);
 
+/**
+ * service_call_add_header() - add one header to those that are passed on
+ *
+ * May be called once; the value is copied.
+ */
+void service_call_add_header(service_call_t *call,
+                             const http_header_t *header);
+
 /**
  * service_call_reply() - pass on an executor's answer and free the call
  */
--- /dev/null
+++ b/libteasel/entry/entry_service.h
@@ -0,0 +1,44 @@
+#ifndef TEASEL_ENTRY_ENTRY_SERVICE_H
+#define TEASEL_ENTRY_ENTRY_SERVICE_H
+
+#include <stddef.h>
+
+#include "caller/service_handler.h"
+#include "config/config_reader.h"
+#include "entry/key_guard.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct entry_service entry_service_t;
+
+/**
+ * struct entry_service_opts - options of entry_service_new()
+ * @max_in_flight: further requests are refused as not run
+ */
+typedef struct entry_service_opts {
+    const config_reader_t *config;
+    forwarder_t *forwarder;
+    key_guard_t *keys;
+    const char *entry_id;
+    uint64_t incarnation;
+    size_t max_in_flight;
+} entry_service_opts_t;
+
+/**
+ * entry_service_new() - requests of callers to services
+ */
+entry_service_t *entry_service_new(const entry_service_opts_t *opts);
+void entry_service_free(entry_service_t *service);
+
+/**
+ * entry_service_submit() - forward a call, as service_submit_fn
+ */
+void entry_service_submit(service_call_t *call, void *service);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/libteasel/entry/entry_settings.c
+++ b/libteasel/entry/entry_settings.c
@@ -35,6 +35,7 @@
     INTEGER(append_timeout_ms, 10, 600000, 5000),
     INTEGER(job_deadline_ms, 10, 600000, 10000),
     INTEGER(max_body_bytes, 1024, 15 * 1024 * 1024, 8 * 1024 * 1024),
+    INTEGER(max_in_flight, 1, 1000000, 10000),
     INTEGER(max_attempts, 1, 8, 3),
     INTEGER(retry_percent, 0, 100, 10),
     INTEGER(retry_reserve, 0, 10000, 10),
--- a/libteasel/entry/entry_settings.h
+++ b/libteasel/entry/entry_settings.h
@@ -33,6 +33,7 @@
     int64_t append_timeout_ms;
     int64_t job_deadline_ms;
     int64_t max_body_bytes;
+    int64_t max_in_flight;
     int64_t max_attempts;
     int64_t retry_percent;
     int64_t retry_reserve;
--- /dev/null
+++ b/libteasel/entry/entry_stop.c
@@ -0,0 +1,89 @@
+#include "base/events.h"
+#include "entry/entry_internal.h"
+
+enum {
+    CHECK_MS = 10,
+    CLOSE_GRACE_MS = 500,
+};
+
+static bool
+is_idle(const entry_t *entry)
+{
+    return http_server_get_pending(entry->http) == 0 &&
+           http_server_get_connections(entry->http) == 0 &&
+           key_guard_get_pending(entry->keys) == 0;
+}
+
+static bool
+has_timed_out(const entry_t *entry)
+{
+    struct timespec now = clock_get_monotonic(entry->clock);
+
+    return timespec_diff_ms(now, entry->left) >=
+           entry->settings->stop_timeout_ms;
+}
+
+/* Connections that were accepted at the last moment get some time to deliver
+   their request before idle ones are closed. */
+static void
+drain(entry_t *entry)
+{
+    if (entry->stage == ENTRY_LEAVING) {
+        entry->stage = ENTRY_DRAINING;
+        http_server_close_listener(entry->http);
+        entry->drained = clock_get_monotonic(entry->clock);
+        return;
+    }
+    if (!entry->connections_closed &&
+        timespec_diff_ms(clock_get_monotonic(entry->clock), entry->drained) >=
+            CLOSE_GRACE_MS) {
+        entry->connections_closed = true;
+        http_server_shutdown(entry->http);
+    }
+}
+
+static void
+on_stop_timer(loop_timer_t *timer)
+{
+    entry_t *entry = timer->data;
+
+    drain(entry);
+    if (is_idle(entry)) {
+        loop_stop(entry->loop);
+        return;
+    }
+    if (has_timed_out(entry)) {
+        event_log(EVENT_STOP_INCOMPLETE,
+                  "requests=%zu connections=%zu keys=%zu",
+                  http_server_get_pending(entry->http),
+                  http_server_get_connections(entry->http),
+                  key_guard_get_pending(entry->keys));
+        loop_stop(entry->loop);
+        return;
+    }
+    loop_timer_start(timer, CHECK_MS);
+}
+
+void
+entry_stop_init(entry_t *entry)
+{
+    loop_timer_init(&entry->stop_timer, entry->loop, on_stop_timer, entry);
+}
+
+void
+entry_leave(entry_t *entry, const char *reason)
+{
+    if (entry->stage != ENTRY_SERVING) {
+        return;
+    }
+    event_log(EVENT_PROCESS_LEAVING, "id=%s reason=%s",
+              entry->settings->entry_id, reason);
+    entry->stage = ENTRY_LEAVING;
+    entry->left = clock_get_monotonic(entry->clock);
+    http_server_announce_shutdown(entry->http);
+    directory_leave(entry->directory);
+    announcer_announce(entry->announcer);
+    uplinks_send_entries(entry->uplinks);
+    loop_timer_start(&entry->stop_timer,
+                     (uint64_t)entry->settings->leave_delay_ms);
+}
--- a/libteasel/entry/forwarder.c
+++ b/libteasel/entry/forwarder.c
@@ -283,12 +283,22 @@
     start_timer(forward, forward->attempt.deadline);
 }
 
+/* Unknown names share a budget, or callers could fill the memory with them. */
+static budget_t *
+get_budget(forwarder_t *forwarder, const char *service)
+{
+    bool is_known =
+        member_table_get_group(forwarder->opts.members, service) != NULL;
+
+    return budget_set_get(forwarder->budgets, is_known ? service : "");
+}
+
 void
 forwarder_submit(forwarder_t *forwarder, const forward_request_t *request,
                  forward_cb cb, void *data)
 {
     forward_t *forward = g_new0(forward_t, 1);
-    budget_t *budget = budget_set_get(forwarder->budgets, request->service);
+    budget_t *budget = get_budget(forwarder, request->service);
 
     forward->owner = forwarder;
     forward->request = *request;
--- a/libteasel/entry/uplink.h
+++ b/libteasel/entry/uplink.h
@@ -9,13 +9,17 @@
 extern "C" {
 #endif
 
+struct uplinks;
+
 /**
  * struct uplink - an incoming connection on the peer port
+ * @owner: the uplinks_t that accepted it
  * @member: set after Hello; NULL for another entry and before Hello
  * @forwards: attempts that wait for an answer on this connection
  */
 typedef struct uplink {
     list_t link;
+    struct uplinks *owner;
     peer_t *peer;
     member_t *member;
     list_t forwards;
