--- /dev/null
+++ b/cli/teaselctl.c
@@ -0,0 +1,7 @@
+#include "operator/ctl.h"
+
+int
+main(int argc, char **argv)
+{
+    return ctl_main(argc, argv);
+}
