--- a/bench/slopes/cell.c
+++ b/bench/slopes/cell.c
@@ -48,6 +48,7 @@
     unpacked = teasel__log_record__unpack(NULL, length, packed);
     cell_apply(world->cell, unpacked, world->offset);
     teasel__log_record__free_unpacked(unpacked, NULL);
+    record->id.data = NULL;
 }
 
 static void
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,89 @@
+# Functions of the measuring scripts; sourced.
+# shellcheck shell=bash
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+build=${BUILD_DIR:-$root/build}
+[[ $build = /* ]] || build=$root/$build
+export BUILD_DIR=$build
+base_port=$((${TEST_PORT_BASE:-20000} + 600))
+cluster=
+
+# start_cluster OPTIONS...: a deployment that ends with this script
+start_cluster() {
+    cluster=$(mktemp -d)
+    trap stop_cluster EXIT
+    "$root/scripts/localcluster" up "$cluster" --base-port "$base_port" "$@" \
+        >/dev/null
+    # shellcheck disable=SC1091
+    . "$cluster/env"
+}
+
+stop_cluster() {
+    trap - EXIT
+    [ -n "$cluster" ] || return 0
+    "$root/scripts/localcluster" down "$cluster" || true
+    rm -rf "$cluster"
+    cluster=
+}
+
+# urls PREFIX: values of PREFIX_1, PREFIX_2, ... as IP:PORT, with commas
+urls() { sed -n "s|^$1_[0-9]*=http://||p" "$cluster/env" | paste -sd,; }
+
+# fault URL JSON
+fault() { curl -fsS -m 5 -o /dev/null -d "$2" "$1/standin/fault"; }
+
+fault_all() {
+    local url
+    for url in $(sed -n "s|^$1_[0-9]*=||p" "$cluster/env"); do
+        fault "$url" "$2"
+    done
+}
+
+# sum_stat PREFIX KEY: sum of a figure of the stand-ins
+sum_stat() {
+    local url
+    for url in $(sed -n "s|^$1_[0-9]*=||p" "$cluster/env"); do
+        curl -fsS -m 5 "$url/standin/stats" | tr ',{}' '\n' |
+            sed -n "s/^ *\"$2\": *//p"
+    done | awk '{sum += $1} END {print sum + 0}'
+}
+
+load() { "$build/loadgen" "$@"; }
+
+# field KEY: a figure of the load generator's report on standard input
+field() {
+    tr ',{}' '\n' | sed -n "s/^ *\"$1\": *//p" | grep . || echo 0
+}
+
+# median and range of the numbers on standard input, with FORMAT
+summary() {
+    sort -g | awk -v format="${1:-%.2f}" '{v[NR] = $1} END {
+        m = NR % 2 ? v[(NR + 1) / 2] : (v[NR / 2] + v[NR / 2 + 1]) / 2
+        printf format " (" format " to " format ")\n", m, v[1], v[NR]}'
+}
+
+calc() { awk "BEGIN {printf \"${2:-%.3f}\", $1}"; }
+
+pid_of() { cat "$cluster/pids/$1"; }
+
+# Processor time in ns, resident memory in KiB, bytes read and written so far.
+cpu_ns() { cut -d' ' -f1 "/proc/$1/schedstat"; }
+rss_kib() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+io_bytes() { awk '/^[rw]char/ {sum += $2} END {print sum}' "/proc/$1/io"; }
+
+# wait_until SECONDS COMMAND...: polls a condition
+wait_until() {
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ "$SECONDS" -lt "$end" ] || return 1
+        sleep 0.05
+    done
+}
+
+describe_machine() {
+    echo "$(date -u +%Y-%m-%dT%H:%MZ), $(nproc) processors" \
+        "($(awk -F': ' '/model name/ {print $2; exit}' /proc/cpuinfo))," \
+        "load average $(cut -d' ' -f1-3 /proc/loadavg)," \
+        "commit $(git -C "$root" rev-parse --short HEAD)"
+}
