--- a/libteasel/agent/agent_settings.c
+++ b/libteasel/agent/agent_settings.c
@@ -68,8 +68,8 @@
         return true;
     }
     g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
-                "%s: key \"%s\": found %" PRId64
-                "; allowed: at most %" PRId64 ", from key \"%s\"",
+                "%s: key \"%s\": found %" PRId64 "; allowed: at most %" PRId64
+                ", from key \"%s\"",
                 path, low_key, low, high, high_key);
     return false;
 }
