Make the entry sources lint clean

Cause: clang-tidy could not see that the popped element had been unlinked. Change: iterate with LIST_FOREACH_SAFE.

--- a/libteasel/entry/entry_service.h
+++ b/libteasel/entry/entry_service.h
@@ -34,8 +34,9 @@
 
 /**
  * entry_service_submit() - forward a call, as service_submit_fn
+ * @data: the entry_service_t
  */
-void entry_service_submit(service_call_t *call, void *service);
+void entry_service_submit(service_call_t *call, void *data);
 
 #ifdef __cplusplus
 }
--- a/libteasel/entry/forwarder.c
+++ b/libteasel/entry/forwarder.c
@@ -376,10 +376,7 @@
 void
 forwarder_on_disconnect(forwarder_t *forwarder, uplink_t *uplink)
 {
-    while (!list_is_empty(&uplink->forwards)) {
-        forward_t *forward =
-            LIST_ENTRY(uplink->forwards.next, forward_t, uplink_link);
-
+    LIST_FOREACH_SAFE (forward, &uplink->forwards, forward_t, uplink_link) {
         end_attempt(forward, ATTEMPT_UNKNOWN, ERROR_CONNECTION_LOST,
                     "the connection to the agent was lost");
     }
@@ -388,20 +385,7 @@
 void
 forwarder_on_member(forwarder_t *forwarder)
 {
-    list_t waiting;
-
-    if (list_is_empty(&forwarder->parked)) {
-        return;
-    }
-    /* Those that find no member are parked again, on the emptied list. */
-    list_init(&waiting);
-    list_insert_before(forwarder->parked.next, &waiting);
-    list_remove(&forwarder->parked);
-    while (!list_is_empty(&waiting)) {
-        forward_t *forward = LIST_ENTRY(waiting.next, forward_t, parked_link);
-
-        list_remove(&forward->parked_link);
-        list_append(&forwarder->parked, &forward->parked_link);
+    LIST_FOREACH_SAFE (forward, &forwarder->parked, forward_t, parked_link) {
         send_next(forward);
     }
 }
