Check the end of the lease that is passed to the worker

The test of the task runner used the former duration. It now also checks that the worker's lease ends before the agent's.

--- a/tests/unit/task_runner_test.cc
+++ b/tests/unit/task_runner_test.cc
@@ -30,7 +30,7 @@
     worker_status_cb watch_cb = nullptr;
     void *watch_data = nullptr;
     uint64_t incarnation = 1;
-    uint64_t lease_ms = 0;
+    uint64_t lease_end_ms = 0;
     worker_outcome_t start_outcome = WORKER_OK;
     uint64_t max_cpu = 0;
 
@@ -49,9 +49,9 @@
     }
 
     static void
-    renew(worker_t *worker, uint64_t ms, worker_cb cb, void *data)
+    renew(worker_t *worker, struct timespec until, worker_cb cb, void *data)
     {
-        of(worker)->lease_ms = ms;
+        of(worker)->lease_end_ms = timespec_to_ms(until);
         of(worker)->pending.push_back(
             [=] { cb(WORKER_OK, nullptr, 0, "", data); });
     }
@@ -358,6 +358,20 @@
     EXPECT_EQ(it.count("start c"), 1U);
 }
 
+// Guards against a worker lease that outlives the agent's, also when the
+// worker reads the renewal late.
+TEST(TaskRunner, PassesOnTheEndOfItsLease)
+{
+    Runner it;
+    uint64_t granted_end;
+
+    it.settle();
+    granted_end = timespec_to_ms(it.clock.now) + 15000;
+    it.renew(5, 15000);
+    EXPECT_GT(it.worker.lease_end_ms, granted_end - 2000);
+    EXPECT_LT(it.worker.lease_end_ms, granted_end);
+}
+
 // Guards against effects that are published before, or more than once after,
 // the finish is on the log, and against a lost report.
 TEST(TaskRunner, RepeatsReportUntilRelease)
