--- a/libteasel/agent/task.c
+++ b/libteasel/agent/task.c
@@ -52,7 +52,6 @@
                 [LEDGER_ACCELERATORS] = message->size->accelerators,
             }};
     }
-    task->size_known = true;
     g_free(task->spec);
     task->spec =
         g_strndup((const char *)message->spec.data, message->spec.len);
--- a/libteasel/agent/task.h
+++ b/libteasel/agent/task.h
@@ -33,8 +33,6 @@
 /**
  * struct task - an attempt of a job on this instance
  * @size: reserved in the ledger while @reserved
- * @size_known: false for a task found on the worker, until the coordinator
- *     repeats its start
  * @sent: its start may have reached the worker
  * @call_pending: a call to the worker is not answered yet
  * @confirmed_watch: watches that began later than this one list the task
@@ -52,7 +50,6 @@
     task_state_t state;
     ledger_amount_t size;
     bool reserved;
-    bool size_known;
     bool sent;
     bool call_pending;
     uint64_t confirmed_watch;
--- a/libteasel/agent/task_runner.c
+++ b/libteasel/agent/task_runner.c
@@ -136,22 +136,6 @@
     return NULL;
 }
 
-/* The coordinator repeats the start of a task that the agent recovered. */
-static void
-repeat_start(task_t *task, const Teasel__StartTask *message)
-{
-    if (task->state == TASK_ENDED) {
-        task_report_send(task);
-    }
-    else if (task_is_on_worker(task) && !task->size_known) {
-        task_unreserve(task);
-        task_set_start(task, message);
-        if (!task_reserve(task, NULL)) {
-            task_stop(task, TEASEL__STOP_REASON__STOP_REASON_EVICT);
-        }
-    }
-}
-
 static void
 on_start(task_runner_t *runner, const Teasel__StartTask *message)
 {
@@ -162,7 +146,9 @@
         return;
     }
     if (task != NULL) {
-        repeat_start(task, message);
+        if (task->state == TASK_ENDED) {
+            task_report_send(task);
+        }
         return;
     }
     task = task_new(runner, message->job_id, message->attempt);
--- a/libteasel/agent/task_watch.c
+++ b/libteasel/agent/task_watch.c
@@ -20,8 +20,7 @@
     return NULL;
 }
 
-/* Found after a restart of this agent. Until the coordinator tells its size,
-   what the worker measured is reserved. */
+/* Found after a restart of this agent. Only the worker knows its size. */
 static task_t *
 recover(task_runner_t *runner, const worker_task_t *status)
 {
@@ -30,11 +29,19 @@
     list_append(&runner->tasks, &task->link);
     task->state = TASK_ACTIVE;
     task->sent = true;
-    task->size.units[LEDGER_CPU_MILLI] = status->cpu_milli;
-    task->size.units[LEDGER_MEMORY_MB] = status->memory_mb;
-    task_reserve(task, NULL);
+    task->size = (ledger_amount_t){
+        .units = {
+            [LEDGER_CPU_MILLI] = status->declared_cpu_milli,
+            [LEDGER_MEMORY_MB] = status->declared_memory_mb,
+            [LEDGER_ACCELERATORS] = status->declared_accelerators,
+        }};
     event_log(EVENT_TASK_RECOVERED, "job=%s attempt=%u state=%d",
               status->job_id, status->attempt, (int)status->state);
+    /* The worker may have shrunk, or more may be kept for its executor. */
+    if (!task_reserve(task, NULL)) {
+        task->state = TASK_STOPPING;
+        task->stop_reason = TEASEL__STOP_REASON__STOP_REASON_EVICT;
+    }
     return task;
 }
 
--- a/libteasel/platform/worker.h
+++ b/libteasel/platform/worker.h
@@ -29,8 +29,11 @@
     worker_task_state_t state;
     uint64_t progress_ms;
     uint32_t throttle_percent;
-    uint32_t cpu_milli; /* measured, late */
-    uint64_t memory_mb; /* measured, late */
+    uint32_t cpu_milli;          /* measured, late */
+    uint64_t memory_mb;          /* measured, late */
+    uint32_t declared_cpu_milli; /* as given to @start */
+    uint64_t declared_memory_mb;
+    uint32_t declared_accelerators;
     const char *detail;
 } worker_task_t;
 
--- a/libteasel/platform/worker_status.c
+++ b/libteasel/platform/worker_status.c
@@ -76,7 +76,13 @@
            read_number32(object, "throttle_percent",
                          &task->throttle_percent) &&
            read_number32(object, "cpu_milli", &task->cpu_milli) &&
-           read_number(object, "memory_mb", &task->memory_mb);
+           read_number(object, "memory_mb", &task->memory_mb) &&
+           read_number32(object, "declared_cpu_milli",
+                         &task->declared_cpu_milli) &&
+           read_number(object, "declared_memory_mb",
+                       &task->declared_memory_mb) &&
+           read_number32(object, "declared_accelerators",
+                         &task->declared_accelerators);
 }
 
 static bool
--- a/tests/unit/task_runner_test.cc
+++ b/tests/unit/task_runner_test.cc
@@ -123,7 +123,8 @@
             item.attempt = 1;
             item.state = task.state;
             item.throttle_percent = 100;
-            item.cpu_milli = static_cast<uint32_t>(task.cpu);
+            item.cpu_milli = 1; /* measured */
+            item.declared_cpu_milli = static_cast<uint32_t>(task.cpu);
             item.detail = "";
             list.push_back(item);
         }
@@ -329,6 +330,12 @@
         worker.pump();
     }
 
+    bool
+    reported(const std::string &report) const
+    {
+        return std::count(reports.begin(), reports.end(), report) > 0;
+    }
+
     size_t
     count(const std::string &call) const
     {
@@ -434,7 +441,7 @@
 {
     Runner it;
 
-    it.worker.tasks["a"] = {WORKER_TASK_RUNNING, 1000};
+    it.worker.tasks["a"] = {WORKER_TASK_RUNNING, 3000};
     it.worker.tasks["b"] = {WORKER_TASK_DONE, 0};
     for (int i = 0; i < 20; i++) {
         loop_run_once(it.loop, 1);
@@ -447,13 +454,15 @@
     it.renew(5, 15000);
     it.start(5, "a", 3000);
     EXPECT_EQ(it.count("start a"), 0U);
-    EXPECT_EQ(it.ledger.reserved.units[LEDGER_CPU_MILLI], 5000U);
+    it.start(5, "c", 3001);
+    EXPECT_EQ(it.count("start c"), 0U);
+    it.start(5, "d", 1000);
+    EXPECT_EQ(it.ledger.reserved.units[LEDGER_CPU_MILLI], 6000U);
     it.worker.incarnation = 2;
     it.worker.tasks.clear();
     it.settle();
-    EXPECT_NE(
-        std::find(it.reports.begin(), it.reports.end(), "a" + evicted + "old"),
-        it.reports.end());
+    EXPECT_TRUE(it.reported("a" + evicted));
+    EXPECT_TRUE(it.reported("d" + evicted + "old"));
     EXPECT_EQ(it.ledger.reserved.units[LEDGER_CPU_MILLI], 2000U);
 }
 
@@ -486,9 +495,7 @@
     it.start(5, "b", 1000);
     it.settle();
     EXPECT_EQ(it.count("start b"), 0U);
-    EXPECT_NE(std::find(it.reports.begin(), it.reports.end(),
-                        "a" + evicted + "{cp}"),
-              it.reports.end());
+    EXPECT_TRUE(it.reported("a" + evicted + "{cp}"));
     EXPECT_FALSE(it.idle);
     it.release(5, "a");
     it.release(5, "b");
