--- a/libteasel/entry/entry.c
+++ b/libteasel/entry/entry.c
@@ -73,6 +73,13 @@
     entry->route = route_new(&route);
 }
 
+static void
+submit_forward(void *forwarder, const forward_request_t *request,
+               forward_cb cb, void *data)
+{
+    forwarder_submit(forwarder, request, cb, data);
+}
+
 static void
 start_forwarding(entry_t *entry)
 {
@@ -92,6 +99,7 @@
         .loop = entry->loop,
         .clock = entry->clock,
         .log = entry->log,
+        .submit = submit_forward,
         .entry_id = settings->entry_id,
         .writer = settings->entry_id,
         .append_timeout_ms = (uint64_t)settings->append_timeout_ms,
@@ -104,7 +112,7 @@
     };
 
     entry->forwarder = forwarder_new(&forwarder);
-    keys.forwarder = entry->forwarder;
+    keys.submit_data = entry->forwarder;
     entry->keys = key_guard_new(&keys);
     service.forwarder = entry->forwarder;
     service.keys = entry->keys;
--- a/libteasel/entry/key_guard.c
+++ b/libteasel/entry/key_guard.c
@@ -155,8 +155,8 @@
         return;
     }
     call->request.timeout_ms = (uint32_t)left_ms;
-    forwarder_submit(call->guard->opts.forwarder, &call->request, on_forwarded,
-                     call);
+    call->guard->opts.submit(call->guard->opts.submit_data, &call->request,
+                             on_forwarded, call);
 }
 
 static void
--- a/libteasel/entry/key_guard.h
+++ b/libteasel/entry/key_guard.h
@@ -16,6 +16,7 @@
 
 /**
  * struct key_guard_opts - options of key_guard_new()
+ * @submit: runs a request whose key was claimed, like forwarder_submit()
  * @writer: put on each record
  * @append_timeout_ms: after this a claim that was not read back is abandoned
  */
@@ -23,7 +24,9 @@
     loop_t *loop;
     const clock_source_t *clock;
     plog_t *log;
-    forwarder_t *forwarder;
+    void (*submit)(void *submit_data, const forward_request_t *request,
+                   forward_cb cb, void *data);
+    void *submit_data;
     const char *entry_id;
     const char *writer;
     uint64_t append_timeout_ms;
