Test the entry against agents that fail at each step

Cause: callers must get their own answers, and "not run" only if true. Change: entry_test runs an entry with agents whose answers the test chooses.

--- /dev/null
+++ b/tests/unit/entry_test.cc
@@ -0,0 +1,487 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/http_client.h"
+#include "entry/entry.h"
+#include "wire/peer.h"
+}
+
+#include "test_address.h"
+
+namespace {
+
+struct Delivery {
+    uint64_t id;
+    std::string body;
+};
+
+/* An agent whose answers are chosen by the test. */
+struct Agent {
+    peer_t *peer = nullptr;
+    std::vector<Delivery> deliveries;
+    std::vector<uint64_t> cancelled;
+    bool acknowledged = false;
+    bool closed = false;
+    uint64_t sequence = 1;
+
+    void
+    send(const Teasel__Envelope &envelope)
+    {
+        peer_send(peer, &envelope);
+    }
+
+    void
+    hello(const char *id, uint64_t incarnation)
+    {
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+        Teasel__Hello hello = TEASEL__HELLO__INIT;
+        Teasel__Load load = TEASEL__LOAD__INIT;
+        char *services[] = {(char *)"preview"};
+
+        load.sequence = sequence;
+        hello.agent_id = (char *)id;
+        hello.incarnation = incarnation;
+        hello.data_centre = (char *)"accra";
+        hello.n_services = 1;
+        hello.services = services;
+        hello.load = &load;
+        envelope.body_case = TEASEL__ENVELOPE__BODY_HELLO;
+        envelope.hello = &hello;
+        send(envelope);
+    }
+
+    void
+    reply(uint64_t id, const std::string &body, uint32_t status = 200)
+    {
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+        Teasel__Reply reply = TEASEL__REPLY__INIT;
+
+        reply.request_id = id;
+        reply.status = status;
+        reply.body.data = (uint8_t *)body.data();
+        reply.body.len = body.size();
+        envelope.body_case = TEASEL__ENVELOPE__BODY_REPLY;
+        envelope.reply = &reply;
+        send(envelope);
+    }
+
+    void
+    not_run(uint64_t id)
+    {
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+        Teasel__NotRun not_run = TEASEL__NOT_RUN__INIT;
+
+        not_run.request_id = id;
+        not_run.kind = ERROR_OVERLOADED;
+        envelope.body_case = TEASEL__ENVELOPE__BODY_NOT_RUN;
+        envelope.not_run = &not_run;
+        send(envelope);
+    }
+
+    void
+    unknown(uint64_t id)
+    {
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+        Teasel__Unknown unknown = TEASEL__UNKNOWN__INIT;
+
+        unknown.request_id = id;
+        unknown.kind = ERROR_TRUNCATED;
+        envelope.body_case = TEASEL__ENVELOPE__BODY_UNKNOWN;
+        envelope.unknown = &unknown;
+        send(envelope);
+    }
+
+    void
+    leave()
+    {
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+        Teasel__Leave leave = TEASEL__LEAVE__INIT;
+
+        envelope.body_case = TEASEL__ENVELOPE__BODY_LEAVE;
+        envelope.leave = &leave;
+        send(envelope);
+    }
+
+    void
+    drop()
+    {
+        peer_close(peer);
+        peer = nullptr;
+        closed = true;
+    }
+};
+
+struct Caller {
+    int answers = 0;
+    int status = 0;
+    std::string body;
+};
+
+struct Fixture : public ::testing::Test {
+    loop_t *loop = loop_new();
+    entry_settings_t settings = {};
+    char http[32] = "";
+    char peer[32] = "";
+    char no_log[32] = "";
+    entry_t *entry = nullptr;
+    http_client_t *client = nullptr;
+    std::vector<std::unique_ptr<Agent>> agents;
+    std::vector<std::unique_ptr<Caller>> callers;
+
+    static void
+    on_message(peer_t *peer, const Teasel__Envelope *message, void *data)
+    {
+        auto *agent = static_cast<Agent *>(data);
+
+        if (message->body_case == TEASEL__ENVELOPE__BODY_REQUEST) {
+            const ProtobufCBinaryData &body = message->request->body;
+
+            agent->deliveries.push_back(
+                {message->request->request_id,
+                 std::string((const char *)body.data, body.len)});
+        }
+        else if (message->body_case == TEASEL__ENVELOPE__BODY_CANCEL_REQUEST) {
+            agent->cancelled.push_back(message->cancel_request->request_id);
+        }
+        else if (message->body_case == TEASEL__ENVELOPE__BODY_HELLO_ACK) {
+            agent->acknowledged = true;
+        }
+    }
+
+    static void
+    on_close(peer_t *peer, const char *reason, void *data)
+    {
+        static_cast<Agent *>(data)->peer = nullptr;
+        static_cast<Agent *>(data)->closed = true;
+    }
+
+    static void
+    on_answer(const http_response_t *response, void *data)
+    {
+        auto *caller = static_cast<Caller *>(data);
+
+        caller->answers++;
+        caller->status = response->ok ? response->status : -1;
+        caller->body.assign(response->body, response->body_length);
+    }
+
+    void
+    SetUp() override
+    {
+        g_autoptr(GError) error = nullptr;
+        http_client_opts_t client_opts = {};
+
+        test_address(http, 30);
+        test_address(peer, 31);
+        test_address(no_log, 32);
+        settings.entry_id = (char *)"entry-1";
+        settings.data_centre = (char *)"accra";
+        settings.route = (char *)"p3c";
+        settings.http_listen = settings.http_address = http;
+        settings.peer_listen = settings.peer_address = peer;
+        settings.log_address = no_log;
+        settings.fresh_ms = settings.keep_ms = 600000;
+        settings.silence_ms = 600000;
+        settings.ping_ms = 300000;
+        settings.announce_ms = 600000;
+        settings.append_timeout_ms = 1000;
+        settings.max_body_bytes = 1 << 20;
+        settings.max_in_flight = 1000;
+        settings.max_attempts = 3;
+        settings.retry_percent = 10;
+        settings.retry_reserve = 1000;
+        settings.park_ms = 60000;
+        settings.eject_failures = 1000;
+        settings.eject_ms = settings.max_eject_ms = 1000;
+        settings.stop_timeout_ms = 60000;
+        settings.leave_delay_ms = 50;
+        entry = entry_new(loop, &settings, &error);
+        ASSERT_NE(entry, nullptr) << error->message;
+        client_opts.loop = loop;
+        client_opts.address = http;
+        client_opts.max_connections = 8;
+        client = http_client_new(&client_opts, nullptr);
+    }
+
+    void
+    TearDown() override
+    {
+        http_client_free(client);
+        for (auto &agent : agents) {
+            peer_close(agent->peer);
+        }
+        loop_run_once(loop, 10);
+        entry_free(entry);
+        loop_free(loop);
+    }
+
+    template <typename Condition>
+    void
+    wait_for(Condition condition)
+    {
+        while (!condition()) {
+            loop_run_once(loop, 1000);
+        }
+    }
+
+    Agent *
+    connect(const char *id, uint64_t incarnation)
+    {
+        static const peer_handler_t handler = {nullptr, on_message, on_close};
+        peer_opts_t opts = {};
+        auto *agent = new Agent();
+
+        agents.emplace_back(agent);
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.handler = &handler;
+        opts.data = agent;
+        opts.max_queued_bytes = 1 << 24;
+        opts.silence_ms = opts.ping_ms = 600000;
+        agent->peer = peer_connect(&opts, peer, nullptr);
+        agent->hello(id, incarnation);
+        wait_for([&] { return agent->acknowledged || agent->closed; });
+        return agent;
+    }
+
+    Caller *
+    call(const std::string &body, const char *idempotent, uint32_t timeout_ms)
+    {
+        std::string timeout = std::to_string(timeout_ms);
+        http_header_t headers[] = {{"teasel-timeout-ms", timeout.c_str()},
+                                   {"teasel-idempotent", idempotent}};
+        http_call_opts_t opts = {};
+
+        callers.emplace_back(new Caller());
+        opts.method = "POST";
+        opts.target = "/svc/preview/x?y=1";
+        opts.headers = headers;
+        opts.header_count = 2;
+        opts.body = body.data();
+        opts.body_length = body.size();
+        opts.timeout_ms = 60000;
+        opts.max_response = 1 << 20;
+        http_client_send(client, &opts, on_answer, callers.back().get());
+        return callers.back().get();
+    }
+
+    bool
+    all_answered()
+    {
+        for (auto &caller : callers) {
+            if (caller->answers == 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+// Guards against an answer that reaches another caller: answers come in the
+// opposite order, twice, and mixed with answers to no request.
+TEST_F(Fixture, AnswersReachTheirOwnCallers)
+{
+    Agent *agent = connect("agent-1", 1);
+
+    for (int i = 0; i < 50; i++) {
+        call("plate " + std::to_string(i), "no", 60000);
+    }
+    wait_for([&] { return agent->deliveries.size() == 50; });
+    for (size_t i = 50; i-- > 0;) {
+        const Delivery &delivery = agent->deliveries[i];
+
+        agent->reply(delivery.id + 1000, "nobody");
+        agent->reply(delivery.id, delivery.body);
+        agent->reply(delivery.id, "twice");
+        agent->unknown(delivery.id);
+    }
+    wait_for([&] { return all_answered(); });
+    for (int i = 0; i < 50; i++) {
+        EXPECT_EQ(callers[i]->body, "plate " + std::to_string(i));
+        EXPECT_EQ(callers[i]->answers, 1);
+    }
+}
+
+// Guards against an answer taken from a connection that did not get the
+// request, as after a restart of an agent.
+TEST_F(Fixture, IgnoresAnswersOfOtherConnections)
+{
+    Agent *agent = connect("agent-1", 1);
+    Caller *caller = call("plate", "no", 60000);
+
+    wait_for([&] { return agent->deliveries.size() == 1; });
+    Agent *other = connect("agent-2", 1);
+    other->reply(agent->deliveries[0].id, "wrong");
+    other->not_run(agent->deliveries[0].id);
+    connect("agent-3", 1); /* the messages above have been handled */
+    EXPECT_EQ(caller->answers, 0);
+    agent->reply(agent->deliveries[0].id, "right");
+    wait_for([&] { return all_answered(); });
+    EXPECT_EQ(caller->body, "right");
+}
+
+// Guards against two live incarnations of an agent: the newer one replaces
+// the older, whose requests become unknown, and which cannot come back.
+TEST_F(Fixture, NewerIncarnationReplacesTheOlder)
+{
+    Agent *old_agent = connect("agent-1", 1);
+    Caller *caller = call("plate", "no", 60000);
+
+    wait_for([&] { return old_agent->deliveries.size() == 1; });
+    Agent *new_agent = connect("agent-1", 2);
+    wait_for([&] { return old_agent->closed && all_answered(); });
+    EXPECT_EQ(caller->status, 502);
+    EXPECT_NE(caller->body.find("\"executed\":\"unknown\""),
+              std::string::npos);
+    EXPECT_EQ(new_agent->deliveries.size(), 0U);
+    EXPECT_TRUE(connect("agent-1", 1)->closed);
+    EXPECT_FALSE(new_agent->closed);
+}
+
+struct FaultCase {
+    const char *steps; /* one letter per delivery: what the agent does */
+    const char *idempotent;
+    size_t deliveries;
+    int status;
+    const char *body;
+};
+
+// Guards against "not run" for a request that may have run, against a second
+// run of a non-idempotent request, and against a missing retry of one that is
+// safe to repeat, for each step at which an attempt can fail.
+TEST_F(Fixture, TellsTheTruthForEachFault)
+{
+    static const FaultCase cases[] = {
+        {"nnn", "no", 3, 503, "\"executed\":\"no\""},
+        {"nnr", "no", 3, 200, "answer"},
+        {"u", "no", 1, 502, "\"executed\":\"unknown\""},
+        {"nu", "no", 2, 502, "\"executed\":\"unknown\""},
+        {"i", "no", 1, 502, "\"executed\":\"unknown\""},
+        {"d", "no", 1, 502, "\"executed\":\"unknown\""},
+        {"t", "no", 1, 504, "\"executed\":\"unknown\""},
+        {"nnn", "yes", 3, 503, "\"executed\":\"no\""},
+        {"ur", "yes", 2, 200, "answer"},
+        {"dr", "yes", 2, 200, "answer"},
+        {"ir", "yes", 2, 200, "answer"},
+        {"unn", "yes", 3, 502, "\"executed\":\"unknown\""},
+        {"t", "yes", 1, 504, "\"executed\":\"unknown\""},
+    };
+
+    for (const FaultCase &fault : cases) {
+        SCOPED_TRACE(std::string(fault.steps) + " " + fault.idempotent);
+        std::vector<Agent *> live;
+        for (const char *id : {"agent-1", "agent-2", "agent-3"}) {
+            live.push_back(connect(id, agents.size() + 1));
+        }
+        bool times_out = strchr(fault.steps, 't') != nullptr;
+        Caller *caller =
+            call("plate", fault.idempotent, times_out ? 50 : 60000);
+        size_t deliveries = 0;
+        while (caller->answers == 0) {
+            loop_run_once(loop, 1000);
+            for (Agent *agent : live) {
+                for (const Delivery &delivery : agent->deliveries) {
+                    ASSERT_LT(deliveries, strlen(fault.steps));
+                    switch (fault.steps[deliveries++]) {
+                    case 'n':
+                        agent->not_run(delivery.id);
+                        break;
+                    case 'u':
+                        agent->unknown(delivery.id);
+                        break;
+                    case 'i':
+                        agent->reply(delivery.id, "cut", 0);
+                        break;
+                    case 'd':
+                        agent->drop();
+                        break;
+                    case 'r':
+                        agent->reply(delivery.id, "answer");
+                        break;
+                    default:
+                        break;
+                    }
+                }
+                agent->deliveries.clear();
+            }
+        }
+        EXPECT_EQ(deliveries, fault.deliveries);
+        EXPECT_EQ(caller->status, fault.status);
+        EXPECT_NE(caller->body.find(fault.body), std::string::npos)
+            << caller->body;
+    }
+}
+
+// Guards against requests to an agent that leaves, and against the loss of
+// those that it still answers.
+TEST_F(Fixture, LeavingAgentGetsNoNewWork)
+{
+    Agent *leaving = connect("agent-1", 1);
+    Caller *early = call("early", "no", 60000);
+
+    wait_for([&] { return leaving->deliveries.size() == 1; });
+    leaving->leave();
+    Agent *staying = connect("agent-2", 1);
+    for (int i = 0; i < 20; i++) {
+        call("late", "no", 60000);
+    }
+    wait_for([&] { return staying->deliveries.size() == 20; });
+    leaving->reply(leaving->deliveries[0].id, "done");
+    for (const Delivery &delivery : staying->deliveries) {
+        staying->reply(delivery.id, delivery.body);
+    }
+    wait_for([&] { return all_answered(); });
+    EXPECT_EQ(early->body, "done");
+    EXPECT_EQ(leaving->deliveries.size(), 1U);
+}
+
+// Guards against failures at a new entry that does not know an agent yet.
+TEST_F(Fixture, WaitsForAnAgent)
+{
+    Caller *caller = call("plate", "no", 60000);
+
+    loop_run_once(loop, 20);
+    Agent *agent = connect("agent-1", 1);
+    wait_for([&] { return agent->deliveries.size() == 1; });
+    agent->reply(agent->deliveries[0].id, "answer");
+    wait_for([&] { return all_answered(); });
+    EXPECT_EQ(caller->body, "answer");
+}
+
+// Guards against a planned stop that cuts off a request, and against one that
+// keeps accepting callers.
+TEST_F(Fixture, StopsGracefully)
+{
+    Agent *agent = connect("agent-1", 1);
+    Caller *caller = call("plate", "no", 60000);
+    http_call_opts_t health = {};
+    Caller probe;
+    Caller refused;
+
+    wait_for([&] { return agent->deliveries.size() == 1; });
+    entry_leave(entry, "test");
+    health.method = "GET";
+    health.target = "/healthz";
+    health.timeout_ms = 60000;
+    health.max_response = 1024;
+    http_client_send(client, &health, on_answer, &probe);
+    wait_for([&] { return probe.answers == 1; });
+    EXPECT_EQ(probe.body, "leaving\n");
+    health.fresh_connection = true;
+    while (refused.status != -1) {
+        refused.answers = 0;
+        http_client_send(client, &health, on_answer, &refused);
+        wait_for([&] { return refused.answers == 1; });
+    }
+    EXPECT_EQ(caller->answers, 0);
+    agent->reply(agent->deliveries[0].id, "answer");
+    loop_run(loop); /* until the entry stops it */
+    loop_run_once(loop, 10);
+    EXPECT_EQ(caller->body, "answer");
+}
+
+} // namespace
--- a/tests/unit/key_guard_test.cc
+++ b/tests/unit/key_guard_test.cc
@@ -137,13 +137,27 @@
     }
     for (uint8_t step : steps) {
         switch (step % 8) {
-        case 0: entries.log.refuse_appends++; break;
-        case 1: entries.log.lose_answers++; break;
-        case 2: entries.log.drop_appends++; break;
-        case 3: entries.log.late_appends++; break;
-        case 4: entries.log.double_appends++; break;
-        case 5: entries.log.release_late(); break;
-        default: entries.submit(step % 2, "k", 1, 20); break;
+        case 0:
+            entries.log.refuse_appends++;
+            break;
+        case 1:
+            entries.log.lose_answers++;
+            break;
+        case 2:
+            entries.log.drop_appends++;
+            break;
+        case 3:
+            entries.log.late_appends++;
+            break;
+        case 4:
+            entries.log.double_appends++;
+            break;
+        case 5:
+            entries.log.release_late();
+            break;
+        default:
+            entries.submit(step % 2, "k", 1, 20);
+            break;
         }
         entries.turn(step % 3);
     }
