Test that batch tasks give way to interactive load

Cause: the runner's use of pressure was not tested. Change: a test drives throttle, suspend, restore and evict through the runner. Result: task_runner_test passes (10 tests).

--- a/tests/unit/task_runner_test.cc
+++ b/tests/unit/task_runner_test.cc
@@ -19,6 +19,7 @@
 struct FakeTask {
     worker_task_state_t state;
     uint64_t cpu;
+    uint32_t throttle = 100;
 };
 
 // Worker in memory. Calls are answered by pump(), in order.
@@ -79,7 +80,7 @@
 
     static void
     act(worker_t *worker, const char *job_id, uint32_t, worker_action_t action,
-        uint32_t, worker_cb cb, void *data)
+        uint32_t value, worker_cb cb, void *data)
     {
         static const char *const names[] = {"suspend", "resume",  "throttle",
                                             "stop",    "release", "forget"};
@@ -98,6 +99,9 @@
         else if (action == WORKER_RESUME) {
             found->second.state = WORKER_TASK_RUNNING;
         }
+        else if (action == WORKER_THROTTLE) {
+            found->second.throttle = value;
+        }
         else if (action == WORKER_STOP) {
             found->second.state = WORKER_TASK_STOPPED;
         }
@@ -122,7 +126,7 @@
             item.job_id = id.c_str();
             item.attempt = 1;
             item.state = task.state;
-            item.throttle_percent = 100;
+            item.throttle_percent = task.throttle;
             item.cpu_milli = 1; /* measured */
             item.declared_cpu_milli = static_cast<uint32_t>(task.cpu);
             item.detail = "";
@@ -161,6 +165,7 @@
     std::vector<std::string> listed; // in the latest heartbeat
     std::vector<std::string> reports;
     bool idle = false;
+    uint32_t load = 0;
 
     static bool
     send(const Teasel__Envelope *message, void *data)
@@ -191,9 +196,9 @@
     }
 
     static uint32_t
-    get_load(void *)
+    get_load(void *data)
     {
-        return 0;
+        return static_cast<Runner *>(data)->load;
     }
 
     static void
@@ -503,6 +508,34 @@
     EXPECT_TRUE(it.idle);
 }
 
+// Guards against batch work that does not give way to interactive requests, or
+// does not get its speed back.
+TEST(TaskRunner, GivesWayToInteractiveLoad)
+{
+    Runner it;
+
+    it.settle();
+    it.renew(5, 15000);
+    it.settle();
+    it.renew(5, 15000);
+    it.start(5, "a", 1000);
+    it.load = 85;
+    while (it.count("suspend a") == 0) {
+        it.settle();
+    }
+    EXPECT_EQ(it.count("throttle a"), 1U);
+    EXPECT_EQ(it.worker.tasks["a"].throttle, 50U);
+    it.load = 0;
+    while (it.worker.tasks["a"].throttle != 100) {
+        it.settle();
+    }
+    EXPECT_EQ(it.worker.tasks["a"].state, WORKER_TASK_RUNNING);
+    it.load = 100;
+    while (!it.reported("a" + evicted + "{cp}")) {
+        it.settle();
+    }
+}
+
 // Guards against a start whose answer was lost being taken for not started.
 TEST(TaskRunner, RepeatsStartWithUnknownOutcome)
 {
