--- a/tests/unit/config_property_test.cc
+++ b/tests/unit/config_property_test.cc
@@ -102,9 +102,11 @@
             }
             else {
                 /* Redelivers records before the reader's offset. */
-                for (size_t i = std::min(at, to); i <= at; i++) {
+                for (size_t i = std::min(at, to); i < at; i++) {
                     apply_record(config, log.records[i], i + 1);
+                    RC_ASSERT(config_get_next(config) == at + 1);
                 }
+                apply_record(config, log.records[at], at + 1);
             }
             at = config_get_next(config) - 1;
             RC_ASSERT(encode_state(config) == log.snapshots[at]);
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -23,6 +23,16 @@
         return apply_record(config, record, offset++, &message, &accepted);
     }
 
+    void
+    expect_same_clone()
+    {
+        config_t *clone = config_clone(config);
+
+        EXPECT_EQ(encode_state(clone), encode_state(config));
+        EXPECT_EQ(config_get_next(clone), config_get_next(config));
+        config_free(clone);
+    }
+
     int64_t
     slots(const char *name)
     {
@@ -112,6 +122,7 @@
     EXPECT_EQ(message, "ticket 2: the number is too old; allowed: at least 3");
     EXPECT_EQ(apply(ticket_record(3, "\"service/a\":{}")), CONFIG_REPEATED);
     EXPECT_EQ(encode_state(config).find("service/gone"), std::string::npos);
+    expect_same_clone();
 }
 
 // Guards against a drain whose append took effect late, or twice, undoing the
@@ -137,6 +148,7 @@
         apply(drain_record("agent-" + std::to_string(i), false, offset));
     }
     EXPECT_EQ(encode_state(config).find("agent-x"), std::string::npos);
+    expect_same_clone();
     EXPECT_EQ(apply(drain_record("agent-x", true, 2)), CONFIG_REFUSED);
     EXPECT_EQ(apply(drain_record("agent-x", true, offset)), CONFIG_ACCEPTED);
 }
