--- a/libteasel/platform/stream_follower.c
+++ b/libteasel/platform/stream_follower.c
@@ -63,6 +63,8 @@
     }
 }
 
+/* A repeated record is passed on like any other: only the fold can ignore it
+   in the same way in all readers, also in those that start from a snapshot. */
 static void
 apply_record(stream_t *stream, const plog_record_t *raw)
 {
@@ -76,10 +78,7 @@
                   stream->name, (guint64)raw->offset, raw->length);
     }
     else {
-        if (!stream_recent_is_repeat(&stream->recent, record)) {
-            stream->opts.handler->apply(record, raw->offset,
-                                        stream->opts.data);
-        }
+        stream->opts.handler->apply(record, raw->offset, stream->opts.data);
         stream_append_on_record(stream, &record->id, raw->offset);
     }
     if (record != NULL) {
