Answer /admin/jobs when the entry has no job handler

An entry without on_jobs crashed on GET /admin/jobs, seen with localcluster: teaselctl jobs ended the entry. It now answers 404.

--- a/libteasel/operator/admin_handler.c
+++ b/libteasel/operator/admin_handler.c
@@ -142,6 +142,11 @@
 static void
 handle_jobs(const admin_provider_t *provider, http_exchange_t *exchange)
 {
+    if (provider->on_jobs == NULL) {
+        http_exchange_reply_text(exchange, 404, "text/plain",
+                                 "this entry serves no jobs\n");
+        return;
+    }
     provider->on_jobs(provider->data, exchange);
 }
 
--- a/libteasel/operator/admin_handler.h
+++ b/libteasel/operator/admin_handler.h
@@ -56,7 +56,8 @@
  * @config: reader of stream "config" of this entry
  * @each_member: calls @fn for each known agent
  * @each_entry: calls @fn for each known entry but this one; may be NULL
- * @on_jobs: answers GET /admin/jobs, see job_handler_on_list()
+ * @on_jobs: answers GET /admin/jobs, see job_handler_on_list(); if NULL, the
+ *     answer is 404
  * @data: passed to the callbacks
  */
 typedef struct admin_provider {
--- a/libteasel/operator/ctl_http.c
+++ b/libteasel/operator/ctl_http.c
@@ -129,13 +129,21 @@
     return NULL;
 }
 
+static bool
+is_read(const ctl_fetch_t *fetch)
+{
+    return strcmp(fetch->method, "GET") == 0;
+}
+
 static void
 set_unreached(const ctl_fetch_t *fetch, GError **error)
 {
     g_clear_error(error);
     g_set_error(error, TEASEL_ERROR, (gint)fetch->kind, "entry %s: %s%s",
                 fetch->address,
-                fetch->sent ? "outcome unknown: " : "not reached: ",
+                is_read(fetch) ? "no answer: "
+                : fetch->sent  ? "outcome unknown: "
+                               : "not reached: ",
                 fetch->text != NULL ? fetch->text : "");
 }
 
@@ -159,7 +167,7 @@
                              .body = body};
 
         ctl_fetch_all(ctl, &fetch, 1, ctl->settings.timeout_ms);
-        finished = fetch.ok || fetch.sent;
+        finished = fetch.ok || (fetch.sent && !is_read(&fetch));
         if (fetch.ok) {
             g_clear_error(error);
             *status = fetch.status;
--- a/libteasel/operator/ctl_http.h
+++ b/libteasel/operator/ctl_http.h
@@ -41,7 +41,8 @@
 /**
  * ctl_fetch_any() - send a request to the first entry that can be reached
  *
- * Goes on to the next entry only if the request was definitely not run.
+ * Goes on to the next entry only if the request was definitely not run, or
+ * if it is a GET.
  * Return: the parsed answer if its status is 2xx; otherwise NULL with the
  * kind that the problem document names in @error.
  */
--- a/libteasel/operator/ctl_processes.c
+++ b/libteasel/operator/ctl_processes.c
@@ -39,10 +39,11 @@
     g_free(process);
 }
 
+/* agent-2 comes before agent-10. */
 static int
 compare_keys(gconstpointer a, gconstpointer b, gpointer data)
 {
-    return strcmp(a, b);
+    return strverscmp(a, b);
 }
 
 ctl_processes_t *
