--- a/libteasel/entry/entry.c
+++ b/libteasel/entry/entry.c
@@ -192,6 +192,22 @@
     return true;
 }
 
+static void
+start_jobs(entry_t *entry)
+{
+    job_handler_opts_t opts = {
+        .loop = entry->loop,
+        .clock = entry->clock,
+        .log = entry->log,
+        .metrics = &entry->metrics,
+        .cell = "cell-0",
+        .entry_id = entry->settings->entry_id,
+        .deadline_ms = (uint64_t)entry->settings->job_deadline_ms,
+    };
+
+    entry->jobs = job_handler_new(&opts);
+}
+
 static void
 start_directory(entry_t *entry)
 {
@@ -210,6 +226,7 @@
     if (!start_log(entry, error)) {
         return false;
     }
+    start_jobs(entry);
     start_members(entry);
     start_forwarding(entry);
     start_directory(entry);
@@ -274,6 +291,7 @@
     directory_free(entry->directory);
     route_free(entry->route);
     member_table_free(entry->members);
+    job_handler_free(entry->jobs);
     config_reader_free(entry->config);
     free_log(entry->log);
     metrics_remove(&entry->members_metric);
--- a/libteasel/entry/entry_http.c
+++ b/libteasel/entry/entry_http.c
@@ -81,6 +81,22 @@
     }
 }
 
+static void
+on_job(http_exchange_t *exchange, void *data)
+{
+    entry_t *entry = data;
+
+    job_handler_on_job(entry->jobs, exchange);
+}
+
+static void
+on_job_list(void *data, http_exchange_t *exchange)
+{
+    entry_t *entry = data;
+
+    job_handler_on_list(entry->jobs, exchange);
+}
+
 static void
 on_admin(http_exchange_t *exchange, void *data)
 {
@@ -90,6 +106,7 @@
         .data_centre = entry->settings->data_centre,
         .config = entry->config,
         .each_member = each_member,
+        .on_jobs = on_job_list,
         .data = entry,
     };
 
@@ -100,11 +117,9 @@
 entry_http_new(entry_t *entry, GError **error)
 {
     static const http_route_t routes[] = {
-        {"/svc/", on_service},
-        {"/healthz", on_health},
-        {"/metrics", on_metrics},
-        {"/admin/", on_admin},
-        {NULL, NULL},
+        {"/svc/", on_service},   {"/jobs/", on_job},
+        {"/healthz", on_health}, {"/metrics", on_metrics},
+        {"/admin/", on_admin},   {NULL, NULL},
     };
     http_server_opts_t opts = {
         .loop = entry->loop,
--- a/libteasel/entry/entry_stop.c
+++ b/libteasel/entry/entry_stop.c
@@ -11,7 +11,8 @@
 {
     return http_server_get_pending(entry->http) == 0 &&
            http_server_get_connections(entry->http) == 0 &&
-           key_guard_get_pending(entry->keys) == 0;
+           key_guard_get_pending(entry->keys) == 0 &&
+           job_handler_get_pending(entry->jobs) == 0;
 }
 
 static bool
