--- /dev/null
+++ b/libteasel/platform/worker_http.h
@@ -0,0 +1,34 @@
+#ifndef TEASEL_PLATFORM_WORKER_HTTP_H
+#define TEASEL_PLATFORM_WORKER_HTTP_H
+
+#include <glib.h>
+
+#include "base/loop.h"
+#include "platform/worker.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct worker_http_opts - options of worker_http_new()
+ * @address: IPv4:PORT of the worker
+ * @timeout_ms: after this a call without an answer is unknown; a watch gets
+ *     its waiting time in addition
+ */
+typedef struct worker_http_opts {
+    loop_t *loop;
+    const char *address;
+    uint64_t timeout_ms;
+} worker_http_opts_t;
+
+/**
+ * worker_http_new() - client for the protocol of docs/standins.md
+ */
+worker_t *worker_http_new(const worker_http_opts_t *opts, GError **error);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/libteasel/request/admission.h
+++ b/libteasel/request/admission.h
@@ -85,9 +85,9 @@
 void admission_cancel(admission_t *admission, admission_item_t *item);
 
 /**
- * admission_leave() - refuse new items from now on; waiting ones still run
+ * admission_set_leaving() - refuse new items; waiting ones still run
  */
-void admission_leave(admission_t *admission);
+void admission_set_leaving(admission_t *admission, bool leaving);
 
 /**
  * admission_get_next_deadline() - when the first waiting item expires
