--- /dev/null
+++ b/tests/system/entry_stop_test.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Guards against a planned stop of an entry that cuts off, refuses or repeats
+# a request, while all entries are restarted one after the other under load.
+set -euo pipefail
+. "$(dirname "$0")/../../scripts/measure.sh"
+start_cluster --agents 3 --entries 3 --no-workers \
+    --entry-set leave_delay_ms=500
+result=$(mktemp)
+
+# 30% of 3 executors with 8 slots at 10 ms; the queues absorb a slow machine.
+"$build/loadgen" --targets "$(urls ENTRY)" --path /svc/previews/x \
+    --method POST --rate 720 --seconds 12 --service-ms 10 --health-ms 50 \
+    --timeout-ms 10000 --name stop- >"$result" &
+load=$!
+sleep 1
+for i in 1 2 3; do
+    "$root/scripts/localcluster" stop "$cluster" "entry-$i"
+    "$root/scripts/localcluster" start "$cluster" "entry-$i"
+    url="ENTRY_$i"
+    until curl -fsS -o /dev/null "${!url}/healthz" 2>/dev/null; do
+        sleep 0.05
+    done
+    # Two more rounds, so that the load generator has seen it as well.
+    sleep 0.5
+done
+wait "$load"
+cat "$result"
+for i in 1 2 3; do
+    url="EXECUTOR_$i"
+    curl -fsS "${!url}/standin/stats"
+done | python3 -c '
+import json, sys
+load = json.load(open(sys.argv[1]))
+stats = [json.loads(line) for line in sys.stdin.read().replace("}{", "}\n{").splitlines()]
+runs = {}
+for one in stats:
+    for name, count in one["executions"].items():
+        runs[name] = runs.get(name, 0) + count
+assert load["status_200"] == load["sent"], load
+assert len(runs) == load["sent"], (len(runs), load["sent"])
+assert max(runs.values()) == 1, "a request was run twice"
+' "$result"
+rm -f "$result"
