--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -83,6 +83,18 @@
           "config-snapshot-written")                                          \
     EVENT(EVENT_CONFIG_SNAPSHOT_FAILED, 5009, G_LOG_LEVEL_WARNING,            \
           "config-snapshot-failed")                                           \
+    EVENT(EVENT_COORDINATOR_CHANGED, 4001, G_LOG_LEVEL_MESSAGE,               \
+          "coordinator-changed")                                              \
+    EVENT(EVENT_ROLE_TAKEN, 4002, G_LOG_LEVEL_MESSAGE,                        \
+          "coordinator-role-taken")                                           \
+    EVENT(EVENT_CLAIM_FAILED, 4003, G_LOG_LEVEL_WARNING,                      \
+          "coordinator-claim-failed")                                         \
+    EVENT(EVENT_DECISION_UNKNOWN, 4004, G_LOG_LEVEL_WARNING,                  \
+          "coordinator-decision-unknown")                                     \
+    EVENT(EVENT_CELL_SNAPSHOT_INVALID, 4005, G_LOG_LEVEL_WARNING,             \
+          "cell-snapshot-invalid")                                            \
+    EVENT(EVENT_CELL_SNAPSHOT_FAILED, 4006, G_LOG_LEVEL_WARNING,              \
+          "cell-snapshot-failed")                                             \
     EVENT(EVENT_PROCESS_LEAVING, 9001, G_LOG_LEVEL_MESSAGE,                   \
           "process-leaving")                                                  \
     EVENT(EVENT_PROCESS_STOPPED, 9002, G_LOG_LEVEL_MESSAGE,                   \
