--- a/libteasel/entry/directory.c
+++ b/libteasel/entry/directory.c
@@ -9,7 +9,7 @@
    announcement from before does not bring it back. */
 typedef struct known_entry {
     char *address;
-    uint64_t incarnation;
+    uint64_t incarnation; /* 0 if it did not announce itself */
     bool leaving;
     struct timespec announced;
 } known_entry_t;
@@ -105,10 +105,11 @@
 bool
 directory_add_address(directory_t *directory, const char *address)
 {
+    known_entry_t *entry = g_hash_table_lookup(directory->entries, address);
     bool added = false;
 
     if (is_other_entry(directory, address) &&
-        !g_hash_table_contains(directory->entries, address)) {
+        (entry == NULL || entry->incarnation == 0)) {
         get_or_add(directory, address, &added);
     }
     return added;
@@ -143,7 +144,7 @@
 }
 
 char **
-directory_list(const directory_t *directory)
+directory_list(const directory_t *directory, directory_scope_t scope)
 {
     GPtrArray *list = g_ptr_array_new();
     GHashTableIter iter;
@@ -156,7 +157,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         known_entry_t *entry = value;
 
-        if (!entry->leaving) {
+        if (!entry->leaving &&
+            (scope == DIRECTORY_ALL || entry->incarnation != 0)) {
             g_ptr_array_add(list, g_strdup(entry->address));
         }
     }
--- a/libteasel/entry/directory.h
+++ b/libteasel/entry/directory.h
@@ -42,7 +42,10 @@
                         const Teasel__EntryAnnounce *announce);
 
 /**
- * directory_add_address() - an entry of which only the address is known
+ * directory_add_address() - another entry told this address
+ *
+ * Such an address is not told to other entries, or two entries would keep
+ * each other's memory of a dead one alive.
  *
  * Return: true if the list of addresses changed.
  */
@@ -60,10 +63,15 @@
  */
 void directory_leave(directory_t *directory);
 
+typedef enum directory_scope {
+    DIRECTORY_ALL,       /* for agents */
+    DIRECTORY_ANNOUNCED, /* for other entries */
+} directory_scope_t;
+
 /**
  * directory_list() - peer addresses, NULL-terminated; free with g_strfreev()
  */
-char **directory_list(const directory_t *directory);
+char **directory_list(const directory_t *directory, directory_scope_t scope);
 
 #ifdef __cplusplus
 }
--- a/libteasel/entry/uplinks.c
+++ b/libteasel/entry/uplinks.c
@@ -86,9 +86,10 @@
 }
 
 static void
-send_current_entries(uplink_t *uplink)
+send_current_entries(uplink_t *uplink, directory_scope_t scope)
 {
-    g_auto(GStrv) entries = directory_list(uplink->owner->opts.directory);
+    g_auto(GStrv) entries =
+        directory_list(uplink->owner->opts.directory, scope);
 
     send_entries(uplink, entries);
 }
@@ -96,7 +97,8 @@
 void
 uplinks_send_entries(uplinks_t *uplinks)
 {
-    g_auto(GStrv) entries = directory_list(uplinks->opts.directory);
+    g_auto(GStrv) entries =
+        directory_list(uplinks->opts.directory, DIRECTORY_ALL);
 
     LIST_FOREACH (uplink, &uplinks->uplinks, uplink_t, link) {
         if (uplink->member != NULL) {
@@ -134,7 +136,7 @@
               "agent=%s incarnation=%" PRIu64 " data-centre=%s address=%s",
               member->agent_id, member->incarnation, member->data_centre,
               peer_get_address(uplink->peer));
-    send_current_entries(uplink);
+    send_current_entries(uplink, DIRECTORY_ALL);
     if (replaced != NULL) {
         peer_t *peer = replaced->peer;
 
@@ -176,7 +178,7 @@
     if (directory_announce(opts->directory, announce)) {
         opts->on_directory(opts->data);
     }
-    send_current_entries(uplink);
+    send_current_entries(uplink, DIRECTORY_ANNOUNCED);
 }
 
 static void
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -17,6 +17,8 @@
 struct Delivery {
     uint64_t id;
     std::string body;
+    std::string target;
+    std::string headers; /* "name=value;" for each */
 };
 
 /* An agent whose answers are chosen by the test. */
@@ -138,11 +140,18 @@
         auto *agent = static_cast<Agent *>(data);
 
         if (message->body_case == TEASEL__ENVELOPE__BODY_REQUEST) {
-            const ProtobufCBinaryData &body = message->request->body;
+            const Teasel__Request *request = message->request;
+            std::string headers;
 
+            for (size_t i = 0; i < request->n_headers; i++) {
+                headers += std::string(request->headers[i]->name) + "=" +
+                           request->headers[i]->value + ";";
+            }
             agent->deliveries.push_back(
-                {message->request->request_id,
-                 std::string((const char *)body.data, body.len)});
+                {request->request_id,
+                 std::string((const char *)request->body.data,
+                             request->body.len),
+                 request->target, headers});
         }
         else if (message->body_case == TEASEL__ENVELOPE__BODY_CANCEL_REQUEST) {
             agent->cancelled.push_back(message->cancel_request->request_id);
@@ -342,6 +351,67 @@
     EXPECT_FALSE(new_agent->closed);
 }
 
+// Guards against a header of one connection that reaches the executor, and
+// against a changed target.
+TEST_F(Fixture, PassesOnWhatConcernsTheExecutor)
+{
+    http_header_t headers[] = {{"connection", "x-hop, close"},
+                               {"x-hop", "1"},
+                               {"te", "trailers"},
+                               {"x-end", "2"},
+                               {"teasel-timeout-ms", "60000"}};
+    http_call_opts_t opts = {};
+    Caller caller;
+    Agent *agent = connect("agent-1", 1);
+
+    opts.method = "GET";
+    opts.target = "/svc/preview/a%20b/c?d=e";
+    opts.headers = headers;
+    opts.header_count = 5;
+    opts.timeout_ms = 60000;
+    opts.max_response = 1024;
+    http_client_send(client, &opts, on_answer, &caller);
+    wait_for([&] { return agent->deliveries.size() == 1; });
+    const Delivery &delivery = agent->deliveries[0];
+    EXPECT_EQ(delivery.target, "/a%20b/c?d=e");
+    EXPECT_EQ(delivery.headers.substr(0, 8), "x-end=2;");
+    EXPECT_NE(delivery.headers.find(";teasel-request-id=entry-1-"),
+              std::string::npos);
+    EXPECT_EQ(delivery.headers.find("host="), std::string::npos);
+    agent->reply(delivery.id, "answer");
+    wait_for([&] { return caller.answers == 1; });
+    EXPECT_EQ(caller.body, "answer");
+}
+
+// Guards against a request with a misread option: it must not run.
+TEST_F(Fixture, RefusesInvalidOptions)
+{
+    static const http_header_t invalid[] = {
+        {"teasel-timeout-ms", "0"},
+        {"teasel-timeout-ms", "5s"},
+        {"teasel-idempotent", "maybe"},
+        {"idempotency-key", ""},
+    };
+    Agent *agent = connect("agent-1", 1);
+
+    for (const http_header_t &header : invalid) {
+        http_call_opts_t opts = {};
+        Caller caller;
+
+        opts.method = "GET";
+        opts.target = "/svc/preview/x";
+        opts.headers = &header;
+        opts.header_count = 1;
+        opts.timeout_ms = 60000;
+        opts.max_response = 1024;
+        http_client_send(client, &opts, on_answer, &caller);
+        wait_for([&] { return caller.answers == 1; });
+        EXPECT_EQ(caller.status, 400) << header.name << header.value;
+        EXPECT_NE(caller.body.find("\"executed\":\"no\""), std::string::npos);
+    }
+    EXPECT_EQ(agent->deliveries.size(), 0U);
+}
+
 struct FaultCase {
     const char *steps; /* one letter per delivery: what the agent does */
     const char *idempotent;
