--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -67,7 +67,7 @@
 main(int argc, char **argv)
 {
     const slope_t *const tables[] = {slopes_wire, slopes_config, slopes_cell,
-                                     slopes_request};
+                                     slopes_coordinator, slopes_request};
     const char *wanted = argc > 1 ? argv[1] : "";
 
     printf("| slope | unit | processor ns | memory bytes | wire bytes |\n");
--- a/bench/slopes/cell.c
+++ b/bench/slopes/cell.c
@@ -1,75 +1,12 @@
-#include <string.h>
-
-#include "batch/cell.h"
 #include "batch/place.h"
 #include "slopes.h"
-
-enum {
-    WORKERS = 1000,    /* of one cell; 24 cells have 24,000 */
-    PER_DECISION = 26, /* 1,300 starts/s in ticks of 20 ms */
-    LIVE_JOBS = 12000, /* 280,000 running tasks in 24 cells, and a queue */
-};
-
-typedef struct world {
-    cell_t *cell;
-    uint64_t offset;
-    double bytes;
-} world_t;
-
-static char *
-job_name(uint64_t number)
-{
-    return g_strdup_printf("typeset-2026-12-04-%09u", (unsigned)number);
-}
-
-static char *
-worker_name(uint64_t number)
-{
-    return g_strdup_printf("agent-accra-%05u", (unsigned)(number % WORKERS));
-}
-
-/* Packs the record, then unpacks and folds it like a reader of the log. */
-static void
-apply(world_t *world, Teasel__LogRecord *record)
-{
-    uint64_t id[2] = {++world->offset, 7};
-    g_autofree uint8_t *packed = NULL;
-    Teasel__LogRecord *unpacked;
-    size_t length;
-
-    record->id.data = (uint8_t *)id;
-    record->id.len = sizeof(id);
-    record->writer = "agent-accra-00017";
-    record->wall_ms = 1796367422761;
-    length = teasel__log_record__get_packed_size(record);
-    packed = g_malloc(length);
-    teasel__log_record__pack(record, packed);
-    world->bytes += (double)length;
-    unpacked = teasel__log_record__unpack(NULL, length, packed);
-    cell_apply(world->cell, unpacked, world->offset);
-    teasel__log_record__free_unpacked(unpacked, NULL);
-    record->id.data = NULL;
-}
-
-static void
-apply_decision(world_t *world, Teasel__DecisionItem **items, size_t count)
-{
-    Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
-    Teasel__Decision decision = TEASEL__DECISION__INIT;
-
-    decision.epoch = world->cell->epoch;
-    decision.n_items = count;
-    decision.items = items;
-    record.body_case = TEASEL__LOG_RECORD__BODY_DECISION;
-    record.decision = &decision;
-    apply(world, &record);
-}
+#include "world.h"
 
 static void
 add_workers(world_t *world)
 {
     for (uint64_t i = 0; i < WORKERS; i++) {
-        g_autofree char *name = worker_name(i);
+        g_autofree char *name = world_worker_name(i);
         Teasel__DecisionItem item = TEASEL__DECISION_ITEM__INIT;
         Teasel__DecisionWorker worker = TEASEL__DECISION_WORKER__INIT;
         Teasel__Resources size = TEASEL__RESOURCES__INIT;
@@ -82,51 +19,20 @@
         worker.capacity = &size;
         item.item_case = TEASEL__DECISION_ITEM__ITEM_WORKER;
         item.worker = &worker;
-        apply_decision(world, items, 1);
+        world_decide(world, items, 1);
     }
 }
 
 static world_t
 make_world(void)
 {
-    world_t world = {cell_new(), 0, 0};
-    Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
-    Teasel__Claim claim = TEASEL__CLAIM__INIT;
+    world_t world = world_new();
 
-    claim.agent_id = "agent-accra-00017";
-    claim.incarnation = 1;
-    claim.peer_address = "10.0.0.1:7000";
-    record.body_case = TEASEL__LOG_RECORD__BODY_CLAIM;
-    record.claim = &claim;
-    apply(&world, &record);
     add_workers(&world);
     world.bytes = 0;
     return world;
 }
 
-static void
-submit_jobs(world_t *world, uint64_t count)
-{
-    for (uint64_t i = 0; i < count; i++) {
-        g_autofree char *name = job_name(i);
-        g_autofree char *spec = g_strdup_printf(
-            "{\"checkpoint_ms\":60000,\"class\":\"typeset-a5\",\"cpu_milli\":"
-            "2000,\"memory_mb\":8000,\"priority\":\"normal\",\"run_ms\":"
-            "600000,\"team\":\"team-%u\"}",
-            (unsigned)(i % 74));
-        Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
-        Teasel__JobSubmit submit = TEASEL__JOB_SUBMIT__INIT;
-
-        submit.job_id = name;
-        submit.spec.data = (uint8_t *)spec;
-        submit.spec.len = strlen(spec);
-        submit.submitter = "entry-accra-1";
-        record.body_case = TEASEL__LOG_RECORD__BODY_JOB_SUBMIT;
-        record.job_submit = &submit;
-        apply(world, &record);
-    }
-}
-
 typedef void (*fill_fn)(Teasel__DecisionItem *item, uint64_t number);
 
 static void
@@ -135,9 +41,9 @@
     Teasel__DecisionStart *start = g_new0(Teasel__DecisionStart, 1);
 
     teasel__decision_start__init(start);
-    start->job_id = job_name(number);
+    start->job_id = world_job_name(number);
     start->attempt = 1;
-    start->worker = worker_name(number);
+    start->worker = world_worker_name(number);
     start->incarnation = 1;
     start->size = g_new0(Teasel__Resources, 1);
     teasel__resources__init(start->size);
@@ -153,7 +59,7 @@
     Teasel__DecisionFinish *finish = g_new0(Teasel__DecisionFinish, 1);
 
     teasel__decision_finish__init(finish);
-    finish->job_id = job_name(number);
+    finish->job_id = world_job_name(number);
     finish->attempt = 1;
     finish->detail = "";
     finish->run_ms = 601234;
@@ -177,7 +83,7 @@
             fill(&items[k], i + k);
             list[k] = &items[k];
         }
-        apply_decision(world, list, used);
+        world_decide(world, list, used);
     }
 }
 
@@ -188,7 +94,7 @@
     slope_mark_t mark;
 
     slope_begin(&mark);
-    submit_jobs(&world, count);
+    world_submit(&world, count);
     slope_end(&mark, count, result);
     result->bytes = world.bytes / (double)count;
     cell_free(world.cell);
@@ -200,7 +106,7 @@
     world_t world = make_world();
     slope_mark_t mark;
 
-    submit_jobs(&world, count);
+    world_submit(&world, count);
     world.bytes = 0;
     slope_begin(&mark);
     decide(&world, count, fill_start);
@@ -216,7 +122,7 @@
     world_t world = make_world();
     slope_mark_t mark;
 
-    submit_jobs(&world, count);
+    world_submit(&world, count);
     decide(&world, count, fill_start);
     world.bytes = 0;
     slope_begin(&mark);
@@ -235,7 +141,7 @@
     slope_mark_t mark;
     GByteArray *snapshot;
 
-    submit_jobs(&world, count);
+    world_submit(&world, count);
     decide(&world, count, fill_start);
     slope_begin(&mark);
     snapshot = cell_encode(world.cell);
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -50,8 +50,10 @@
 extern const slope_t slopes_wire[];
 extern const slope_t slopes_config[];
 extern const slope_t slopes_cell[];
+extern const slope_t slopes_coordinator[];
 extern const slope_t slopes_request[];
 extern const slope_t slopes_cell[];
+extern const slope_t slopes_coordinator[];
 extern const slope_t slopes_request[];
 
 #endif
