--- a/libteasel/operator/ctl.h
+++ b/libteasel/operator/ctl.h
@@ -134,6 +134,12 @@
  */
 int ctl_usage(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
+/**
+ * ctl_read_file() - read a whole file
+ */
+bool ctl_read_file(const char *path, char **text, gsize *length,
+                   GError **error);
+
 /**
  * ctl_print_json() - print and free a JSON value
  */
--- a/libteasel/operator/ctl_jobs.c
+++ b/libteasel/operator/ctl_jobs.c
@@ -112,9 +112,8 @@
     g_autofree char *body = NULL;
     g_autoptr(GError) error = NULL;
 
-    if (!g_file_get_contents(args[2], &body, NULL, &error)) {
-        fprintf(stderr, "teaselctl: %s\n", error->message);
-        return CTL_USAGE;
+    if (!ctl_read_file(args[2], &body, NULL, &error)) {
+        return ctl_fail(ctl, error);
     }
     return request(ctl, "PUT", args[1], body, "accepted");
 }
--- a/libteasel/operator/ctl_log.c
+++ b/libteasel/operator/ctl_log.c
@@ -127,13 +127,13 @@
     }
     if (pending.fate == STREAM_REFUSED) {
         g_set_error(error, TEASEL_ERROR, ERROR_LOG_UNAVAILABLE,
-                    "log %s: not written: %s", ctl->settings.log,
-                    detail != NULL ? detail : "the log refused");
+                    "log %s did not write the record: %s", ctl->settings.log,
+                    detail != NULL ? detail : "it refused");
     }
     else {
         g_set_error(error, TEASEL_ERROR, ERROR_LOG_UNKNOWN,
-                    "log %s: outcome unknown: %s; the same command again "
-                    "settles it",
+                    "log %s may have written the record: %s; the same command "
+                    "again settles it",
                     ctl->settings.log,
                     detail != NULL ? detail : "no read-back");
     }
--- a/libteasel/operator/ctl_output.c
+++ b/libteasel/operator/ctl_output.c
@@ -1,6 +1,8 @@
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "operator/ctl.h"
 
@@ -117,3 +119,16 @@
     fprintf(stderr, "teaselctl: %s\nSee teaselctl --help.\n", message);
     return CTL_USAGE;
 }
+
+/* The messages of GLib depend on the locale. */
+bool
+ctl_read_file(const char *path, char **text, gsize *length, GError **error)
+{
+    if (g_file_get_contents(path, text, length, NULL)) {
+        return true;
+    }
+    g_set_error(error, TEASEL_ERROR, ERROR_INVALID, "%s: cannot be read: %s",
+                path,
+                access(path, R_OK) != 0 ? strerror(errno) : "not a file");
+    return false;
+}
--- a/libteasel/operator/ctl_plan.c
+++ b/libteasel/operator/ctl_plan.c
@@ -18,15 +18,12 @@
 static bool
 load_file(GPtrArray *steps, const char *path, GError **error)
 {
-    g_autoptr(GError) read_error = NULL;
     g_autofree char *text = NULL;
     ctl_step_t *step;
     ticket_t *ticket;
     gsize length;
 
-    if (!g_file_get_contents(path, &text, &length, &read_error)) {
-        g_set_error(error, TEASEL_ERROR, ERROR_INVALID, "%s",
-                    read_error->message);
+    if (!ctl_read_file(path, &text, &length, error)) {
         return false;
     }
     ticket = ticket_parse(text, length, path, error);
@@ -43,13 +40,12 @@
 static bool
 load_directory(GPtrArray *steps, const char *path, GError **error)
 {
-    g_autoptr(GError) read_error = NULL;
-    g_autoptr(GDir) dir = g_dir_open(path, 0, &read_error);
+    g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
     const char *name;
 
     if (dir == NULL) {
-        g_set_error(error, TEASEL_ERROR, ERROR_INVALID, "%s",
-                    read_error->message);
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "%s: the directory cannot be read", path);
         return false;
     }
     while ((name = g_dir_read_name(dir)) != NULL) {
