--- a/libteasel/agent/agent_config.c
+++ b/libteasel/agent/agent_config.c
@@ -80,6 +80,8 @@
     }
     apply_drain(agent,
                 config_reader_is_drained(reader, agent->settings->agent_id));
+    /* Operators wait for the offset of the report. */
+    agent_entries_send_report(agent);
 }
 
 void
--- a/libteasel/operator/ctl_members.c
+++ b/libteasel/operator/ctl_members.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "operator/ctl.h"
 #include "operator/ctl_http.h"
@@ -12,8 +13,8 @@
         const char *text;
     } states[] = {
         {"connected", false, "lost"},
+        {"drained", true, "drained"}, /* such an agent is leaving too */
         {"leaving", true, "leaving"},
-        {"drained", true, "drained"},
         {"ejected", true, "ejected"},
     };
 
@@ -72,6 +73,15 @@
     ctl_print_table(rows);
 }
 
+/* agent-2 comes before agent-10. */
+static int
+compare_members(const void *a, const void *b)
+{
+    return strverscmp(
+        ctl_json_get_string(*(struct json_object *const *)a, "agent_id"),
+        ctl_json_get_string(*(struct json_object *const *)b, "agent_id"));
+}
+
 int
 ctl_run_members(ctl_t *ctl)
 {
@@ -79,16 +89,21 @@
     int status;
     struct json_object *answer =
         ctl_fetch_any(ctl, "GET", "/admin/members", NULL, &status, &error);
+    struct json_object *list;
 
     if (answer == NULL) {
         return ctl_fail(ctl, error);
     }
+    list = ctl_json_get(answer, "members");
+    if (json_object_is_type(list, json_type_array)) {
+        json_object_array_sort(list, compare_members);
+    }
     if (ctl->flags.json) {
         ctl_print_json(answer);
         return CTL_DONE;
     }
     printf("entry %s\n", ctl_json_get_string(answer, "entry_id"));
-    print_members(ctl_json_get(answer, "members"));
+    print_members(list);
     json_object_put(answer);
     return CTL_DONE;
 }
--- a/libteasel/operator/ctl_processes.c
+++ b/libteasel/operator/ctl_processes.c
@@ -297,6 +297,9 @@
 static const char *
 describe_state(const process_t *process, uint64_t next)
 {
+    if (process->config_next == 0) {
+        return "not reachable";
+    }
     if (process->config_next >= next) {
         return process->reached ? "in force" : "in force, not reachable";
     }
--- a/tests/system/session.bash
+++ b/tests/system/session.bash
@@ -60,7 +60,7 @@
         -e 's/[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z/TIME/g' \
         -e 's/"(wall_ms|waited_ms|report_age_ms|incarnation|service_time_us)":[0-9]+/"\1":0/' \
         -e 's/after [0-9]+ ms/after N ms/; s/within [0-9]+ ms/within N ms/' \
-        -e 's/ [0-9]+ (us|ms) +/ N \1 /g'
+        -e 's/ [0-9]+ us +/ N us  /; s/ [0-9]+ ms +/ N ms  /; s/AGE +STATE/AGE  STATE/'
 }
 
 # run ARGS...: runs teaselctl and records output and exit code
