--- a/tests/system/teaselctl_cluster_test.sh
+++ b/tests/system/teaselctl_cluster_test.sh
@@ -75,6 +75,8 @@
 fault '{"outage": true}'
 run --timeout 1000 show
 fault '{"outage": false}'
+all_usable() { [ "$(ctl members | grep -c ' usable$')" = 3 ]; }
+wait_until all_usable
 run members
 
 compare_golden teaselctl_cluster.txt
