--- a/libteasel/agent/agent_config.c
+++ b/libteasel/agent/agent_config.c
@@ -84,6 +84,14 @@
     agent_entries_send_report(agent);
 }
 
+void
+agent_config_check_snapshot(agent_t *agent)
+{
+    if (agent->role != NULL && coordinator_role_is_holder(agent->role)) {
+        config_reader_maybe_write_snapshot(agent->config);
+    }
+}
+
 void
 agent_config_start(agent_t *agent)
 {
--- a/libteasel/agent/agent_entries.c
+++ b/libteasel/agent/agent_entries.c
@@ -117,6 +117,7 @@
     agent_check_freeze(agent);
     entry_set_prune(agent->entries);
     agent_entries_send_report(agent);
+    agent_config_check_snapshot(agent);
 }
 
 void
--- a/libteasel/agent/agent_internal.h
+++ b/libteasel/agent/agent_internal.h
@@ -72,6 +72,12 @@
 void agent_config_start(agent_t *agent);
 pressure_opts_t agent_config_get_pressure(const agent_t *agent);
 
+/**
+ * agent_config_check_snapshot() - while this agent coordinates the cell, write
+ * a snapshot of stream "config" if one is due
+ */
+void agent_config_check_snapshot(agent_t *agent);
+
 /* agent_http.c: GET /healthz and /metrics. */
 bool agent_http_start(agent_t *agent, GError **error);
 
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -75,13 +75,7 @@
           "config-drain-refused")                                             \
     EVENT(EVENT_CONFIG_CAUGHT_UP, 5005, G_LOG_LEVEL_MESSAGE,                  \
           "config-caught-up")                                                 \
-    EVENT(EVENT_CONFIG_SNAPSHOT_LOADED, 5006, G_LOG_LEVEL_MESSAGE,            \
-          "config-snapshot-loaded")                                           \
-    EVENT(EVENT_CONFIG_SNAPSHOT_INVALID, 5007, G_LOG_LEVEL_WARNING,           \
-          "config-snapshot-invalid")                                          \
-    EVENT(EVENT_CONFIG_SNAPSHOT_WRITTEN, 5008, G_LOG_LEVEL_MESSAGE,           \
-          "config-snapshot-written")                                          \
-    EVENT(EVENT_CONFIG_SNAPSHOT_FAILED, 5009, G_LOG_LEVEL_WARNING,            \
+    EVENT(EVENT_CONFIG_SNAPSHOT_FAILED, 5006, G_LOG_LEVEL_WARNING,            \
           "config-snapshot-failed")                                           \
     EVENT(EVENT_COORDINATOR_CHANGED, 4001, G_LOG_LEVEL_MESSAGE,               \
           "coordinator-changed")                                              \
--- a/libteasel/config/config_reader.c
+++ b/libteasel/config/config_reader.c
@@ -101,13 +101,8 @@
     config_reader_t *reader = data;
 
     if (!config_load(reader->config, snapshot, length, covers_through)) {
-        event_log(EVENT_CONFIG_SNAPSHOT_INVALID,
-                  "covers_through=%" PRIu64 " bytes=%zu", covers_through,
-                  length);
         return false;
     }
-    event_log(EVENT_CONFIG_SNAPSHOT_LOADED,
-              "covers_through=%" PRIu64 " bytes=%zu", covers_through, length);
     notify(reader);
     return true;
 }
@@ -218,10 +213,7 @@
     config_reader_t *reader = data;
 
     reader->writing = false;
-    if (fate == STREAM_APPLIED) {
-        event_log(EVENT_CONFIG_SNAPSHOT_WRITTEN, "offset=%" PRIu64, offset);
-    }
-    else {
+    if (fate != STREAM_APPLIED) {
         event_log(EVENT_CONFIG_SNAPSHOT_FAILED, "detail=\"%s\"",
                   detail != NULL ? detail : "");
     }
@@ -238,6 +230,7 @@
     g_autoptr(GByteArray) bytes = NULL;
 
     if (reader->writing || !stream_is_caught_up(reader->stream) ||
+        !stream_is_reachable(reader->stream) ||
         !config_snapshot_is_due(&view)) {
         return false;
     }
--- a/libteasel/entry/directory.c
+++ b/libteasel/entry/directory.c
@@ -9,6 +9,9 @@
    announcement from before does not bring it back. */
 typedef struct known_entry {
     char *address;
+    char *entry_id;       /* NULL if it did not announce itself */
+    char *http_address;   /* as @entry_id */
+    char *data_centre;    /* as @entry_id */
     uint64_t incarnation; /* 0 if it did not announce itself */
     bool leaving;
     struct timespec announced;
@@ -27,6 +30,9 @@
     known_entry_t *entry = data;
 
     g_free(entry->address);
+    g_free(entry->entry_id);
+    g_free(entry->http_address);
+    g_free(entry->data_centre);
     g_free(entry);
 }
 
@@ -76,6 +82,13 @@
            address_parse(address, NULL, NULL, NULL);
 }
 
+static void
+set_text(char **field, const char *text)
+{
+    g_free(*field);
+    *field = g_strdup(text);
+}
+
 bool
 directory_announce(directory_t *directory,
                    const Teasel__EntryAnnounce *announce)
@@ -99,6 +112,9 @@
     was_leaving = entry->leaving;
     entry->incarnation = announce->incarnation;
     entry->leaving = announce->leaving;
+    set_text(&entry->entry_id, announce->entry_id);
+    set_text(&entry->http_address, announce->http_address);
+    set_text(&entry->data_centre, announce->data_centre);
     return added ? !entry->leaving : was_leaving != entry->leaving;
 }
 
@@ -165,3 +181,20 @@
     g_ptr_array_add(list, NULL);
     return (char **)g_ptr_array_free(list, FALSE);
 }
+
+void
+directory_each_announced(const directory_t *directory, directory_entry_fn fn,
+                         void *data)
+{
+    GHashTableIter iter;
+    void *value;
+
+    g_hash_table_iter_init(&iter, directory->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const known_entry_t *entry = value;
+
+        if (!entry->leaving && entry->entry_id != NULL) {
+            fn(entry->entry_id, entry->http_address, entry->data_centre, data);
+        }
+    }
+}
--- a/libteasel/entry/directory.h
+++ b/libteasel/entry/directory.h
@@ -73,6 +73,17 @@
  */
 char **directory_list(const directory_t *directory, directory_scope_t scope);
 
+typedef void (*directory_entry_fn)(const char *entry_id,
+                                   const char *http_address,
+                                   const char *data_centre, void *data);
+
+/**
+ * directory_each_announced() - other entries that announced themselves and
+ * are not leaving
+ */
+void directory_each_announced(const directory_t *directory,
+                              directory_entry_fn fn, void *data);
+
 #ifdef __cplusplus
 }
 #endif
--- a/libteasel/entry/entry_http.c
+++ b/libteasel/entry/entry_http.c
@@ -81,6 +81,30 @@
     }
 }
 
+typedef struct entry_visitor {
+    admin_entry_fn fn;
+    void *data;
+} entry_visitor_t;
+
+static void
+visit_entry(const char *entry_id, const char *http_address,
+            const char *data_centre, void *data)
+{
+    const entry_visitor_t *visitor = data;
+    admin_entry_t shown = {entry_id, http_address, data_centre};
+
+    visitor->fn(&shown, visitor->data);
+}
+
+static void
+each_entry(void *data, admin_entry_fn fn, void *fn_data)
+{
+    const entry_t *entry = data;
+    entry_visitor_t visitor = {fn, fn_data};
+
+    directory_each_announced(entry->directory, visit_entry, &visitor);
+}
+
 static void
 on_job(http_exchange_t *exchange, void *data)
 {
@@ -106,6 +130,7 @@
         .data_centre = entry->settings->data_centre,
         .config = entry->config,
         .each_member = each_member,
+        .each_entry = each_entry,
         .on_jobs = on_job_list,
         .data = entry,
     };
