Name an entry that does not answer by its id

An entry that was frozen from the start was listed by its address only, although the other entries announce it. teaselctl_cluster_test passes with the changed golden file.

--- a/libteasel/operator/ctl_processes.c
+++ b/libteasel/operator/ctl_processes.c
@@ -135,8 +135,9 @@
         struct json_object *entry = json_object_array_get_idx(list, i);
         const char *address = ctl_json_get_string(entry, "http_address");
 
-        if (address[0] != '\0' &&
-            !g_hash_table_contains(processes->entries, address)) {
+        const char *known = g_hash_table_lookup(processes->entries, address);
+
+        if (address[0] != '\0' && (known == NULL || known[0] == '\0')) {
             g_hash_table_insert(
                 processes->entries, g_strdup(address),
                 g_strdup(ctl_json_get_string(entry, "entry_id")));
@@ -177,6 +178,14 @@
     get_process(processes, true, id[0] != '\0' ? id : fetch->address);
 }
 
+/* @fetches: the answers to /admin/config and /admin/members */
+static bool
+is_answered(const ctl_fetch_t *fetches)
+{
+    return fetches[0].ok && fetches[0].status == 200 && fetches[1].ok &&
+           fetches[1].status == 200;
+}
+
 static guint
 poll_entries(ctl_t *ctl, ctl_processes_t *processes, char **addresses,
              guint count)
@@ -195,20 +204,19 @@
     ctl_fetch_all(ctl, fetches, 2 * (size_t)count,
                   MIN(POLL_TIMEOUT_MS, ctl->settings.timeout_ms));
     for (guint i = 0; i < count; i++) {
-        ctl_fetch_t *config = &fetches[2 * i];
-        ctl_fetch_t *members = &fetches[2 * i + 1];
-
-        if (config->ok && config->status == 200 && members->ok &&
-            members->status == 200) {
-            note_entry(processes, config);
-            note_members(processes, members);
+        if (is_answered(&fetches[2 * i])) {
+            note_entry(processes, &fetches[2 * i]);
+            note_members(processes, &fetches[2 * i + 1]);
             answered++;
         }
-        else {
-            note_unreached(processes, config);
+    }
+    /* Only now: the entries that answered may have named the others. */
+    for (guint i = 0; i < count; i++) {
+        if (!is_answered(&fetches[2 * i])) {
+            note_unreached(processes, &fetches[2 * i]);
         }
-        ctl_fetch_clear(config);
-        ctl_fetch_clear(members);
+        ctl_fetch_clear(&fetches[2 * i]);
+        ctl_fetch_clear(&fetches[2 * i + 1]);
     }
     return answered;
 }
