Reserve what batch tasks use beyond their declared size

Cause: sizes are declared far off; an agent that counts declared sizes starts more than its worker holds. Change: the ledger and the capacity in heartbeats also count the highest measured use; when memory runs out, the task with the least lost work is evicted.

--- a/libteasel/agent/task.h
+++ b/libteasel/agent/task.h
@@ -33,6 +33,7 @@
 /**
  * struct task - an attempt of a job on this instance
  * @size: reserved in the ledger while @reserved
+ * @excess: reserved beyond the size because the task uses more
  * @sent: its start may have reached the worker
  * @call_pending: a call to the worker is not answered yet
  * @confirmed_watch: watches that began later than this one list the task
@@ -49,6 +50,7 @@
     uint32_t attempt;
     task_state_t state;
     ledger_amount_t size;
+    ledger_amount_t excess;
     bool reserved;
     bool sent;
     bool call_pending;
--- a/libteasel/agent/task_calls.c
+++ b/libteasel/agent/task_calls.c
@@ -21,6 +21,8 @@
         ledger_release(task->runner->opts.ledger, &task->size);
         task->reserved = false;
     }
+    ledger_release(task->runner->opts.ledger, &task->excess);
+    task->excess = (ledger_amount_t){0};
 }
 
 void
--- a/libteasel/agent/task_report.c
+++ b/libteasel/agent/task_report.c
@@ -1,5 +1,11 @@
 #include "agent/task_runner_internal.h"
 
+enum {
+    /* Capacity taken by overuse is told in this many steps, because each
+       change costs the cell a record. */
+    CAPACITY_STEPS = 16,
+};
+
 void
 task_report_send(task_t *task)
 {
@@ -72,14 +78,35 @@
                (int64_t)runner->opts.worker_silence_ms;
 }
 
+/* What is left beside the interactive side and overused sizes, so that the
+   coordinator sends no work that would be refused. */
+static void
+fill_capacity(const task_runner_t *runner, Teasel__Resources *out)
+{
+    ledger_amount_t left = runner->opts.ledger->capacity;
+
+    for (int kind = 0; kind < LEDGER_KIND_COUNT; kind++) {
+        uint64_t step = left.units[kind] / CAPACITY_STEPS + 1;
+        uint64_t excess = 0;
+
+        LIST_FOREACH (task, &runner->tasks, task_t, link) {
+            excess += task->excess.units[kind];
+        }
+        excess = (excess + step - 1) / step * step;
+        left.units[kind] -=
+            MIN(left.units[kind], runner->reserved.units[kind] + excess);
+    }
+    out->cpu_milli = (uint32_t)left.units[LEDGER_CPU_MILLI];
+    out->memory_mb = left.units[LEDGER_MEMORY_MB];
+    out->accelerators = (uint32_t)left.units[LEDGER_ACCELERATORS];
+}
+
 void
 task_report_send_heartbeat(task_runner_t *runner)
 {
     Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
     Teasel__Heartbeat heartbeat = TEASEL__HEARTBEAT__INIT;
     Teasel__Resources capacity = TEASEL__RESOURCES__INIT;
-    const ledger_amount_t *total = &runner->opts.ledger->capacity;
-    const ledger_amount_t *kept = &runner->reserved;
     size_t size = count_tasks(runner);
     Teasel__RunningTask *items;
     Teasel__RunningTask **pointers;
@@ -90,11 +117,7 @@
     }
     items = g_new(Teasel__RunningTask, size + 1);
     pointers = g_new(Teasel__RunningTask *, size + 1);
-    capacity.cpu_milli = (uint32_t)(total->units[LEDGER_CPU_MILLI] -
-                                    kept->units[LEDGER_CPU_MILLI]);
-    capacity.memory_mb =
-        total->units[LEDGER_MEMORY_MB] - kept->units[LEDGER_MEMORY_MB];
-    capacity.accelerators = (uint32_t)total->units[LEDGER_ACCELERATORS];
+    fill_capacity(runner, &capacity);
     heartbeat.agent_id = (char *)runner->opts.agent_id;
     heartbeat.incarnation = runner->opts.incarnation;
     heartbeat.sequence = ++runner->sequence;
--- a/libteasel/agent/task_runner_internal.h
+++ b/libteasel/agent/task_runner_internal.h
@@ -43,6 +43,8 @@
     loop_timer_t watch_timer;
     ledger_amount_t reserved; /* of opts.reserved, what fitted */
     pressure_t pressure;
+    bool overuse_evicted;
+    struct timespec overuse_time; /* of the latest eviction for overuse */
     metric_t started;
     metric_t evicted;
     metric_t expirations;
@@ -91,6 +93,14 @@
 void task_report_send_all(task_runner_t *runner);
 void task_report_send_heartbeat(task_runner_t *runner);
 
+/* task_excess.c: tasks that use more than they declared. */
+
+/**
+ * task_excess_update() - reserve what the task uses beyond its size; evict if
+ * the worker runs out of memory
+ */
+void task_excess_update(task_t *task);
+
 /* task_pressure.c: batch gives way to interactive load. */
 void task_pressure_update(task_runner_t *runner);
 
--- a/libteasel/agent/task_watch.c
+++ b/libteasel/agent/task_watch.c
@@ -71,6 +71,7 @@
     }
     if (!task->call_pending) {
         task_set_measured(task, status);
+        task_excess_update(task);
     }
     switch (status->state) {
     case WORKER_TASK_DONE:
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -54,6 +54,7 @@
     EVENT(EVENT_STOP_UNFINISHED, 2018, G_LOG_LEVEL_WARNING,                   \
           "stop-unfinished")                                                  \
     EVENT(EVENT_DRAIN_STATE, 2019, G_LOG_LEVEL_MESSAGE, "drain-state")        \
+    EVENT(EVENT_MEMORY_OVERUSE, 2020, G_LOG_LEVEL_WARNING, "memory-overuse")  \
     EVENT(EVENT_LOG_LOST, 3001, G_LOG_LEVEL_WARNING, "log-lost")              \
     EVENT(EVENT_LOG_BACK, 3002, G_LOG_LEVEL_MESSAGE, "log-back")              \
     EVENT(EVENT_RECORD_MALFORMED, 3003, G_LOG_LEVEL_WARNING,                  \
--- a/tests/unit/task_runner_test.cc
+++ b/tests/unit/task_runner_test.cc
@@ -20,6 +20,7 @@
     worker_task_state_t state;
     uint64_t cpu;
     uint32_t throttle = 100;
+    uint64_t used_memory = 0;
 };
 
 // Worker in memory. Calls are answered by pump(), in order.
@@ -127,6 +128,7 @@
             item.attempt = 1;
             item.state = task.state;
             item.throttle_percent = task.throttle;
+            item.memory_mb = task.used_memory;
             item.cpu_milli = 1; /* measured */
             item.declared_cpu_milli = static_cast<uint32_t>(task.cpu);
             item.detail = "";
@@ -166,6 +168,7 @@
     std::vector<std::string> reports;
     bool idle = false;
     uint32_t load = 0;
+    uint64_t capacity_mb = 0;
 
     static bool
     send(const Teasel__Envelope *message, void *data)
@@ -174,6 +177,7 @@
 
         if (message->body_case == TEASEL__ENVELOPE__BODY_HEARTBEAT) {
             self->sequence = message->heartbeat->sequence;
+            self->capacity_mb = message->heartbeat->capacity->memory_mb;
             self->listed.clear();
             for (size_t i = 0; i < message->heartbeat->n_tasks; i++) {
                 self->listed.push_back(message->heartbeat->tasks[i]->job_id);
@@ -536,6 +540,26 @@
     }
 }
 
+// Guards against starts beside a task that uses far more than it declared, and
+// against a worker that is left without memory.
+TEST(TaskRunner, CountsWhatTasksReallyUse)
+{
+    Runner it;
+
+    it.settle();
+    it.renew(5, 15000);
+    it.start(5, "a", 1000);
+    it.start(5, "b", 1000);
+    it.worker.tasks["a"].used_memory = 900;
+    it.settle();
+    EXPECT_EQ(ledger_get_free(&it.ledger, LEDGER_MEMORY_MB), 100U);
+    EXPECT_LE(it.capacity_mb, 100U);
+    it.worker.tasks["b"].used_memory = 200;
+    it.settle();
+    EXPECT_EQ(it.count("stop a") + it.count("stop b"), 1U);
+    EXPECT_LE(it.ledger.reserved.units[LEDGER_MEMORY_MB], 1000U);
+}
+
 // Guards against a start whose answer was lost being taken for not started.
 TEST(TaskRunner, RepeatsStartWithUnknownOutcome)
 {
