Test broken answers of the executor

Cause: only time-outs and refused connections were tested. Change: agent_test also closes the connection before and inside an answer. Result: agent_test passes; both are told as unknown.

--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <map>
 #include <string>
 #include <vector>
@@ -291,6 +292,7 @@
     void
     SetUp() override
     {
+        signal(SIGPIPE, SIG_IGN);
         entries.push_back(new Entry(loop, 505));
         start_executor();
     }
@@ -380,10 +382,22 @@
     EXPECT_EQ(entry->answers[1][0].kind, TEASEL__ENVELOPE__BODY_UNKNOWN);
     EXPECT_EQ(entry->answers[1][0].error, ERROR_TIMEOUT);
     answer(0);
+    const std::string cuts[] = {
+        "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"};
+    for (uint64_t id = 3; id <= 4; id++) {
+        entry->request(id, "/x", 60000);
+        wait([&] { return held.size() == 1; });
+        http_exchange_abort(held[0], cuts[id - 3].data(), cuts[id - 3].size());
+        held.clear();
+        wait([&] { return entry->answers.count(id) == 1; });
+        EXPECT_EQ(entry->answers[id][0].kind, TEASEL__ENVELOPE__BODY_UNKNOWN);
+    }
+    EXPECT_EQ(entry->answers[3][0].error, ERROR_CONNECTION_LOST);
+    EXPECT_EQ(entry->answers[4][0].error, ERROR_TRUNCATED);
     http_server_close_listener(server);
     loop_run_once(loop, 0);
     entry->request(2, "/x", 60000);
-    wait([&] { return entry->total == 2; });
+    wait([&] { return entry->total == 4; });
     EXPECT_EQ(entry->answers[2][0].kind, TEASEL__ENVELOPE__BODY_NOT_RUN);
     EXPECT_EQ(entry->answers[2][0].error, ERROR_CONNECT);
     EXPECT_EQ(runs.count("2"), 0U);
