Report declared sizes from the worker's stand-in

Cause: the agent refuses a status whose tasks have no declared sizes (worker-silent, malformed status), so no task ever finished. Change: workerd reports them, as docs/standins.md says.

--- a/tests/standins/workerd/task.c
+++ b/tests/standins/workerd/task.c
@@ -49,6 +49,9 @@
     standin_add_int(item, "memory_mb",
                     known && task_is_alive(task) ? task->true_memory_mb
                                                  : task->reported_memory);
+    standin_add_int(item, "declared_cpu_milli", task->cpu_milli);
+    standin_add_int(item, "declared_memory_mb", task->memory_mb);
+    standin_add_int(item, "declared_accelerators", task->accelerators);
     standin_add_string(item, "detail",
                        task->state == FAILED ? "the task failed" : "");
     return item;
