Start long jobs first and learn from running tasks

Change: queues by expected run time with aging, samples of classes that are not known first, learning from the use of running and evicted tasks.

--- a/bench/batch_bench.c
+++ b/bench/batch_bench.c
@@ -37,13 +37,14 @@
     const char *name;
     const place_vtbl_t *placement;
     bool believe_declared;
+    bool in_order;
     size_t max_items;
 } policy_t;
 
 static const policy_t policies[] = {
-    {"teaselhaven", &place_best_fit, false, 0},
-    {"first fit in order of arrival", &place_first_fit, true, 0},
-    {"declared sizes believed", &place_best_fit, true, 0},
+    {"teaselhaven", &place_best_fit, false, false, 0},
+    {"first fit in order of arrival", &place_first_fit, true, true, 0},
+    {"declared sizes believed", &place_best_fit, true, false, 0},
 };
 
 typedef struct bench {
@@ -137,6 +138,7 @@
         .lease_ms = 15000,
         .placement = policy->placement,
         .believe_declared = policy->believe_declared,
+        .in_order = policy->in_order,
         .max_items = policy->max_items,
         .send = on_send,
         .data = bench,
@@ -212,6 +214,9 @@
             g_snprintf(ids[n], sizeof(ids[n]), "j%u", i);
             items[n].job_id = ids[n];
             items[n].attempt = task->attempt;
+            items[n].progress_ms = (uint64_t)task->progress_ms;
+            items[n].cpu_milli = bench->needs[i].size.cpu_milli;
+            items[n].memory_mb = bench->needs[i].size.memory_mb;
             pointers[n] = &items[n];
         }
     }
@@ -552,9 +557,10 @@
 bench_appends(int seeds)
 {
     static const int rates[] = {10, 100, 1300};
-    static const policy_t batched = {"batched", &place_best_fit, false, 0};
+    static const policy_t batched = {"batched", &place_best_fit, false, false,
+                                     0};
     static const policy_t single = {"one append per decision", &place_best_fit,
-                                    false, 1};
+                                    false, false, 1};
 
     printf(
         "\n### Appends per start\n\nDecisions only, one append per 20 ms at "
--- a/libteasel/batch/coordinator.h
+++ b/libteasel/batch/coordinator.h
@@ -22,6 +22,8 @@
  * @lease_ms: longest lease of a worker
  * @placement: strategy, best fit if NULL
  * @believe_declared: do not learn sizes (baseline of the measurements)
+ * @in_order: start jobs in order of arrival, not the longest first (baseline
+ *     of the measurements)
  * @max_items: items per decision, 0 for the preset
  * @send: send a message to an agent; lost if it is not connected
  */
@@ -31,6 +33,7 @@
     uint64_t lease_ms;
     const place_vtbl_t *placement;
     bool believe_declared;
+    bool in_order;
     size_t max_items;
     void (*send)(const char *agent, const Teasel__Envelope *message,
                  void *data);
--- a/libteasel/batch/coordinator_contact.c
+++ b/libteasel/batch/coordinator_contact.c
@@ -127,6 +127,12 @@
     waiting = job->policy;
     waiting->seen = coordinator->heartbeat_count;
     waiting->absent = false;
+    if (!waiting->sampled && task->progress_ms >= COORDINATOR_SAMPLE_MS) {
+        job_size_t use = {task->cpu_milli, 0, task->memory_mb};
+
+        waiting->sampled = true;
+        learn_add(waiting->class_, &job->spec, &use, 0);
+    }
 }
 
 static void
--- a/libteasel/batch/coordinator_internal.h
+++ b/libteasel/batch/coordinator_internal.h
@@ -22,6 +22,14 @@
     /* A job that waited this long gets a worker kept free for it. */
     COORDINATOR_AGE_MS = 10000,
     COORDINATOR_URGENT_AGE_MS = 200,
+    /* Jobs are started longest first, because a long job that starts last
+       lets the other workers wait for it. One that waited this long comes
+       before all that did not, in order of arrival. */
+    COORDINATOR_OLD_MS = 300000,
+    COORDINATOR_BUCKETS = 32, /* powers of two of the expected run time */
+    COORDINATOR_OLD = COORDINATOR_BUCKETS,
+    /* A running task that has come this far shows its needs. */
+    COORDINATOR_SAMPLE_MS = 5000,
     /* At most one worker in this many is kept free. */
     COORDINATOR_KEEP_SHARE = 8,
     /* A worker without tasks is removed after this silence. */
@@ -62,13 +70,17 @@
 
 /**
  * struct queue - waiting jobs of a team
- * @jobs: by priority, in order of submission
- * @cursor: next job of the scan under way
+ * @jobs: by priority and expected run time, then in order of submission;
+ *     COORDINATOR_OLD is the list of jobs that waited long
+ * @bucket: list of the scan under way, -1 at its end
+ * @cursor: next job of that list
  */
 typedef struct queue {
     list_t link;
-    list_t jobs[2];
+    list_t jobs[2][COORDINATOR_BUCKETS + 1];
     quota_team_t *team;
+    bool in_order;
+    int bucket;
     list_t *cursor;
 } queue_t;
 
@@ -76,6 +88,9 @@
  * struct waiting - what the coordinator adds to a live job
  * @link: on the queue of its team while queued
  * @kept: member that is kept free for the job
+ * @peak: use of earlier attempts that were evicted
+ * @bucket: list of its queue
+ * @sampled: the use of the running attempt was learned
  * @seen: number of the heartbeat that listed the running attempt
  * @planned: its start is in the decision in flight
  * @absent: a new incarnation of its agent does not know the attempt
@@ -89,6 +104,9 @@
     struct timespec since;
     member_t *kept;
     uint64_t seen;
+    job_size_t peak;
+    int bucket;
+    bool sampled;
     bool planned;
     bool absent;
     bool declared_only;
@@ -134,6 +152,13 @@
                                    struct timespec now);
 
 /* coordinator_listener.c */
+
+/**
+ * coordinator_enqueue() - put a queued job on the list of its run time
+ */
+void coordinator_enqueue(waiting_t *waiting);
+int coordinator_get_bucket(const waiting_t *waiting);
+
 extern const cell_listener_t coordinator_listener;
 void coordinator_drop_waiting(coordinator_t *coordinator, cell_job_t *job);
 
--- a/libteasel/batch/coordinator_listener.c
+++ b/libteasel/batch/coordinator_listener.c
@@ -8,14 +8,42 @@
     if (queue == NULL) {
         queue = g_new0(queue_t, 1);
         queue->team = quota_get_team(coordinator->quota, team);
-        list_init(&queue->jobs[JOB_NORMAL]);
-        list_init(&queue->jobs[JOB_URGENT]);
+        queue->in_order = coordinator->opts.in_order;
+        for (int i = 0; i <= COORDINATOR_BUCKETS; i++) {
+            list_init(&queue->jobs[JOB_NORMAL][i]);
+            list_init(&queue->jobs[JOB_URGENT][i]);
+        }
         list_append(&coordinator->queues, &queue->link);
         g_hash_table_insert(coordinator->by_team, queue->team->name, queue);
     }
     return queue;
 }
 
+int
+coordinator_get_bucket(const waiting_t *waiting)
+{
+    job_size_t size;
+    uint64_t run_ms;
+    int bucket;
+
+    if (waiting->queue->in_order) {
+        return 0;
+    }
+    learn_get(waiting->class_, &waiting->job->spec, &size, &run_ms);
+    bucket = 63 - __builtin_clzll(MAX(run_ms, 1));
+    return MIN(bucket, COORDINATOR_BUCKETS - 1);
+}
+
+void
+coordinator_enqueue(waiting_t *waiting)
+{
+    list_remove(&waiting->link);
+    waiting->bucket = coordinator_get_bucket(waiting);
+    list_append(
+        &waiting->queue->jobs[waiting->job->spec.priority][waiting->bucket],
+        &waiting->link);
+}
+
 static waiting_t *
 add_waiting(coordinator_t *coordinator, cell_job_t *job)
 {
@@ -63,9 +91,11 @@
 
     if (!was_running && cell_job_is_running(job)) {
         job_size_add(&team->used, &job->size);
+        learn_note_running(waiting->class_, 1);
     }
     if (was_running && !cell_job_is_running(job)) {
         job_size_subtract(&team->used, &job->size);
+        learn_note_running(waiting->class_, -1);
     }
 }
 
@@ -105,8 +135,9 @@
     list_remove(&waiting->link);
     if (job->state == CELL_QUEUED) {
         waiting->absent = false;
+        waiting->sampled = false;
         waiting->since = clock_get_monotonic(coordinator->opts.clock);
-        list_append(&waiting->queue->jobs[job->spec.priority], &waiting->link);
+        coordinator_enqueue(waiting);
     }
     else if (waiting->kept != NULL) {
         coordinator_unkeep(coordinator, waiting->kept);
@@ -130,6 +161,14 @@
     job_size_t peak = {.cpu_milli = finish->peak_cpu_milli,
                        .memory_mb = finish->peak_memory_mb};
 
+    if (finish->outcome == TEASEL__OUTCOME__OUTCOME_EVICTED) {
+        /* It may have been evicted for using more than it was given. */
+        waiting->peak.cpu_milli = MAX(waiting->peak.cpu_milli, peak.cpu_milli);
+        waiting->peak.memory_mb = MAX(waiting->peak.memory_mb, peak.memory_mb);
+        if (peak.memory_mb > job->size.memory_mb) {
+            learn_add(waiting->class_, &job->spec, &peak, 0);
+        }
+    }
     if (finish->outcome == TEASEL__OUTCOME__OUTCOME_DONE) {
         learn_add(waiting->class_, &job->spec, &peak, finish->run_ms);
         quarantine_note_result(coordinator->quarantine, job->worker, job->id,
@@ -188,6 +227,7 @@
 
     if (waiting != NULL && cell_job_is_running(job)) {
         job_size_subtract(&waiting->queue->team->used, &job->size);
+        learn_note_running(waiting->class_, -1);
     }
     coordinator_drop_waiting(coordinator, job);
 }
--- a/libteasel/batch/coordinator_start.c
+++ b/libteasel/batch/coordinator_start.c
@@ -12,6 +12,8 @@
  * struct scan - one pass over the waiting jobs
  * @failed: sizes that found no place; room only shrinks during the scan, so
  *     sizes that are no smaller need not be tried
+ * @samples_only: pass over jobs of classes that are not known yet, if enough
+ *     of the class run already
  */
 typedef struct scan {
     coordinator_t *coordinator;
@@ -20,6 +22,7 @@
     size_t failed_count;
     int avoid[CELL_BAD_WORKERS];
     size_t avoid_count;
+    bool samples_only;
 } scan_t;
 
 static bool
@@ -62,6 +65,8 @@
         return spec->size;
     }
     learn_get(waiting->class_, spec, &size, &run_ms);
+    size.cpu_milli = MAX(size.cpu_milli, waiting->peak.cpu_milli);
+    size.memory_mb = MAX(size.memory_mb, waiting->peak.memory_mb);
     if (job_size_fits(&spec->size, largest)) {
         size.cpu_milli = MIN(size.cpu_milli, largest->cpu_milli);
         size.memory_mb = MIN(size.memory_mb, largest->memory_mb);
@@ -100,6 +105,7 @@
     }
     coordinator_add_start(coordinator, waiting->job, member, size);
     waiting->planned = true;
+    learn_note_running(waiting->class_, 1);
     job_size_add(&member->planned, size);
     coordinator_sync_member(coordinator, member);
 }
@@ -194,23 +200,81 @@
     return true;
 }
 
-/* Starts the next job of the queue that has a place. */
-static bool
-start_next(scan_t *scan, queue_t *queue, const list_t *head)
+static void
+set_bucket(queue_t *queue, job_priority_t priority, int bucket)
 {
-    while (queue->cursor != head) {
+    queue->bucket = bucket;
+    if (bucket >= 0) {
+        queue->cursor = queue->jobs[priority][bucket].next;
+    }
+}
+
+/* The next job of the scan, or NULL at its end. */
+static waiting_t *
+get_next(queue_t *queue, job_priority_t priority)
+{
+    while (queue->bucket >= 0) {
+        const list_t *head = &queue->jobs[priority][queue->bucket];
         waiting_t *waiting = LIST_ENTRY(queue->cursor, waiting_t, link);
 
+        if (queue->cursor == head) {
+            set_bucket(queue, priority, queue->bucket - 1);
+            continue;
+        }
         queue->cursor = queue->cursor->next;
-        if (!waiting->planned && try_start(scan, waiting)) {
-            return true;
+        /* What is learned of its class may have moved it. */
+        if (waiting->bucket != COORDINATOR_OLD &&
+            coordinator_get_bucket(waiting) != waiting->bucket) {
+            coordinator_enqueue(waiting);
+        }
+        return waiting;
+    }
+    return NULL;
+}
+
+static bool
+is_passed_over(const scan_t *scan, const waiting_t *waiting)
+{
+    return scan->samples_only && !learn_is_known(waiting->class_) &&
+           learn_is_sampled(waiting->class_);
+}
+
+/* Starts the next job of the queue that has a place. */
+static void
+start_next(scan_t *scan, queue_t *queue, job_priority_t priority)
+{
+    waiting_t *waiting;
+
+    while ((waiting = get_next(queue, priority)) != NULL) {
+        if (waiting->planned || is_passed_over(scan, waiting)) {
+            continue;
+        }
+        if (try_start(scan, waiting)) {
+            return;
+        }
+    }
+}
+
+static void
+collect_old(const scan_t *scan, queue_t *queue, job_priority_t priority)
+{
+    for (int i = 0; i < COORDINATOR_BUCKETS; i++) {
+        LIST_FOREACH_SAFE (waiting, &queue->jobs[priority][i], waiting_t,
+                           link) {
+            if (timespec_diff_ms(scan->now, waiting->since) <
+                COORDINATOR_OLD_MS) {
+                break;
+            }
+            list_remove(&waiting->link);
+            waiting->bucket = COORDINATOR_OLD;
+            list_append(&queue->jobs[priority][COORDINATOR_OLD],
+                        &waiting->link);
         }
     }
-    return false;
 }
 
 static queue_t *
-choose_queue(const coordinator_t *coordinator, job_priority_t priority)
+choose_queue(const coordinator_t *coordinator)
 {
     queue_t *best = NULL;
     double least = 0;
@@ -218,7 +282,7 @@
     LIST_FOREACH (queue, &coordinator->queues, queue_t, link) {
         double share;
 
-        if (queue->cursor == &queue->jobs[priority]) {
+        if (queue->bucket < 0) {
             continue;
         }
         share = quota_get_share(coordinator->quota, queue->team);
@@ -239,6 +303,7 @@
     for (size_t i = 0; i < decision->n_items; i++) {
         const Teasel__DecisionStart *start = decision->items[i]->start;
         const cell_job_t *job;
+        waiting_t *waiting;
         job_size_t size;
 
         if (decision->items[i]->item_case !=
@@ -249,8 +314,9 @@
         size.cpu_milli = start->size->cpu_milli;
         size.memory_mb = start->size->memory_mb;
         size.accelerators = start->size->accelerators;
-        job_size_subtract(&((waiting_t *)job->policy)->queue->team->used,
-                          &size);
+        waiting = job->policy;
+        job_size_subtract(&waiting->queue->team->used, &size);
+        learn_note_running(waiting->class_, -1);
     }
 }
 
@@ -259,18 +325,26 @@
 {
     scan_t scan = {.coordinator = coordinator,
                    .now = clock_get_monotonic(coordinator->opts.clock)};
-    static const job_priority_t order[] = {JOB_URGENT, JOB_NORMAL};
+    static const struct {
+        job_priority_t priority;
+        bool samples_only;
+    } passes[] = {
+        {JOB_URGENT, false}, {JOB_NORMAL, true}, {JOB_NORMAL, false}};
 
-    for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(passes); i++) {
+        job_priority_t priority = passes[i].priority;
         queue_t *queue;
 
+        scan.samples_only =
+            passes[i].samples_only && !coordinator->opts.believe_declared;
         LIST_FOREACH (item, &coordinator->queues, queue_t, link) {
-            item->cursor = item->jobs[order[i]].next;
+            collect_old(&scan, item, priority);
+            set_bucket(item, priority, COORDINATOR_OLD);
         }
         while (
             !coordinator_is_full(coordinator, coordinator->opts.max_items) &&
-            (queue = choose_queue(coordinator, order[i])) != NULL) {
-            start_next(&scan, queue, &queue->jobs[order[i]]);
+            (queue = choose_queue(coordinator)) != NULL) {
+            start_next(&scan, queue, priority);
         }
     }
     return_planned_use(coordinator);
--- a/libteasel/batch/learn.c
+++ b/libteasel/batch/learn.c
@@ -18,6 +18,7 @@
     ratios_t cpu;
     ratios_t memory;
     ratios_t run;
+    int running;
 };
 
 struct learn {
@@ -101,6 +102,27 @@
     add_ratio(&class_->run, run_ms, spec->run_ms, 0.5);
 }
 
+void
+learn_note_running(learn_class_t *class_, int change)
+{
+    if (class_ != NULL) {
+        class_->running += change;
+    }
+}
+
+bool
+learn_is_known(const learn_class_t *class_)
+{
+    return class_ == NULL || class_->memory.count >= LEARN_ENOUGH;
+}
+
+bool
+learn_is_sampled(const learn_class_t *class_)
+{
+    return learn_is_known(class_) ||
+           class_->memory.count + class_->running >= LEARN_ENOUGH;
+}
+
 static uint64_t
 scale(const ratios_t *ratios, uint64_t declared)
 {
--- a/libteasel/batch/learn.h
+++ b/libteasel/batch/learn.h
@@ -2,6 +2,7 @@
 #define TEASEL_BATCH_LEARN_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "batch/job.h"
@@ -39,6 +40,23 @@
 void learn_add(learn_class_t *class_, const job_spec_t *spec,
                const job_size_t *peak, uint64_t run_ms);
 
+/**
+ * learn_note_running() - an attempt of the class started (1) or ended (-1)
+ */
+void learn_note_running(learn_class_t *class_, int change);
+
+/**
+ * learn_is_known() - enough was observed to predict the class
+ */
+bool learn_is_known(const learn_class_t *class_);
+
+/**
+ * learn_is_sampled() - enough attempts have ended or run to learn from
+ *
+ * More attempts would only spend resources on sizes that may be far off.
+ */
+bool learn_is_sampled(const learn_class_t *class_);
+
 /**
  * learn_get() - expected size and run time of a job
  * @class_: with NULL the declared values are taken
