Let the shortest jobs of an unknown class go first

Cause: the first wave of a mix occupied the cell with overstated sizes for up to a minute; a worker was kept free for any job that waited 10 s; jobs that declare more than any worker holds were started with learned sizes.

--- a/libteasel/batch/coordinator_internal.h
+++ b/libteasel/batch/coordinator_internal.h
@@ -19,7 +19,8 @@
     COORDINATOR_FRESH_MS = 2000,
     /* A new agent has listed all tasks of its worker after this time. */
     COORDINATOR_ABSENT_MS = 2000,
-    /* A job that waited this long gets a worker kept free for it. */
+    /* A job that came first for this long and found no place gets a worker
+       kept free for it. */
     COORDINATOR_AGE_MS = 10000,
     COORDINATOR_URGENT_AGE_MS = 200,
     /* Jobs are started longest first, because a long job that starts last
@@ -87,6 +88,7 @@
 /**
  * struct waiting - what the coordinator adds to a live job
  * @link: on the queue of its team while queued
+ * @head_since: when it came first and found no place, 0 if never
  * @kept: member that is kept free for the job
  * @peak: use of earlier attempts that were evicted
  * @bucket: list of its queue
@@ -102,6 +104,7 @@
     queue_t *queue;
     learn_class_t *class_;
     struct timespec since;
+    struct timespec head_since;
     member_t *kept;
     uint64_t seen;
     job_size_t peak;
--- a/libteasel/batch/coordinator_listener.c
+++ b/libteasel/batch/coordinator_listener.c
@@ -30,8 +30,11 @@
         return 0;
     }
     learn_get(waiting->class_, &waiting->job->spec, &size, &run_ms);
-    bucket = 63 - __builtin_clzll(MAX(run_ms, 1));
-    return MIN(bucket, COORDINATOR_BUCKETS - 1);
+    bucket =
+        MIN(63 - __builtin_clzll(MAX(run_ms, 1)), COORDINATOR_BUCKETS - 1);
+    /* The first jobs of a class tell its needs, so the shortest are best. */
+    return learn_is_known(waiting->class_) ? bucket
+                                           : COORDINATOR_BUCKETS - 1 - bucket;
 }
 
 void
@@ -136,6 +139,7 @@
     if (job->state == CELL_QUEUED) {
         waiting->absent = false;
         waiting->sampled = false;
+        waiting->head_since = (struct timespec){0};
         waiting->since = clock_get_monotonic(coordinator->opts.clock);
         coordinator_enqueue(waiting);
     }
--- a/libteasel/batch/coordinator_start.c
+++ b/libteasel/batch/coordinator_start.c
@@ -14,6 +14,7 @@
  *     sizes that are no smaller need not be tried
  * @samples_only: pass over jobs of classes that are not known yet, if enough
  *     of the class run already
+ * @head_seen: a job was tried and found no place
  */
 typedef struct scan {
     coordinator_t *coordinator;
@@ -23,6 +24,7 @@
     int avoid[CELL_BAD_WORKERS];
     size_t avoid_count;
     bool samples_only;
+    bool head_seen;
 } scan_t;
 
 static bool
@@ -61,16 +63,16 @@
     job_size_t size;
     uint64_t run_ms;
 
-    if (coordinator->opts.believe_declared || waiting->declared_only) {
+    /* A job that declares more than any worker holds is never started. */
+    if (coordinator->opts.believe_declared || waiting->declared_only ||
+        !job_size_fits(&spec->size, largest)) {
         return spec->size;
     }
     learn_get(waiting->class_, spec, &size, &run_ms);
     size.cpu_milli = MAX(size.cpu_milli, waiting->peak.cpu_milli);
     size.memory_mb = MAX(size.memory_mb, waiting->peak.memory_mb);
-    if (job_size_fits(&spec->size, largest)) {
-        size.cpu_milli = MIN(size.cpu_milli, largest->cpu_milli);
-        size.memory_mb = MIN(size.memory_mb, largest->memory_mb);
-    }
+    size.cpu_milli = MIN(size.cpu_milli, largest->cpu_milli);
+    size.memory_mb = MIN(size.memory_mb, largest->memory_mb);
     return size;
 }
 
@@ -146,6 +148,8 @@
     return NULL;
 }
 
+/* A job that comes first and still finds no place is too large for what the
+   others leave free. */
 static void
 keep_worker(scan_t *scan, waiting_t *waiting, const job_size_t *size)
 {
@@ -158,8 +162,11 @@
     member_t *member;
     int index;
 
+    if (waiting->head_since.tv_sec == 0) {
+        waiting->head_since = scan->now;
+    }
     if (waiting->kept != NULL ||
-        timespec_diff_ms(scan->now, waiting->since) < age ||
+        timespec_diff_ms(scan->now, waiting->head_since) < age ||
         coordinator->kept_count >= MAX(limit, 1)) {
         return;
     }
@@ -192,7 +199,10 @@
     fill_avoid(scan, waiting);
     member = choose_member(scan, waiting, &size);
     if (member == NULL) {
-        keep_worker(scan, waiting, &size);
+        if (!scan->head_seen) {
+            scan->head_seen = true;
+            keep_worker(scan, waiting, &size);
+        }
         return false;
     }
     start(scan, waiting, member, &size);
