Pass over lists of jobs whose smallest has no place

Cause: each tick looked at all 10,000 waiting jobs, 6 to 12 ms of a core. Change: lists by run time keep their least size, found anew every second; the scan moves to coordinator_scan.c.

--- a/bench/batch_bench.c
+++ b/bench/batch_bench.c
@@ -92,6 +92,7 @@
     record->id.data = id;
     record->id.len = sizeof(id);
     cell_apply(bench->cell, record, bench->records);
+    record->id.data = NULL;
 }
 
 static void
@@ -267,6 +268,9 @@
                 newest = task;
             }
         }
+        if (newest == NULL) {
+            return;
+        }
         job_size_subtract(&used, &bench->needs[newest->job].size);
         bench->evictions++;
         end_task(bench, newest, TEASEL__OUTCOME__OUTCOME_EVICTED);
@@ -450,7 +454,7 @@
 measure_decisions(const policy_t *policy, int workers, uint32_t jobs)
 {
     bench_t bench;
-    size_t heap = get_heap();
+    size_t heap;
     size_t heap_workers;
     size_t heap_jobs;
     double begin;
--- a/libteasel/batch/coordinator_internal.h
+++ b/libteasel/batch/coordinator_internal.h
@@ -38,6 +38,9 @@
     /* Calls this far apart mean that the process did not run. Heartbeats that
        arrived meanwhile are not read yet, so silence counts from now. */
     COORDINATOR_GAP_MS = 1000,
+    /* All waiting jobs are looked at this often; in between, lists whose
+       smallest job has no place are passed over. */
+    COORDINATOR_FULL_MS = 1000,
     /* Old jobs are looked at this often even if nothing changed. */
     COORDINATOR_IDLE_MS = 500,
 };
@@ -69,16 +72,27 @@
     cell_job_t *kept_for;
 } member_t;
 
+/**
+ * struct bucket - waiting jobs of a team with similar run times
+ * @least: no job of the list needs less, in any dimension
+ * @least_known: @least holds; it is found anew every COORDINATOR_FULL_MS
+ */
+typedef struct bucket {
+    list_t jobs;
+    job_size_t least;
+    bool least_known;
+} bucket_t;
+
 /**
  * struct queue - waiting jobs of a team
- * @jobs: by priority and expected run time, then in order of submission;
+ * @buckets: by priority and expected run time, then in order of submission;
  *     COORDINATOR_OLD is the list of jobs that waited long
  * @bucket: list of the scan under way, -1 at its end
  * @cursor: next job of that list
  */
 typedef struct queue {
     list_t link;
-    list_t jobs[2][COORDINATOR_BUCKETS + 1];
+    bucket_t buckets[2][COORDINATOR_BUCKETS + 1];
     quota_team_t *team;
     bool in_order;
     int bucket;
@@ -123,6 +137,7 @@
     struct timespec begun;
     struct timespec last_call;
     struct timespec last_scan;
+    struct timespec last_full;
     GHashTable *members; /* name -> member_t */
     GPtrArray *by_index; /* member_t by index of placement */
     GHashTable *by_team; /* name -> queue_t */
@@ -191,7 +206,7 @@
                             const job_size_t *size, bool quarantined,
                             const char *reason);
 
-/* coordinator_start.c */
+/* coordinator_scan.c */
 void coordinator_plan_starts(coordinator_t *coordinator);
 
 #ifdef __cplusplus
--- a/libteasel/batch/coordinator_listener.c
+++ b/libteasel/batch/coordinator_listener.c
@@ -10,8 +10,8 @@
         queue->team = quota_get_team(coordinator->quota, team);
         queue->in_order = coordinator->opts.in_order;
         for (int i = 0; i <= COORDINATOR_BUCKETS; i++) {
-            list_init(&queue->jobs[JOB_NORMAL][i]);
-            list_init(&queue->jobs[JOB_URGENT][i]);
+            list_init(&queue->buckets[JOB_NORMAL][i].jobs);
+            list_init(&queue->buckets[JOB_URGENT][i].jobs);
         }
         list_append(&coordinator->queues, &queue->link);
         g_hash_table_insert(coordinator->by_team, queue->team->name, queue);
@@ -40,11 +40,14 @@
 void
 coordinator_enqueue(waiting_t *waiting)
 {
+    const job_spec_t *spec = &waiting->job->spec;
+    bucket_t *bucket;
+
     list_remove(&waiting->link);
     waiting->bucket = coordinator_get_bucket(waiting);
-    list_append(
-        &waiting->queue->jobs[waiting->job->spec.priority][waiting->bucket],
-        &waiting->link);
+    bucket = &waiting->queue->buckets[spec->priority][waiting->bucket];
+    list_append(&bucket->jobs, &waiting->link);
+    bucket->least_known = false;
 }
 
 static waiting_t *
