--- a/libteasel/batch/coordinator_internal.h
+++ b/libteasel/batch/coordinator_internal.h
@@ -19,9 +19,18 @@
     COORDINATOR_FRESH_MS = 2000,
     /* A new agent has listed all tasks of its worker after this time. */
     COORDINATOR_ABSENT_MS = 2000,
-    /* A job that waited this long gets a worker kept free for it. */
+    /* A job that came first for this long and found no place gets a worker
+       kept free for it. */
     COORDINATOR_AGE_MS = 10000,
     COORDINATOR_URGENT_AGE_MS = 200,
+    /* Jobs are started longest first, because a long job that starts last
+       lets the other workers wait for it. One that waited this long comes
+       before all that did not, in order of arrival. */
+    COORDINATOR_OLD_MS = 300000,
+    COORDINATOR_BUCKETS = 32, /* powers of two of the expected run time */
+    COORDINATOR_OLD = COORDINATOR_BUCKETS,
+    /* A running task that has come this far shows its needs. */
+    COORDINATOR_SAMPLE_MS = 5000,
     /* At most one worker in this many is kept free. */
     COORDINATOR_KEEP_SHARE = 8,
     /* A worker without tasks is removed after this silence. */
@@ -29,6 +38,9 @@
     /* Calls this far apart mean that the process did not run. Heartbeats that
        arrived meanwhile are not read yet, so silence counts from now. */
     COORDINATOR_GAP_MS = 1000,
+    /* All waiting jobs are looked at this often; in between, lists whose
+       smallest job has no place are passed over. */
+    COORDINATOR_FULL_MS = 1000,
     /* Old jobs are looked at this often even if nothing changed. */
     COORDINATOR_IDLE_MS = 500,
 };
@@ -60,22 +72,41 @@
     cell_job_t *kept_for;
 } member_t;
 
+/**
+ * struct bucket - waiting jobs of a team with similar run times
+ * @least: no job of the list needs less, in any dimension
+ * @least_known: @least holds; it is found anew every COORDINATOR_FULL_MS
+ */
+typedef struct bucket {
+    list_t jobs;
+    job_size_t least;
+    bool least_known;
+} bucket_t;
+
 /**
  * struct queue - waiting jobs of a team
- * @jobs: by priority, in order of submission
- * @cursor: next job of the scan under way
+ * @buckets: by priority and expected run time, then in order of submission;
+ *     COORDINATOR_OLD is the list of jobs that waited long
+ * @bucket: list of the scan under way, -1 at its end
+ * @cursor: next job of that list
  */
 typedef struct queue {
     list_t link;
-    list_t jobs[2];
+    bucket_t buckets[2][COORDINATOR_BUCKETS + 1];
     quota_team_t *team;
+    bool in_order;
+    int bucket;
     list_t *cursor;
 } queue_t;
 
 /**
  * struct waiting - what the coordinator adds to a live job
  * @link: on the queue of its team while queued
+ * @head_since: when it came first and found no place, 0 if never
  * @kept: member that is kept free for the job
+ * @peak: use of earlier attempts that were evicted
+ * @bucket: list of its queue
+ * @sampled: the use of the running attempt was learned
  * @seen: number of the heartbeat that listed the running attempt
  * @planned: its start is in the decision in flight
  * @absent: a new incarnation of its agent does not know the attempt
@@ -87,8 +118,12 @@
     queue_t *queue;
     learn_class_t *class_;
     struct timespec since;
+    struct timespec head_since;
     member_t *kept;
     uint64_t seen;
+    job_size_t peak;
+    int bucket;
+    bool sampled;
     bool planned;
     bool absent;
     bool declared_only;
@@ -102,6 +137,7 @@
     struct timespec begun;
     struct timespec last_call;
     struct timespec last_scan;
+    struct timespec last_full;
     GHashTable *members; /* name -> member_t */
     GPtrArray *by_index; /* member_t by index of placement */
     GHashTable *by_team; /* name -> queue_t */
@@ -134,6 +170,13 @@
                                    struct timespec now);
 
 /* coordinator_listener.c */
+
+/**
+ * coordinator_enqueue() - put a queued job on the list of its run time
+ */
+void coordinator_enqueue(waiting_t *waiting);
+int coordinator_get_bucket(const waiting_t *waiting);
+
 extern const cell_listener_t coordinator_listener;
 void coordinator_drop_waiting(coordinator_t *coordinator, cell_job_t *job);
 
@@ -163,7 +206,7 @@
                             const job_size_t *size, bool quarantined,
                             const char *reason);
 
-/* coordinator_start.c */
+/* coordinator_scan.c */
 void coordinator_plan_starts(coordinator_t *coordinator);
 
 #ifdef __cplusplus
