Bound the load that pressure averages

Change: the load is bounded a little above the eviction threshold. Result: pressure_test passes; its new test failed before the change.

--- a/libteasel/batch/pressure.c
+++ b/libteasel/batch/pressure.c
@@ -1,6 +1,7 @@
 #include "batch/pressure.h"
 
 #include <string.h>
+#include <sys/param.h>
 
 enum {
     /* Weight of the newest measurement in the average: 1/4. */
@@ -17,8 +18,11 @@
 static void
 update_load(pressure_t *pressure, uint32_t percent, struct timespec now)
 {
-    int64_t change =
-        (int64_t)percent * 1000 - (int64_t)pressure->milli_percent;
+    /* A deep queue must not count for long after it is gone. */
+    uint32_t highest =
+        pressure->opts.evict_percent + pressure->opts.hysteresis_percent;
+    int64_t change = (int64_t)MIN(percent, highest) * 1000 -
+                     (int64_t)pressure->milli_percent;
     bool harmful;
 
     pressure->milli_percent += change / LOAD_WEIGHT;
--- a/tests/unit/pressure_test.cc
+++ b/tests/unit/pressure_test.cc
@@ -101,6 +101,27 @@
     EXPECT_EQ(fixture.tasks[0].level, PRESSURE_NONE);
 }
 
+// Guards against tasks that are suspended or evicted long after a deep queue
+// of requests is gone.
+TEST(Pressure, ForgetsOverloadSoon)
+{
+    Fixture fixture(50, 50);
+    pressure_step_t step;
+
+    fixture.tasks.resize(20, {PRESSURE_NONE, 0});
+    for (int i = 0; i < 20; i++) {
+        fixture.update(900, &step);
+    }
+    for (int i = 0; i < 3; i++) {
+        fixture.update(0, &step);
+    }
+    for (int i = 0; i < 20; i++) {
+        if (fixture.update(0, &step)) {
+            EXPECT_EQ(step.level, PRESSURE_NONE);
+        }
+    }
+}
+
 // Guards against weights without effect: much lost work is kept for longer
 // when evictions weigh more than latency.
 TEST(Pressure, WeighsLostWorkAgainstLatency)
