Name the input in the entry's problem documents

Cause: messages told what is allowed, but not what was found; unknown paths and large bodies were answered as plain text. Change: details with the found value; routes for unknown paths; the body limit is checked by the entry, so that 413 is a problem document too.

--- a/libteasel/caller/problem.c
+++ b/libteasel/caller/problem.c
@@ -39,8 +39,8 @@
         add_text(document, "detail", problem->detail);
     }
     add_text(document, "executed", problem->maybe_run ? "unknown" : "no");
-    text = g_strdup(
-        json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN));
+    text = g_strdup(json_object_to_json_string_ext(
+        document, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
     json_object_put(document);
     return text;
 }
--- a/libteasel/caller/service_handler.c
+++ b/libteasel/caller/service_handler.c
@@ -136,16 +136,22 @@
     return length > 0 && length <= MAX_KEY_LENGTH;
 }
 
+/**
+ * struct parse_step - one part of a request
+ * @header: that it comes from, or NULL for the path
+ * @allowed: told to the caller when the part is not valid
+ */
 typedef struct parse_step {
     bool (*parse)(service_call_t *call);
+    const char *header;
     const char *allowed;
 } parse_step_t;
 
 static const parse_step_t steps[] = {
-    {parse_path, "the path must be /svc/NAME/..."},
-    {parse_timeout, "Teasel-Timeout-Ms must be an integer from 1 to 3600000"},
-    {parse_idempotent, "Teasel-Idempotent must be \"yes\" or \"no\""},
-    {parse_key, "Idempotency-Key must have 1 to 255 bytes"},
+    {parse_path, NULL, "/svc/NAME/..."},
+    {parse_timeout, "teasel-timeout-ms", "an integer from 1 to 3600000"},
+    {parse_idempotent, "teasel-idempotent", "yes or no"},
+    {parse_key, "idempotency-key", "1 to 255 bytes"},
 };
 
 static void
@@ -157,6 +163,21 @@
     g_free(call);
 }
 
+static void
+refuse(service_call_t *call, const parse_step_t *step)
+{
+    const http_exchange_t *exchange = call->exchange;
+    const char *found = step->header == NULL
+                            ? exchange->target
+                            : http_exchange_get_header(exchange, step->header);
+    g_autofree char *detail = g_strdup_printf(
+        "%s: found \"%s\"; allowed: %s", step->header ? step->header : "path",
+        found, step->allowed);
+    problem_t problem = {ERROR_INVALID, false, detail};
+
+    service_call_fail(call, &problem);
+}
+
 void
 service_handler_handle(http_exchange_t *exchange, service_submit_fn submit,
                        void *data)
@@ -166,9 +187,7 @@
     call->exchange = exchange;
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
         if (!steps[i].parse(call)) {
-            problem_t problem = {ERROR_INVALID, false, steps[i].allowed};
-
-            service_call_fail(call, &problem);
+            refuse(call, &steps[i]);
             return;
         }
     }
--- a/libteasel/entry/entry.c
+++ b/libteasel/entry/entry.c
@@ -109,6 +109,7 @@
         .entry_id = settings->entry_id,
         .incarnation = entry->incarnation,
         .max_in_flight = (size_t)settings->max_in_flight,
+        .max_body = (size_t)settings->max_body_bytes,
     };
 
     entry->forwarder = forwarder_new(&forwarder);
--- a/libteasel/entry/entry_http.c
+++ b/libteasel/entry/entry_http.c
@@ -1,6 +1,10 @@
 #include "entry/entry_internal.h"
+#include "wire/frame.h"
 
 enum {
+    /* Larger than max_body_bytes can be, so that a problem document is
+       answered instead of the plain text of h2o. */
+    MAX_HTTP_BODY = FRAME_MAX_SIZE,
     /* A new entry waits this long for its first agent before it tells the
        balancer that it is ready. */
     START_GRACE_MS = 3000,
@@ -113,18 +117,34 @@
     admin_handle(&provider, exchange);
 }
 
+static void
+on_other(http_exchange_t *exchange, void *data)
+{
+    g_autofree char *detail = g_strdup_printf(
+        "path \"%s\" is not served; allowed: /svc/NAME/..., /jobs/ID, "
+        "/healthz, /metrics, /admin/...",
+        exchange->path);
+    problem_t problem = {ERROR_NOT_FOUND, false, detail};
+
+    problem_reply(exchange, &problem);
+}
+
 http_server_t *
 entry_http_new(entry_t *entry, GError **error)
 {
     static const http_route_t routes[] = {
-        {"/svc/", on_service},   {"/jobs/", on_job},
-        {"/healthz", on_health}, {"/metrics", on_metrics},
-        {"/admin/", on_admin},   {NULL, NULL},
+        {"/svc/", on_service},
+        {"/jobs/", on_job},
+        {"/healthz", on_health},
+        {"/metrics", on_metrics},
+        {"/admin/", on_admin},
+        {"/", on_other},
+        {NULL, NULL},
     };
     http_server_opts_t opts = {
         .loop = entry->loop,
         .listen = entry->settings->http_listen,
-        .max_body = (size_t)entry->settings->max_body_bytes,
+        .max_body = MAX_HTTP_BODY,
         .routes = routes,
         .data = entry,
     };
--- a/libteasel/entry/entry_service.c
+++ b/libteasel/entry/entry_service.c
@@ -101,6 +101,31 @@
     service_call_add_header(call, &header);
 }
 
+static bool
+refuse_excess(const entry_service_t *service, service_call_t *call)
+{
+    size_t length = call->exchange->body_length;
+    g_autofree char *detail = NULL;
+    problem_t problem = {.kind = ERROR_OVERLOADED};
+
+    if (length > service->opts.max_body) {
+        problem.kind = ERROR_TOO_LARGE;
+        detail = g_strdup_printf("body of %zu bytes; allowed: %zu", length,
+                                 service->opts.max_body);
+    }
+    else if (forwarder_get_pending(service->opts.forwarder) >=
+             service->opts.max_in_flight) {
+        detail = g_strdup_printf("%zu requests are in flight",
+                                 service->opts.max_in_flight);
+    }
+    else {
+        return false;
+    }
+    problem.detail = detail;
+    service_call_fail(call, &problem);
+    return true;
+}
+
 void
 entry_service_submit(service_call_t *call, void *data)
 {
@@ -118,12 +143,7 @@
         .timeout_ms = get_timeout_ms(call, config),
     };
 
-    if (forwarder_get_pending(service->opts.forwarder) >=
-        service->opts.max_in_flight) {
-        problem_t problem = {ERROR_OVERLOADED, false,
-                             "too many requests are in flight"};
-
-        service_call_fail(call, &problem);
+    if (refuse_excess(service, call)) {
         return;
     }
     add_request_id(service, call, id);
--- a/libteasel/entry/entry_service.h
+++ b/libteasel/entry/entry_service.h
@@ -16,6 +16,7 @@
 /**
  * struct entry_service_opts - options of entry_service_new()
  * @max_in_flight: further requests are refused as not run
+ * @max_body: longer bodies are refused as not run
  */
 typedef struct entry_service_opts {
     const config_reader_t *config;
@@ -24,6 +25,7 @@
     const char *entry_id;
     uint64_t incarnation;
     size_t max_in_flight;
+    size_t max_body;
 } entry_service_opts_t;
 
 /**
--- a/libteasel/entry/forwarder.c
+++ b/libteasel/entry/forwarder.c
@@ -109,12 +109,14 @@
     finish(forward, &result);
 }
 
+/* Ends a request for which no further attempt is possible. */
 static void
-give_up(forward_t *forward, error_kind_t kind, const char *detail)
+give_up(forward_t *forward, error_kind_t kind, const char *reason)
 {
     if (!forward->attempt.maybe_run) {
         g_free(forward->detail);
-        forward->detail = g_strdup(detail);
+        forward->detail = g_strdup_printf("service \"%s\": %s",
+                                          forward->request.service, reason);
     }
     attempt_give_up(&forward->attempt, kind);
     finish_without_answer(forward);
@@ -225,7 +227,7 @@
 
     if (!is_known &&
         timespec_diff_ms(now, forwarder->started) >= START_GRACE_MS) {
-        give_up(forward, ERROR_NOT_FOUND, "no agent offers this service");
+        give_up(forward, ERROR_NOT_FOUND, "no agent offers it");
         return;
     }
     if (list_is_empty(&forward->parked_link)) {
