Close accepted connections with their listener

Cause: an agent that had accepted connections of other agents freed its loop while they were open; under the address sanitizer it died with SIGFPE in loop_free() at each planned stop (seen 3 times in the system tests).

--- a/libteasel/entry/uplinks.c
+++ b/libteasel/entry/uplinks.c
@@ -276,9 +276,8 @@
     if (uplinks == NULL) {
         return;
     }
-    peer_listener_free(uplinks->listener);
+    peer_listener_free(uplinks->listener); /* closes all peers */
     LIST_FOREACH_SAFE (uplink, &uplinks->uplinks, uplink_t, link) {
-        peer_close(uplink->peer);
         uplink_free(uplink);
     }
     g_free(uplinks);
--- a/libteasel/wire/peer.c
+++ b/libteasel/wire/peer.c
@@ -1,16 +1,10 @@
-#include "wire/peer.h"
-
-#include <arpa/inet.h>
 #include <stdio.h>
 
 #include "base/socket.h"
 #include "wire/frame.h"
+#include "wire/peer_internal.h"
 
 enum {
-    /* Accepted per turn, so that a burst of connections starves no other. */
-    ACCEPTS_PER_TURN = 16,
-    /* A longer address, 255.255.255.255:65535, does not exist. */
-    ADDRESS_SIZE = 24,
     /* Buffers above this are given back after a large message. */
     KEPT_BUFFER_SIZE = 256 * 1024,
 };
@@ -23,10 +17,11 @@
 } peer_state_t;
 
 struct peer {
+    list_t link; /* in the listener's list, if accepted */
     peer_opts_t opts;
     peer_state_t state;
     h2o_socket_t *sock;
-    char address[ADDRESS_SIZE];
+    char address[PEER_ADDRESS_SIZE];
     char *reason;
     unsigned callbacks; /* running callbacks that still use the peer */
     GByteArray *queued;
@@ -39,12 +34,6 @@
     uint64_t bytes_received;
 };
 
-struct peer_listener {
-    peer_opts_t opts;
-    h2o_socket_t *sock;
-    void (*on_accept)(peer_t *peer, void *data);
-};
-
 static void
 close_socket(peer_t *peer)
 {
@@ -60,6 +49,7 @@
 {
     loop_timer_stop(&peer->flush_timer);
     close_socket(peer);
+    list_remove(&peer->link);
     g_byte_array_unref(peer->queued);
     g_byte_array_unref(peer->writing);
     g_free(peer->reason);
@@ -250,6 +240,7 @@
     peer_t *peer = g_new0(peer_t, 1);
 
     peer->opts = *opts;
+    list_init(&peer->link);
     g_strlcpy(peer->address, address, sizeof(peer->address));
     peer->queued = g_byte_array_new();
     peer->writing = g_byte_array_new();
@@ -368,66 +359,24 @@
     return peer->bytes_received;
 }
 
-static void
-format_peer_name(h2o_socket_t *sock, char address[ADDRESS_SIZE])
-{
-    struct sockaddr_in name = {0};
-    char host[INET_ADDRSTRLEN] = "";
-
-    h2o_socket_getpeername(sock, (struct sockaddr *)&name);
-    inet_ntop(AF_INET, &name.sin_addr, host, sizeof(host));
-    snprintf(address, ADDRESS_SIZE, "%s:%u", host, ntohs(name.sin_port));
-}
-
-static void
-on_incoming(h2o_socket_t *sock, const char *err)
-{
-    peer_listener_t *listener = sock->data;
-
-    for (int i = 0; err == NULL && i < ACCEPTS_PER_TURN; i++) {
-        h2o_socket_t *accepted = h2o_evloop_socket_accept(sock);
-        char address[ADDRESS_SIZE];
-        peer_t *peer;
-
-        if (accepted == NULL) {
-            return;
-        }
-        format_peer_name(accepted, address);
-        peer = peer_new(&listener->opts, address);
-        peer->sock = accepted;
-        peer->sock->data = peer;
-        peer->state = PEER_OPEN;
-        h2o_socket_read_start(accepted, on_readable);
-        listener->on_accept(peer, listener->opts.data);
-    }
-}
-
-peer_listener_t *
-peer_listen(const peer_opts_t *opts, const char *address,
-            void (*on_accept)(peer_t *peer, void *data), GError **error)
+peer_t *
+peer_adopt(const peer_opts_t *opts, h2o_socket_t *sock, const char *address,
+           list_t *peers)
 {
-    int fd = socket_listen(address, error);
-    peer_listener_t *listener;
+    peer_t *peer = peer_new(opts, address);
 
-    if (fd < 0) {
-        return NULL;
-    }
-    listener = g_new0(peer_listener_t, 1);
-    listener->opts = *opts;
-    listener->on_accept = on_accept;
-    listener->sock = h2o_evloop_socket_create(loop_get_h2o(opts->loop), fd,
-                                              H2O_SOCKET_FLAG_DONT_READ);
-    listener->sock->data = listener;
-    h2o_socket_read_start(listener->sock, on_incoming);
-    return listener;
+    peer->sock = sock;
+    peer->sock->data = peer;
+    peer->state = PEER_OPEN;
+    list_append(peers, &peer->link);
+    h2o_socket_read_start(sock, on_readable);
+    return peer;
 }
 
 void
-peer_listener_free(peer_listener_t *listener)
+peer_close_all(list_t *peers)
 {
-    if (listener == NULL) {
-        return;
+    LIST_FOREACH_SAFE (peer, peers, peer_t, link) {
+        peer_close(peer);
     }
-    h2o_socket_close(listener->sock);
-    g_free(listener);
 }
--- a/libteasel/wire/peer.h
+++ b/libteasel/wire/peer.h
@@ -84,6 +84,11 @@
 peer_listener_t *peer_listen(const peer_opts_t *opts, const char *address,
                              void (*on_accept)(peer_t *peer, void *data),
                              GError **error);
+
+/**
+ * peer_listener_free() - stop accepting, and close the accepted connections
+ * that are still open
+ */
 void peer_listener_free(peer_listener_t *listener);
 
 #ifdef __cplusplus
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -109,9 +109,6 @@
     ~Entry()
     {
         peer_listener_free(listener);
-        for (auto *peer : peers) {
-            peer_close(peer);
-        }
     }
 
     void
