--- a/libteasel/operator/audit.c
+++ b/libteasel/operator/audit.c
@@ -164,6 +164,10 @@
 
     out->row.author = cancel->author;
     emit(out, "job", cancel->job_id, "cancel", "written", cancel->reason);
+    for (size_t i = 0; i < cancel->n_more_ids; i++) {
+        emit(out, "job", cancel->more_ids[i], "cancel", "written",
+             cancel->reason);
+    }
 }
 
 static void
--- a/libteasel/operator/ctl_http.c
+++ b/libteasel/operator/ctl_http.c
@@ -21,10 +21,18 @@
     (*fetch->pending)--;
 }
 
+static const char *
+get_author(const ctl_t *ctl)
+{
+    return ctl->flags.author != NULL ? ctl->flags.author
+                                     : ctl->settings.author;
+}
+
 static bool
 start(ctl_t *ctl, ctl_fetch_t *fetch, int64_t timeout_ms)
 {
-    const http_header_t headers[] = {{"content-type", "application/json"}};
+    const http_header_t headers[] = {{"content-type", "application/json"},
+                                     {"teasel-author", get_author(ctl)}};
     http_client_opts_t client_opts = {
         .loop = ctl->loop,
         .address = fetch->address,
@@ -34,7 +42,7 @@
         .method = fetch->method,
         .target = fetch->target,
         .headers = headers,
-        .header_count = fetch->body != NULL ? 1 : 0,
+        .header_count = headers[1].value != NULL ? 2 : 1,
         .body = fetch->body,
         .body_length = fetch->body != NULL ? strlen(fetch->body) : 0,
         .timeout_ms = (uint64_t)timeout_ms,
--- a/libteasel/operator/ctl_jobs.c
+++ b/libteasel/operator/ctl_jobs.c
@@ -30,6 +30,9 @@
 {
     json_object_object_foreach(object, key, value)
     {
+        if (value == NULL) {
+            continue;
+        }
         printf("%s: %s\n", key,
                json_object_is_type(value, json_type_string)
                    ? json_object_get_string(value)
@@ -38,6 +41,15 @@
     }
 }
 
+/* job-2 comes before job-10. */
+static int
+compare_jobs(const void *a, const void *b)
+{
+    return strverscmp(
+        ctl_json_get_string(*(struct json_object *const *)a, "job_id"),
+        ctl_json_get_string(*(struct json_object *const *)b, "job_id"));
+}
+
 static int
 print_list(ctl_t *ctl)
 {
@@ -56,6 +68,9 @@
     if (answer == NULL) {
         return ctl_fail(ctl, error);
     }
+    if (json_object_is_type(jobs, json_type_array)) {
+        json_object_array_sort(jobs, compare_jobs);
+    }
     if (ctl->flags.json) {
         ctl_print_json(answer);
         return CTL_DONE;
@@ -89,7 +104,10 @@
         answer = ctl_fetch_any(ctl, method, target, body, &status, &error);
     }
     if (answer == NULL) {
-        return ctl_fail(ctl, error);
+        int code = ctl_fail(ctl, error);
+
+        /* The entry refused the job; the command itself was right. */
+        return status >= 400 && code == CTL_USAGE ? CTL_REFUSED : code;
     }
     if (ctl->flags.json) {
         ctl_print_json(answer);
--- a/libteasel/operator/ctl_main.c
+++ b/libteasel/operator/ctl_main.c
@@ -11,6 +11,7 @@
 
 static const char *const no_options[] = {NULL};
 static const char *const wait_options[] = {"wait", NULL};
+static const char *const jobs_options[] = {"author", NULL};
 static const char *const drain_options[] = {"off", "wait", "author", "reason",
                                             NULL};
 static const char *const audit_options[] = {"kind", "object", "author", NULL};
@@ -23,7 +24,7 @@
     {"show", "", "show what is in force, and on which processes", 0, 0,
      no_options, ctl_run_show},
     {"jobs", "[show ID | submit ID FILE | cancel ID]",
-     "list, show, submit or cancel batch jobs", 0, 3, no_options,
+     "list, show, submit or cancel batch jobs", 0, 3, jobs_options,
      ctl_run_jobs},
     {"members", "", "list the agents that an entry knows", 0, 0, no_options,
      ctl_run_members},
@@ -107,7 +108,7 @@
         {"off", 0, 0, G_OPTION_ARG_NONE, &flags->off, "drain: end the drain",
          NULL},
         {"author", 0, 0, G_OPTION_ARG_STRING, &flags->author,
-         "drain: who does it; audit: only this author", "NAME"},
+         "drain, jobs: who does it; audit: only this author", "NAME"},
         {"reason", 0, 0, G_OPTION_ARG_STRING, &flags->reason,
          "drain: why it is done", "TEXT"},
         {"kind", 0, 0, G_OPTION_ARG_STRING, &flags->kind,
--- a/tests/system/session.bash
+++ b/tests/system/session.bash
@@ -60,7 +60,11 @@
         -e 's/[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z/TIME/g' \
         -e 's/"(wall_ms|waited_ms|report_age_ms|incarnation|service_time_us)":[0-9]+/"\1":0/' \
         -e 's/after [0-9]+ ms/after N ms/; s/within [0-9]+ ms/within N ms/' \
-        -e 's/ [0-9]+ us +/ N us  /; s/ [0-9]+ ms +/ N ms  /; s/AGE +STATE/AGE  STATE/'
+        -e 's/ [0-9]+ us +/ N us  /; s/ [0-9]+ ms +/ N ms  /; s/AGE +STATE/AGE  STATE/' \
+        -e 's/on worker agent-[0-9]+/on worker AGENT/; s/long,agent-[0-9]+/long,AGENT/' \
+        -e 's/submit_offset: [0-9]+/submit_offset: N/; s/body at offset [0-9]+/body at offset N/' \
+        -e 's/^worker: agent-[0-9]+/worker: AGENT/; s/(cancelled +1 +)agent-[0-9]+/\1AGENT/' \
+        -e 's/TIME +agent-[0-9]+ /TIME  AGENT /'
 }
 
 # run ARGS...: runs teaselctl and records output and exit code
--- a/tests/system/teaselctl_cluster_test.sh
+++ b/tests/system/teaselctl_cluster_test.sh
@@ -21,9 +21,13 @@
 address_of() { sed -n "s#^$1=http://##p" "$cluster/env"; }
 log=$(address_of LOG)
 ctl() {
-    "$build/teaselctl" --log "$log" --entry "$(address_of ENTRY_1)" \
-        --entry "$(address_of ENTRY_2)" "$@"
+    "$build/teaselctl" --log "$log" --entry "$(address_of ENTRY_1)" "$@"
 }
+# entry-2 is found from entry-1.
+entry_2_known() {
+    curl -fsS "http://$(address_of ENTRY_1)/admin/config" | grep -q entry-2
+}
+wait_until entry_2_known
 
 title in force on all processes
 run apply examples/ticket.json --wait
@@ -56,6 +60,23 @@
 run members
 run drain agent-3 --off --author kofi --wait
 
+title jobs
+sed 's/"run_ms": [0-9]*/"run_ms": 600000/' examples/job.json >"$work/long.json"
+sed 's/"cpu_milli": [0-9]*/"cpu_milli": -1/' examples/job.json >"$work/bad.json"
+run jobs submit long "$work/long.json" --author ama
+run jobs submit long "$work/long.json"
+run jobs submit long examples/job.json
+run jobs submit bad "$work/bad.json"
+run jobs show other
+run jobs cancel other
+has_state() { ctl jobs show long | grep -q "^state: $1$"; }
+wait_until has_state running
+run jobs cancel long --author kofi
+wait_until has_state cancelled
+run jobs
+run jobs show long
+run audit --object long
+
 title a frozen agent is told as lagging
 freeze agent-2
 lost() { ctl members | grep -q '^agent-2 .* lost$'; }
--- a/tests/unit/audit_test.cc
+++ b/tests/unit/audit_test.cc
@@ -162,6 +162,27 @@
     config_free(known);
 }
 
+// Guards against the other jobs of a burst of cancellations being left out.
+TEST_F(Audit, TellsEachCancelledJob)
+{
+    Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
+    Teasel__JobCancel cancel = TEASEL__JOB_CANCEL__INIT;
+    char ids[][8] = {"job-1", "job-2"};
+    char *more[] = {ids[1]};
+    char author[] = "kofi";
+
+    cancel.job_id = ids[0];
+    cancel.n_more_ids = 1;
+    cancel.more_ids = more;
+    cancel.author = author;
+    record.body_case = TEASEL__LOG_RECORD__BODY_JOB_CANCEL;
+    record.job_cancel = &cancel;
+    apply(record, 1);
+    EXPECT_EQ(rows,
+              (std::vector<std::string>{"job|job-1|kofi|cancel|written|",
+                                        "job|job-2|kofi|cancel|written|"}));
+}
+
 // Guards against filters that miss the other objects of a ticket.
 TEST_F(Audit, FiltersByKindObjectAndAuthor)
 {
