--- a/libteasel/operator/ctl_plan.c
+++ b/libteasel/operator/ctl_plan.c
@@ -163,26 +163,42 @@
     return is_there ? "new" : "absent";
 }
 
+/* The objects of a ticket as they are in a state, with presets. */
 static struct json_object *
-compare_states(const config_t *before, const config_t *after,
-               const ticket_t *ticket)
+collect_objects(const config_t *config, const ticket_t *ticket)
 {
-    struct json_object *changes = json_object_new_object();
+    struct json_object *objects = json_object_new_object();
 
     for (guint i = 0; i < ticket->objects->len; i++) {
         const ticket_object_t *object = ticket->objects->pdata[i];
-        struct json_object *old = get_settings(before, object);
-        struct json_object *new = get_settings(after, object);
+        struct json_object *item = json_object_new_object();
+
+        ctl_json_add_flag(item, "there",
+                          config_find_object(config, object->name) != NULL);
+        json_object_object_add(item, "settings", get_settings(config, object));
+        json_object_object_add(objects, object->name, item);
+    }
+    return objects;
+}
+
+static struct json_object *
+compare_objects(struct json_object *before, struct json_object *after)
+{
+    struct json_object *changes = json_object_new_object();
+
+    json_object_object_foreach(after, name, new)
+    {
+        struct json_object *old = ctl_json_get(before, name);
         struct json_object *change = json_object_new_object();
 
-        ctl_json_add_string(
-            change, "change",
-            describe_change(config_find_object(before, object->name) != NULL,
-                            config_find_object(after, object->name) != NULL));
-        json_object_object_add(change, "keys", compare_settings(old, new));
-        json_object_object_add(changes, object->name, change);
-        json_object_put(old);
-        json_object_put(new);
+        ctl_json_add_string(change, "change",
+                            describe_change(ctl_json_get_flag(old, "there"),
+                                            ctl_json_get_flag(new, "there")));
+        json_object_object_add(
+            change, "keys",
+            compare_settings(ctl_json_get(old, "settings"),
+                             ctl_json_get(new, "settings")));
+        json_object_object_add(changes, name, change);
     }
     return changes;
 }
@@ -211,17 +227,22 @@
 static bool
 try_step(ctl_step_t *step, config_t *config, GError **error)
 {
+    struct json_object *before = collect_objects(config, step->ticket);
+    struct json_object *after;
     Teasel__Ticket body;
     Teasel__LogRecord record;
-    g_autoptr(config_t) before = config_clone(config);
+    bool good;
 
     ctl_plan_fill_record(step->ticket, &body, &record);
     config_apply(config, &record, config_get_next(config), &step->result);
-    if (!check_result(step, config, error)) {
-        return false;
+    good = check_result(step, config, error);
+    if (good) {
+        after = collect_objects(config, step->ticket);
+        step->changes = compare_objects(before, after);
+        json_object_put(after);
     }
-    step->changes = compare_states(before, config, step->ticket);
-    return true;
+    json_object_put(before);
+    return good;
 }
 
 bool
