Report declared sizes in the worker stand-in

Cause: the agent rebuilds its ledger from the worker's task list and refuses a status without declared sizes, so no job ended in the demo. Change: workerd reports declared_*; ended tasks use no memory.

--- a/tests/standins/workerd/task.c
+++ b/tests/standins/workerd/task.c
@@ -27,6 +27,12 @@
     return task->state == RUNNING || task->state == SUSPENDED;
 }
 
+static int64_t
+memory_of(const task_t *task)
+{
+    return task_is_alive(task) ? task->true_memory_mb : 0;
+}
+
 static bool
 is_usage_known(const task_t *task)
 {
@@ -47,8 +53,10 @@
     standin_add_int(item, "cpu_milli",
                     known ? usage_of(task) : task->reported_cpu);
     standin_add_int(item, "memory_mb",
-                    known && task_is_alive(task) ? task->true_memory_mb
-                                                 : task->reported_memory);
+                    known ? memory_of(task) : task->reported_memory);
+    standin_add_int(item, "declared_cpu_milli", task->cpu_milli);
+    standin_add_int(item, "declared_memory_mb", task->memory_mb);
+    standin_add_int(item, "declared_accelerators", task->accelerators);
     standin_add_string(item, "detail",
                        task->state == FAILED ? "the task failed" : "");
     return item;
@@ -125,7 +133,7 @@
     task_count_progress(task);
     if (is_usage_known(task)) {
         task->reported_cpu = usage_of(task);
-        task->reported_memory = task_is_alive(task) ? task->true_memory_mb : 0;
+        task->reported_memory = memory_of(task);
     }
     task->changed_ms = standin_now_ms();
     task->state = state;
