--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -18,11 +18,17 @@
     . "$cluster/env"
 }
 
+# The logs are kept if the script failed.
 stop_cluster() {
+    local status=$?
     trap - EXIT
     [ -n "$cluster" ] || return 0
     "$root/scripts/localcluster" down "$cluster" || true
-    rm -rf "$cluster"
+    if [ $status = 0 ]; then
+        rm -rf "$cluster"
+    else
+        echo "failed with status $status; logs in $cluster/logs" >&2
+    fi
     cluster=
 }
 
