--- a/libteasel/agent/agent_config.c
+++ b/libteasel/agent/agent_config.c
@@ -80,6 +80,16 @@
     }
     apply_drain(agent,
                 config_reader_is_drained(reader, agent->settings->agent_id));
+    /* Operators wait for the offset of the report. */
+    agent_entries_send_report(agent);
+}
+
+void
+agent_config_check_snapshot(agent_t *agent)
+{
+    if (agent->role != NULL && coordinator_role_is_holder(agent->role)) {
+        config_reader_maybe_write_snapshot(agent->config);
+    }
 }
 
 void
