--- a/tests/support/fake_entry.h
+++ b/tests/support/fake_entry.h
@@ -104,9 +104,6 @@
     ~Entry()
     {
         peer_listener_free(listener);
-        for (auto *peer : peers) {
-            peer_close(peer);
-        }
     }
 
     void
