--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <string>
 
 extern "C" {
@@ -36,6 +37,16 @@
         static_cast<Fixture *>(data)->held = exchange;
     }
 
+    static void
+    on_abort(http_exchange_t *exchange, void *data)
+    {
+        static const char head[] = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n"
+                                   "\r\nhalf";
+
+        http_exchange_abort(exchange, head,
+                            exchange->body_length > 0 ? sizeof(head) - 1 : 0);
+    }
+
     static void
     on_answer(const http_response_t *response, void *data)
     {
@@ -52,13 +63,17 @@
     void
     SetUp() override
     {
-        static const http_route_t routes[] = {
-            {"/echo", on_echo}, {"/hold/", on_hold}, {nullptr, nullptr}};
+        static const http_route_t routes[] = {{"/echo", on_echo},
+                                              {"/hold/", on_hold},
+                                              {"/abort", on_abort},
+                                              {nullptr, nullptr}};
         http_server_opts_t server_opts = {};
         http_client_opts_t client_opts = {};
         char address[32];
         GError *error = nullptr;
 
+        /* As loop_on_signals() does in the programs. */
+        signal(SIGPIPE, SIG_IGN);
         test_address(address, 1);
         server_opts.loop = loop;
         server_opts.listen = address;
@@ -156,4 +171,18 @@
     EXPECT_EQ(kind, ERROR_CONNECT);
 }
 
+// Guards against a cut answer being taken for a whole one, and against a lost
+// answer being reported as not sent.
+TEST_F(Fixture, ReportsAbortedAnswers)
+{
+    send("/abort", "", false, 5000);
+    wait_for_answers(1);
+    EXPECT_FALSE(ok);
+    EXPECT_TRUE(sent);
+    send("/abort", "x", false, 5000);
+    wait_for_answers(2);
+    EXPECT_FALSE(ok);
+    EXPECT_EQ(kind, ERROR_TRUNCATED);
+}
+
 } // namespace
