Test that drained agents get no requests

The session only showed the state of a drained agent. It now sends a request that would go to one of two drained executors, and one after the drains ended.

--- a/tests/system/teaselctl_cluster_test.sh
+++ b/tests/system/teaselctl_cluster_test.sh
@@ -56,9 +56,21 @@
 echo "answers: $(sort "$work"/answer-* | uniq -c | sed 's/^ *//')" >>"$session"
 
 title a drain
+total_of() {
+    curl -fsS -m 5 "http://$(address_of "$1")/standin/stats" |
+        sed -E 's/.*"total": *([0-9]+).*/\1/'
+}
+# agent-1 has the slowest answers so far; requests go there only because the
+# others are drained.
+drained_total() { echo $(($(total_of EXECUTOR_2) + $(total_of EXECUTOR_3))); }
+before=$(drained_total)
+run drain agent-2 --author kofi --reason 'new fan' --wait
 run drain agent-3 --author kofi --reason 'new fan' --wait
 run members
+echo "answer: $(send), requests at drained executors: $(($(drained_total) - before))" >>"$session"
+run drain agent-2 --off --author kofi --wait
 run drain agent-3 --off --author kofi --wait
+echo "answer: $(send), requests at these executors: $(($(drained_total) - before))" >>"$session"
 
 title jobs
 sed 's/"run_ms": [0-9]*/"run_ms": 600000/' examples/job.json >"$work/long.json"
