--- a/tests/system/batch_failure_test.sh
+++ b/tests/system/batch_failure_test.sh
@@ -10,7 +10,7 @@
 # next_round PAUSE: submits jobs and waits PAUSE seconds
 next_round() {
     round=$((round + 1))
-    submit_jobs "r$round" 8
+    submit_jobs "r$round" 8 3000
     sleep "$1"
 }
 finish_round() {
@@ -50,12 +50,14 @@
 }
 
 next_round 0.4
+wait_until 30 busy_instance
 victim=$(busy_instance)
 cluster_do stop "agent-$victim" KILL
 cluster_do start "agent-$victim"
 finish_round "agent-$victim killed"
 
 next_round 0.4
+wait_until 30 busy_instance
 victim=$(busy_instance)
 save_stats "worker-$victim"
 cluster_do stop "worker-$victim" KILL
@@ -70,6 +72,7 @@
 finish_round "coordinator frozen for 6 s"
 
 next_round 0.4
+wait_until 30 busy_instance
 victim=$(busy_instance)
 pid=$(pid_of "agent-$victim")
 kill -STOP "$pid"
