--- a/tests/unit/task_runner_test.cc
+++ b/tests/unit/task_runner_test.cc
@@ -19,6 +19,8 @@
 struct FakeTask {
     worker_task_state_t state;
     uint64_t cpu;
+    uint32_t throttle = 100;
+    uint64_t used_memory = 0;
 };
 
 // Worker in memory. Calls are answered by pump(), in order.
@@ -79,7 +81,7 @@
 
     static void
     act(worker_t *worker, const char *job_id, uint32_t, worker_action_t action,
-        uint32_t, worker_cb cb, void *data)
+        uint32_t value, worker_cb cb, void *data)
     {
         static const char *const names[] = {"suspend", "resume",  "throttle",
                                             "stop",    "release", "forget"};
@@ -98,6 +100,9 @@
         else if (action == WORKER_RESUME) {
             found->second.state = WORKER_TASK_RUNNING;
         }
+        else if (action == WORKER_THROTTLE) {
+            found->second.throttle = value;
+        }
         else if (action == WORKER_STOP) {
             found->second.state = WORKER_TASK_STOPPED;
         }
@@ -122,7 +127,8 @@
             item.job_id = id.c_str();
             item.attempt = 1;
             item.state = task.state;
-            item.throttle_percent = 100;
+            item.throttle_percent = task.throttle;
+            item.memory_mb = task.used_memory;
             item.cpu_milli = 1; /* measured */
             item.declared_cpu_milli = static_cast<uint32_t>(task.cpu);
             item.detail = "";
@@ -161,6 +167,8 @@
     std::vector<std::string> listed; // in the latest heartbeat
     std::vector<std::string> reports;
     bool idle = false;
+    uint32_t load = 0;
+    uint64_t capacity_mb = 0;
 
     static bool
     send(const Teasel__Envelope *message, void *data)
@@ -169,6 +177,7 @@
 
         if (message->body_case == TEASEL__ENVELOPE__BODY_HEARTBEAT) {
             self->sequence = message->heartbeat->sequence;
+            self->capacity_mb = message->heartbeat->capacity->memory_mb;
             self->listed.clear();
             for (size_t i = 0; i < message->heartbeat->n_tasks; i++) {
                 self->listed.push_back(message->heartbeat->tasks[i]->job_id);
@@ -191,9 +200,9 @@
     }
 
     static uint32_t
-    get_load(void *)
+    get_load(void *data)
     {
-        return 0;
+        return static_cast<Runner *>(data)->load;
     }
 
     static void
@@ -503,6 +512,54 @@
     EXPECT_TRUE(it.idle);
 }
 
+// Guards against batch work that does not give way to interactive requests, or
+// does not get its speed back.
+TEST(TaskRunner, GivesWayToInteractiveLoad)
+{
+    Runner it;
+
+    it.settle();
+    it.renew(5, 15000);
+    it.settle();
+    it.renew(5, 15000);
+    it.start(5, "a", 1000);
+    it.load = 85;
+    while (it.count("suspend a") == 0) {
+        it.settle();
+    }
+    EXPECT_EQ(it.count("throttle a"), 1U);
+    EXPECT_EQ(it.worker.tasks["a"].throttle, 50U);
+    it.load = 0;
+    while (it.worker.tasks["a"].throttle != 100) {
+        it.settle();
+    }
+    EXPECT_EQ(it.worker.tasks["a"].state, WORKER_TASK_RUNNING);
+    it.load = 100;
+    while (!it.reported("a" + evicted + "{cp}")) {
+        it.settle();
+    }
+}
+
+// Guards against starts beside a task that uses far more than it declared, and
+// against a worker that is left without memory.
+TEST(TaskRunner, CountsWhatTasksReallyUse)
+{
+    Runner it;
+
+    it.settle();
+    it.renew(5, 15000);
+    it.start(5, "a", 1000);
+    it.start(5, "b", 1000);
+    it.worker.tasks["a"].used_memory = 900;
+    it.settle();
+    EXPECT_EQ(ledger_get_free(&it.ledger, LEDGER_MEMORY_MB), 100U);
+    EXPECT_LE(it.capacity_mb, 100U);
+    it.worker.tasks["b"].used_memory = 200;
+    it.settle();
+    EXPECT_EQ(it.count("stop a") + it.count("stop b"), 1U);
+    EXPECT_LE(it.ledger.reserved.units[LEDGER_MEMORY_MB], 1000U);
+}
+
 // Guards against a start whose answer was lost being taken for not started.
 TEST(TaskRunner, RepeatsStartWithUnknownOutcome)
 {
