Record the lease in the claim and wait out longer ones

A coordinator waited 1.1 times its own lease before it restarted attempts of silent workers. After a predecessor with a longer lease_ms, as during a change of settings, that was too short: two attempts could run. The claim now carries the lease, the fold keeps the longest, and every later coordinator waits for it. Ruled out: a common lease by ticket only, because a reader may lag behind the ticket.

--- a/libteasel/agent/coordinator_role.c
+++ b/libteasel/agent/coordinator_role.c
@@ -152,6 +152,7 @@
     claim.incarnation = role->opts.incarnation;
     claim.peer_address = (char *)role->opts.peer_address;
     claim.after_epoch = role->cell->epoch;
+    claim.lease_ms = role->opts.lease_ms;
     record.body_case = TEASEL__LOG_RECORD__BODY_CLAIM;
     record.claim = &claim;
     role->claiming = true;
--- a/libteasel/batch/cell.c
+++ b/libteasel/batch/cell.c
@@ -122,6 +122,7 @@
     cell->claim_agent = g_strdup(claim->agent_id);
     cell->claim_address = g_strdup(claim->peer_address);
     cell->claim_incarnation = claim->incarnation;
+    cell->lease_ms = MAX(cell->lease_ms, claim->lease_ms);
     if (cell->listener != NULL) {
         cell->listener->on_claim(offset, cell->listener_data);
     }
--- a/libteasel/batch/cell.h
+++ b/libteasel/batch/cell.h
@@ -115,6 +115,7 @@
     char *claim_agent;
     char *claim_address;
     uint64_t claim_incarnation;
+    uint64_t lease_ms;   /* longest lease of all coordinators so far */
     GHashTable *jobs;    /* id -> cell_job_t */
     GHashTable *workers; /* name -> cell_worker_t */
     list_t live;         /* order of submission */
--- a/libteasel/batch/cell_snapshot.c
+++ b/libteasel/batch/cell_snapshot.c
@@ -106,6 +106,7 @@
     encoder->claim.agent_id = cell->claim_agent;
     encoder->claim.peer_address = cell->claim_address;
     encoder->claim.incarnation = cell->claim_incarnation;
+    encoder->claim.lease_ms = cell->lease_ms;
     encoder->snapshot.claim = &encoder->claim;
 }
 
@@ -289,6 +290,7 @@
         cell->claim_agent = g_strdup(in->claim->agent_id);
         cell->claim_address = g_strdup(in->claim->peer_address);
         cell->claim_incarnation = in->claim->incarnation;
+        cell->lease_ms = in->claim->lease_ms;
     }
     for (size_t i = 0; i < in->recent_ids.len / CELL_ID_SIZE; i++) {
         cell_remember_id(cell, in->recent_ids.data + i * CELL_ID_SIZE);
--- a/libteasel/batch/cell_store.c
+++ b/libteasel/batch/cell_store.c
@@ -99,6 +99,7 @@
     g_clear_pointer(&cell->claim_agent, g_free);
     g_clear_pointer(&cell->claim_address, g_free);
     cell->claim_incarnation = 0;
+    cell->lease_ms = 0;
     cell->epoch = 0;
     cell->live_count = 0;
     cell->ended_count = 0;
--- a/libteasel/batch/coordinator_decide.c
+++ b/libteasel/batch/coordinator_decide.c
@@ -77,7 +77,9 @@
 plan_expiries(coordinator_t *coordinator, member_t *member,
               struct timespec now, size_t limit)
 {
-    int64_t lease = (int64_t)coordinator->opts.lease_ms;
+    /* A predecessor may have had other settings. */
+    int64_t lease =
+        (int64_t)MAX(coordinator->opts.lease_ms, coordinator->cell->lease_ms);
     int64_t silence = coordinator_get_silence_ms(coordinator, member, now);
     int64_t waited = timespec_diff_ms(now, coordinator->begun);
 
--- a/libteasel/wire/teasel.pb-c.c
+++ b/libteasel/wire/teasel.pb-c.c
@@ -4320,7 +4320,7 @@
   (ProtobufCMessageInit) teasel__job_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__claim__field_descriptors[5] =
 {
   {
     "agent_id",
@@ -4370,17 +4370,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__Claim, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__claim__field_indices_by_name[] = {
   3,   /* field[3] = after_epoch */
   0,   /* field[0] = agent_id */
   1,   /* field[1] = incarnation */
+  4,   /* field[4] = lease_ms */
   2,   /* field[2] = peer_address */
 };
 static const ProtobufCIntRange teasel__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__claim__descriptor =
 {
@@ -4390,7 +4403,7 @@
   "Teasel__Claim",
   "teasel",
   sizeof(Teasel__Claim),
-  4,
+  5,
   teasel__claim__field_descriptors,
   teasel__claim__field_indices_by_name,
   1,  teasel__claim__number_ranges,
--- a/libteasel/wire/teasel.pb-c.h
+++ b/libteasel/wire/teasel.pb-c.h
@@ -552,10 +552,14 @@
   uint64_t incarnation;
   char *peer_address;
   uint64_t after_epoch;
+  /*
+   * longest lease that this coordinator grants
+   */
+  uint64_t lease_ms;
 };
 #define TEASEL__CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Teasel__DecisionStart
--- a/tests/support/cell_records.h
+++ b/tests/support/cell_records.h
@@ -61,13 +61,15 @@
 }
 
 inline bytes
-claim(uint64_t number, std::string agent, uint64_t after)
+claim(uint64_t number, std::string agent, uint64_t after,
+      uint64_t lease_ms = 0)
 {
     Teasel__LogRecord record = TEASEL__LOG_RECORD__INIT;
     Teasel__Claim body = TEASEL__CLAIM__INIT;
 
     body.agent_id = agent.data();
     body.after_epoch = after;
+    body.lease_ms = lease_ms;
     record.body_case = TEASEL__LOG_RECORD__BODY_CLAIM;
     record.claim = &body;
     return pack(record, number);
--- a/tests/unit/coordinator_test.cc
+++ b/tests/unit/coordinator_test.cc
@@ -183,6 +183,27 @@
     EXPECT_EQ(lease, 0U);
 }
 
+// Guards against a restart next to an attempt that still holds a lease of a
+// coordinator with longer leases, as after a change of settings.
+TEST_F(Fixture, WaitsOutLongerLeasesOfAPredecessor)
+{
+    uint64_t epoch = number;
+
+    submit("a", 100);
+    heartbeat("w1");
+    decide();
+    decide();
+    ASSERT_EQ(state("a"), "running w1");
+    apply(records::claim(++number, "a9", epoch, 4 * kLeaseMs));
+    epoch = number;
+    apply(records::claim(++number, "a0", epoch, kLeaseMs));
+    coordinator_begin(coordinator, number);
+    pass({}, 4 * kLeaseMs);
+    EXPECT_NE(state("a"), "queued");
+    pass({}, kLeaseMs);
+    EXPECT_EQ(state("a"), "queued");
+}
+
 // Guards against a task that is resumed while its expiry is on its way to
 // the log: it would run beside its successor.
 TEST_F(Fixture, NoRenewalWhileAnExpiryIsInFlight)
