--- a/tests/system/teaselctl_test.sh
+++ b/tests/system/teaselctl_test.sh
@@ -10,21 +10,21 @@
 run apply examples/ticket.json
 run apply examples/ticket.json
 run show
-run --json apply "$(make_ticket 202612040002 "$(slots preview 4)" kofi)"
-run --json diff "$(make_ticket 202612040003 '"service/preview": null')"
+run --json apply "$(make_ticket 202612040002 "$(slots previews 4)" kofi)"
+run --json diff "$(make_ticket 202612040003 '"service/previews": null')"
 
 title an invalid ticket writes nothing
-run apply "$(make_ticket 202612040003 "$(slots preview 4), $(slots a -1)")"
-run --json apply "$(make_ticket 202612040003 "$(slots preview '"4"')")"
+run apply "$(make_ticket 202612040003 "$(slots previews 4), $(slots a -1)")"
+run --json apply "$(make_ticket 202612040003 "$(slots previews '"4"')")"
 run apply "$work/missing.json"
 
 title a number that is taken, and a lower number that comes late
-run apply "$(make_ticket 202612040002 "$(slots preview 5)")"
-run apply "$(make_ticket 5 "$(slots preview 5)")"
+run apply "$(make_ticket 202612040002 "$(slots previews 5)")"
+run apply "$(make_ticket 5 "$(slots previews 5)")"
 run apply "$(make_ticket 5 "$(slots other 5)")"
 
 title a ticket that removes an object
-run apply "$(make_ticket 202612040003 '"service/preview": null')"
+run apply "$(make_ticket 202612040003 '"service/previews": null')"
 
 title directories
 mkdir "$work/history"
