Put team weights and limits from tickets in force

Cause: the objects "team/NAME" were not passed to the coordinator, so all teams had the same weight and no limit. The quota module limited a dominant share, while a ticket limits each resource, and it let an idle team run one job above its limit, which contradicts a limit of 0. Change: the agent passes all teams to the coordinator role at start, on each configuration change and when it takes the role. Limits are amounts per resource; a job above them waits. A worker kept free for a job that the quota forbids is released. No test covers the way from a ticket through an agent.

--- a/libteasel/agent/agent_config.c
+++ b/libteasel/agent/agent_config.c
@@ -1,5 +1,8 @@
+#include <string.h>
+
 #include "agent/agent_internal.h"
 #include "base/events.h"
+#include "config/config.h"
 
 static void
 apply_limits(agent_t *agent, const config_service_t *service)
@@ -64,6 +67,31 @@
     return opts;
 }
 
+static void
+apply_team(const config_object_t *object, void *data)
+{
+    agent_t *agent = data;
+
+    if (object->kind == CONFIG_TEAM) {
+        coordinator_role_set_team(
+            agent->role,
+            object->name + strlen(config_object_get_prefix(CONFIG_TEAM)),
+            &object->value.team);
+    }
+}
+
+void
+agent_config_apply_teams(agent_t *agent)
+{
+    if (agent->role == NULL || agent->config == NULL) {
+        return;
+    }
+    /* A team whose object was removed has the presets again. */
+    coordinator_role_reset_teams(agent->role);
+    config_each_object(config_reader_get_state(agent->config), apply_team,
+                       agent);
+}
+
 static void
 on_change(config_reader_t *reader, void *data)
 {
@@ -78,6 +106,7 @@
         pressure = agent_config_get_pressure(agent);
         task_runner_set_pressure(agent->tasks, &pressure);
     }
+    agent_config_apply_teams(agent);
     apply_drain(agent,
                 config_reader_is_drained(reader, agent->settings->agent_id));
     /* Operators wait for the offset of the report. */
--- a/libteasel/agent/agent_coordinator.c
+++ b/libteasel/agent/agent_coordinator.c
@@ -82,6 +82,12 @@
     connect_to(agent, peer_address);
 }
 
+static void
+on_role_taken(void *data)
+{
+    agent_config_apply_teams(data);
+}
+
 static void
 on_role_stopped(void *data)
 {
@@ -140,6 +146,7 @@
 {
     static const coordinator_role_handler_t handler = {
         .on_coordinator = on_coordinator,
+        .on_taken = on_role_taken,
         .on_stopped = on_role_stopped,
     };
     const agent_settings_t *settings = agent->settings;
@@ -166,6 +173,7 @@
         return false;
     }
     agent->role = coordinator_role_new(&opts);
+    agent_config_apply_teams(agent);
     return true;
 }
 
--- a/libteasel/agent/agent_internal.h
+++ b/libteasel/agent/agent_internal.h
@@ -70,6 +70,12 @@
 
 /* agent_config.c: settings that tickets and drains change. */
 void agent_config_start(agent_t *agent);
+
+/**
+ * agent_config_apply_teams() - give the coordinator role the weights and
+ * limits of all teams; does nothing before both exist
+ */
+void agent_config_apply_teams(agent_t *agent);
 pressure_opts_t agent_config_get_pressure(const agent_t *agent);
 
 /**
--- a/libteasel/agent/coordinator_role.c
+++ b/libteasel/agent/coordinator_role.c
@@ -133,6 +133,7 @@
         role->holder.value = 1;
         event_log(EVENT_ROLE_TAKEN, "cell=%s epoch=%" G_GUINT64_FORMAT,
                   role->opts.cell, offset);
+        role->opts.handler->on_taken(role->opts.data);
     }
     else if (fate != STREAM_APPLIED) {
         event_log(EVENT_CLAIM_FAILED, "cell=%s fate=%s detail=\"%s\"",
@@ -298,6 +299,26 @@
     return coordinator_is_active(role->coordinator);
 }
 
+void
+coordinator_role_set_team(coordinator_role_t *role, const char *name,
+                          const config_team_t *team)
+{
+    job_size_t limit = {
+        .cpu_milli = (uint32_t)team->cpu_milli,
+        .accelerators = (uint32_t)team->accelerators,
+        .memory_mb = (uint64_t)team->memory_mb,
+    };
+
+    coordinator_set_team(role->coordinator, name, (uint32_t)team->weight,
+                         &limit);
+}
+
+void
+coordinator_role_reset_teams(coordinator_role_t *role)
+{
+    coordinator_reset_teams(role->coordinator);
+}
+
 void
 coordinator_role_stop(coordinator_role_t *role)
 {
--- a/libteasel/agent/coordinator_role.h
+++ b/libteasel/agent/coordinator_role.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/loop.h"
 #include "base/metrics.h"
+#include "config/config_types.h"
 #include "platform/plog.h"
 #include "wire/peer.h"
 
@@ -22,12 +23,15 @@
  * @on_coordinator: another claim is in force; the agent connects to
  *     @peer_address (possibly its own) and refuses messages with an older
  *     epoch than @epoch. Never called from inside a function of the role.
+ * @on_taken: this agent holds the role from now on; called before its first
+ *     decision. Never called from inside a function of the role.
  * @on_stopped: the graceful stop is complete. Called once after
  *     coordinator_role_stop(), never from inside it.
  */
 typedef struct coordinator_role_handler {
     void (*on_coordinator)(const char *peer_address, uint64_t epoch,
                            void *data);
+    void (*on_taken)(void *data);
     void (*on_stopped)(void *data);
 } coordinator_role_handler_t;
 
@@ -104,6 +108,18 @@
                                          uint64_t *epoch);
 bool coordinator_role_is_holder(const coordinator_role_t *role);
 
+/**
+ * coordinator_role_set_team() - put the weight and limits of a team in force
+ */
+void coordinator_role_set_team(coordinator_role_t *role, const char *name,
+                               const config_team_t *team);
+
+/**
+ * coordinator_role_reset_teams() - give all teams the usual weight and no
+ * limit
+ */
+void coordinator_role_reset_teams(coordinator_role_t *role);
+
 /**
  * coordinator_role_stop() - give up the role: finish the append in flight,
  * decide nothing more, say Leave to the agents
--- a/libteasel/batch/coordinator.c
+++ b/libteasel/batch/coordinator.c
@@ -191,3 +191,21 @@
 {
     return coordinator->active;
 }
+
+void
+coordinator_set_team(coordinator_t *coordinator, const char *name,
+                     uint32_t weight, const job_size_t *limit)
+{
+    quota_team_t *team = quota_get_team(coordinator->quota, name);
+
+    team->weight = weight;
+    team->limit = *limit;
+    coordinator->dirty = true;
+}
+
+void
+coordinator_reset_teams(coordinator_t *coordinator)
+{
+    quota_reset_teams(coordinator->quota);
+    coordinator->dirty = true;
+}
--- a/libteasel/batch/coordinator.h
+++ b/libteasel/batch/coordinator.h
@@ -57,6 +57,19 @@
 void coordinator_end(coordinator_t *coordinator);
 bool coordinator_is_active(const coordinator_t *coordinator);
 
+/**
+ * coordinator_set_team() - weight and limits of a team, for further starts
+ * @weight: at least 1, 100 is the usual one
+ * @limit: most that its running jobs use together; lowering it evicts nothing
+ */
+void coordinator_set_team(coordinator_t *coordinator, const char *name,
+                          uint32_t weight, const job_size_t *limit);
+
+/**
+ * coordinator_reset_teams() - give all teams the usual weight and no limit
+ */
+void coordinator_reset_teams(coordinator_t *coordinator);
+
 /**
  * coordinator_on_heartbeat() - compare with the fold, then renew the lease
  * @proof_time: when the last read of the log began that showed no newer claim
--- a/libteasel/batch/coordinator_start.c
+++ b/libteasel/batch/coordinator_start.c
@@ -165,7 +165,11 @@
     quota_team_t *team = waiting->queue->team;
     member_t *member;
 
-    if (!quota_allows(coordinator->quota, team, size)) {
+    if (!quota_allows(team, size)) {
+        /* A worker kept free would stand idle until the team may start. */
+        if (waiting->kept != NULL) {
+            coordinator_unkeep(coordinator, waiting->kept);
+        }
         return false;
     }
     fill_avoid(scan, waiting);
--- a/libteasel/batch/quota.c
+++ b/libteasel/batch/quota.c
@@ -1,5 +1,9 @@
 #include "batch/quota.h"
 
+enum {
+    PRESET_WEIGHT = 100, /* same as the preset of tickets */
+};
+
 struct quota {
     GHashTable *teams; /* name -> quota_team_t */
     job_size_t total;
@@ -34,6 +38,15 @@
     g_free(quota);
 }
 
+static void
+reset_team(quota_team_t *team)
+{
+    team->weight = PRESET_WEIGHT;
+    team->limit = (job_size_t){.cpu_milli = G_MAXUINT32,
+                               .accelerators = G_MAXUINT32,
+                               .memory_mb = G_MAXUINT64};
+}
+
 quota_team_t *
 quota_get_team(quota_t *quota, const char *name)
 {
@@ -42,13 +55,24 @@
     if (team == NULL) {
         team = g_new0(quota_team_t, 1);
         team->name = g_strdup(name);
-        team->weight = 1;
-        team->limit = 1;
+        reset_team(team);
         g_hash_table_insert(quota->teams, team->name, team);
     }
     return team;
 }
 
+void
+quota_reset_teams(quota_t *quota)
+{
+    GHashTableIter iter;
+    gpointer team;
+
+    g_hash_table_iter_init(&iter, quota->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &team)) {
+        reset_team(team);
+    }
+}
+
 void
 quota_set_total(quota_t *quota, const job_size_t *total)
 {
@@ -73,15 +97,22 @@
     return get_dominant(quota, &team->used) / team->weight;
 }
 
+static bool
+is_within(uint64_t used, uint64_t size, uint64_t limit)
+{
+    return size == 0 || used + size <= limit;
+}
+
 bool
-quota_allows(const quota_t *quota, const quota_team_t *team,
-             const job_size_t *size)
+quota_allows(const quota_team_t *team, const job_size_t *size)
 {
-    job_size_t after = team->used;
+    const job_size_t *used = &team->used;
+    const job_size_t *limit = &team->limit;
 
-    if (team->limit >= 1 || get_dominant(quota, &team->used) == 0) {
-        return true;
-    }
-    job_size_add(&after, size);
-    return get_dominant(quota, &after) <= team->limit;
+    /* A resource that the job does not need is no obstacle, even if a lowered
+       limit is below what the team uses of it. */
+    return is_within(used->cpu_milli, size->cpu_milli, limit->cpu_milli) &&
+           is_within(used->memory_mb, size->memory_mb, limit->memory_mb) &&
+           is_within(used->accelerators, size->accelerators,
+                     limit->accelerators);
 }
--- a/libteasel/batch/quota.h
+++ b/libteasel/batch/quota.h
@@ -12,13 +12,14 @@
 
 /**
  * struct quota_team - use and quota of a team
- * @weight: a team of weight 2 is due twice the share of one of weight 1
- * @limit: largest dominant share, 1.0 is the whole cell
+ * @weight: a team of weight 200 is due twice the share of one of weight 100
+ * @limit: most that its running jobs use together; 0 of a resource allows
+ *     only jobs that need none of it
  */
 typedef struct quota_team {
     char *name;
     double weight;
-    double limit;
+    job_size_t limit;
     job_size_t used;
 } quota_team_t;
 
@@ -28,10 +29,15 @@
 void quota_free(quota_t *quota);
 
 /**
- * quota_get_team() - a team; created with weight 1 and limit 1
+ * quota_get_team() - a team; created with weight 100 and without limit
  */
 quota_team_t *quota_get_team(quota_t *quota, const char *name);
 
+/**
+ * quota_reset_teams() - give all teams weight 100 and no limit
+ */
+void quota_reset_teams(quota_t *quota);
+
 /**
  * quota_set_total() - resources of all workers
  */
@@ -45,11 +51,10 @@
 /**
  * quota_allows() - true if the team stays within its limit with this job
  *
- * A team that uses nothing may always run one job: a job larger than the
- * limit would otherwise never run.
+ * A job larger than the limit waits until the limit is raised. Running jobs
+ * are never touched, also if the limit is lowered below their use.
  */
-bool quota_allows(const quota_t *quota, const quota_team_t *team,
-                  const job_size_t *size);
+bool quota_allows(const quota_team_t *team, const job_size_t *size);
 
 #ifdef __cplusplus
 }
--- a/tests/unit/coordinator_test.cc
+++ b/tests/unit/coordinator_test.cc
@@ -141,6 +141,35 @@
         apply(records::submit(++number, id, records::spec(cpu, extra)));
     }
 
+    void
+    submit_for_u(const std::string &id, unsigned cpu)
+    {
+        std::string spec = records::spec(cpu);
+
+        spec.replace(spec.find("\"team\":\"t\""), 10, "\"team\":\"u\"");
+        apply(records::submit(++number, id, spec));
+    }
+
+    /* Limits the processors that team "t" uses. */
+    void
+    limit_t(uint32_t cpu_milli)
+    {
+        const job_size_t limit = {cpu_milli, 1000, 1000000};
+
+        coordinator_set_team(coordinator, "t", 100, &limit);
+    }
+
+    int
+    count_running(const std::string &prefix, int count)
+    {
+        int running = 0;
+
+        for (int i = 0; i < count; i++) {
+            running += state(prefix + std::to_string(i)) == "running w0";
+        }
+        return running;
+    }
+
     std::string
     state(const std::string &id)
     {
@@ -367,10 +396,7 @@
         submit("t" + std::to_string(i), 100);
     }
     for (int i = 0; i < 20; i++) {
-        std::string spec = records::spec(100);
-
-        spec.replace(spec.find("\"team\":\"t\""), 10, "\"team\":\"u\"");
-        apply(records::submit(++number, "u" + std::to_string(i), spec));
+        submit_for_u("u" + std::to_string(i), 100);
     }
     decide();
     int of_u = 0;
@@ -380,6 +406,70 @@
     EXPECT_EQ(of_u, 5);
 }
 
+// Guards against a team that starts more than its quota, against a quota that
+// holds up other teams, and against a lowered quota that evicts.
+TEST_F(Fixture, QuotaStopsStartsAndEvictsNothing)
+{
+    limit_t(300);
+    heartbeat("w0");
+    decide();
+    for (int i = 0; i < 5; i++) {
+        submit("t" + std::to_string(i), 100);
+    }
+    decide();
+    EXPECT_EQ(count_running("t", 5), 3);
+    submit("t5", 100);
+    submit_for_u("u0", 100);
+    pass({"w0"}, 3000);
+    EXPECT_EQ(count_running("t", 6), 3);
+    EXPECT_EQ(count_running("u", 1), 1);
+
+    limit_t(100);
+    sent.clear();
+    pass({"w0"}, 3000);
+    EXPECT_EQ(count_running("t", 6), 3);
+    for (const auto &message : sent) {
+        EXPECT_EQ(message, "renew w0");
+    }
+    submit_for_u("u1", 100);
+    pass({"w0"}, 500);
+    EXPECT_EQ(count_running("u", 2), 2);
+
+    limit_t(0);
+    for (int i = 0; i < 6; i++) {
+        const std::string id = "t" + std::to_string(i);
+
+        if (state(id) == "running w0") {
+            report("w0", id, TEASEL__OUTCOME__OUTCOME_DONE);
+        }
+    }
+    pass({"w0"}, 3000);
+    EXPECT_EQ(count_running("t", 6), 0);
+    EXPECT_EQ(cell->queued_count, 3U);
+    coordinator_reset_teams(coordinator);
+    pass({"w0"}, 500);
+    EXPECT_EQ(count_running("t", 6), 3);
+}
+
+// Guards against a worker that stands idle for a job which its team's quota
+// forbids.
+TEST_F(Fixture, QuotaReleasesTheWorkerKeptFree)
+{
+    heartbeat("w0");
+    decide();
+    submit_for_u("u0", 200);
+    decide();
+    submit("t0", 900);
+    pass({"w0"}, 12000);
+    submit_for_u("u1", 200);
+    pass({"w0"}, 2000);
+    EXPECT_EQ(count_running("u", 2), 1);
+    limit_t(0);
+    pass({"w0"}, 2000);
+    EXPECT_EQ(count_running("u", 2), 2);
+    EXPECT_EQ(state("t0"), "queued");
+}
+
 // Guards against learned sizes that fall below a quarter of the declaration
 // or are taken from too few observations.
 TEST(Learn, QuantileWithFloor)
