--- a/cli/teasel-agent.c
+++ b/cli/teasel-agent.c
@@ -1,39 +1,19 @@
-#include <glib.h>
-#include <locale.h>
-#include <stdio.h>
+#include <signal.h>
 
 #include "agent/agent.h"
 #include "base/events.h"
-
-enum {
-    EXIT_DONE = 0,
-    EXIT_FAILED = 1,
-    EXIT_USAGE = 2,
-};
-
-static char *config_path;
-static gboolean check_config;
-static gboolean show_version;
-
-static const GOptionEntry options[] = {
-    {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path,
-     "Read settings from FILE", "FILE"},
-    {"check-config", 0, 0, G_OPTION_ARG_NONE, &check_config,
-     "Check the settings and exit", NULL},
-    {"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
-     "Print the version and exit", NULL},
-    G_OPTION_ENTRY_NULL,
-};
+#include "base/program.h"
 
 static bool
-parse_options(int argc, char **argv, GError **error)
+load_settings(const char *path, void *settings, GError **error)
 {
-    g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+    return agent_settings_load(path, settings, error);
+}
 
-    g_option_context_set_summary(
-        context, "Runs beside an executor and a worker of teaselhaven.");
-    g_option_context_add_main_entries(context, options, NULL);
-    return g_option_context_parse(context, &argc, &argv, error);
+static void
+clear_settings(void *settings)
+{
+    agent_settings_clear(settings);
 }
 
 static void
@@ -42,17 +22,18 @@
     agent_leave(data, signal_number == SIGTERM ? "SIGTERM" : "SIGINT");
 }
 
-static int
-run(const agent_settings_t *settings, GError **error)
+static program_exit_t
+run(const void *data, GError **error)
 {
+    const agent_settings_t *settings = data;
     loop_t *loop = loop_new();
     agent_t *agent = agent_new(loop, settings, error);
-    int code = EXIT_FAILED;
+    program_exit_t code = PROGRAM_EXIT_FAILED;
 
     if (agent != NULL && loop_on_signals(loop, on_signal, agent, error)) {
         loop_run(loop);
         event_log(EVENT_PROCESS_STOPPED, "id=%s", settings->agent_id);
-        code = EXIT_DONE;
+        code = PROGRAM_EXIT_DONE;
     }
     agent_free(agent);
     loop_free(loop);
@@ -62,36 +43,15 @@
 int
 main(int argc, char **argv)
 {
-    g_autoptr(GError) error = NULL;
     agent_settings_t settings;
-    int code;
-
-    setlocale(LC_ALL, "");
-    events_init("teasel-agent");
-    if (!parse_options(argc, argv, &error)) {
-        fprintf(stderr, "teasel-agent: %s\n", error->message);
-        return EXIT_USAGE;
-    }
-    if (show_version) {
-        printf("teasel-agent %s\n", TEASEL_VERSION);
-        return EXIT_DONE;
-    }
-    if (config_path == NULL) {
-        fprintf(stderr, "teasel-agent: option --config FILE is missing\n");
-        return EXIT_USAGE;
-    }
-    if (!agent_settings_load(config_path, &settings, &error)) {
-        fprintf(stderr, "teasel-agent: %s\n", error->message);
-        return EXIT_USAGE;
-    }
-    if (check_config) {
-        agent_settings_clear(&settings);
-        return EXIT_DONE;
-    }
-    code = run(&settings, &error);
-    if (error != NULL) {
-        fprintf(stderr, "teasel-agent: %s\n", error->message);
-    }
-    agent_settings_clear(&settings);
-    return code;
+    program_opts_t opts = {
+        .name = "teasel-agent",
+        .summary = "Runs beside an executor and a worker of teaselhaven.",
+        .settings = &settings,
+        .load_settings = load_settings,
+        .clear_settings = clear_settings,
+        .run = run,
+    };
+
+    return program_main(&opts, argc, argv);
 }
--- /dev/null
+++ b/libteasel/base/program.h
@@ -0,0 +1,46 @@
+#ifndef TEASEL_BASE_PROGRAM_H
+#define TEASEL_BASE_PROGRAM_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum program_exit {
+    PROGRAM_EXIT_DONE = 0,
+    PROGRAM_EXIT_FAILED = 1,
+    PROGRAM_EXIT_USAGE = 2,
+} program_exit_t;
+
+/**
+ * struct program_opts - a daemon that is configured by one settings file
+ * @name: for messages and the log
+ * @summary: one sentence for --help
+ * @settings: settings struct that the callbacks get
+ * @load_settings: fills @settings; allocates nothing on failure
+ * @clear_settings: frees what @load_settings allocated
+ * @run: runs until the planned stop; the result is the exit code
+ */
+typedef struct program_opts {
+    const char *name;
+    const char *summary;
+    void *settings;
+    bool (*load_settings)(const char *path, void *settings, GError **error);
+    void (*clear_settings)(void *settings);
+    program_exit_t (*run)(const void *settings, GError **error);
+} program_opts_t;
+
+/**
+ * program_main() - parse the command line, load the settings and run
+ *
+ * Return: the exit code, a program_exit_t
+ */
+int program_main(const program_opts_t *opts, int argc, char **argv);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
