Share the check of the order of two settings

agent and entry gave different messages for the same fault. The form of the agent stays, because it is also true where the limit is half of the other key. Result: all 32 tests outside of the cluster tests, agent_stop_test and entry_stop_test pass; teasel-entry with eject_ms 40000 names max_eject_ms and 30000, teasel-agent with report_ms 1500 names silence_ms and 1000.

--- a/libteasel/agent/agent_settings.c
+++ b/libteasel/agent/agent_settings.c
@@ -1,10 +1,7 @@
 #include "agent/agent_settings.h"
 
-#include <inttypes.h>
-
 #include <string.h>
 
-#include "base/error.h"
 #include "base/settings.h"
 
 #define FIELD(name) .key = #name, .offset = offsetof(agent_settings_t, name)
@@ -60,45 +57,34 @@
     {.key = NULL},
 };
 
-static bool
-check_order(const char *path, const char *low_key, int64_t low,
-            const char *high_key, int64_t high, GError **error)
-{
-    if (low <= high) {
-        return true;
-    }
-    g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
-                "%s: key \"%s\": found %" PRId64 "; allowed: at most %" PRId64
-                ", from key \"%s\"",
-                path, low_key, low, high, high_key);
-    return false;
-}
-
 static bool
 check(const char *path, const agent_settings_t *settings, GError **error)
 {
-    return check_order(path, "slots", settings->slots, "connections",
-                       settings->connections, error) &&
-           check_order(path, "ping_ms", settings->ping_ms, "silence_ms",
-                       settings->silence_ms, error) &&
-           check_order(path, "report_ms", settings->report_ms, "silence_ms",
-                       settings->silence_ms / 2, error) &&
-           check_order(path, "heartbeat_ms", settings->heartbeat_ms,
-                       "lease_ms", settings->lease_ms, error) &&
-           check_order(path, "backoff_ms", settings->backoff_ms,
-                       "max_backoff_ms", settings->max_backoff_ms, error) &&
-           check_order(path, "pressure_throttle_percent",
-                       settings->pressure_throttle_percent,
-                       "pressure_suspend_percent",
-                       settings->pressure_suspend_percent, error) &&
-           check_order(path, "pressure_suspend_percent",
-                       settings->pressure_suspend_percent,
-                       "pressure_checkpoint_percent",
-                       settings->pressure_checkpoint_percent, error) &&
-           check_order(path, "pressure_checkpoint_percent",
-                       settings->pressure_checkpoint_percent,
-                       "pressure_evict_percent",
-                       settings->pressure_evict_percent, error);
+    return settings_check_order(path, "slots", settings->slots, "connections",
+                                settings->connections, error) &&
+           settings_check_order(path, "ping_ms", settings->ping_ms,
+                                "silence_ms", settings->silence_ms, error) &&
+           settings_check_order(path, "report_ms", settings->report_ms,
+                                "silence_ms", settings->silence_ms / 2,
+                                error) &&
+           settings_check_order(path, "heartbeat_ms", settings->heartbeat_ms,
+                                "lease_ms", settings->lease_ms, error) &&
+           settings_check_order(path, "backoff_ms", settings->backoff_ms,
+                                "max_backoff_ms", settings->max_backoff_ms,
+                                error) &&
+           settings_check_order(path, "pressure_throttle_percent",
+                                settings->pressure_throttle_percent,
+                                "pressure_suspend_percent",
+                                settings->pressure_suspend_percent, error) &&
+           settings_check_order(path, "pressure_suspend_percent",
+                                settings->pressure_suspend_percent,
+                                "pressure_checkpoint_percent",
+                                settings->pressure_checkpoint_percent,
+                                error) &&
+           settings_check_order(path, "pressure_checkpoint_percent",
+                                settings->pressure_checkpoint_percent,
+                                "pressure_evict_percent",
+                                settings->pressure_evict_percent, error);
 }
 
 bool
--- a/libteasel/base/settings.c
+++ b/libteasel/base/settings.c
@@ -1,6 +1,7 @@
 #include "base/settings.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <json-c/json.h>
 #include <string.h>
 
@@ -311,6 +312,20 @@
     }
 }
 
+bool
+settings_check_order(const char *path, const char *low_key, int64_t low,
+                     const char *high_key, int64_t high, GError **error)
+{
+    if (low <= high) {
+        return true;
+    }
+    g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                "%s: key \"%s\": found %" PRId64 "; allowed: at most %" PRId64
+                ", from key \"%s\"",
+                path, low_key, low, high, high_key);
+    return false;
+}
+
 bool
 address_parse(const char *text, char *host, uint16_t *port, GError **error)
 {
--- a/libteasel/base/settings.h
+++ b/libteasel/base/settings.h
@@ -59,6 +59,15 @@
  */
 void settings_clear(const setting_t *table, void *out);
 
+/**
+ * settings_check_order() - check that one integer is at most another
+ * @path: the file, for the message
+ * @high: largest allowed value of @low_key; may be a fraction of @high_key
+ * @error: names both keys, the found value and what is allowed
+ */
+bool settings_check_order(const char *path, const char *low_key, int64_t low,
+                          const char *high_key, int64_t high, GError **error);
+
 /**
  * address_parse() - check IPv4:PORT and split it
  * @host: 16 bytes, may be NULL
--- a/libteasel/entry/entry_settings.c
+++ b/libteasel/entry/entry_settings.c
@@ -1,9 +1,7 @@
 #include "entry/entry_settings.h"
 
-#include <inttypes.h>
 #include <string.h>
 
-#include "base/error.h"
 #include "base/settings.h"
 #include "request/route.h"
 
@@ -49,27 +47,13 @@
     {.key = NULL},
 };
 
-static bool
-check_order(const char *path, const char *low_key, int64_t low,
-            const char *high_key, int64_t high, GError **error)
-{
-    if (low <= high) {
-        return true;
-    }
-    g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
-                "%s: key \"%s\": found %" PRId64
-                "; allowed: at most the value of \"%s\", which is %" PRId64,
-                path, low_key, low, high_key, high);
-    return false;
-}
-
 static bool
 check(const char *path, const entry_settings_t *settings, GError **error)
 {
-    return check_order(path, "ping_ms", settings->ping_ms, "silence_ms",
-                       settings->silence_ms, error) &&
-           check_order(path, "eject_ms", settings->eject_ms, "max_eject_ms",
-                       settings->max_eject_ms, error);
+    return settings_check_order(path, "ping_ms", settings->ping_ms,
+                                "silence_ms", settings->silence_ms, error) &&
+           settings_check_order(path, "eject_ms", settings->eject_ms,
+                                "max_eject_ms", settings->max_eject_ms, error);
 }
 
 bool
