--- a/tests/system/agent_stop_test.sh
+++ b/tests/system/agent_stop_test.sh
@@ -3,6 +3,7 @@
 # a request, while all agents are restarted one after the other under load.
 set -euo pipefail
 . "$(dirname "$0")/../../scripts/measure.sh"
+. "$(dirname "$0")/executions.bash"
 start_cluster --agents 3 --entries 2 --no-workers
 result=$(mktemp)
 
@@ -18,19 +19,5 @@
 done
 wait "$load"
 cat "$result"
-for i in 1 2 3; do
-    url="EXECUTOR_$i"
-    curl -fsS "${!url}/standin/stats"
-done | python3 -c '
-import json, sys
-load = json.load(open(sys.argv[1]))
-stats = [json.loads(line) for line in sys.stdin.read().replace("}{", "}\n{").splitlines()]
-runs = {}
-for one in stats:
-    for name, count in one["executions"].items():
-        runs[name] = runs.get(name, 0) + count
-assert load["status_200"] == load["sent"], load
-assert len(runs) == load["sent"], (len(runs), load["sent"])
-assert max(runs.values()) == 1, "a request was run twice"
-' "$result"
+check_executions "$result"
 rm -f "$result"
