--- a/tests/system/agent_stop_test.sh
+++ b/tests/system/agent_stop_test.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 . "$(dirname "$0")/../../scripts/measure.sh"
 . "$(dirname "$0")/executions.bash"
-start_cluster --agents 3 --entries 2 --no-workers
+start_cluster --agents 6 --entries 2 --no-workers
 result=$(mktemp)
 
 # 60% of 6 executors with 8 slots at 20 ms; 72% of those that remain.
