Check an idle coordinator every 100 ms instead of every 20 ms

An agent that holds the coordinator role used 0.50 to 0.56% of a core while idle, over the target of 0.5%, because it looked for decisions every 20 ms. Messages and records now start the tick early when there is work, at most one tick after the last check, so that decisions are still collected while busy. Names in the role and some comments are also plainer.

--- a/libteasel/agent/coordinator_role.c
+++ b/libteasel/agent/coordinator_role.c
@@ -8,44 +8,49 @@
 enum {
     /* Decisions of this time share a record. */
     TICK_MS = 20,
-    /* Checks of a candidate that does not hold the role. */
+    /* Checks of silence and leases without other work. */
     IDLE_TICK_MS = 100,
 };
 
 static void act(coordinator_role_t *role);
+static void schedule_act(coordinator_role_t *role);
 
 static void
 on_tick(loop_timer_t *timer)
 {
     coordinator_role_t *role = timer->data;
 
-    loop_timer_start(timer, coordinator_is_active(role->coordinator)
-                                ? TICK_MS
-                                : IDLE_TICK_MS);
+    role->tick_is_early = false;
     act(role);
+    loop_timer_start(timer, IDLE_TICK_MS);
+    schedule_act(role);
 }
 
-/* Acts at once when idle; while busy, the tick collects decisions. */
+/* Acts at once if the last time is a tick ago, else after the tick, which
+   collects further decisions. */
 static void
-hurry(coordinator_role_t *role)
+schedule_act(coordinator_role_t *role)
 {
     struct timespec now = clock_get_monotonic(role->opts.clock);
+    int64_t elapsed = timespec_diff_ms(now, role->acted);
 
-    if (coordinator_has_work(role->coordinator) &&
-        timespec_diff_ms(now, role->decided) >= TICK_MS) {
-        loop_timer_start(&role->tick, 0);
+    if (role->tick_is_early || !coordinator_has_work(role->coordinator)) {
+        return;
     }
+    role->tick_is_early = true;
+    loop_timer_start(&role->tick,
+                     (uint64_t)CLAMP(TICK_MS - elapsed, 0, (int64_t)TICK_MS));
 }
 
 static void
-tell_coordinator(coordinator_role_t *role)
+report_coordinator(coordinator_role_t *role)
 {
     const cell_t *cell = role->cell;
 
-    if (cell->epoch == role->told_epoch) {
+    if (cell->epoch == role->reported_epoch) {
         return;
     }
-    role->told_epoch = cell->epoch;
+    role->reported_epoch = cell->epoch;
     role->epoch.value = (int64_t)cell->epoch;
     role->claim_again = false;
     candidate_note_contact(&role->candidate);
@@ -64,9 +69,9 @@
 
     cell_apply(role->cell, record, offset);
     if (stream_is_caught_up(role->stream)) {
-        tell_coordinator(role);
+        report_coordinator(role);
     }
-    hurry(role);
+    schedule_act(role);
 }
 
 static bool
@@ -92,7 +97,7 @@
     coordinator_role_t *role = data;
 
     if (role->cell->epoch != 0) {
-        tell_coordinator(role);
+        report_coordinator(role);
     }
     candidate_note_contact(&role->candidate);
 }
@@ -183,7 +188,7 @@
         coordinator_on_result(role->coordinator);
     }
     role->log_refuses = fate == STREAM_REFUSED;
-    hurry(role);
+    schedule_act(role);
     finish_stop(role);
 }
 
@@ -233,6 +238,7 @@
 {
     const cell_t *cell = role->cell;
 
+    role->acted = clock_get_monotonic(role->opts.clock);
     role->queued.value = (int64_t)cell->queued_count;
     role->running.value = (int64_t)(cell->live_count - cell->queued_count);
     if (!coordinator_is_active(role->coordinator)) {
@@ -260,12 +266,12 @@
         role_peers_note(role, peer, message->heartbeat->agent_id);
         coordinator_on_heartbeat(role->coordinator, message->heartbeat,
                                  stream_get_proof_time(role->stream));
-        hurry(role);
+        schedule_act(role);
     }
     else if (message->body_case == TEASEL__ENVELOPE__BODY_TASK_REPORT) {
         role_peers_note(role, peer, message->task_report->agent_id);
         coordinator_on_report(role->coordinator, message->task_report);
-        hurry(role);
+        schedule_act(role);
     }
 }
 
--- a/libteasel/agent/coordinator_role_internal.h
+++ b/libteasel/agent/coordinator_role_internal.h
@@ -17,7 +17,9 @@
  * @deciding: a decision has no fate yet
  * @claim_again: the fate of a decision is unknown
  * @log_refuses: the last append was refused
+ * @acted: when the role was last checked for work
  * @decided: when the last decision was appended
+ * @tick_is_early: the tick was started for work that is waiting
  * @peers: agent id -> peer_t
  * @agents: peer_t -> agent id
  */
@@ -35,9 +37,11 @@
     bool log_refuses;
     bool stopping;
     bool snapshotting;
+    bool tick_is_early;
+    struct timespec acted;
     struct timespec decided;
     struct timespec snapshot_time;
-    uint64_t told_epoch;
+    uint64_t reported_epoch;
     GHashTable *peers;
     GHashTable *agents;
     metric_t holder;
--- a/libteasel/agent/task_calls.c
+++ b/libteasel/agent/task_calls.c
@@ -121,7 +121,7 @@
     task_t *task = data;
 
     finish_call(task);
-    /* After a refusal the next status tells whether it ended or is lost. */
+    /* After a refusal the next status shows whether it ended or is lost. */
     if (outcome != WORKER_OK || task->state != TASK_STOPPING) {
         return;
     }
--- a/libteasel/agent/task_report.c
+++ b/libteasel/agent/task_report.c
@@ -1,7 +1,7 @@
 #include "agent/task_runner_internal.h"
 
 enum {
-    /* Capacity taken by overuse is told in this many steps, because each
+    /* Capacity taken by overuse is reported in this many steps, because each
        change costs the cell a record. */
     CAPACITY_STEPS = 16,
 };
--- a/libteasel/base/error.h
+++ b/libteasel/base/error.h
@@ -40,7 +40,7 @@
 GQuark teasel_error_quark(void);
 
 /**
- * struct error_answer - how an error kind is told
+ * struct error_answer - how an error kind is reported
  * @name: stable name, used as the type of problem documents
  * @title: short sentence for people
  * @http_status: status of the HTTP answer
--- a/libteasel/batch/cell.h
+++ b/libteasel/batch/cell.h
@@ -89,7 +89,7 @@
 };
 
 /**
- * struct cell_listener - told about changes while records are applied
+ * struct cell_listener - notified of changes while records are applied
  * @on_job: the state, attempt or cancellation of @job changed; @before is
  *     its former state, or -1 if it is new
  * @on_finish: an attempt ended with a decision; called before @on_job
--- a/libteasel/caller/service_handler.c
+++ b/libteasel/caller/service_handler.c
@@ -139,7 +139,7 @@
 /**
  * struct parse_step - one part of a request
  * @header: that it comes from, or NULL for the path
- * @allowed: told to the caller when the part is not valid
+ * @allowed: reported to the caller when the part is not valid
  */
 typedef struct parse_step {
     bool (*parse)(service_call_t *call);
--- a/libteasel/config/canonical_json.h
+++ b/libteasel/config/canonical_json.h
@@ -19,7 +19,7 @@
  * canonical_json_parse() - parse strict JSON
  * @max_length: longer texts are refused
  * @what: named in errors
- * @error: tells the line
+ * @error: names the line
  */
 struct json_object *canonical_json_parse(const char *text, size_t length,
                                          size_t max_length, const char *what,
--- a/libteasel/entry/directory.h
+++ b/libteasel/entry/directory.h
@@ -42,9 +42,9 @@
                         const Teasel__EntryAnnounce *announce);
 
 /**
- * directory_add_address() - another entry told this address
+ * directory_add_address() - an address reported by another entry
  *
- * Such an address is not told to other entries, or two entries would keep
+ * Such an address is not passed on to other entries, or two entries would keep
  * each other's memory of a dead one alive.
  *
  * Return: true if the list of addresses changed.
--- a/libteasel/entry/entry_settings.h
+++ b/libteasel/entry/entry_settings.h
@@ -18,8 +18,8 @@
     char *data_centre;
     char *http_listen;
     char *peer_listen;
-    char *peer_address; /* told to others; preset: peer_listen */
-    char *http_address; /* told to others; preset: http_listen */
+    char *peer_address; /* announced to others; preset: peer_listen */
+    char *http_address; /* announced to others; preset: http_listen */
     char *log_address;
     char **entries; /* NULL: none */
     char *cell;
--- a/libteasel/platform/plog.h
+++ b/libteasel/platform/plog.h
@@ -26,7 +26,7 @@
 /**
  * struct plog_read - result of a read
  * @ok: the log answered
- * @trimmed: the wanted offset is no longer kept; @first tells the oldest
+ * @trimmed: the wanted offset is no longer kept; @first is the oldest
  * @first: oldest offset that is kept; offsets start at 1
  * @next: offset that the next record will get
  */
--- a/libteasel/platform/stream_append.c
+++ b/libteasel/platform/stream_append.c
@@ -5,9 +5,9 @@
 
 /**
  * struct pending_append - a record between its append and its read-back
- * @stream: NULL when the outcome was told
+ * @stream: NULL when the outcome was reported
  * @answered: the log's answer arrived; the append is freed when both the
- *     answer arrived and the outcome was told
+ *     answer arrived and the outcome was reported
  */
 typedef struct pending_append {
     list_t link;
--- a/libteasel/request/admission.h
+++ b/libteasel/request/admission.h
@@ -66,7 +66,7 @@
 
 /**
  * admission_finish() - a started item ended and gives back its slot
- * @service_us: its service time, or 0 if it tells nothing
+ * @service_us: its service time, or 0 if it is not representative
  */
 void admission_finish(admission_t *admission, uint64_t service_us);
 
--- a/libteasel/request/attempt.h
+++ b/libteasel/request/attempt.h
@@ -75,8 +75,8 @@
 void attempt_give_up(attempt_t *attempt, error_kind_t kind);
 
 /**
- * attempt_maybe_run() - whether the caller must be told executed "unknown";
- * false only if every attempt ended as not run
+ * attempt_maybe_run() - whether the caller must be answered executed
+ * "unknown"; false only if every attempt ended as not run
  */
 bool attempt_maybe_run(const attempt_t *attempt);
 
--- a/libteasel/request/verdict.h
+++ b/libteasel/request/verdict.h
@@ -10,7 +10,7 @@
 #endif
 
 /**
- * enum verdict - what the end of an attempt tells about its executor
+ * enum verdict - what the end of an attempt says about its executor
  */
 typedef enum verdict {
     VERDICT_GOOD,
