Render the configuration in one place; honour the entry's cell setting

The admin page of the entry and teaselctl show built the same JSON of objects and drains in two copies; both now call config_view. The entry followed stream cell-0 for jobs whatever its setting cell said, although the setting is checked and documented; the preset is the same, so running deployments see no change.

--- a/libteasel/entry/entry.c
+++ b/libteasel/entry/entry.c
@@ -201,7 +201,7 @@
         .clock = entry->clock,
         .log = entry->log,
         .metrics = &entry->metrics,
-        .cell = "cell-0",
+        .cell = entry->settings->cell,
         .entry_id = entry->settings->entry_id,
         .deadline_ms = (uint64_t)entry->settings->job_deadline_ms,
     };
--- a/libteasel/operator/admin_handler.c
+++ b/libteasel/operator/admin_handler.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "config/config.h"
+#include "operator/config_view.h"
 
 static void
 add_string(struct json_object *out, const char *key, const char *value)
@@ -81,27 +82,6 @@
     reply_json(exchange, body);
 }
 
-static void
-add_object(const config_object_t *object, void *data)
-{
-    struct json_object *item = json_object_new_object();
-
-    add_number(item, "ticket", object->ticket);
-    json_object_object_add(
-        item, "value", config_object_to_json(object->kind, &object->value));
-    json_object_object_add(data, object->name, item);
-}
-
-static void
-add_drain(const config_drain_t *drain, void *data)
-{
-    struct json_object *item = json_object_new_object();
-
-    add_string(item, "author", drain->author);
-    add_string(item, "reason", drain->reason);
-    json_object_object_add(data, drain->agent_id, item);
-}
-
 static void
 add_entry(const admin_entry_t *entry, void *data)
 {
@@ -119,8 +99,6 @@
     const config_reader_t *reader = provider->config;
     const config_t *config = config_reader_get_state(reader);
     struct json_object *body = json_object_new_object();
-    struct json_object *objects = json_object_new_object();
-    struct json_object *drains = json_object_new_object();
     struct json_object *entries = json_object_new_array();
 
     add_string(body, "entry_id", provider->entry_id);
@@ -128,10 +106,8 @@
     add_number(body, "config_next", config_reader_get_next(reader));
     add_flag(body, "caught_up", config_reader_is_caught_up(reader));
     add_flag(body, "log_reachable", config_reader_is_reachable(reader));
-    config_each_object(config, add_object, objects);
-    json_object_object_add(body, "objects", objects);
-    config_each_drain(config, add_drain, drains);
-    json_object_object_add(body, "drains", drains);
+    json_object_object_add(body, "objects", config_view_get_objects(config));
+    json_object_object_add(body, "drains", config_view_get_drains(config));
     if (provider->each_entry != NULL) {
         provider->each_entry(provider->data, add_entry, entries);
     }
--- a/libteasel/operator/ctl_show.c
+++ b/libteasel/operator/ctl_show.c
@@ -1,41 +1,16 @@
 #include <inttypes.h>
 #include <stdio.h>
 
+#include "operator/config_view.h"
 #include "operator/ctl.h"
 #include "operator/ctl_processes.h"
 
-static void
-add_object(const config_object_t *object, void *data)
-{
-    struct json_object *item = json_object_new_object();
-
-    ctl_json_add_number(item, "ticket", object->ticket);
-    json_object_object_add(
-        item, "value", config_object_to_json(object->kind, &object->value));
-    json_object_object_add(data, object->name, item);
-}
-
-static void
-add_drain(const config_drain_t *drain, void *data)
-{
-    struct json_object *item = json_object_new_object();
-
-    ctl_json_add_string(item, "author", drain->author);
-    ctl_json_add_string(item, "reason", drain->reason);
-    json_object_object_add(data, drain->agent_id, item);
-}
-
 static void
 add_state(struct json_object *out, const config_t *config)
 {
-    struct json_object *objects = json_object_new_object();
-    struct json_object *drains = json_object_new_object();
-
-    config_each_object(config, add_object, objects);
-    config_each_drain(config, add_drain, drains);
     ctl_json_add_number(out, "config_next", config_get_next(config));
-    json_object_object_add(out, "objects", objects);
-    json_object_object_add(out, "drains", drains);
+    json_object_object_add(out, "objects", config_view_get_objects(config));
+    json_object_object_add(out, "drains", config_view_get_drains(config));
 }
 
 /* What an entry has in force, while the log cannot be read. */
