--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 # The generated code is committed; run this after a change of the .proto file.
 proto:
-	cd libteasel/wire && protoc-c --c_out=. teasel.proto
+	cd libteasel/wire && protoc-c --c_out=. sched.proto teasel.proto
 
 clean:
 	rm -rf $(BUILD)
--- a/cli/teasel-agent.c
+++ b/cli/teasel-agent.c
@@ -19,6 +19,11 @@
 static void
 on_signal(int signal_number, void *data)
 {
+    if (signal_number == SIGHUP) {
+        event_log(EVENT_SETTINGS_REFUSED,
+                  "reason=\"settings are read at the start only\"");
+        return;
+    }
     agent_leave(data, signal_number == SIGTERM ? "SIGTERM" : "SIGINT");
 }
 
--- /dev/null
+++ b/cli/teasel-scheduler.c
@@ -0,0 +1,113 @@
+#include <signal.h>
+
+#include "base/events.h"
+#include "base/program.h"
+#include "config_feed.h"
+#include "ingress.h"
+#include "scheduler/scheduler.h"
+#include "store_http.h"
+
+typedef struct process {
+    loop_t *loop;
+    store_t *store;
+    scheduler_t *scheduler;
+    http_server_t *ingress;
+    http_server_t *readiness;
+    follower_t *config;
+} process_t;
+
+static bool
+load_settings(const char *path, void *settings, GError **error)
+{
+    return scheduler_settings_load(path, settings, error);
+}
+
+static void
+clear_settings(void *settings)
+{
+    scheduler_settings_clear(settings);
+}
+
+static void
+on_left(void *data)
+{
+    process_t *process = data;
+
+    loop_stop(process->loop);
+}
+
+static void
+on_signal(int signal_number, void *data)
+{
+    process_t *process = data;
+
+    if (signal_number == SIGHUP) {
+        return;
+    }
+    scheduler_leave(process->scheduler);
+    if (process->ingress != NULL) {
+        http_server_announce_shutdown(process->ingress);
+    }
+}
+
+static bool
+start(process_t *process, const scheduler_settings_t *settings, GError **error)
+{
+    scheduler_opts_t opts = {
+        .loop = process->loop,
+        .clock = clock_system(),
+        .settings = settings,
+        .on_left = on_left,
+        .data = process,
+    };
+
+    process->store =
+        store_http_new(process->loop, settings->store_address, error);
+    if (process->store == NULL) {
+        return false;
+    }
+    opts.store = process->store;
+    process->scheduler = scheduler_new(&opts, error);
+    if (process->scheduler == NULL) {
+        return false;
+    }
+    process->config = config_feed_new(process->loop, clock_system(),
+                                      process->store, process->scheduler);
+    process->ingress = ingress_new(process->loop, settings->http_listen,
+                                   (size_t)settings->max_body_bytes,
+                                   process->scheduler, error);
+    process->readiness = readiness_new(process->loop, settings->ready_listen,
+                                       process->scheduler, error);
+    return process->ingress != NULL && process->readiness != NULL &&
+           loop_on_signals(process->loop, on_signal, process, error);
+}
+
+static program_exit_t
+run(const void *data, GError **error)
+{
+    const scheduler_settings_t *settings = data;
+    process_t process = {.loop = loop_new()};
+
+    if (!start(&process, settings, error)) {
+        return PROGRAM_EXIT_FAILED;
+    }
+    loop_run(process.loop);
+    event_log(EVENT_PROCESS_STOPPED, "name=%s", settings->name);
+    return PROGRAM_EXIT_DONE;
+}
+
+int
+main(int argc, char **argv)
+{
+    scheduler_settings_t settings;
+    program_opts_t opts = {
+        .name = "teasel-scheduler",
+        .summary = "Takes jobs and places their tasks on executors.",
+        .settings = &settings,
+        .load_settings = load_settings,
+        .clear_settings = clear_settings,
+        .run = run,
+    };
+
+    return program_main(&opts, argc, argv);
+}
--- a/libteasel/agent/agent.c
+++ b/libteasel/agent/agent.c
@@ -2,8 +2,8 @@
 
 #include "agent/agent_internal.h"
 #include "base/events.h"
-#include "platform/plog_http.h"
-#include "platform/worker_http.h"
+#include "stream/plog_http.h"
+#include "worker/worker_http.h"
 
 static bool
 send_to_coordinator(const Teasel__Envelope *message, void *data)
--- a/libteasel/agent/agent_internal.h
+++ b/libteasel/agent/agent_internal.h
@@ -10,9 +10,9 @@
 #include "base/http_server.h"
 #include "base/metrics.h"
 #include "config/config_reader.h"
-#include "platform/plog.h"
-#include "platform/stream.h"
-#include "platform/worker.h"
+#include "stream/plog.h"
+#include "stream/stream.h"
+#include "worker/worker.h"
 #include "wire/peer.h"
 
 #ifdef __cplusplus
--- a/libteasel/agent/coordinator_role.h
+++ b/libteasel/agent/coordinator_role.h
@@ -9,7 +9,7 @@
 #include "base/loop.h"
 #include "base/metrics.h"
 #include "config/config_types.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 #include "wire/peer.h"
 
 #ifdef __cplusplus
--- a/libteasel/agent/coordinator_role_internal.h
+++ b/libteasel/agent/coordinator_role_internal.h
@@ -5,7 +5,7 @@
 #include "batch/candidate.h"
 #include "batch/cell.h"
 #include "batch/coordinator.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/agent/task.h
+++ b/libteasel/agent/task.h
@@ -7,7 +7,7 @@
 
 #include "base/list.h"
 #include "batch/pressure.h"
-#include "platform/worker.h"
+#include "worker/worker.h"
 #include "request/ledger.h"
 #include "wire/teasel.pb-c.h"
 
--- a/libteasel/agent/task_runner.h
+++ b/libteasel/agent/task_runner.h
@@ -9,7 +9,7 @@
 #include "base/loop.h"
 #include "base/metrics.h"
 #include "batch/pressure.h"
-#include "platform/worker.h"
+#include "worker/worker.h"
 #include "request/ledger.h"
 #include "wire/teasel.pb-c.h"
 
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -10,7 +10,8 @@
 /*
  * EVENT(id, number, level, name): one line per numbered log event. The
  * catalogue for people is docs/events.md. Numbers: 1xxx entry, 2xxx agent,
- * 3xxx platform, 4xxx batch, 5xxx configuration, 6xxx operators, 9xxx common.
+ * 3xxx platform, 4xxx batch, 5xxx configuration, 6xxx operators, 7xxx
+ * scheduler, 8xxx node agent, 9xxx common.
  */
 #define EVENT_TABLE(EVENT)                                                    \
     EVENT(EVENT_ENTRY_STARTED, 1001, G_LOG_LEVEL_MESSAGE, "entry-started")    \
@@ -66,6 +67,49 @@
     EVENT(EVENT_LOG_BEHIND, 3007, G_LOG_LEVEL_WARNING, "log-behind")          \
     EVENT(EVENT_SNAPSHOT_WRITTEN, 3008, G_LOG_LEVEL_MESSAGE,                  \
           "snapshot-written")                                                 \
+    EVENT(EVENT_STORE_LOST, 3009, G_LOG_LEVEL_WARNING, "store-lost")          \
+    EVENT(EVENT_STORE_BACK, 3010, G_LOG_LEVEL_MESSAGE, "store-back")          \
+    EVENT(EVENT_WRITE_FAILED, 3011, G_LOG_LEVEL_WARNING, "write-failed")      \
+    EVENT(EVENT_ROUTES_CHANGED, 3012, G_LOG_LEVEL_MESSAGE, "routes-changed")  \
+    EVENT(EVENT_SCHEDULER_STARTED, 7001, G_LOG_LEVEL_MESSAGE,                 \
+          "scheduler-started")                                                \
+    EVENT(EVENT_LEADER_CHANGED, 7002, G_LOG_LEVEL_MESSAGE, "leader-changed")  \
+    EVENT(EVENT_LEADER_LOST, 7003, G_LOG_LEVEL_WARNING, "leader-lost")        \
+    EVENT(EVENT_LEADING, 7004, G_LOG_LEVEL_MESSAGE, "leading")                \
+    EVENT(EVENT_LEADING_READY, 7005, G_LOG_LEVEL_MESSAGE, "leading-ready")    \
+    EVENT(EVENT_LEADING_ENDED, 7006, G_LOG_LEVEL_WARNING, "leading-ended")    \
+    EVENT(EVENT_NODE_CONNECTED, 7007, G_LOG_LEVEL_MESSAGE, "node-connected")  \
+    EVENT(EVENT_NODE_LOST, 7008, G_LOG_LEVEL_WARNING, "node-lost")            \
+    EVENT(EVENT_JOB_ACCEPTED, 7009, G_LOG_LEVEL_MESSAGE, "job-accepted")      \
+    EVENT(EVENT_JOB_REFUSED, 7010, G_LOG_LEVEL_WARNING, "job-refused")        \
+    EVENT(EVENT_JOB_FINISHED, 7011, G_LOG_LEVEL_MESSAGE, "job-finished")      \
+    EVENT(EVENT_CALL_UNANSWERED, 7012, G_LOG_LEVEL_WARNING,                   \
+          "call-unanswered")                                                  \
+    EVENT(EVENT_EXECUTOR_LAPSED, 7013, G_LOG_LEVEL_WARNING,                   \
+          "executor-lapsed")                                                  \
+    EVENT(EVENT_EXECUTOR_SUSPECTED, 7014, G_LOG_LEVEL_WARNING,                \
+          "executor-suspected")                                               \
+    EVENT(EVENT_JOB_RECORD_INVALID, 7015, G_LOG_LEVEL_CRITICAL,               \
+          "job-record-invalid")                                               \
+    EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
+    EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
+          "leader-connected")                                                 \
+    EVENT(EVENT_LEADER_DISCONNECTED, 8003, G_LOG_LEVEL_WARNING,               \
+          "leader-disconnected")                                              \
+    EVENT(EVENT_EXECUTOR_JOINED, 8004, G_LOG_LEVEL_MESSAGE,                   \
+          "executor-joined")                                                  \
+    EVENT(EVENT_EXECUTOR_GONE, 8005, G_LOG_LEVEL_WARNING, "executor-gone")    \
+    EVENT(EVENT_EXECUTOR_SILENT, 8006, G_LOG_LEVEL_WARNING,                   \
+          "executor-silent")                                                  \
+    EVENT(EVENT_EXECUTOR_DRAINING, 8007, G_LOG_LEVEL_MESSAGE,                 \
+          "executor-draining")                                                \
+    EVENT(EVENT_START_REJECTED, 8008, G_LOG_LEVEL_WARNING, "start-rejected")  \
+    EVENT(EVENT_ANNOUNCEMENT_INVALID, 8009, G_LOG_LEVEL_WARNING,              \
+          "announcement-invalid")                                             \
+    EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
+          "settings-reloaded")                                                \
+    EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
+          "settings-refused")                                                 \
     EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
           "config-ticket-accepted")                                           \
     EVENT(EVENT_CONFIG_TICKET_REFUSED, 5002, G_LOG_LEVEL_WARNING,             \
--- a/libteasel/base/http_client.c
+++ b/libteasel/base/http_client.c
@@ -13,11 +13,21 @@
     IO_TIMEOUT_MS = 3600 * 1000,
 };
 
+/* Idle connections. A replaced pool lives until the calls that took a
+   connection from it are finished. */
+typedef struct idle_pool {
+    h2o_socketpool_t sockets;
+    loop_timer_t dispose_timer;
+    unsigned users;
+} idle_pool_t;
+
 struct http_client {
     loop_t *loop;
     char host[16];
     uint16_t port;
-    h2o_socketpool_t pool;
+    struct sockaddr_in name;
+    size_t max_connections;
+    idle_pool_t *pool;
     h2o_timeout_t io_timeout;
     h2o_http1client_ctx_t context;
     list_t calls;
@@ -26,6 +36,7 @@
 struct http_call {
     list_t link;
     http_client_t *client;
+    idle_pool_t *pool; /* NULL for a fresh connection */
     h2o_http1client_t *transport;
     loop_timer_t timer;
     http_response_cb cb;
@@ -47,6 +58,41 @@
     http_response_t response;
 };
 
+static void
+on_dispose(loop_timer_t *timer)
+{
+    idle_pool_t *pool = timer->data;
+
+    h2o_socketpool_dispose(&pool->sockets);
+    g_free(pool);
+}
+
+static idle_pool_t *
+pool_new(http_client_t *client)
+{
+    idle_pool_t *pool = g_new0(idle_pool_t, 1);
+
+    h2o_socketpool_init_by_address(&pool->sockets,
+                                   (struct sockaddr *)&client->name,
+                                   sizeof(client->name), 0,
+                                   client->max_connections);
+    h2o_socketpool_set_timeout(&pool->sockets, loop_get_h2o(client->loop),
+                               IDLE_TIMEOUT_MS);
+    loop_timer_init(&pool->dispose_timer, client->loop, on_dispose, pool);
+    pool->users = 1;
+    return pool;
+}
+
+static void
+pool_release(idle_pool_t *pool)
+{
+    /* The transport gives its connection back after the callback that ends
+       a call, so the pool is disposed of later. */
+    if (--pool->users == 0) {
+        loop_timer_start(&pool->dispose_timer, 0);
+    }
+}
+
 http_client_t *
 http_client_new(const http_client_opts_t *opts, GError **error)
 {
@@ -61,9 +107,9 @@
     client->loop = opts->loop;
     address_parse(opts->address, client->host, &client->port, NULL);
     list_init(&client->calls);
-    h2o_socketpool_init_by_address(&client->pool, (struct sockaddr *)&name,
-                                   sizeof(name), 0, opts->max_connections);
-    h2o_socketpool_set_timeout(&client->pool, loop, IDLE_TIMEOUT_MS);
+    client->name = name;
+    client->max_connections = opts->max_connections;
+    client->pool = pool_new(client);
     h2o_timeout_init(loop, &client->io_timeout, IO_TIMEOUT_MS);
     client->context.loop = loop;
     client->context.io_timeout = &client->io_timeout;
@@ -75,6 +121,9 @@
 {
     loop_timer_stop(&call->timer);
     list_remove(&call->link);
+    if (call->pool != NULL) {
+        pool_release(call->pool);
+    }
     g_array_free(call->headers, TRUE);
     g_string_chunk_free(call->strings);
     g_string_free(call->received, TRUE);
@@ -272,9 +321,11 @@
             0, on_connect);
     }
     else {
+        call->pool = client->pool;
+        call->pool->users++;
         h2o_http1client_connect_with_pool(&call->transport, call,
-                                          &client->context, &client->pool,
-                                          on_connect);
+                                          &client->context,
+                                          &call->pool->sockets, on_connect);
     }
     call->starting = false;
     loop_timer_start(&call->timer, call->finished ? 0 : opts->timeout_ms);
@@ -299,11 +350,20 @@
     LIST_FOREACH_SAFE (call, &client->calls, http_call_t, link) {
         http_call_cancel(call);
     }
-    h2o_socketpool_dispose(&client->pool);
+    /* No call is left, so nothing else uses the pool. */
+    loop_timer_stop(&client->pool->dispose_timer);
+    on_dispose(&client->pool->dispose_timer);
     h2o_timeout_dispose(loop_get_h2o(client->loop), &client->io_timeout);
     g_free(client);
 }
 
+void
+http_client_drop_idle(http_client_t *client)
+{
+    pool_release(client->pool);
+    client->pool = pool_new(client);
+}
+
 const char *
 http_response_get_header(const http_response_t *response, const char *name)
 {
--- a/libteasel/base/http_client.h
+++ b/libteasel/base/http_client.h
@@ -89,6 +89,14 @@
  */
 void http_call_cancel(http_call_t *call);
 
+/**
+ * http_client_drop_idle() - close the idle connections
+ *
+ * For a server that did not answer: its other connections may have gone
+ * silent as well.
+ */
+void http_client_drop_idle(http_client_t *client);
+
 /**
  * http_response_get_header() - value of a header, or NULL
  * @name: lower case
--- a/libteasel/base/http_server.c
+++ b/libteasel/base/http_server.c
@@ -110,6 +110,7 @@
     exchange->internal = state;
     exchange->method = copy_iovec(state->strings, req->input.method);
     exchange->target = copy_iovec(state->strings, req->input.path);
+    exchange->host = copy_iovec(state->strings, req->input.authority);
     exchange->path = g_string_chunk_insert_len(
         state->strings, req->input.path.base, (gssize)path_length);
     copy_headers(exchange, &req->headers, state->strings);
--- a/libteasel/base/http_server.h
+++ b/libteasel/base/http_server.h
@@ -51,6 +51,7 @@
  * struct http_exchange - a request and its pending answer
  * @path: without the query
  * @target: path and query as received
+ * @host: of the Host header, with its port; empty if there is none
  * @closed: the client went away; an answer is dropped. h2o does not read from
  *     a connection while a request is pending, so it may notice this late
  *
@@ -61,6 +62,7 @@
     char *method;
     char *path;
     char *target;
+    char *host;
     http_header_t *headers;
     size_t header_count;
     const char *body;
--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -109,6 +109,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     signal(SIGPIPE, SIG_IGN);
     if (sigprocmask(SIG_BLOCK, &set, NULL) != 0) {
         g_set_error(error, TEASEL_ERROR, ERROR_INTERNAL, "sigprocmask: %s",
--- a/libteasel/base/loop.h
+++ b/libteasel/base/loop.h
@@ -44,7 +44,8 @@
 h2o_loop_t *loop_get_h2o(loop_t *loop);
 
 /**
- * loop_on_signals() - deliver SIGTERM and SIGINT on the loop; ignore SIGPIPE
+ * loop_on_signals() - deliver SIGTERM, SIGINT and SIGHUP on the loop; ignore
+ * SIGPIPE
  */
 bool loop_on_signals(loop_t *loop, loop_signal_cb cb, void *data,
                      GError **error);
--- a/libteasel/caller/job_handler.c
+++ b/libteasel/caller/job_handler.c
@@ -7,7 +7,7 @@
 #include "batch/job.h"
 #include "caller/job_view.h"
 #include "caller/problem.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 
 enum {
     /* Cancellations of this time share a record, so that a burst does not
--- a/libteasel/caller/job_handler.h
+++ b/libteasel/caller/job_handler.h
@@ -9,7 +9,7 @@
 #include "base/http_server.h"
 #include "base/loop.h"
 #include "base/metrics.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 
 #ifdef __cplusplus
 extern "C" {
--- /dev/null
+++ b/libteasel/cluster/cluster.c
@@ -0,0 +1,557 @@
+#include "cluster/cluster.h"
+
+#include <string.h>
+
+#include "base/events.h"
+#include "cluster/cluster_internal.h"
+#include "cluster/control.h"
+
+enum {
+    TICK_MS = 100,
+    /* Longest wait of a read of the control topic. */
+    FOLLOW_WAIT_MS = 2000,
+    REGISTER_RETRY_MS = 300,
+    /* Candidates claim one after the other, to spare each other conflicts. */
+    CLAIM_STAGGER_MS = 100,
+    /* A process that is restarted at once may still lead. */
+    SUDDEN_LOSS_MS = 50,
+    /* A scheduler that hears nobody is probably cut off itself. */
+    ISOLATED_WAIT_MS = 3500,
+    RESIGNED_WAIT_MS = 3000,
+    /* A status that is older says nothing about the present. */
+    FRESH_MS = 900,
+    PROBE_INTERVAL_MS = 300,
+    MAX_QUEUED_BYTES = 8 * 1024 * 1024,
+};
+
+int64_t
+cluster_now_ms(const cluster_t *cluster)
+{
+    return (int64_t)timespec_to_ms(clock_get_monotonic(cluster->opts.clock));
+}
+
+bool
+cluster_is_leading(const cluster_t *cluster)
+{
+    return cluster->leading;
+}
+
+static bool
+is_fresh(const member_t *member)
+{
+    return member->open && cluster_now_ms(member->cluster) -
+                                   member->status_ms < FRESH_MS;
+}
+
+bool
+cluster_is_leader_alive(const cluster_t *cluster)
+{
+    const member_t *member;
+
+    if (cluster->leading) {
+        return true;
+    }
+    member = cluster_find_member((cluster_t *)cluster, cluster->leader_name);
+    return member != NULL && is_fresh(member) && member->leading &&
+           member->epoch == cluster->epoch;
+}
+
+bool
+cluster_has_leader(const cluster_t *cluster)
+{
+    return cluster_is_leader_alive(cluster);
+}
+
+bool
+cluster_send_call(cluster_t *cluster, Teasel__JobCall *call)
+{
+    member_t *member = cluster_find_member(cluster, cluster->leader_name);
+    Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+
+    if (cluster->leading || !cluster_is_leader_alive(cluster)) {
+        return false;
+    }
+    envelope.body_case = TEASEL__ENVELOPE__BODY_JOB_CALL;
+    envelope.job_call = call;
+    return peer_send(member->peer, &envelope);
+}
+
+void
+cluster_write_status(const cluster_t *cluster, Teasel__PeerStatus *status,
+                     GPtrArray *addresses)
+{
+    int64_t now_ms = cluster_now_ms(cluster);
+
+    status->name = cluster->name;
+    status->incarnation = cluster->opts.incarnation;
+    status->epoch = cluster->epoch;
+    status->leader_address =
+        cluster->leader_address ? cluster->leader_address : "";
+    status->leading = cluster->leading;
+    status->leader_alive =
+        !cluster->claiming && cluster_is_leader_alive(cluster);
+    status->leaving = cluster->leaving;
+    status->sent_us = (uint64_t)now_ms * 1000;
+    status->store_usable = cluster->leading
+                               ? !cluster->store_fails
+                               : now_ms - cluster->probe_ok_ms < FRESH_MS;
+    g_ptr_array_add(addresses, cluster->address);
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        g_ptr_array_add(addresses, member->address);
+    }
+    status->n_schedulers = addresses->len;
+    status->schedulers = (char **)addresses->pdata;
+}
+
+static void
+on_probed(store_status_t status, const store_page_t *page, void *data)
+{
+    cluster_t *cluster = data;
+
+    cluster->probing = false;
+    if (status == STORE_OK) {
+        cluster->probe_ok_ms = cluster_now_ms(cluster);
+        cluster_send_status(cluster);
+    }
+}
+
+void
+cluster_probe_store(cluster_t *cluster)
+{
+    int64_t now_ms = cluster_now_ms(cluster);
+
+    if (cluster->probing ||
+        now_ms - cluster->probe_started_ms < PROBE_INTERVAL_MS) {
+        return;
+    }
+    cluster->probing = true;
+    cluster->probe_started_ms = now_ms;
+    store_read(cluster->opts.store, CONTROL_TOPIC,
+               follower_get_next(cluster->follower), 0, on_probed, cluster);
+}
+
+void
+cluster_report_store(cluster_t *cluster, bool usable)
+{
+    if (cluster->store_fails == !usable) {
+        return;
+    }
+    cluster->store_fails = !usable;
+    cluster->store_failed_ms = cluster_now_ms(cluster);
+    cluster_send_status(cluster);
+}
+
+bool
+cluster_others_reach_store(const cluster_t *cluster)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (is_fresh(member) && cluster->store_fails &&
+            member->probed_ms > cluster->store_failed_ms + FRESH_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+cluster_get_contact_ms(const cluster_t *cluster)
+{
+    int64_t oldest_ms = cluster_now_ms(cluster);
+
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (!member->open || member->epoch != cluster->epoch ||
+            !member->leader_alive) {
+            return 0;
+        }
+        oldest_ms = MIN(oldest_ms, member->contact_ms);
+    }
+    return oldest_ms;
+}
+
+static void
+stop_leading(cluster_t *cluster, const char *reason)
+{
+    event_log(EVENT_LEADING_ENDED, "epoch=%" G_GUINT64_FORMAT " reason=%s",
+              cluster->epoch, reason);
+    cluster->leading = false;
+    cluster->store_fails = false;
+    cluster->opts.handler->on_deposed(cluster->opts.data);
+}
+
+void
+cluster_resign(cluster_t *cluster, const char *reason)
+{
+    if (!cluster->leading) {
+        return;
+    }
+    cluster->resigned = true;
+    cluster->resigned_ms = cluster_now_ms(cluster);
+    stop_leading(cluster, reason);
+    cluster_send_status(cluster);
+}
+
+void
+cluster_leave(cluster_t *cluster)
+{
+    cluster->leaving = true;
+    cluster_resign(cluster, "planned stop");
+}
+
+static void
+start_leading(cluster_t *cluster, uint64_t epoch)
+{
+    cluster->epoch = epoch;
+    cluster->leading = true;
+    cluster->resigned = false;
+    cluster->claiming = false;
+    cluster->missing_ms = 0;
+    g_free(cluster->leader_name);
+    g_free(cluster->leader_address);
+    cluster->leader_name = g_strdup(cluster->name);
+    cluster->leader_address = g_strdup(cluster->address);
+    cluster->leader_incarnation = cluster->opts.incarnation;
+    event_log(EVENT_LEADING, "epoch=%" G_GUINT64_FORMAT, epoch);
+    cluster->opts.handler->on_elected(epoch, cluster->opts.data);
+    cluster_send_status(cluster);
+}
+
+static void
+take_leader(cluster_t *cluster, const Teasel__LeaderRecord *record,
+            uint64_t epoch)
+{
+    if (epoch <= cluster->epoch) {
+        return;
+    }
+    if (strcmp(record->name, cluster->name) == 0 &&
+        record->incarnation == cluster->opts.incarnation) {
+        /* The answer to this claim was lost. */
+        if (!cluster->leaving) {
+            start_leading(cluster, epoch);
+        }
+        return;
+    }
+    if (cluster->leading) {
+        stop_leading(cluster, "another scheduler leads");
+    }
+    cluster->epoch = epoch;
+    g_free(cluster->leader_name);
+    g_free(cluster->leader_address);
+    cluster->leader_name = g_strdup(record->name);
+    cluster->leader_address = g_strdup(record->address);
+    cluster->leader_incarnation = record->incarnation;
+    cluster->missing_ms = 0;
+    cluster->leader_was_alive = false;
+    event_log(EVENT_LEADER_CHANGED, "epoch=%" G_GUINT64_FORMAT " leader=%s",
+              epoch, record->name);
+    cluster_know_member(cluster, record->name, record->address,
+                        record->incarnation);
+    cluster_check(cluster);
+}
+
+static void
+on_leader_record(cluster_t *cluster, const store_record_t *stored)
+{
+    Teasel__LeaderRecord *record =
+        teasel__leader_record__unpack(NULL, stored->length, stored->value);
+
+    if (record == NULL) {
+        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
+                  CONTROL_TOPIC, stored->offset);
+        return;
+    }
+    take_leader(cluster, record, stored->offset + 1);
+    teasel__leader_record__free_unpacked(record, NULL);
+}
+
+static void
+on_scheduler_record(cluster_t *cluster, const store_record_t *stored)
+{
+    Teasel__SchedulerRecord *record =
+        teasel__scheduler_record__unpack(NULL, stored->length, stored->value);
+
+    if (record == NULL) {
+        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
+                  CONTROL_TOPIC, stored->offset);
+        return;
+    }
+    cluster_know_member(cluster, record->name, record->address,
+                        record->incarnation);
+    teasel__scheduler_record__free_unpacked(record, NULL);
+}
+
+static void
+on_record(const store_record_t *record, void *data)
+{
+    cluster_t *cluster = data;
+
+    if (record->value == NULL) {
+        return;
+    }
+    if (strcmp(record->key, CONTROL_KEY_LEADER) == 0) {
+        on_leader_record(cluster, record);
+    }
+    else if (g_str_has_prefix(record->key, CONTROL_SCHEDULER_PREFIX)) {
+        on_scheduler_record(cluster, record);
+    }
+}
+
+static void
+on_claimed(store_status_t status, uint64_t offset, void *data)
+{
+    cluster_t *cluster = data;
+
+    cluster->claiming = false;
+    if (status != STORE_OK) {
+        event_log(EVENT_CLAIM_FAILED, "epoch=%" G_GUINT64_FORMAT " status=%s",
+                  cluster->epoch, store_status_to_string(status));
+        return;
+    }
+    if (offset + 1 > cluster->epoch && !cluster->leaving) {
+        start_leading(cluster, offset + 1);
+    }
+}
+
+static void
+claim(cluster_t *cluster)
+{
+    Teasel__LeaderRecord record = TEASEL__LEADER_RECORD__INIT;
+    g_autoptr(GByteArray) value = g_byte_array_new();
+    store_record_t stored = {.key = CONTROL_KEY_LEADER};
+    store_append_t append = {
+        .topic = CONTROL_TOPIC,
+        .records = &stored,
+        .count = 1,
+        .check_end = true,
+        .expected_end = follower_get_next(cluster->follower),
+    };
+
+    record.name = cluster->name;
+    record.address = cluster->address;
+    record.incarnation = cluster->opts.incarnation;
+    g_byte_array_set_size(value,
+                          teasel__leader_record__get_packed_size(&record));
+    teasel__leader_record__pack(&record, value->data);
+    stored.value = value->data;
+    stored.length = value->len;
+    cluster->claiming = true;
+    store_append(cluster->opts.store, &append, on_claimed, cluster);
+}
+
+/* Position among the candidates, by name. */
+static int64_t
+get_rank(const cluster_t *cluster)
+{
+    int64_t rank = 0;
+
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        rank += member->open && strcmp(member->name, cluster->name) < 0 &&
+                g_strcmp0(member->name, cluster->leader_name) != 0;
+    }
+    return rank;
+}
+
+static bool
+somebody_hears_leader(const cluster_t *cluster)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (is_fresh(member) && member->leader_alive &&
+            member->epoch >= cluster->epoch) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+hears_somebody(const cluster_t *cluster)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (is_fresh(member)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* How long the leader has to be missing before this process claims. */
+static int64_t
+get_claim_delay_ms(cluster_t *cluster)
+{
+    const member_t *leader =
+        cluster_find_member(cluster, cluster->leader_name);
+    int64_t delay_ms = get_rank(cluster) * CLAIM_STAGGER_MS;
+    bool resigned = leader != NULL && is_fresh(leader) && !leader->leading;
+
+    if (cluster->resigned) {
+        return RESIGNED_WAIT_MS;
+    }
+    if (cluster->leader_name == NULL || resigned ||
+        strcmp(cluster->leader_name, cluster->name) == 0) {
+        return delay_ms;
+    }
+    if (leader != NULL && leader->sudden) {
+        return delay_ms + SUDDEN_LOSS_MS;
+    }
+    if (hears_somebody(cluster)) {
+        return delay_ms + FRESH_MS;
+    }
+    return delay_ms + ISOLATED_WAIT_MS;
+}
+
+static void
+note_missing(cluster_t *cluster, int64_t now_ms)
+{
+    if (cluster->missing_ms != 0) {
+        return;
+    }
+    cluster->missing_ms = now_ms;
+    if (cluster->leader_was_alive) {
+        event_log(EVENT_LEADER_LOST, "epoch=%" G_GUINT64_FORMAT " leader=%s",
+                  cluster->epoch,
+                  cluster->leader_name ? cluster->leader_name : "none");
+    }
+    cluster->leader_was_alive = false;
+}
+
+void
+cluster_check(cluster_t *cluster)
+{
+    int64_t now_ms = cluster_now_ms(cluster);
+
+    if (cluster_is_leader_alive(cluster)) {
+        cluster->missing_ms = 0;
+        if (!cluster->leader_was_alive && !cluster->leading) {
+            cluster->leader_was_alive = true;
+            cluster->opts.handler->on_leader_ready(cluster->opts.data);
+        }
+        return;
+    }
+    note_missing(cluster, now_ms);
+    if (cluster->claiming || cluster->leaving ||
+        !follower_is_current(cluster->follower) ||
+        !follower_is_usable(cluster->follower) ||
+        somebody_hears_leader(cluster) ||
+        now_ms - cluster->missing_ms < get_claim_delay_ms(cluster)) {
+        return;
+    }
+    claim(cluster);
+}
+
+static void
+on_tick(loop_timer_t *timer)
+{
+    cluster_t *cluster = timer->data;
+    int64_t now_ms = cluster_now_ms(cluster);
+
+    loop_timer_start(timer, TICK_MS);
+    if (now_ms - cluster->status_sent_ms >=
+        (int64_t)cluster->opts.status_ms) {
+        cluster->status_sent_ms = now_ms;
+        cluster_send_status(cluster);
+    }
+    cluster_check(cluster);
+}
+
+static void
+on_registered(store_status_t status, uint64_t offset, void *data)
+{
+    cluster_t *cluster = data;
+
+    cluster->registered = status == STORE_OK;
+    if (!cluster->registered) {
+        loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
+    }
+}
+
+static void
+register_self(loop_timer_t *timer)
+{
+    cluster_t *cluster = timer->data;
+    Teasel__SchedulerRecord record = TEASEL__SCHEDULER_RECORD__INIT;
+    g_autoptr(GByteArray) value = g_byte_array_new();
+    g_autofree char *key =
+        g_strconcat(CONTROL_SCHEDULER_PREFIX, cluster->name, NULL);
+    store_record_t stored = {.key = key};
+    store_append_t append = {
+        .topic = CONTROL_TOPIC, .records = &stored, .count = 1};
+
+    record.name = cluster->name;
+    record.address = cluster->address;
+    record.incarnation = cluster->opts.incarnation;
+    g_byte_array_set_size(value,
+                          teasel__scheduler_record__get_packed_size(&record));
+    teasel__scheduler_record__pack(&record, value->data);
+    stored.value = value->data;
+    stored.length = value->len;
+    store_append(cluster->opts.store, &append, on_registered, cluster);
+}
+
+static bool
+start_listening(cluster_t *cluster, GError **error)
+{
+    const cluster_opts_t *opts = &cluster->opts;
+    peer_opts_t peer_opts = {
+        .loop = opts->loop,
+        .clock = opts->clock,
+        .handler = &cluster_inbound_handler,
+        .data = cluster,
+        .max_queued_bytes = MAX_QUEUED_BYTES,
+        .silence_ms = opts->silence_ms,
+        .ping_ms = opts->status_ms,
+    };
+
+    cluster->listener = peer_listen(&peer_opts, cluster->address,
+                                    cluster_on_accept, error);
+    return cluster->listener != NULL;
+}
+
+cluster_t *
+cluster_new(const cluster_opts_t *opts, GError **error)
+{
+    cluster_t *cluster = g_new0(cluster_t, 1);
+    follower_opts_t follower_opts = {
+        .loop = opts->loop,
+        .clock = opts->clock,
+        .store = opts->store,
+        .topic = CONTROL_TOPIC,
+        .wait_ms = FOLLOW_WAIT_MS,
+        .on_record = on_record,
+        .data = cluster,
+    };
+
+    cluster->opts = *opts;
+    cluster->name = g_strdup(opts->name);
+    cluster->address = g_strdup(opts->address);
+    list_init(&cluster->members);
+    loop_timer_init(&cluster->tick, opts->loop, on_tick, cluster);
+    loop_timer_init(&cluster->register_timer, opts->loop, register_self,
+                    cluster);
+    if (!start_listening(cluster, error)) {
+        cluster_free(cluster);
+        return NULL;
+    }
+    cluster->follower = follower_new(&follower_opts);
+    loop_timer_start(&cluster->register_timer, 0);
+    loop_timer_start(&cluster->tick, TICK_MS);
+    return cluster;
+}
+
+void
+cluster_free(cluster_t *cluster)
+{
+    if (cluster == NULL) {
+        return;
+    }
+    loop_timer_stop(&cluster->tick);
+    loop_timer_stop(&cluster->register_timer);
+    follower_free(cluster->follower);
+    cluster_forget_members(cluster);
+    if (cluster->listener != NULL) {
+        peer_listener_free(cluster->listener);
+    }
+    g_free(cluster->leader_name);
+    g_free(cluster->leader_address);
+    g_free(cluster->name);
+    g_free(cluster->address);
+    g_free(cluster);
+}
--- /dev/null
+++ b/libteasel/cluster/member.c
@@ -0,0 +1,271 @@
+/* Connections between the schedulers. */
+
+#include <string.h>
+
+#include "base/settings.h"
+#include "cluster/cluster_internal.h"
+
+enum {
+    REDIAL_MS = 200,
+    /* A member that has not been heard for LOST_MS is dialled less often. */
+    LOST_MS = 10000,
+    REDIAL_LOST_MS = 2000,
+    /* A connection that ends this soon after a message was reset. */
+    SUDDEN_MS = 700,
+    MAX_QUEUED_BYTES = 8 * 1024 * 1024,
+};
+
+static void
+send_status_to(peer_t *peer, cluster_t *cluster, uint64_t echo_us)
+{
+    g_autoptr(GPtrArray) addresses = g_ptr_array_new();
+    Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
+    Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+
+    cluster_write_status(cluster, &status, addresses);
+    status.echo_us = echo_us;
+    envelope.body_case = TEASEL__ENVELOPE__BODY_PEER_STATUS;
+    envelope.peer_status = &status;
+    peer_send(peer, &envelope);
+}
+
+void
+cluster_send_status(cluster_t *cluster)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (member->open) {
+            send_status_to(member->peer, cluster, 0);
+        }
+    }
+}
+
+void
+cluster_take_status(member_t *member, const Teasel__PeerStatus *status)
+{
+    cluster_t *cluster = member->cluster;
+
+    member->status_ms = cluster_now_ms(cluster);
+    member->contact_ms =
+        MAX(member->contact_ms, (int64_t)(status->echo_us / 1000));
+    member->epoch = status->epoch;
+    member->leading = status->leading;
+    member->leader_alive = status->leader_alive;
+    if (status->store_usable) {
+        member->probed_ms = member->status_ms;
+    }
+    cluster_check(cluster);
+}
+
+static void
+on_open(peer_t *peer, void *data)
+{
+    member_t *member = data;
+    Teasel__PeerHello hello = TEASEL__PEER_HELLO__INIT;
+    Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+
+    member->open = true;
+    hello.name = member->cluster->name;
+    hello.scheduler = true;
+    hello.incarnation = member->cluster->opts.incarnation;
+    envelope.body_case = TEASEL__ENVELOPE__BODY_PEER_HELLO;
+    envelope.peer_hello = &hello;
+    peer_send(peer, &envelope);
+    send_status_to(peer, member->cluster, 0);
+}
+
+static void
+on_message(peer_t *peer, const Teasel__Envelope *message, void *data)
+{
+    member_t *member = data;
+    cluster_t *cluster = member->cluster;
+
+    switch (message->body_case) {
+    case TEASEL__ENVELOPE__BODY_PEER_STATUS:
+        cluster_take_status(member, message->peer_status);
+        break;
+    case TEASEL__ENVELOPE__BODY_JOB_ANSWER:
+        cluster->opts.handler->on_answer(message->job_answer,
+                                         cluster->opts.data);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_close(peer_t *peer, const char *reason, void *data)
+{
+    member_t *member = data;
+    int64_t now_ms = cluster_now_ms(member->cluster);
+    int64_t heard_ms = MAX(member->status_ms, member->dialled_ms);
+
+    member->peer = NULL;
+    member->open = false;
+    member->leading = false;
+    member->sudden = now_ms - heard_ms < SUDDEN_MS;
+    loop_timer_start(&member->redial, now_ms - member->status_ms > LOST_MS
+                                          ? REDIAL_LOST_MS
+                                          : REDIAL_MS);
+    cluster_check(member->cluster);
+}
+
+const peer_handler_t cluster_member_handler = {
+    .on_open = on_open,
+    .on_message = on_message,
+    .on_close = on_close,
+};
+
+static void
+dial(loop_timer_t *timer)
+{
+    member_t *member = timer->data;
+    const cluster_opts_t *opts = &member->cluster->opts;
+    peer_opts_t peer_opts = {
+        .loop = opts->loop,
+        .clock = opts->clock,
+        .handler = &cluster_member_handler,
+        .data = member,
+        .max_queued_bytes = MAX_QUEUED_BYTES,
+        .silence_ms = opts->silence_ms,
+        .ping_ms = opts->status_ms,
+    };
+
+    member->dialled_ms = cluster_now_ms(member->cluster);
+    member->peer = peer_connect(&peer_opts, member->address, NULL);
+}
+
+member_t *
+cluster_find_member(cluster_t *cluster, const char *name)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (g_strcmp0(member->name, name) == 0) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+static void
+close_member(member_t *member)
+{
+    peer_close(member->peer);
+    member->peer = NULL;
+    member->open = false;
+    member->leading = false;
+}
+
+void
+cluster_know_member(cluster_t *cluster, const char *name, const char *address,
+                    uint64_t incarnation)
+{
+    member_t *member = cluster_find_member(cluster, name);
+
+    if (strcmp(name, cluster->name) == 0 ||
+        !address_parse(address, NULL, NULL, NULL)) {
+        return;
+    }
+    if (member == NULL) {
+        member = g_new0(member_t, 1);
+        member->cluster = cluster;
+        member->name = g_strdup(name);
+        loop_timer_init(&member->redial, cluster->opts.loop, dial, member);
+        list_append(&cluster->members, &member->link);
+    }
+    else if (g_strcmp0(member->address, address) == 0 &&
+             member->incarnation == incarnation) {
+        return;
+    }
+    g_free(member->address);
+    member->address = g_strdup(address);
+    member->incarnation = incarnation;
+    close_member(member);
+    loop_timer_start(&member->redial, 0);
+}
+
+void
+cluster_forget_members(cluster_t *cluster)
+{
+    LIST_FOREACH_SAFE (member, &cluster->members, member_t, link) {
+        close_member(member);
+        loop_timer_stop(&member->redial);
+        list_remove(&member->link);
+        g_free(member->name);
+        g_free(member->address);
+        g_free(member);
+    }
+}
+
+static void
+take_hello(inbound_t *inbound, const Teasel__PeerHello *hello)
+{
+    g_free(inbound->name);
+    inbound->name = g_strdup(hello->name);
+    inbound->scheduler = hello->scheduler;
+}
+
+static void
+on_inbound_status(inbound_t *inbound, const Teasel__PeerStatus *status)
+{
+    cluster_t *cluster = inbound->cluster;
+
+    if (status->leading && !status->store_usable) {
+        cluster_probe_store(cluster);
+    }
+    send_status_to(inbound->peer, cluster, status->sent_us);
+}
+
+static void
+on_inbound_message(peer_t *peer, const Teasel__Envelope *message, void *data)
+{
+    inbound_t *inbound = data;
+    const cluster_opts_t *opts = &inbound->cluster->opts;
+
+    switch (message->body_case) {
+    case TEASEL__ENVELOPE__BODY_PEER_HELLO:
+        take_hello(inbound, message->peer_hello);
+        break;
+    case TEASEL__ENVELOPE__BODY_PEER_STATUS:
+        on_inbound_status(inbound, message->peer_status);
+        break;
+    case TEASEL__ENVELOPE__BODY_JOB_CALL:
+        opts->handler->on_call(peer, message->job_call, opts->data);
+        break;
+    case TEASEL__ENVELOPE__BODY_NODE_REPORT:
+        if (!inbound->cluster->leading) {
+            send_status_to(peer, inbound->cluster, 0);
+        }
+        else if (inbound->name != NULL) {
+            opts->handler->on_report(peer, inbound->name,
+                                     message->node_report, opts->data);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_inbound_close(peer_t *peer, const char *reason, void *data)
+{
+    inbound_t *inbound = data;
+    const cluster_opts_t *opts = &inbound->cluster->opts;
+
+    opts->handler->on_peer_closed(peer, opts->data);
+    g_free(inbound->name);
+    g_free(inbound);
+}
+
+const peer_handler_t cluster_inbound_handler = {
+    .on_message = on_inbound_message,
+    .on_close = on_inbound_close,
+};
+
+void
+cluster_on_accept(peer_t *peer, void *data)
+{
+    inbound_t *inbound = g_new0(inbound_t, 1);
+
+    inbound->cluster = data;
+    inbound->peer = peer;
+    peer_set_data(peer, inbound);
+}
--- a/libteasel/config/config_reader.h
+++ b/libteasel/config/config_reader.h
@@ -7,8 +7,8 @@
 #include "base/clock.h"
 #include "base/loop.h"
 #include "config/config_types.h"
-#include "platform/plog.h"
-#include "platform/stream.h"
+#include "stream/plog.h"
+#include "stream/stream.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/entry/announcer.c
+++ b/libteasel/entry/announcer.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/list.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 #include "wire/peer.h"
 
 enum {
--- a/libteasel/entry/announcer.h
+++ b/libteasel/entry/announcer.h
@@ -6,7 +6,7 @@
 
 #include "base/loop.h"
 #include "entry/directory.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/entry/entry.c
+++ b/libteasel/entry/entry.c
@@ -2,7 +2,7 @@
 
 #include "base/events.h"
 #include "entry/entry_internal.h"
-#include "platform/plog_http.h"
+#include "stream/plog_http.h"
 
 enum {
     SECOND_MS = 1000,
--- a/libteasel/entry/key_guard.c
+++ b/libteasel/entry/key_guard.c
@@ -4,7 +4,7 @@
 
 #include "base/events.h"
 #include "entry/key_results.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 #include "request/idem.h"
 
 enum {
--- a/libteasel/entry/key_guard.h
+++ b/libteasel/entry/key_guard.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "entry/forwarder.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/entry/key_results.h
+++ b/libteasel/entry/key_results.h
@@ -7,7 +7,7 @@
 
 #include "base/loop.h"
 #include "entry/forwarder.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 
 #ifdef __cplusplus
 extern "C" {
--- /dev/null
+++ b/libteasel/node/node.c
@@ -0,0 +1,310 @@
+#include "node/node.h"
+
+#include <string.h>
+
+#include "base/events.h"
+#include "base/settings.h"
+#include "node/node_internal.h"
+
+enum {
+    TICK_MS = 50,
+    /* An executor that says that it ends has ended after this time. */
+    ENDING_MS = 300,
+};
+
+#define FIELD(name) .key = #name, .offset = offsetof(node_settings_t, name)
+#define INTEGER(name, low, high, value)                                       \
+    {                                                                         \
+        FIELD(name), .type = SETTING_INTEGER, .min = (low), .max = (high),    \
+                     .preset = (value)                                        \
+    }
+
+static const setting_t settings_table[] = {
+    {FIELD(name), .type = SETTING_STRING, .required = true},
+    {FIELD(data_centre), .type = SETTING_STRING, .required = true},
+    {FIELD(control_listen), .type = SETTING_ADDRESS, .required = true},
+    {FIELD(metrics_listen), .type = SETTING_ADDRESS},
+    {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
+    INTEGER(max_lease_ms, 500, 600000, 10000),
+    INTEGER(report_ms, 50, 60000, 500),
+    INTEGER(silence_ms, 100, 60000, 1500),
+    INTEGER(poll_wait_ms, 0, 2000, 500),
+    INTEGER(stop_run_ms, 0, 60000, 1000),
+    {.key = NULL},
+};
+
+bool
+node_settings_load(const char *path, node_settings_t *out, GError **error)
+{
+    memset(out, 0, sizeof(*out));
+    if (!settings_load(path, settings_table, out, error)) {
+        return false;
+    }
+    if (!settings_check_order(path, "report_ms", out->report_ms,
+                              "silence_ms", out->silence_ms, error)) {
+        node_settings_clear(out);
+        return false;
+    }
+    return true;
+}
+
+void
+node_settings_clear(node_settings_t *settings)
+{
+    settings_clear(settings_table, settings);
+}
+
+int64_t
+node_now_ms(const node_t *node)
+{
+    return (int64_t)timespec_to_ms(clock_get_monotonic(node->opts.clock));
+}
+
+void
+node_wake(node_t *node)
+{
+    if (!loop_timer_is_active(&node->flush)) {
+        loop_timer_start(&node->flush, 0);
+    }
+}
+
+static void
+bury(node_t *node)
+{
+    LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        if (executor->dead) {
+            node_executor_free(executor);
+        }
+    }
+}
+
+static void
+on_flush(loop_timer_t *timer)
+{
+    node_t *node = timer->data;
+
+    bury(node);
+    node_send_report(node, false);
+}
+
+static void
+on_tick(loop_timer_t *timer)
+{
+    node_t *node = timer->data;
+    int64_t now_ms = node_now_ms(node);
+
+    loop_timer_start(timer, TICK_MS);
+    LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        node_executor_check(executor);
+    }
+    bury(node);
+    if (now_ms - node->reported_ms >= node->opts.settings->report_ms &&
+        node_link_is_open(node->link)) {
+        node->reported_ms = now_ms;
+        node_send_report(node, true);
+    }
+}
+
+static void
+list_all(node_t *node)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        executor->must_list = true;
+        executor->changed = true;
+        executor->ends_sent = 0;
+    }
+    node_wake(node);
+}
+
+static node_executor_t *
+find_key(node_t *node, const char *key)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (!executor->dead && strcmp(executor->key, key) == 0) {
+            return executor;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_orders(const Teasel__NodeOrders *orders, void *data)
+{
+    node_t *node = data;
+    bool was_unknown = node->epoch == 0;
+
+    node->epoch = MAX(node->epoch, orders->epoch);
+    if (orders->echo_us != 0) {
+        node->lease_until_ms =
+            MAX(node->lease_until_ms,
+                (int64_t)(orders->echo_us / 1000) + orders->lease_ms);
+    }
+    if (orders->send_lists) {
+        list_all(node);
+    }
+    for (size_t i = 0; i < orders->n_executors; i++) {
+        node_executor_t *executor = find_key(node, orders->executors[i]->key);
+
+        if (executor != NULL) {
+            node_executor_order(executor, orders->executors[i]);
+        }
+    }
+    if (was_unknown) {
+        LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+            node_executor_check(executor);
+        }
+    }
+}
+
+static void
+on_change(bool open, void *data)
+{
+    node_t *node = data;
+
+    if (!open) {
+        return;
+    }
+    list_all(node);
+    node->reported_ms = node_now_ms(node);
+    node_send_report(node, true);
+}
+
+node_t *
+node_new(const node_opts_t *opts, GError **error)
+{
+    node_t *node = g_new0(node_t, 1);
+    node_link_opts_t link_opts = {
+        .loop = opts->loop,
+        .clock = opts->clock,
+        .store = opts->store,
+        .name = opts->settings->name,
+        .silence_ms = (uint64_t)opts->settings->silence_ms,
+        .on_orders = on_orders,
+        .on_change = on_change,
+        .data = node,
+    };
+
+    node->opts = *opts;
+    node->gone = g_ptr_array_new_with_free_func(g_free);
+    list_init(&node->executors);
+    loop_timer_init(&node->tick, opts->loop, on_tick, node);
+    loop_timer_init(&node->flush, opts->loop, on_flush, node);
+    loop_timer_start(&node->tick, TICK_MS);
+    node->link = node_link_new(&link_opts);
+    event_log(EVENT_NODE_STARTED, "name=%s data_centre=%s",
+              opts->settings->name, opts->settings->data_centre);
+    return node;
+}
+
+void
+node_free(node_t *node)
+{
+    if (node == NULL) {
+        return;
+    }
+    loop_timer_stop(&node->tick);
+    loop_timer_stop(&node->flush);
+    node_link_free(node->link);
+    LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        node_executor_free(executor);
+    }
+    g_ptr_array_unref(node->gone);
+    g_free(node);
+}
+
+static bool
+is_same_life(const node_executor_t *executor, const executor_info_t *info)
+{
+    return strcmp(executor->id, info->id) == 0 &&
+           executor->born_ms == info->born_ms &&
+           strcmp(executor->address, info->address) == 0;
+}
+
+static bool
+is_older_life(const node_executor_t *executor, const executor_info_t *info)
+{
+    return executor->born_ms > info->born_ms &&
+           (strcmp(executor->id, info->id) == 0 ||
+            strcmp(executor->address, info->address) == 0);
+}
+
+/* Two lives cannot share an id or an address. */
+static bool
+replaces(const node_executor_t *executor, const executor_info_t *info)
+{
+    return executor->born_ms < info->born_ms &&
+           (strcmp(executor->id, info->id) == 0 ||
+            strcmp(executor->address, info->address) == 0);
+}
+
+static bool
+start_executor(node_t *node, const executor_info_t *info)
+{
+    g_autoptr(GError) error = NULL;
+    node_executor_t *executor = node_executor_new(node, info, &error);
+
+    if (executor == NULL) {
+        event_log(EVENT_ANNOUNCEMENT_INVALID, "id=%s error=\"%s\"", info->id,
+                  error->message);
+        return false;
+    }
+    node_executor_check(executor);
+    return true;
+}
+
+bool
+node_announce(node_t *node, const executor_info_t *info)
+{
+    LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        if (executor->dead) {
+            continue;
+        }
+        if (is_older_life(executor, info)) {
+            return false;
+        }
+        if (is_same_life(executor, info)) {
+            if (info->sequence > executor->sequence) {
+                node_executor_update(executor, info);
+                node_executor_check(executor);
+                node_wake(node);
+            }
+            return true;
+        }
+        if (replaces(executor, info)) {
+            node_executor_end(executor, "a later life took its place");
+        }
+    }
+    return start_executor(node, info);
+}
+
+void
+node_retire(node_t *node, const char *id)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (strcmp(executor->id, id) == 0 && executor->ending_ms == 0) {
+            executor->ending_ms = node_now_ms(node) + ENDING_MS;
+        }
+    }
+}
+
+static void
+write_counter(GString *out, const char *name, const char *help,
+              uint64_t value)
+{
+    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s counter\n%s %"
+                           G_GUINT64_FORMAT "\n", name, help, name, name,
+                           value);
+}
+
+void
+node_write_metrics(const node_t *node, GString *out)
+{
+    write_counter(out, "teasel_starts_total", "Starts sent to executors.",
+                  node->starts);
+    write_counter(out, "teasel_starts_rejected_total",
+                  "Runs that were not started.", node->rejections);
+    write_counter(out, "teasel_polls_total", "Polls of executors.",
+                  node->polls);
+    write_counter(out, "teasel_poll_failures_total",
+                  "Polls without a complete answer.", node->poll_failures);
+}
--- /dev/null
+++ b/libteasel/node/node.h
@@ -0,0 +1,80 @@
+#ifndef TEASEL_NODE_NODE_H
+#define TEASEL_NODE_NODE_H
+
+#include "base/clock.h"
+#include "base/loop.h"
+#include "node/executor_api.h"
+#include "store/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The agent of a node: the only process that calls the executors of its
+ * instance. It carries out the orders of the leading scheduler, reports what
+ * runs, and renews the lease of the executors as long as the leader renews
+ * its own.
+ */
+
+typedef struct node node_t;
+
+/**
+ * struct node_settings - settings of the process
+ */
+typedef struct node_settings {
+    char *name;
+    char *data_centre;
+    char *control_listen;
+    char *metrics_listen;
+    char *store_address;
+    int64_t max_lease_ms;
+    int64_t report_ms;
+    int64_t silence_ms;
+    int64_t poll_wait_ms;
+    int64_t stop_run_ms;
+} node_settings_t;
+
+bool node_settings_load(const char *path, node_settings_t *out,
+                        GError **error);
+void node_settings_clear(node_settings_t *settings);
+
+/**
+ * struct node_opts - options of node_new()
+ * @connect: opens the interface to one life of an executor
+ */
+typedef struct node_opts {
+    loop_t *loop;
+    const clock_source_t *clock;
+    store_t *store;
+    const node_settings_t *settings;
+    executor_api_t *(*connect)(loop_t *loop, const char *address,
+                               const char *id, int64_t born_ms,
+                               GError **error);
+} node_opts_t;
+
+node_t *node_new(const node_opts_t *opts, GError **error);
+void node_free(node_t *node);
+
+/**
+ * node_announce() - an executor told about itself
+ *
+ * Return: false if the announcement was invalid or out of date
+ */
+bool node_announce(node_t *node, const executor_info_t *info);
+
+/**
+ * node_retire() - an executor is about to end
+ */
+void node_retire(node_t *node, const char *id);
+
+/**
+ * node_write_metrics() - append counters in the Prometheus text format
+ */
+void node_write_metrics(const node_t *node, GString *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/node/node_executor.c
@@ -0,0 +1,404 @@
+/* One life of an executor: its lease, its lists and its runs. */
+
+#include <string.h>
+
+#include "base/events.h"
+#include "node/node_internal.h"
+
+enum {
+    POLL_RETRY_MS = 150,
+    /* The clock of an executor may be slow by 2%. */
+    DRIFT_PERCENT = 3,
+    LAPSE_MARGIN_MS = 200,
+    /* A run that the executor has confirmed and does not list is gone; a
+       list may have been made before the start. */
+    UNSEEN_MS = 1500,
+    SILENT_MS = 2000,
+};
+
+static void
+free_run_end(void *data)
+{
+    Teasel__RunEnd *end = data;
+
+    g_free(end->task);
+    g_free(end->checkpoint);
+    g_free(end);
+}
+
+static void
+free_rejected(void *data)
+{
+    Teasel__RejectedStart *rejected = data;
+
+    g_free(rejected->task);
+    g_free(rejected->reason);
+    g_free(rejected);
+}
+
+static void
+replace_string(char **field, const char *value)
+{
+    if (g_strcmp0(*field, value) != 0) {
+        g_free(*field);
+        *field = g_strdup(value);
+    }
+}
+
+void
+node_executor_update(node_executor_t *executor, const executor_info_t *info)
+{
+    int64_t now_ms = node_now_ms(executor->node);
+
+    if (info->draining && !executor->draining) {
+        event_log(EVENT_EXECUTOR_DRAINING, "executor=%s remaining_ms=%u",
+                  executor->key, info->remaining_ms);
+    }
+    executor->changed |= info->draining != executor->draining;
+    replace_string(&executor->service, info->service);
+    replace_string(&executor->data_centre, info->data_centre);
+    replace_string(&executor->rack, info->rack);
+    g_strfreev(executor->labels);
+    executor->labels = g_new0(char *, info->label_count + 1);
+    for (size_t i = 0; i < info->label_count; i++) {
+        executor->labels[i] = g_strdup(info->labels[i]);
+    }
+    executor->capacity.cpu_milli = info->cpu_milli;
+    executor->capacity.memory_mb = info->memory_mb;
+    executor->capacity.accelerators = info->accelerators;
+    executor->draining = info->draining;
+    executor->leaves_ms = now_ms + info->remaining_ms;
+    executor->sequence = info->sequence;
+    if (info->clock_ms >= executor->clock_ms) {
+        executor->clock_ms = info->clock_ms;
+        executor->clock_read_ms = now_ms;
+    }
+}
+
+node_executor_t *
+node_executor_new(node_t *node, const executor_info_t *info, GError **error)
+{
+    executor_api_t *api = node->opts.connect(
+        node->opts.loop, info->address, info->id, info->born_ms, error);
+    node_executor_t *executor;
+
+    if (api == NULL) {
+        return NULL;
+    }
+    executor = g_new0(node_executor_t, 1);
+    executor->node = node;
+    executor->api = api;
+    executor->key = g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, info->address,
+                                    info->id, info->born_ms);
+    executor->id = g_strdup(info->id);
+    executor->born_ms = info->born_ms;
+    executor->address = g_strdup(info->address);
+    executor->ends = g_ptr_array_new_with_free_func(free_run_end);
+    executor->rejected = g_ptr_array_new_with_free_func(free_rejected);
+    executor->must_list = true;
+    executor->clock_ms = -1;
+    teasel__capacity__init(&executor->capacity);
+    list_init(&executor->runs);
+    list_append(&node->executors, &executor->link);
+    node_executor_update(executor, info);
+    event_log(EVENT_EXECUTOR_JOINED, "executor=%s service=%s cpu_milli=%u "
+              "memory_mb=%u", executor->key, executor->service,
+              info->cpu_milli, info->memory_mb);
+    return executor;
+}
+
+void
+node_executor_free(node_executor_t *executor)
+{
+    LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
+        run_free(run);
+    }
+    executor->api->vtbl->free(executor->api);
+    list_remove(&executor->link);
+    g_ptr_array_unref(executor->ends);
+    g_ptr_array_unref(executor->rejected);
+    g_strfreev(executor->labels);
+    g_free(executor->key);
+    g_free(executor->id);
+    g_free(executor->address);
+    g_free(executor->service);
+    g_free(executor->data_centre);
+    g_free(executor->rack);
+    g_free(executor);
+}
+
+void
+node_executor_end(node_executor_t *executor, const char *reason)
+{
+    node_t *node = executor->node;
+
+    event_log(EVENT_EXECUTOR_GONE, "executor=%s reason=\"%s\"", executor->key,
+              reason);
+    g_ptr_array_add(node->gone, g_strdup(executor->key));
+    /* The caller may be inside a callback of the interface. */
+    executor->dead = true;
+    node_wake(node);
+}
+
+int64_t
+node_executor_get_deadline(const node_executor_t *executor)
+{
+    const node_t *node = executor->node;
+
+    /* The clock was read at the executor before its answer arrived here, so
+       this is never too late. */
+    if (executor->clock_ms < 0 ||
+        node_now_ms(node) >= node->lease_until_ms) {
+        return 0;
+    }
+    return executor->clock_ms +
+           (node->lease_until_ms - executor->clock_read_ms);
+}
+
+static Teasel__RunEnd *
+copy_end(const Teasel__RunEnd *end)
+{
+    Teasel__RunEnd *copy = g_new(Teasel__RunEnd, 1);
+
+    teasel__run_end__init(copy);
+    copy->number = end->number;
+    copy->task = g_strdup(end->task);
+    copy->run = end->run;
+    copy->how = end->how;
+    copy->checkpoint = g_strdup(end->checkpoint);
+    return copy;
+}
+
+static void
+take_end(node_executor_t *executor, const Teasel__RunEnd *end)
+{
+    run_t *run;
+
+    if (end->number <= executor->end_known) {
+        return;
+    }
+    executor->end_known = end->number;
+    executor->changed = true;
+    run = run_find(executor, end->task, end->run);
+    if (run != NULL) {
+        run_free(run);
+    }
+    g_ptr_array_add(executor->ends, copy_end(end));
+}
+
+static void
+take_running(node_executor_t *executor, const Teasel__RunStatus *status,
+             int64_t now_ms)
+{
+    run_t *run = run_find(executor, status->task, status->run);
+
+    if (run == NULL) {
+        run = run_new(executor, status->task, status->run);
+        run->phase = RUN_STARTED;
+        run->changed = true;
+        executor->changed = true;
+    }
+    else if (run->phase == RUN_STARTING || run->phase == RUN_QUEUED) {
+        run->phase = RUN_STARTED;
+        run->changed = true;
+        executor->changed = true;
+    }
+    run->seen_ms = now_ms;
+    run->percent = status->percent;
+    run->figure = status->figure;
+    replace_string(&run->checkpoint, status->checkpoint);
+}
+
+/* A run that is neither running nor ended, and was there when the poll was
+   sent, does not exist. */
+static void
+find_missing(node_executor_t *executor, int64_t sent_ms, int64_t now_ms)
+{
+    LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
+        if (run->seen_ms == now_ms || run->phase_ms >= sent_ms) {
+            continue;
+        }
+        if (run->phase == RUN_STOPPED) {
+            run_reject(run, "stopped");
+        }
+        else if (run->phase == RUN_STARTED &&
+                 now_ms - run->phase_ms > UNSEEN_MS) {
+            run->doubtful = true;
+            run->stop_wanted = true;
+        }
+    }
+}
+
+static void
+take_lists(node_executor_t *executor, const executor_lists_t *lists)
+{
+    int64_t now_ms = node_now_ms(executor->node);
+
+    executor->clock_ms = lists->clock_ms;
+    executor->clock_read_ms = now_ms;
+    if (executor->silent) {
+        event_log(EVENT_EXECUTOR_JOINED, "executor=%s answers again",
+                  executor->key);
+    }
+    executor->silent = false;
+    for (size_t i = 0; i < lists->ended_count; i++) {
+        take_end(executor, lists->ended[i]);
+    }
+    for (size_t i = 0; i < lists->running_count; i++) {
+        take_running(executor, lists->running[i], now_ms);
+    }
+    find_missing(executor, executor->poll_sent_ms, now_ms);
+    if (!executor->polled) {
+        executor->polled = true;
+        executor->changed = true;
+    }
+    pace_check(executor);
+}
+
+/* All that runs has ended once the last lease has run out on its clock. */
+static bool
+has_lapsed(const node_executor_t *executor)
+{
+    int64_t lease_ms = executor->deadline_ms - executor->clock_ms;
+    int64_t passed_ms =
+        node_now_ms(executor->node) - executor->clock_read_ms;
+
+    return executor->polled && executor->silent &&
+           passed_ms > lease_ms + lease_ms * DRIFT_PERCENT / 100 +
+                           LAPSE_MARGIN_MS;
+}
+
+static void
+on_polled(executor_result_t result, const executor_lists_t *lists, void *data)
+{
+    node_executor_t *executor = data;
+    int64_t now_ms = node_now_ms(executor->node);
+
+    executor->polling = false;
+    if (executor->dead) {
+        return;
+    }
+    if (result == EXECUTOR_OTHER) {
+        node_executor_end(executor, "another life answers");
+        return;
+    }
+    if (result != EXECUTOR_OK) {
+        executor->node->poll_failures++;
+        if (!executor->silent &&
+            now_ms - executor->clock_read_ms > SILENT_MS) {
+            executor->silent = true;
+            event_log(EVENT_EXECUTOR_SILENT, "executor=%s heard_ms=%"
+                      G_GINT64_FORMAT, executor->key,
+                      now_ms - executor->clock_read_ms);
+        }
+        executor->retry_ms = now_ms + POLL_RETRY_MS;
+        return;
+    }
+    take_lists(executor, lists);
+    node_executor_check(executor);
+    if (executor->changed) {
+        node_wake(executor->node);
+    }
+}
+
+static void
+send_poll(node_executor_t *executor)
+{
+    node_t *node = executor->node;
+    executor_poll_t poll = {
+        .deadline_ms = node_executor_get_deadline(executor),
+        .fence = node->epoch,
+        .cursor = executor->end_cursor,
+        .wait_ms =
+            executor->polled ? (uint64_t)node->opts.settings->poll_wait_ms : 0,
+    };
+
+    executor->deadline_ms = MAX(executor->deadline_ms, poll.deadline_ms);
+    executor->polling = true;
+    executor->poll_sent_ms = node_now_ms(node);
+    node->polls++;
+    executor->api->vtbl->poll(executor->api, &poll, on_polled, executor);
+}
+
+void
+node_executor_check(node_executor_t *executor)
+{
+    int64_t now_ms = node_now_ms(executor->node);
+
+    if (executor->dead || executor->node->epoch == 0) {
+        return;
+    }
+    if (executor->ending_ms != 0 && now_ms >= executor->ending_ms) {
+        node_executor_end(executor, "it has left");
+        return;
+    }
+    if (has_lapsed(executor)) {
+        node_executor_end(executor, "silent until its lease ran out");
+        return;
+    }
+    LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
+        run_check(run);
+    }
+    if (!executor->polling && now_ms >= executor->retry_ms) {
+        send_poll(executor);
+    }
+}
+
+static void
+forget_stored_ends(node_executor_t *executor)
+{
+    while (executor->ends->len > 0) {
+        const Teasel__RunEnd *end = g_ptr_array_index(executor->ends, 0);
+
+        if (end->number > executor->end_cursor) {
+            return;
+        }
+        g_ptr_array_remove_index(executor->ends, 0);
+        if (executor->ends_sent > 0) {
+            executor->ends_sent--;
+        }
+    }
+}
+
+static void
+take_start(node_executor_t *executor, const Teasel__StartOrder *order)
+{
+    run_t *run = run_find(executor, order->task, order->run);
+
+    if (run == NULL) {
+        run = run_new(executor, order->task, order->run);
+        run->payload = g_strdup(order->payload);
+        run->checkpoint = g_strdup(order->checkpoint);
+    }
+    run->filler = order->filler;
+    run->latency_target_ms = order->latency_target_ms;
+}
+
+static void
+take_stop(node_executor_t *executor, const Teasel__RunRef *order)
+{
+    run_t *run = run_find(executor, order->task, order->run);
+
+    if (run == NULL) {
+        /* The executor has to learn that this run must never start. */
+        run = run_new(executor, order->task, order->run);
+        run->phase = RUN_STARTING;
+        run->doubtful = true;
+    }
+    run->stop_wanted = true;
+}
+
+void
+node_executor_order(node_executor_t *executor,
+                    const Teasel__ExecutorOrders *orders)
+{
+    executor->end_cursor = MAX(executor->end_cursor, orders->end_cursor);
+    forget_stored_ends(executor);
+    for (size_t i = 0; i < orders->n_stops; i++) {
+        take_stop(executor, orders->stops[i]);
+    }
+    for (size_t i = 0; i < orders->n_starts; i++) {
+        take_start(executor, orders->starts[i]);
+    }
+    node_executor_check(executor);
+}
--- /dev/null
+++ b/libteasel/node/node_report.c
@@ -0,0 +1,144 @@
+/* Reports to the leading scheduler. */
+
+#include "node/node_internal.h"
+
+typedef struct report {
+    GPtrArray *executors;
+    GPtrArray *allocated; /* freed with the report */
+} report_t;
+
+static void *
+allocate(report_t *report, size_t size)
+{
+    void *memory = g_malloc0(size);
+
+    g_ptr_array_add(report->allocated, memory);
+    return memory;
+}
+
+static Teasel__RunStatus *
+new_status(report_t *report, const run_t *run)
+{
+    Teasel__RunStatus *status = allocate(report, sizeof(*status));
+
+    teasel__run_status__init(status);
+    status->task = run->task;
+    status->run = run->run;
+    status->percent = run->percent;
+    status->figure = run->figure;
+    status->pending = run->phase < RUN_STARTED;
+    status->paced = run->pace < 100;
+    if (run->checkpoint != NULL) {
+        status->checkpoint = run->checkpoint;
+    }
+    return status;
+}
+
+static void
+add_running(report_t *report, node_executor_t *executor,
+            Teasel__ExecutorReport *message, bool all)
+{
+    size_t count = 0;
+
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        count++;
+    }
+    message->running = allocate(report, (count + 1) * sizeof(void *));
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        if (all || run->changed) {
+            message->running[message->n_running++] = new_status(report, run);
+            run->changed = false;
+        }
+    }
+}
+
+static void
+describe(report_t *report, node_executor_t *executor,
+         Teasel__ExecutorReport *message)
+{
+    int64_t left_ms = executor->leaves_ms - node_now_ms(executor->node);
+
+    message->key = executor->key;
+    message->service = executor->service;
+    message->data_centre = executor->data_centre;
+    message->rack = executor->rack;
+    message->labels = executor->labels;
+    message->n_labels = g_strv_length(executor->labels);
+    message->capacity = &executor->capacity;
+    message->draining = executor->draining;
+    message->remaining_ms = (uint32_t)MAX(0, left_ms);
+}
+
+static void
+add_executor(report_t *report, node_executor_t *executor, bool heartbeat)
+{
+    Teasel__ExecutorReport *message = allocate(report, sizeof(*message));
+    guint from = executor->must_list ? 0 : executor->ends_sent;
+
+    teasel__executor_report__init(message);
+    describe(report, executor, message);
+    message->listed = executor->must_list;
+    add_running(report, executor, message, heartbeat || executor->must_list);
+    message->ended = (Teasel__RunEnd **)executor->ends->pdata + from;
+    message->n_ended = executor->ends->len - from;
+    message->rejected =
+        (Teasel__RejectedStart **)executor->rejected->pdata;
+    message->n_rejected = executor->rejected->len;
+    g_ptr_array_add(report->executors, message);
+}
+
+static void
+add_gone(report_t *report, char *key)
+{
+    Teasel__ExecutorReport *message = allocate(report, sizeof(*message));
+
+    teasel__executor_report__init(message);
+    message->key = key;
+    message->gone = true;
+    g_ptr_array_add(report->executors, message);
+}
+
+static void
+note_sent(node_t *node)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (!executor->polled) {
+            continue;
+        }
+        executor->must_list = false;
+        executor->changed = false;
+        executor->ends_sent = executor->ends->len;
+        g_ptr_array_set_size(executor->rejected, 0);
+    }
+    g_ptr_array_set_size(node->gone, 0);
+}
+
+void
+node_send_report(node_t *node, bool heartbeat)
+{
+    Teasel__NodeReport message = TEASEL__NODE_REPORT__INIT;
+    report_t report = {
+        .executors = g_ptr_array_new(),
+        .allocated = g_ptr_array_new_with_free_func(g_free),
+    };
+
+    for (guint i = 0; i < node->gone->len; i++) {
+        add_gone(&report, g_ptr_array_index(node->gone, i));
+    }
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (executor->polled && (heartbeat || executor->changed)) {
+            add_executor(&report, executor, heartbeat);
+        }
+    }
+    message.n_executors = report.executors->len;
+    message.executors = (Teasel__ExecutorReport **)report.executors->pdata;
+    if (heartbeat) {
+        message.sent_us = (uint64_t)node_now_ms(node) * 1000;
+    }
+    if ((heartbeat || message.n_executors > 0) &&
+        node_link_send(node->link, &message)) {
+        note_sent(node);
+    }
+    g_ptr_array_unref(report.executors);
+    g_ptr_array_unref(report.allocated);
+}
--- /dev/null
+++ b/libteasel/node/pace.c
@@ -0,0 +1,128 @@
+/*
+ * Slows down fillers that disturb serving tasks on the same executor. The
+ * executor reports the tail latency of each serving task with a lag; the pace
+ * of all fillers falls by a factor while a target is missed, and rises in
+ * small steps while all are met with a reserve.
+ */
+
+#include "base/events.h"
+#include "node/node_internal.h"
+
+enum {
+    /* The figures are averages of half a second, and a pace takes effect
+       after 100 ms. */
+    PACE_INTERVAL_MS = 600,
+    PACE_STEP_PERCENT = 10,
+    PACE_MIN_PERCENT = 0,
+    /* A pace of less than this is no work worth its memory; 0 at once. */
+    PACE_LEAST_USEFUL = 8,
+    /* Share of the target up to which fillers may speed up. */
+    RESERVE_PERCENT = 85,
+};
+
+typedef struct tail {
+    bool any;
+    bool missed;
+    bool reserve; /* all tails are well below their target */
+    double worst; /* tail over target, of the worst task */
+} tail_t;
+
+static tail_t
+read_tail(node_executor_t *executor)
+{
+    tail_t tail = {.reserve = true};
+
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        double ratio;
+
+        if (run->latency_target_ms == 0 || run->phase != RUN_STARTED) {
+            continue;
+        }
+        ratio = (double)run->figure / run->latency_target_ms;
+        tail.any = true;
+        tail.worst = MAX(tail.worst, ratio);
+        tail.missed |= ratio > 1.0;
+        tail.reserve &= ratio * 100 < RESERVE_PERCENT;
+    }
+    return tail;
+}
+
+typedef struct pace_call {
+    node_executor_t *executor;
+    char *task;
+    uint32_t run;
+    uint32_t pace;
+} pace_call_t;
+
+static void
+on_paced(executor_result_t result, const char *reason, void *data)
+{
+    pace_call_t *call = data;
+    run_t *run = run_find(call->executor, call->task, call->run);
+
+    if (run != NULL) {
+        run->pacing = false;
+        run->paced_ms = node_now_ms(call->executor->node);
+        if (result == EXECUTOR_OK) {
+            run->pace = call->pace;
+        }
+    }
+    g_free(call->task);
+    g_free(call);
+}
+
+static void
+set_pace(run_t *run, uint32_t pace)
+{
+    node_executor_t *executor = run->executor;
+    pace_call_t *call;
+
+    if (run->pacing || pace == run->pace) {
+        return;
+    }
+    call = g_new(pace_call_t, 1);
+    call->executor = executor;
+    call->task = g_strdup(run->task);
+    call->run = run->run;
+    call->pace = pace;
+    run->pacing = true;
+    executor->api->vtbl->pace(executor->api, run->task, run->run, pace,
+                              executor->node->epoch, on_paced, call);
+}
+
+static uint32_t
+slow_down(uint32_t pace, double worst)
+{
+    uint32_t slower = (uint32_t)(pace / MAX(1.3, worst));
+
+    return slower < PACE_LEAST_USEFUL ? PACE_MIN_PERCENT : slower;
+}
+
+static uint32_t
+choose_pace(const run_t *run, const tail_t *tail)
+{
+    if (!tail->any) {
+        return 100;
+    }
+    if (tail->missed) {
+        return slow_down(run->pace, tail->worst);
+    }
+    if (tail->reserve) {
+        return MIN(100, run->pace + PACE_STEP_PERCENT);
+    }
+    return run->pace;
+}
+
+void
+pace_check(node_executor_t *executor)
+{
+    tail_t tail = read_tail(executor);
+    int64_t now_ms = node_now_ms(executor->node);
+
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        if (run->filler && run->phase == RUN_STARTED &&
+            now_ms - run->paced_ms >= PACE_INTERVAL_MS) {
+            set_pace(run, choose_pace(run, &tail));
+        }
+    }
+}
--- /dev/null
+++ b/libteasel/node/run.c
@@ -0,0 +1,244 @@
+/* One run on an executor: start, stop and their repeats. */
+
+#include <string.h>
+
+#include "base/events.h"
+#include "node/node_internal.h"
+
+enum {
+    /* Starts under way at an executor; the rest waits in order. */
+    MAX_STARTING = 8,
+    RETRY_MS = 200,
+    /* Starts without an answer before the run is given up. */
+    MAX_TRIES = 2,
+};
+
+run_t *
+run_find(node_executor_t *executor, const char *task, uint32_t number)
+{
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        if (run->run == number && strcmp(run->task, task) == 0) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+run_t *
+run_new(node_executor_t *executor, const char *task, uint32_t number)
+{
+    run_t *run = g_new0(run_t, 1);
+
+    run->executor = executor;
+    run->task = g_strdup(task);
+    run->run = number;
+    run->pace = 100;
+    list_append(&executor->runs, &run->link);
+    return run;
+}
+
+void
+run_free(run_t *run)
+{
+    list_remove(&run->link);
+    g_free(run->task);
+    g_free(run->payload);
+    g_free(run->checkpoint);
+    g_free(run);
+}
+
+/* Reports that the run does not exist and never will, and frees it. */
+void
+run_reject(run_t *run, const char *reason)
+{
+    node_executor_t *executor = run->executor;
+    Teasel__RejectedStart *rejected = g_new(Teasel__RejectedStart, 1);
+
+    teasel__rejected_start__init(rejected);
+    rejected->task = g_strdup(run->task);
+    rejected->run = run->run;
+    rejected->reason = g_strdup(reason);
+    g_ptr_array_add(executor->rejected, rejected);
+    executor->node->rejections++;
+    executor->changed = true;
+    event_log(EVENT_START_REJECTED, "task=%s run=%u executor=%s reason=%s",
+              run->task, run->run, executor->key, reason);
+    run_free(run);
+    node_wake(executor->node);
+}
+
+/* A callback may come after its run has ended and was freed. */
+typedef struct run_call {
+    node_executor_t *executor;
+    char *task;
+    uint32_t run;
+} run_call_t;
+
+static run_call_t *
+begin_call(run_t *run)
+{
+    run_call_t *call = g_new(run_call_t, 1);
+
+    call->executor = run->executor;
+    call->task = g_strdup(run->task);
+    call->run = run->run;
+    run->calling = true;
+    return call;
+}
+
+static run_t *
+end_call(run_call_t *call)
+{
+    run_t *run = run_find(call->executor, call->task, call->run);
+
+    g_free(call->task);
+    g_free(call);
+    if (run != NULL) {
+        run->calling = false;
+    }
+    return run;
+}
+
+static void
+set_phase(run_t *run, run_phase_t phase)
+{
+    run->phase = phase;
+    run->phase_ms = node_now_ms(run->executor->node);
+}
+
+static void
+retry_later(run_t *run)
+{
+    run->retry_ms = node_now_ms(run->executor->node) + RETRY_MS;
+}
+
+static void
+reject_or_stop(run_t *run, const char *reason)
+{
+    if (!run->doubtful) {
+        run_reject(run, reason);
+        return;
+    }
+    /* An earlier start may still be carried out; a stop prevents that. */
+    run->stop_wanted = true;
+    run_check(run);
+}
+
+static void
+on_started(executor_result_t result, const char *reason, void *data)
+{
+    run_call_t *call = data;
+    node_executor_t *executor = call->executor;
+    run_t *run = end_call(call);
+
+    executor->starting--;
+    if (result == EXECUTOR_OTHER) {
+        node_executor_end(executor, "another life answers");
+        return;
+    }
+    if (run == NULL) {
+        return;
+    }
+    switch (result) {
+    case EXECUTOR_OK:
+        if (run->phase == RUN_STARTING) {
+            set_phase(run, RUN_STARTED);
+            run->changed = true;
+            executor->changed = true;
+            node_wake(executor->node);
+        }
+        break;
+    case EXECUTOR_REJECTED:
+    case EXECUTOR_BUSY:
+        reject_or_stop(run, reason ? reason : "busy");
+        return;
+    default:
+        run->doubtful |= result == EXECUTOR_NO_ANSWER;
+        retry_later(run);
+        if (++run->tries >= MAX_TRIES) {
+            reject_or_stop(run, "no answer");
+            return;
+        }
+        break;
+    }
+    node_executor_check(executor);
+}
+
+static void
+on_stopped(executor_result_t result, const char *reason, void *data)
+{
+    run_call_t *call = data;
+    node_executor_t *executor = call->executor;
+    run_t *run = end_call(call);
+
+    if (result == EXECUTOR_OTHER) {
+        node_executor_end(executor, "another life answers");
+        return;
+    }
+    if (run == NULL) {
+        return;
+    }
+    if (result == EXECUTOR_OK) {
+        set_phase(run, RUN_STOPPED);
+        return;
+    }
+    retry_later(run);
+}
+
+static void
+send_start(run_t *run)
+{
+    node_executor_t *executor = run->executor;
+    executor_start_t start = {
+        .task = run->task,
+        .run = run->run,
+        .payload = run->payload,
+        .checkpoint = run->checkpoint,
+        .deadline_ms = node_executor_get_deadline(executor),
+        .fence = executor->node->epoch,
+    };
+
+    if (executor->draining) {
+        reject_or_stop(run, "the executor is leaving");
+        return;
+    }
+    if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING) {
+        return;
+    }
+    executor->deadline_ms = MAX(executor->deadline_ms, start.deadline_ms);
+    executor->starting++;
+    executor->node->starts++;
+    set_phase(run, RUN_STARTING);
+    executor->api->vtbl->start(executor->api, &start, on_started,
+                               begin_call(run));
+}
+
+static void
+send_stop(run_t *run)
+{
+    node_executor_t *executor = run->executor;
+
+    if (run->phase == RUN_QUEUED) {
+        run_reject(run, "stopped before the start");
+        return;
+    }
+    set_phase(run, RUN_STOPPING);
+    executor->api->vtbl->stop(executor->api, run->task, run->run,
+                              executor->node->epoch, on_stopped,
+                              begin_call(run));
+}
+
+void
+run_check(run_t *run)
+{
+    if (run->calling || node_now_ms(run->executor->node) < run->retry_ms) {
+        return;
+    }
+    if (run->stop_wanted && run->phase != RUN_STOPPED) {
+        send_stop(run);
+        return;
+    }
+    if (run->phase == RUN_QUEUED || run->phase == RUN_STARTING) {
+        send_start(run);
+    }
+}
--- a/libteasel/operator/ctl.h
+++ b/libteasel/operator/ctl.h
@@ -11,7 +11,7 @@
 #include "base/loop.h"
 #include "config/config.h"
 #include "config/config_reader.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/operator/ctl_audit.c
+++ b/libteasel/operator/ctl_audit.c
@@ -4,7 +4,7 @@
 
 #include "operator/audit.h"
 #include "operator/ctl.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 
 /**
  * struct audited_stream - a stream that is read from its oldest record
--- a/libteasel/operator/ctl_log.c
+++ b/libteasel/operator/ctl_log.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 
 #include "operator/ctl.h"
-#include "platform/plog_http.h"
+#include "stream/plog_http.h"
 
 bool
 ctl_wait(ctl_t *ctl, const bool *done, int64_t timeout_ms)
--- /dev/null
+++ b/libteasel/sched/executor.c
@@ -0,0 +1,138 @@
+#include "sched/executor.h"
+
+#include <string.h>
+
+static void
+free_stray(void *data)
+{
+    sched_stray_t *stray = data;
+
+    g_free(stray->task);
+    g_free(stray);
+}
+
+sched_executor_t *
+sched_executor_new(const char *key)
+{
+    sched_executor_t *executor = g_new0(sched_executor_t, 1);
+
+    executor->key = g_strdup(key);
+    executor->slowness = 1.0;
+    executor->strays = g_ptr_array_new_with_free_func(free_stray);
+    list_init(&executor->link);
+    list_init(&executor->tasks);
+    list_init(&executor->orders);
+    return executor;
+}
+
+void
+sched_executor_free(sched_executor_t *executor)
+{
+    LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, place_link) {
+        sched_executor_detach(task);
+    }
+    LIST_FOREACH_SAFE (task, &executor->orders, sched_task_t, order_link) {
+        list_remove(&task->order_link);
+    }
+    list_remove(&executor->link);
+    g_ptr_array_unref(executor->strays);
+    g_strfreev(executor->labels);
+    g_free(executor->key);
+    g_free(executor->node);
+    g_free(executor->service);
+    g_free(executor->data_centre);
+    g_free(executor->rack);
+    g_free(executor);
+}
+
+static void
+replace_string(char **field, const char *value)
+{
+    if (g_strcmp0(*field, value) != 0) {
+        g_free(*field);
+        *field = g_strdup(value);
+    }
+}
+
+static char **
+copy_strings(char *const *strings, size_t count)
+{
+    char **copy = g_new0(char *, count + 1);
+
+    for (size_t i = 0; i < count; i++) {
+        copy[i] = g_strdup(strings[i]);
+    }
+    return copy;
+}
+
+void
+sched_executor_describe(sched_executor_t *executor, const char *node,
+                        const Teasel__ExecutorReport *report, int64_t now_ms)
+{
+    replace_string(&executor->node, node);
+    replace_string(&executor->service, report->service);
+    replace_string(&executor->data_centre, report->data_centre);
+    replace_string(&executor->rack, report->rack);
+    g_strfreev(executor->labels);
+    executor->labels = copy_strings(report->labels, report->n_labels);
+    executor->draining = report->draining;
+    executor->leaves_ms = now_ms + report->remaining_ms;
+    if (report->capacity != NULL) {
+        executor->room.cpu_milli = report->capacity->cpu_milli;
+        executor->room.memory_mb = report->capacity->memory_mb;
+        executor->room.accelerators = report->capacity->accelerators;
+    }
+}
+
+static void
+add_room(sched_executor_t *executor, const Teasel__StepSpec *spec, int sign)
+{
+    if (spec->filler) {
+        executor->filler_cpu += (uint64_t)sign * spec->cpu_milli;
+    }
+    else {
+        executor->used.cpu_milli += (uint64_t)sign * spec->cpu_milli;
+    }
+    executor->used.memory_mb += (uint64_t)sign * spec->memory_mb;
+    executor->used.accelerators += (uint64_t)sign * spec->accelerators;
+    if (spec->latency_target_ms > 0) {
+        executor->serving += (uint32_t)sign;
+    }
+}
+
+void
+sched_executor_attach(sched_executor_t *executor, sched_task_t *task)
+{
+    task->place = executor;
+    list_append(&executor->tasks, &task->place_link);
+    add_room(executor, task->step->spec, 1);
+}
+
+void
+sched_executor_detach(sched_task_t *task)
+{
+    if (task->place == NULL) {
+        return;
+    }
+    add_room(task->place, task->step->spec, -1);
+    list_remove(&task->place_link);
+    task->place = NULL;
+}
+
+void
+sched_executor_add_stray(sched_executor_t *executor, const char *task,
+                         uint32_t run)
+{
+    sched_stray_t *stray = g_new(sched_stray_t, 1);
+
+    stray->task = g_strdup(task);
+    stray->run = run;
+    g_ptr_array_add(executor->strays, stray);
+}
+
+bool
+sched_executor_has_label(const sched_executor_t *executor, const char *label)
+{
+    return executor->labels != NULL &&
+           g_strv_contains((const char *const *)executor->labels, label);
+}
--- /dev/null
+++ b/libteasel/sched/job_record.c
@@ -0,0 +1,247 @@
+/* Encoding of jobs for the store. */
+
+#include <string.h>
+
+#include "base/error.h"
+#include "sched/executor.h"
+#include "sched/job.h"
+
+/* Keys of the executors that the tasks of a job are placed on. */
+typedef struct place_table {
+    GPtrArray *keys;
+    GHashTable *indexes; /* key -> 1 + index */
+} place_table_t;
+
+static uint32_t
+add_place(place_table_t *places, const sched_executor_t *executor)
+{
+    uint32_t index;
+
+    if (executor == NULL) {
+        return 0;
+    }
+    index = GPOINTER_TO_UINT(
+        g_hash_table_lookup(places->indexes, executor->key));
+    if (index == 0) {
+        g_ptr_array_add(places->keys, executor->key);
+        index = places->keys->len;
+        g_hash_table_insert(places->indexes, executor->key,
+                            GUINT_TO_POINTER(index));
+    }
+    return index;
+}
+
+static sched_task_phase_t
+stored_phase(const sched_task_t *task)
+{
+    return task->phase <= SCHED_TASK_FAILED ? task->phase : SCHED_TASK_PLACED;
+}
+
+static void
+fill_task(Teasel__TaskRecord *record, const sched_task_t *task,
+          place_table_t *places)
+{
+    teasel__task_record__init(record);
+    record->state = stored_phase(task);
+    record->run = task->run;
+    record->failures = task->failures;
+    record->place = add_place(places, task->place);
+    if (task->checkpoint != NULL && task->phase != SCHED_TASK_DONE) {
+        record->checkpoint = task->checkpoint;
+    }
+}
+
+static uint32_t
+count_tasks(const Teasel__JobSpec *spec)
+{
+    uint32_t count = 0;
+
+    for (size_t i = 0; i < spec->n_steps; i++) {
+        count += spec->steps[i]->count;
+    }
+    return count;
+}
+
+static Teasel__OccurrenceRecord *
+new_occurrence_record(const sched_occurrence_t *occurrence,
+                      place_table_t *places)
+{
+    const Teasel__JobSpec *spec = occurrence->job->spec;
+    uint32_t count = count_tasks(spec);
+    Teasel__OccurrenceRecord *record = g_new(Teasel__OccurrenceRecord, 1);
+    Teasel__TaskRecord *tasks = g_new(Teasel__TaskRecord, count);
+    size_t n = 0;
+
+    teasel__occurrence_record__init(record);
+    record->number = occurrence->number;
+    record->tasks = g_new(Teasel__TaskRecord *, count);
+    for (size_t i = 0; i < spec->n_steps; i++) {
+        for (uint32_t j = 0; j < spec->steps[i]->count; j++) {
+            record->tasks[n] = &tasks[n];
+            fill_task(&tasks[n], &occurrence->steps[i].tasks[j], places);
+            n++;
+        }
+    }
+    record->n_tasks = n;
+    return record;
+}
+
+static void
+free_occurrence_record(void *data)
+{
+    Teasel__OccurrenceRecord *record = data;
+
+    g_free(record->tasks[0]);
+    g_free(record->tasks);
+    g_free(record);
+}
+
+GByteArray *
+sched_job_to_record(const sched_job_t *job)
+{
+    Teasel__JobRecord record = TEASEL__JOB_RECORD__INIT;
+    place_table_t places = {
+        .keys = g_ptr_array_new(),
+        .indexes = g_hash_table_new(g_str_hash, g_str_equal),
+    };
+    GPtrArray *occurrences =
+        g_ptr_array_new_with_free_func(free_occurrence_record);
+    GByteArray *out = g_byte_array_new();
+
+    record.spec = job->spec;
+    record.state = job->state;
+    record.next_occurrence = job->next_occurrence;
+    record.accepted = job->accepted;
+    record.finished_ms = job->finished_ms;
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        /* The tasks of a final job matter only while some may still run. */
+        if (sched_job_is_final(job) && sched_job_count_placed(job) == 0) {
+            break;
+        }
+        g_ptr_array_add(occurrences,
+                        new_occurrence_record(occurrence, &places));
+    }
+    record.n_occurrences = occurrences->len;
+    record.occurrences = (Teasel__OccurrenceRecord **)occurrences->pdata;
+    record.n_places = places.keys->len;
+    record.places = (char **)places.keys->pdata;
+    g_byte_array_set_size(out, teasel__job_record__get_packed_size(&record));
+    teasel__job_record__pack(&record, out->data);
+    g_ptr_array_unref(occurrences);
+    g_ptr_array_unref(places.keys);
+    g_hash_table_unref(places.indexes);
+    return out;
+}
+
+static void
+load_task(sched_task_t *task, const Teasel__TaskRecord *record,
+          GPtrArray *places)
+{
+    sched_step_t *step = task->step;
+
+    task->phase = (sched_task_phase_t)record->state;
+    task->run = record->run;
+    task->failures = record->failures;
+    if (record->checkpoint[0] != '\0') {
+        task->checkpoint = g_strdup(record->checkpoint);
+    }
+    if (task->phase != SCHED_TASK_WAITING) {
+        step->waiting--;
+    }
+    if (task->phase == SCHED_TASK_DONE) {
+        step->done++;
+    }
+    if (task->phase == SCHED_TASK_PLACED && record->place > 0 &&
+        record->place <= places->len) {
+        task->sent = true;
+        sched_executor_attach(g_ptr_array_index(places, record->place - 1),
+                              task);
+    }
+    else if (task->phase == SCHED_TASK_PLACED) {
+        task->phase = SCHED_TASK_WAITING;
+        step->waiting++;
+    }
+}
+
+static bool
+load_occurrence(sched_job_t *job, const Teasel__OccurrenceRecord *record,
+                GPtrArray *places, GError **error)
+{
+    sched_occurrence_t *occurrence;
+    size_t n = 0;
+
+    if (record->n_tasks != count_tasks(job->spec)) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "record of job \"%s\": %zu tasks, its steps have %u",
+                    job->spec->id, record->n_tasks, count_tasks(job->spec));
+        return false;
+    }
+    job->next_occurrence = record->number;
+    occurrence = sched_job_add_occurrence(job);
+    for (size_t i = 0; i < job->spec->n_steps; i++) {
+        sched_step_t *step = &occurrence->steps[i];
+
+        for (uint32_t j = 0; j < step->spec->count; j++) {
+            load_task(&step->tasks[j], record->tasks[n++], places);
+        }
+        occurrence->done_steps += step->done == step->spec->count;
+    }
+    return true;
+}
+
+static bool
+load_occurrences(sched_job_t *job, const Teasel__JobRecord *record,
+                 GPtrArray *places, GError **error)
+{
+    for (size_t i = 0; i < record->n_occurrences; i++) {
+        if (!load_occurrence(job, record->occurrences[i], places, error)) {
+            return false;
+        }
+    }
+    job->next_occurrence = record->next_occurrence;
+    return true;
+}
+
+static void
+free_record(Teasel__JobRecord *record)
+{
+    teasel__job_record__free_unpacked(record, NULL);
+}
+
+sched_job_t *
+sched_job_from_record(const void *data, size_t length,
+                      sched_place_lookup_fn lookup, void *lookup_data,
+                      GError **error)
+{
+    Teasel__JobRecord *record =
+        teasel__job_record__unpack(NULL, length, data);
+    g_autoptr(GPtrArray) places = g_ptr_array_new();
+    sched_job_t *job;
+
+    if (record == NULL || record->spec == NULL) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "stored job of %zu bytes is malformed", length);
+        g_clear_pointer(&record, free_record);
+        return NULL;
+    }
+    if (!sched_job_check(record->spec, error)) {
+        free_record(record);
+        return NULL;
+    }
+    job = sched_job_new(record->spec, record->accepted);
+    record->spec = NULL;
+    job->state = (sched_job_state_t)record->state;
+    job->taken_state = job->state;
+    job->shown_state = job->state;
+    job->finished_ms = record->finished_ms;
+    job->started = job->state != SCHED_JOB_QUEUED;
+    job->stored = true;
+    for (size_t i = 0; i < record->n_places; i++) {
+        g_ptr_array_add(places, lookup(record->places[i], lookup_data));
+    }
+    if (!load_occurrences(job, record, places, error)) {
+        g_clear_pointer(&job, sched_job_free);
+    }
+    free_record(record);
+    return job;
+}
--- /dev/null
+++ b/libteasel/sched/place.c
@@ -0,0 +1,118 @@
+#include "sched/place.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Costs are shares of an executor: 1.0 weighs as much as the difference
+   between an empty and a full one. */
+static const double COST_REMOTE_DATA = 0.7;
+static const double COST_FILLER_BESIDE_SERVING = 1.5;
+static const double COST_SERVING_BESIDE_FILLER = 1.0;
+static const double COST_FAILED_HERE = 1.0;
+static const double COST_SLOWNESS = 1.0;
+
+static bool
+is_open(const sched_executor_t *executor, const Teasel__JobSpec *job,
+        int64_t now_ms)
+{
+    return executor->connected && executor->listed && !executor->draining &&
+           now_ms >= executor->probation_ms &&
+           g_strcmp0(executor->service, job->service) == 0;
+}
+
+static bool
+has_room(const sched_executor_t *executor, const Teasel__StepSpec *step)
+{
+    const sched_room_t *room = &executor->room;
+    const sched_room_t *used = &executor->used;
+    uint64_t cpu = used->cpu_milli + step->cpu_milli;
+
+    /* Fillers get what the others leave unused, so they wait for some. */
+    if (step->filler) {
+        cpu += executor->filler_cpu;
+    }
+    return cpu <= room->cpu_milli &&
+           used->memory_mb + step->memory_mb <= room->memory_mb &&
+           used->accelerators + step->accelerators <= room->accelerators;
+}
+
+static bool
+is_allowed(const sched_executor_t *executor, const sched_task_t *task)
+{
+    const Teasel__StepSpec *spec = task->step->spec;
+    uint32_t siblings = 0;
+
+    if (spec->required_label[0] != '\0' &&
+        !sched_executor_has_label(executor, spec->required_label)) {
+        return false;
+    }
+    if (spec->max_per_executor == 0) {
+        return true;
+    }
+    LIST_FOREACH (other, &executor->tasks, sched_task_t, place_link) {
+        siblings += other->step == task->step;
+    }
+    return siblings < spec->max_per_executor;
+}
+
+static double
+get_load(const sched_executor_t *executor, const Teasel__StepSpec *step)
+{
+    double cpu = (double)(executor->used.cpu_milli + executor->filler_cpu +
+                          step->cpu_milli) /
+                 fmax(1.0, (double)executor->room.cpu_milli);
+    double memory = (double)(executor->used.memory_mb + step->memory_mb) /
+                    fmax(1.0, (double)executor->room.memory_mb);
+
+    return fmax(cpu, memory);
+}
+
+static double
+get_cost(const sched_executor_t *executor, const sched_task_t *task)
+{
+    const Teasel__StepSpec *spec = task->step->spec;
+    double cost = get_load(executor, spec);
+
+    cost += COST_SLOWNESS * (executor->slowness - 1.0);
+    if (spec->data_rack[0] != '\0' &&
+        !sched_executor_has_label(executor, spec->data_rack)) {
+        cost += COST_REMOTE_DATA;
+    }
+    if (spec->filler && executor->serving > 0) {
+        cost += COST_FILLER_BESIDE_SERVING;
+    }
+    if (spec->latency_target_ms > 0) {
+        cost += COST_SERVING_BESIDE_FILLER * (double)executor->filler_cpu /
+                fmax(1.0, (double)executor->room.cpu_milli);
+    }
+    if (task->avoid == executor) {
+        cost += COST_FAILED_HERE;
+    }
+    return cost;
+}
+
+sched_executor_t *
+sched_place_choose(const list_t *executors, const sched_task_t *task,
+                   const char *rack, int64_t now_ms)
+{
+    const Teasel__JobSpec *job = sched_task_get_job(task)->spec;
+    sched_executor_t *best = NULL;
+    double best_cost = INFINITY;
+
+    LIST_FOREACH (executor, executors, sched_executor_t, link) {
+        double cost;
+
+        if (!is_open(executor, job, now_ms) ||
+            !has_room(executor, task->step->spec) ||
+            !is_allowed(executor, task) ||
+            (rack != NULL && g_strcmp0(executor->rack, rack) != 0)) {
+            continue;
+        }
+        cost = get_cost(executor, task);
+        if (cost < best_cost) {
+            best = executor;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/libteasel/sched/sched.c
@@ -0,0 +1,368 @@
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+enum {
+    /* A write ends with the record that exceeds this. */
+    MAX_WRITE_BYTES = 1024 * 1024,
+};
+
+static void
+free_change(void *data)
+{
+    sched_change_t *change = data;
+
+    g_free(change->key);
+    if (change->value != NULL) {
+        g_byte_array_unref(change->value);
+    }
+    g_free(change);
+}
+
+sched_t *
+sched_new(const sched_opts_t *opts)
+{
+    sched_t *sched = g_new0(sched_t, 1);
+
+    sched->opts = *opts;
+    sched->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->executors = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->taken = g_ptr_array_new();
+    sched->dropped = g_ptr_array_new_with_free_func(g_free);
+    list_init(&sched->executor_list);
+    list_init(&sched->active);
+    list_init(&sched->finished);
+    list_init(&sched->dirty);
+    list_init(&sched->staged);
+    list_init(&sched->taken_orders);
+    return sched;
+}
+
+void
+sched_free(sched_t *sched)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (sched == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, sched->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        sched_job_free(value);
+    }
+    LIST_FOREACH_SAFE (executor, &sched->executor_list, sched_executor_t,
+                       link) {
+        sched_executor_free(executor);
+    }
+    g_hash_table_unref(sched->jobs);
+    g_hash_table_unref(sched->executors);
+    g_ptr_array_unref(sched->taken);
+    g_ptr_array_unref(sched->dropped);
+    g_free(sched);
+}
+
+int64_t
+sched_now_ms(const sched_t *sched)
+{
+    return (int64_t)timespec_to_ms(clock_get_monotonic(sched->opts.clock));
+}
+
+int64_t
+sched_wall_ms(const sched_t *sched)
+{
+    return (int64_t)timespec_to_ms(clock_get_wall(sched->opts.clock));
+}
+
+void
+sched_touch_job(sched_t *sched, sched_job_t *job)
+{
+    list_remove(&job->dirty_link);
+    list_append(&sched->dirty, &job->dirty_link);
+}
+
+static bool
+goes_before(const sched_job_t *a, const sched_job_t *b)
+{
+    if (a->spec->priority != b->spec->priority) {
+        return a->spec->priority < b->spec->priority;
+    }
+    return a->accepted < b->accepted;
+}
+
+static void
+insert_job(sched_t *sched, sched_job_t *job)
+{
+    list_t *position = &sched->active;
+
+    g_hash_table_insert(sched->jobs, job->spec->id, job);
+    if (sched_job_is_final(job)) {
+        list_append(&sched->finished, &job->link);
+        return;
+    }
+    while (position->prev != &sched->active &&
+           goes_before(job,
+                       LIST_ENTRY(position->prev, sched_job_t, link))) {
+        position = position->prev;
+    }
+    list_insert_before(position, &job->link);
+}
+
+sched_executor_t *
+sched_get_executor(sched_t *sched, const char *key)
+{
+    sched_executor_t *executor = g_hash_table_lookup(sched->executors, key);
+
+    if (executor == NULL) {
+        executor = sched_executor_new(key);
+        executor->lapse_ms = sched_now_ms(sched) + sched->opts.lapse_ms;
+        g_hash_table_insert(sched->executors, executor->key, executor);
+        list_append(&sched->executor_list, &executor->link);
+    }
+    return executor;
+}
+
+static sched_executor_t *
+lookup_place(const char *key, void *data)
+{
+    return sched_get_executor(data, key);
+}
+
+bool
+sched_load(sched_t *sched, const void *record, size_t length, GError **error)
+{
+    sched_job_t *job =
+        sched_job_from_record(record, length, lookup_place, sched, error);
+
+    if (job == NULL) {
+        return false;
+    }
+    sched->accepted = MAX(sched->accepted, job->accepted);
+    insert_job(sched, job);
+    sched->must_place = true;
+    return true;
+}
+
+void
+sched_add_due_occurrences(sched_t *sched, sched_job_t *job)
+{
+    uint32_t count = MAX(1, job->spec->repeat_count);
+
+    while (job->next_occurrence < count &&
+           sched_job_due_ms(job, job->next_occurrence) <=
+               sched_wall_ms(sched)) {
+        sched_job_add_occurrence(job);
+        sched_touch_job(sched, job);
+        sched->must_place = true;
+    }
+}
+
+sched_job_t *
+sched_submit(sched_t *sched, Teasel__JobSpec *spec)
+{
+    sched_job_t *job = g_hash_table_lookup(sched->jobs, spec->id);
+
+    if (job != NULL) {
+        teasel__job_spec__free_unpacked(spec, NULL);
+        return job;
+    }
+    job = sched_job_new(spec, ++sched->accepted);
+    insert_job(sched, job);
+    sched_touch_job(sched, job);
+    sched_add_due_occurrences(sched, job);
+    return job;
+}
+
+sched_job_t *
+sched_find(sched_t *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->jobs, id);
+}
+
+static void
+stop_occurrence(sched_t *sched, sched_occurrence_t *occurrence)
+{
+    for (size_t i = 0; i < occurrence->job->spec->n_steps; i++) {
+        sched_step_t *step = &occurrence->steps[i];
+
+        for (uint32_t j = 0; j < step->spec->count; j++) {
+            if (step->tasks[j].place != NULL) {
+                sched_stop_task(sched, &step->tasks[j]);
+            }
+        }
+    }
+}
+
+void
+sched_finish_job(sched_t *sched, sched_job_t *job, sched_job_state_t state)
+{
+    job->state = state;
+    job->finished_ms = sched_wall_ms(sched);
+    list_remove(&job->link);
+    list_append(&sched->finished, &job->link);
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        stop_occurrence(sched, occurrence);
+    }
+    sched_touch_job(sched, job);
+}
+
+void
+sched_cancel(sched_t *sched, sched_job_t *job)
+{
+    if (!sched_job_is_final(job)) {
+        sched_finish_job(sched, job, SCHED_JOB_CANCELLED);
+    }
+}
+
+bool
+sched_withdraw(sched_t *sched, sched_job_t *job)
+{
+    if (job->stored || job->taken) {
+        return false;
+    }
+    g_hash_table_remove(sched->jobs, job->spec->id);
+    sched_job_free(job);
+    return true;
+}
+
+uint32_t
+sched_count_pending(const sched_t *sched, const char *queue)
+{
+    uint32_t count = 0;
+
+    LIST_FOREACH (job, &sched->active, sched_job_t, link) {
+        if (job->stored && !job->started &&
+            strcmp(job->spec->queue, queue) == 0) {
+            count++;
+        }
+    }
+    return count;
+}
+
+void
+sched_disconnect(sched_t *sched, const char *node)
+{
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        if (g_strcmp0(executor->node, node) == 0) {
+            executor->connected = false;
+            executor->listed = false;
+        }
+    }
+}
+
+void
+sched_grant(sched_t *sched, const char *node, int64_t until_ms)
+{
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        if (g_strcmp0(executor->node, node) == 0) {
+            executor->lapse_ms = MAX(executor->lapse_ms, until_ms);
+        }
+    }
+}
+
+static void
+add_change(GPtrArray *changes, const char *key, GByteArray *value)
+{
+    sched_change_t *change = g_new(sched_change_t, 1);
+
+    change->key = g_strdup(key);
+    change->value = value;
+    g_ptr_array_add(changes, change);
+}
+
+/* Orders of jobs that did not fit into this write wait for the next one. */
+static void
+take_orders(sched_t *sched)
+{
+    LIST_FOREACH_SAFE (task, &sched->staged, sched_task_t, order_link) {
+        if (list_is_empty(&sched_task_get_job(task)->dirty_link)) {
+            list_remove(&task->order_link);
+            list_append(&sched->taken_orders, &task->order_link);
+        }
+    }
+}
+
+static void
+take_dirty_jobs(sched_t *sched, GPtrArray *changes)
+{
+    size_t bytes = 0;
+
+    while (!list_is_empty(&sched->dirty) && bytes < MAX_WRITE_BYTES) {
+        sched_job_t *job =
+            LIST_ENTRY(sched->dirty.next, sched_job_t, dirty_link);
+        GByteArray *record = sched_job_to_record(job);
+
+        list_remove(&job->dirty_link);
+        job->taken_state = job->state;
+        job->taken = true;
+        g_ptr_array_add(sched->taken, job);
+        add_change(changes, job->spec->id, record);
+        bytes += record->len;
+    }
+}
+
+bool
+sched_take_changes(sched_t *sched, GPtrArray *changes)
+{
+    bool any = !list_is_empty(&sched->dirty) ||
+               !list_is_empty(&sched->staged) || sched->cursors_moved ||
+               sched->dropped->len > 0;
+
+    if (!any || sched->committing) {
+        return false;
+    }
+    sched->committing = true;
+    g_ptr_array_set_free_func(changes, free_change);
+    take_dirty_jobs(sched, changes);
+    for (guint i = 0; i < sched->dropped->len; i++) {
+        add_change(changes, g_ptr_array_index(sched->dropped, i), NULL);
+    }
+    g_ptr_array_set_size(sched->dropped, 0);
+    take_orders(sched);
+    if (!list_is_empty(&sched->dirty)) {
+        return true;
+    }
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        executor->end_taken = executor->end_seen;
+    }
+    sched->cursors_moved = false;
+    return true;
+}
+
+void
+sched_commit(sched_t *sched)
+{
+    sched->committing = false;
+    for (guint i = 0; i < sched->taken->len; i++) {
+        sched_job_t *job = g_ptr_array_index(sched->taken, i);
+
+        job->shown_state = job->taken_state;
+        job->stored = true;
+        job->taken = false;
+    }
+    g_ptr_array_set_size(sched->taken, 0);
+    while (!list_is_empty(&sched->taken_orders)) {
+        sched_task_t *task =
+            LIST_ENTRY(sched->taken_orders.next, sched_task_t, order_link);
+
+        list_remove(&task->order_link);
+        if (task->place != NULL) {
+            list_append(&task->place->orders, &task->order_link);
+        }
+    }
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        executor->end_stored = MAX(executor->end_stored, executor->end_taken);
+    }
+}
+
+const list_t *
+sched_get_executors(const sched_t *sched)
+{
+    return &sched->executor_list;
+}
+
+const list_t *
+sched_get_active_jobs(const sched_t *sched)
+{
+    return &sched->active;
+}
--- /dev/null
+++ b/libteasel/sched/sched_orders.c
@@ -0,0 +1,115 @@
+/* Messages to the agents: starts, stops and cursors whose effect is stored. */
+
+#include "sched/sched_internal.h"
+
+static char *
+new_task_name(const sched_task_t *task)
+{
+    char name[SCHED_TASK_NAME_SIZE];
+
+    sched_task_format_name(task, name);
+    return g_strdup(name);
+}
+
+static Teasel__StartOrder *
+new_start(const sched_task_t *task)
+{
+    Teasel__StartOrder *start = g_new(Teasel__StartOrder, 1);
+    const Teasel__StepSpec *step = task->step->spec;
+
+    teasel__start_order__init(start);
+    start->task = new_task_name(task);
+    start->run = task->run;
+    start->payload = g_strdup(sched_task_get_job(task)->spec->payload);
+    start->checkpoint = g_strdup(task->checkpoint ? task->checkpoint : "");
+    start->latency_target_ms = step->latency_target_ms;
+    start->filler = step->filler;
+    return start;
+}
+
+static Teasel__RunRef *
+new_stop(char *task, uint32_t run)
+{
+    Teasel__RunRef *stop = g_new(Teasel__RunRef, 1);
+
+    teasel__run_ref__init(stop);
+    stop->task = task;
+    stop->run = run;
+    return stop;
+}
+
+static void
+add_order(sched_task_t *task, GPtrArray *starts, GPtrArray *stops)
+{
+    if (task->phase == SCHED_TASK_STOPPING) {
+        g_ptr_array_add(stops, new_stop(new_task_name(task), task->run));
+    }
+    else if (task->phase == SCHED_TASK_PLACED ||
+             task->phase == SCHED_TASK_RUNNING) {
+        task->sent = true;
+        g_ptr_array_add(starts, new_start(task));
+    }
+}
+
+static void
+add_strays(sched_executor_t *executor, GPtrArray *stops)
+{
+    for (guint i = 0; i < executor->strays->len; i++) {
+        sched_stray_t *stray = g_ptr_array_index(executor->strays, i);
+
+        g_ptr_array_add(stops, new_stop(g_strdup(stray->task), stray->run));
+    }
+    g_ptr_array_set_size(executor->strays, 0);
+}
+
+Teasel__ExecutorOrders *
+sched_take_orders(sched_executor_t *executor)
+{
+    GPtrArray *starts;
+    GPtrArray *stops;
+    Teasel__ExecutorOrders *orders;
+
+    if (list_is_empty(&executor->orders) && executor->strays->len == 0 &&
+        executor->end_sent == executor->end_stored) {
+        return NULL;
+    }
+    starts = g_ptr_array_new();
+    stops = g_ptr_array_new();
+    while (!list_is_empty(&executor->orders)) {
+        sched_task_t *task =
+            LIST_ENTRY(executor->orders.next, sched_task_t, order_link);
+
+        list_remove(&task->order_link);
+        add_order(task, starts, stops);
+    }
+    add_strays(executor, stops);
+    executor->end_sent = executor->end_stored;
+    orders = g_new(Teasel__ExecutorOrders, 1);
+    teasel__executor_orders__init(orders);
+    orders->key = g_strdup(executor->key);
+    orders->end_cursor = executor->end_stored;
+    orders->n_starts = starts->len;
+    orders->starts = (Teasel__StartOrder **)g_ptr_array_free(starts, FALSE);
+    orders->n_stops = stops->len;
+    orders->stops = (Teasel__RunRef **)g_ptr_array_free(stops, FALSE);
+    return orders;
+}
+
+void
+sched_orders_free(Teasel__ExecutorOrders *orders)
+{
+    for (size_t i = 0; i < orders->n_starts; i++) {
+        g_free(orders->starts[i]->task);
+        g_free(orders->starts[i]->payload);
+        g_free(orders->starts[i]->checkpoint);
+        g_free(orders->starts[i]);
+    }
+    for (size_t i = 0; i < orders->n_stops; i++) {
+        g_free(orders->stops[i]->task);
+        g_free(orders->stops[i]);
+    }
+    g_free(orders->starts);
+    g_free(orders->stops);
+    g_free(orders->key);
+    g_free(orders);
+}
--- /dev/null
+++ b/libteasel/sched/sched_report.c
@@ -0,0 +1,386 @@
+/* Reports of executors, and what the end of a run means for its job. */
+
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+enum {
+    DEFAULT_ATTEMPTS = 3,
+    /* Different jobs that failed in a row before an executor is suspected. */
+    SUSPECT_FAILURES = 3,
+    PROBATION_MS = 4000,
+    MAX_RESTART_DELAY_MS = 2000,
+    RESTART_DELAY_STEP_MS = 100,
+};
+
+/* Share of a new run time in the moving average of an executor. */
+static const double SLOWNESS_WEIGHT = 0.25;
+
+static sched_task_t *
+find_task(sched_t *sched, const char *name)
+{
+    g_autofree char *id = NULL;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+    sched_job_t *job;
+
+    if (!sched_task_parse_name(name, &id, &occurrence, &step, &index)) {
+        return NULL;
+    }
+    job = g_hash_table_lookup(sched->jobs, id);
+    return job ? sched_job_find_task(job, occurrence, step, index) : NULL;
+}
+
+/* The task whose current run this is, or NULL. */
+static sched_task_t *
+find_run(sched_t *sched, const sched_executor_t *executor, const char *name,
+         uint32_t run)
+{
+    sched_task_t *task = find_task(sched, name);
+
+    if (task == NULL || task->place != executor || task->run != run) {
+        return NULL;
+    }
+    return task;
+}
+
+void
+sched_stage_order(sched_t *sched, sched_task_t *task)
+{
+    list_remove(&task->order_link);
+    list_append(&sched->staged, &task->order_link);
+}
+
+void
+sched_stop_task(sched_t *sched, sched_task_t *task)
+{
+    if (task->phase == SCHED_TASK_STOPPING) {
+        return;
+    }
+    if (!task->sent) {
+        sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
+        return;
+    }
+    task->phase = SCHED_TASK_STOPPING;
+    sched_stage_order(sched, task);
+}
+
+static void
+complete_occurrence(sched_t *sched, sched_occurrence_t *occurrence)
+{
+    sched_job_t *job = occurrence->job;
+
+    sched_job_remove_occurrence(occurrence);
+    if (list_is_empty(&job->occurrences) &&
+        job->next_occurrence >= MAX(1, job->spec->repeat_count)) {
+        sched_finish_job(sched, job, SCHED_JOB_COMPLETED);
+    }
+}
+
+static void
+mark_done(sched_task_t *task)
+{
+    if (task->phase != SCHED_TASK_DONE) {
+        task->phase = SCHED_TASK_DONE;
+        task->step->done++;
+        g_clear_pointer(&task->checkpoint, g_free);
+    }
+}
+
+/* May free the occurrence of the task. */
+static void
+finish_task(sched_t *sched, sched_task_t *task)
+{
+    sched_step_t *step = task->step;
+    sched_occurrence_t *occurrence = step->occurrence;
+
+    mark_done(task);
+    sched->must_place = true;
+    if (step->done < step->spec->count) {
+        return;
+    }
+    occurrence->done_steps++;
+    if (occurrence->done_steps == occurrence->job->spec->n_steps) {
+        complete_occurrence(sched, occurrence);
+    }
+}
+
+static bool
+gang_has_finished(const sched_task_t *task)
+{
+    return task->step->spec->gang && task->step->done > 0;
+}
+
+static uint32_t
+count_failures(const sched_task_t *task)
+{
+    const sched_step_t *step = task->step;
+    uint32_t failures = 0;
+
+    if (!step->spec->gang) {
+        return task->failures;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        failures += step->tasks[i].failures;
+    }
+    return failures;
+}
+
+static void
+release_task(sched_t *sched, sched_task_t *task)
+{
+    task->phase = SCHED_TASK_WAITING;
+    task->step->waiting++;
+    sched->must_place = true;
+}
+
+static void
+fail_task(sched_t *sched, sched_task_t *task)
+{
+    sched_job_t *job = sched_task_get_job(task);
+    uint32_t attempts = job->spec->max_attempts;
+
+    task->failures++;
+    release_task(sched, task);
+    if (task->step->spec->long_running) {
+        task->not_before_ms =
+            sched_now_ms(sched) +
+            MIN(MAX_RESTART_DELAY_MS,
+                RESTART_DELAY_STEP_MS * (int64_t)(task->failures - 1));
+        return;
+    }
+    if (count_failures(task) >= (attempts ? attempts : DEFAULT_ATTEMPTS)) {
+        task->phase = SCHED_TASK_FAILED;
+        task->step->waiting--;
+        sched_finish_job(sched, job, SCHED_JOB_FAILED);
+    }
+}
+
+/* Run times are compared with those of the other tasks of the step, as the
+   estimates of jobs are rough. */
+static void
+learn_slowness(sched_t *sched, sched_task_t *task)
+{
+    sched_step_t *step = task->step;
+    sched_executor_t *executor = task->place;
+    double ran_ms = (double)(sched_now_ms(sched) - task->running_ms);
+
+    if (task->running_ms == 0 || task->checkpoint != NULL) {
+        return;
+    }
+    if (step->timed_runs > 0 && step->run_ms_total > 0) {
+        double ratio = ran_ms * step->timed_runs / step->run_ms_total;
+
+        ratio = CLAMP(ratio, 0.25, 4.0);
+        executor->slowness += SLOWNESS_WEIGHT * (ratio - executor->slowness);
+    }
+    step->timed_runs++;
+    step->run_ms_total += ran_ms;
+}
+
+static void
+suspect_executor(sched_t *sched, sched_executor_t *executor,
+                 const sched_job_t *job)
+{
+    if (executor->last_failed == job->accepted) {
+        return;
+    }
+    executor->last_failed = job->accepted;
+    executor->failed_in_row++;
+    if (executor->failed_in_row >= SUSPECT_FAILURES) {
+        executor->probation_ms = sched_now_ms(sched) + PROBATION_MS;
+        /* One more failure after the probation renews it. */
+        executor->failed_in_row = SUSPECT_FAILURES - 1;
+    }
+}
+
+static void
+learn_from_end(sched_t *sched, sched_task_t *task, sched_end_t how)
+{
+    if (how == SCHED_END_DONE) {
+        task->place->failed_in_row = 0;
+        learn_slowness(sched, task);
+    }
+    if (how == SCHED_END_FAILED) {
+        task->avoid = task->place;
+        suspect_executor(sched, task->place, sched_task_get_job(task));
+    }
+}
+
+void
+sched_end_task(sched_t *sched, sched_task_t *task, sched_end_t how,
+               const char *checkpoint)
+{
+    sched_job_t *job = sched_task_get_job(task);
+
+    learn_from_end(sched, task, how);
+    list_remove(&task->order_link);
+    sched_executor_detach(task);
+    sched_touch_job(sched, job);
+    task->sent = false;
+    task->running_ms = 0;
+    task->percent = 0;
+    if (checkpoint != NULL && checkpoint[0] != '\0') {
+        g_free(task->checkpoint);
+        task->checkpoint = g_strdup(checkpoint);
+    }
+    if (sched_job_is_final(job)) {
+        task->phase = SCHED_TASK_WAITING;
+        sched->must_place = true;
+        return;
+    }
+    job->started = true;
+    if (how == SCHED_END_DONE || gang_has_finished(task)) {
+        finish_task(sched, task);
+    }
+    else if (how == SCHED_END_FAILED) {
+        fail_task(sched, task);
+    }
+    else {
+        release_task(sched, task);
+    }
+}
+
+void
+sched_expire_executor(sched_t *sched, sched_executor_t *executor)
+{
+    while (!list_is_empty(&executor->tasks)) {
+        sched_task_t *task =
+            LIST_ENTRY(executor->tasks.next, sched_task_t, place_link);
+
+        sched_end_task(sched, task, SCHED_END_LAPSED, NULL);
+    }
+    g_hash_table_remove(sched->executors, executor->key);
+    sched_executor_free(executor);
+}
+
+static void
+apply_running(sched_t *sched, sched_executor_t *executor,
+              const Teasel__RunStatus *status)
+{
+    sched_task_t *task = find_run(sched, executor, status->task, status->run);
+    sched_job_t *job;
+
+    if (task == NULL) {
+        sched_executor_add_stray(executor, status->task, status->run);
+        return;
+    }
+    task->listed = true;
+    if (status->pending) {
+        return;
+    }
+    job = sched_task_get_job(task);
+    if (task->phase == SCHED_TASK_PLACED) {
+        task->phase = SCHED_TASK_RUNNING;
+        task->running_ms = sched_now_ms(sched);
+        task->progress_ms = task->running_ms;
+        list_remove(&task->order_link);
+    }
+    job->started = true;
+    if (job->state == SCHED_JOB_QUEUED) {
+        job->state = SCHED_JOB_RUNNING;
+    }
+    if (status->percent != task->percent || status->paced) {
+        task->percent = status->percent;
+        task->progress_ms = sched_now_ms(sched);
+    }
+    task->figure = status->figure;
+    if (status->checkpoint[0] != '\0' &&
+        g_strcmp0(status->checkpoint, task->checkpoint) != 0) {
+        g_free(task->checkpoint);
+        task->checkpoint = g_strdup(status->checkpoint);
+        task->progress_ms = sched_now_ms(sched);
+    }
+}
+
+static void
+apply_end(sched_t *sched, sched_executor_t *executor,
+          const Teasel__RunEnd *end)
+{
+    sched_task_t *task;
+
+    if (end->number <= executor->end_seen) {
+        return;
+    }
+    executor->end_seen = end->number;
+    sched->cursors_moved = true;
+    task = find_run(sched, executor, end->task, end->run);
+    if (task != NULL) {
+        sched_end_task(sched, task, (sched_end_t)end->how, end->checkpoint);
+    }
+}
+
+/* The executor promised that the run does not exist and never will. */
+static void
+apply_rejection(sched_t *sched, sched_executor_t *executor,
+                const Teasel__RejectedStart *rejected)
+{
+    sched_task_t *task =
+        find_run(sched, executor, rejected->task, rejected->run);
+
+    if (task != NULL) {
+        task->avoid = executor;
+        sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
+    }
+}
+
+/* Orders that were lost with a connection are sent again; the agent and the
+   executor ignore repeats. */
+static void
+repeat_orders(sched_t *sched, sched_executor_t *executor)
+{
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        if (task->sent &&
+            (!task->listed || task->phase == SCHED_TASK_STOPPING)) {
+            sched_stage_order(sched, task);
+        }
+        task->listed = false;
+    }
+}
+
+static void
+apply_lists(sched_t *sched, sched_executor_t *executor,
+            const Teasel__ExecutorReport *report)
+{
+    for (size_t i = 0; i < report->n_ended; i++) {
+        apply_end(sched, executor, report->ended[i]);
+    }
+    for (size_t i = 0; i < report->n_rejected; i++) {
+        apply_rejection(sched, executor, report->rejected[i]);
+    }
+    for (size_t i = 0; i < report->n_running; i++) {
+        apply_running(sched, executor, report->running[i]);
+    }
+}
+
+static bool
+has_changed(const sched_executor_t *executor,
+            const Teasel__ExecutorReport *report)
+{
+    return !executor->connected || executor->draining != report->draining;
+}
+
+void
+sched_apply_report(sched_t *sched, const char *node,
+                   const Teasel__ExecutorReport *report)
+{
+    sched_executor_t *executor = sched_get_executor(sched, report->key);
+    bool changed = has_changed(executor, report);
+
+    if (report->gone) {
+        sched_expire_executor(sched, executor);
+        return;
+    }
+    if (changed || report->listed) {
+        sched_executor_describe(executor, node, report, sched_now_ms(sched));
+    }
+    sched->must_place |= changed || report->listed;
+    executor->connected = true;
+    apply_lists(sched, executor, report);
+    if (report->listed) {
+        executor->listed = true;
+        executor->end_sent = 0;
+        repeat_orders(sched, executor);
+    }
+}
--- /dev/null
+++ b/libteasel/sched/sched_run.c
@@ -0,0 +1,228 @@
+/* What is due by time, and the placement of waiting tasks. */
+
+#include "sched/place.h"
+#include "sched/sched_internal.h"
+
+enum {
+    /* A run without progress for this long is moved to another executor. */
+    STALL_MS = 6000,
+    /* Time for the messages of an evacuation. */
+    EVACUATE_MARGIN_MS = 500,
+    /* Probations and restart delays end without an event. */
+    PLACE_INTERVAL_MS = 200,
+};
+
+static void
+place_task(sched_t *sched, sched_task_t *task, sched_executor_t *executor,
+           uint32_t run)
+{
+    task->run = run;
+    task->phase = SCHED_TASK_PLACED;
+    task->sent = false;
+    task->placed_ms = sched_now_ms(sched);
+    task->step->waiting--;
+    sched_executor_attach(executor, task);
+    sched_touch_job(sched, sched_task_get_job(task));
+    sched_stage_order(sched, task);
+}
+
+static void
+place_tasks(sched_t *sched, sched_step_t *step, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < step->spec->count && step->waiting > 0; i++) {
+        sched_task_t *task = &step->tasks[i];
+        sched_executor_t *executor;
+
+        if (task->phase != SCHED_TASK_WAITING || now_ms < task->not_before_ms) {
+            continue;
+        }
+        executor =
+            sched_place_choose(&sched->executor_list, task, NULL, now_ms);
+        if (executor == NULL) {
+            return;
+        }
+        place_task(sched, task, executor, task->run + 1);
+    }
+}
+
+static void
+undo_trial(sched_step_t *step)
+{
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        sched_executor_detach(&step->tasks[i]);
+    }
+}
+
+/* Reserves room for all members of a gang, or for none. */
+static bool
+try_gang(sched_t *sched, sched_step_t *step, const char *rack, int64_t now_ms)
+{
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        sched_task_t *task = &step->tasks[i];
+        sched_executor_t *executor =
+            sched_place_choose(&sched->executor_list, task, rack, now_ms);
+
+        if (executor == NULL) {
+            undo_trial(step);
+            return false;
+        }
+        sched_executor_attach(executor, task);
+    }
+    return true;
+}
+
+static bool
+reserve_gang(sched_t *sched, sched_step_t *step, int64_t now_ms)
+{
+    if (step->spec->same_rack) {
+        LIST_FOREACH (executor, &sched->executor_list, sched_executor_t,
+                      link) {
+            if (executor->rack != NULL &&
+                try_gang(sched, step, executor->rack, now_ms)) {
+                return true;
+            }
+        }
+    }
+    return try_gang(sched, step, NULL, now_ms);
+}
+
+/* All members of a gang have the same run number and checkpoint. */
+static void
+place_gang(sched_t *sched, sched_step_t *step, int64_t now_ms)
+{
+    const char *checkpoint = NULL;
+    uint32_t run = 0;
+
+    if (step->waiting < step->spec->count ||
+        !reserve_gang(sched, step, now_ms)) {
+        return;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        run = MAX(run, step->tasks[i].run);
+        if (step->tasks[i].checkpoint != NULL) {
+            checkpoint = step->tasks[i].checkpoint;
+        }
+    }
+    checkpoint = g_strdup(checkpoint);
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        sched_task_t *task = &step->tasks[i];
+        sched_executor_t *executor = task->place;
+
+        sched_executor_detach(task);
+        g_free(task->checkpoint);
+        task->checkpoint = g_strdup(checkpoint);
+        place_task(sched, task, executor, run + 1);
+    }
+    g_free((char *)checkpoint);
+}
+
+static void
+place_job(sched_t *sched, sched_job_t *job, int64_t now_ms)
+{
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        for (size_t i = 0; i < job->spec->n_steps; i++) {
+            sched_step_t *step = &occurrence->steps[i];
+
+            if (step->waiting == 0 || !sched_step_is_open(step)) {
+                continue;
+            }
+            if (step->spec->gang) {
+                place_gang(sched, step, now_ms);
+            }
+            else {
+                place_tasks(sched, step, now_ms);
+            }
+        }
+    }
+}
+
+static void
+expire_executors(sched_t *sched, int64_t now_ms)
+{
+    LIST_FOREACH_SAFE (executor, &sched->executor_list, sched_executor_t,
+                       link) {
+        if (!executor->connected && now_ms >= executor->lapse_ms) {
+            sched_expire_executor(sched, executor);
+        }
+    }
+}
+
+/* A run that cannot end before its executor leaves is stopped: at once if
+   nothing of it is kept, else as late as a checkpoint allows. */
+static void
+evacuate(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
+{
+    bool last_call = now_ms >= executor->leaves_ms - sched->opts.stop_ms -
+                                   EVACUATE_MARGIN_MS;
+
+    LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, place_link) {
+        if (task->step->spec->long_running || last_call) {
+            sched_stop_task(sched, task);
+        }
+    }
+}
+
+static bool
+is_stalled(const sched_task_t *task, int64_t now_ms)
+{
+    const Teasel__StepSpec *spec = task->step->spec;
+
+    return task->phase == SCHED_TASK_RUNNING && !spec->long_running &&
+           !spec->gang && now_ms - task->progress_ms > STALL_MS;
+}
+
+static void
+check_executor(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
+{
+    if (executor->draining) {
+        evacuate(sched, executor, now_ms);
+    }
+    LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, place_link) {
+        if (is_stalled(task, now_ms)) {
+            task->avoid = executor;
+            sched_stop_task(sched, task);
+        }
+    }
+}
+
+static void
+forget_jobs(sched_t *sched)
+{
+    int64_t oldest_ms = sched_wall_ms(sched) - sched->opts.retain_ms;
+
+    LIST_FOREACH_SAFE (job, &sched->finished, sched_job_t, link) {
+        if (job->finished_ms > oldest_ms) {
+            return;
+        }
+        if (job->taken || !list_is_empty(&job->dirty_link) ||
+            sched_job_count_placed(job) > 0) {
+            continue;
+        }
+        g_ptr_array_add(sched->dropped, g_strdup(job->spec->id));
+        g_hash_table_remove(sched->jobs, job->spec->id);
+        sched_job_free(job);
+    }
+}
+
+void
+sched_run(sched_t *sched)
+{
+    int64_t now_ms = sched_now_ms(sched);
+
+    expire_executors(sched, now_ms);
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        check_executor(sched, executor, now_ms);
+    }
+    LIST_FOREACH (job, &sched->active, sched_job_t, link) {
+        sched_add_due_occurrences(sched, job);
+    }
+    forget_jobs(sched);
+    if (!sched->must_place && now_ms - sched->placed_ms < PLACE_INTERVAL_MS) {
+        return;
+    }
+    sched->must_place = false;
+    sched->placed_ms = now_ms;
+    LIST_FOREACH (job, &sched->active, sched_job_t, link) {
+        place_job(sched, job, now_ms);
+    }
+}
--- /dev/null
+++ b/libteasel/scheduler/leader.c
@@ -0,0 +1,399 @@
+#include "scheduler/leader.h"
+
+#include <string.h>
+
+#include "base/events.h"
+#include "base/metrics.h"
+#include "scheduler/leader_internal.h"
+
+enum {
+    TICK_MS = 100,
+    WRITE_RETRY_MS = 50,
+    /* Longer than the slowest write that the platform announces. */
+    WRITE_SLOW_MS = 500,
+    /* Age of the proof of leadership at which it is renewed by a call. */
+    RENEW_MS = 1000,
+    /* A successor waits this much longer than the longest lease. */
+    DRIFT_PERCENT = 5,
+    LAPSE_MARGIN_MS = 400,
+};
+
+int64_t
+leader_now_ms(const leader_t *leader)
+{
+    return (int64_t)timespec_to_ms(clock_get_monotonic(leader->opts.clock));
+}
+
+bool
+leader_is_ready(const leader_t *leader)
+{
+    return leader->stage == LEADER_READY;
+}
+
+bool
+leader_is_idle(const leader_t *leader)
+{
+    return !leader->writing;
+}
+
+void
+leader_wake(leader_t *leader)
+{
+    if (!loop_timer_is_active(&leader->pump)) {
+        loop_timer_start(&leader->pump, 0);
+    }
+}
+
+static void
+set_store_fails(leader_t *leader, bool fails)
+{
+    if (leader->store_fails == fails) {
+        return;
+    }
+    leader->store_fails = fails;
+    event_log(fails ? EVENT_WRITE_FAILED : EVENT_STORE_BACK,
+              "topic=%s sequence=%" G_GUINT64_FORMAT " since_ms=%"
+              G_GINT64_FORMAT, JOBS_TOPIC, leader->sequence,
+              leader_now_ms(leader) - leader->write_began_ms);
+    leader->opts.on_store(!fails, leader->opts.data);
+}
+
+static void send_write(leader_t *leader);
+static void load(leader_t *leader);
+
+static void
+on_retry(loop_timer_t *timer)
+{
+    leader_t *leader = timer->data;
+
+    if (leader->stage == LEADER_LOADING) {
+        load(leader);
+        return;
+    }
+    send_write(leader);
+}
+
+static void
+note_success(leader_t *leader)
+{
+    int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
+
+    leader->proof_ms = leader->write_sent_ms;
+    leader->writes++;
+    histogram_add(leader->write_us, (uint64_t)MAX(0, took_ms) * 1000);
+    set_store_fails(leader, false);
+}
+
+static void
+finish_write(leader_t *leader)
+{
+    leader->writing = false;
+    if (leader->stage == LEADER_FENCING) {
+        leader->stage = LEADER_LOADING;
+        load(leader);
+        return;
+    }
+    if (leader->renewing) {
+        leader->renewing = false;
+    }
+    else {
+        leader->sequence++;
+        g_clear_pointer(&leader->changes, g_ptr_array_unref);
+        sched_commit(leader->sched);
+        leader_answer_stored(leader);
+    }
+    leader_wake(leader);
+}
+
+static void
+on_written(store_status_t status, uint64_t offset, void *data)
+{
+    leader_t *leader = data;
+
+    if (leader->stage == LEADER_STOPPED) {
+        g_free(leader->write_us);
+        g_free(leader);
+        return;
+    }
+    switch (status) {
+    case STORE_OK:
+        note_success(leader);
+        finish_write(leader);
+        return;
+    case STORE_FENCED:
+    case STORE_MISORDERED:
+        leader->writing = false;
+        leader->opts.on_fenced(store_status_to_string(status),
+                               leader->opts.data);
+        return;
+    default:
+        leader->write_retries++;
+        leader->writing = false;
+        set_store_fails(leader, leader_now_ms(leader) -
+                                        leader->write_began_ms >
+                                    WRITE_RETRY_MS * 4);
+        loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+        return;
+    }
+}
+
+/* Sends the write under way, again if it was not answered: the store knows a
+   repeat by its sequence. */
+static void
+send_write(leader_t *leader)
+{
+    g_autoptr(GArray) records =
+        g_array_new(FALSE, TRUE, sizeof(store_record_t));
+    store_append_t append = {
+        .topic = JOBS_TOPIC,
+        .producer = JOBS_PRODUCER,
+        .epoch = leader->opts.epoch,
+        .sequence = leader->sequence,
+    };
+
+    for (guint i = 0; leader->changes && i < leader->changes->len; i++) {
+        const sched_change_t *change = g_ptr_array_index(leader->changes, i);
+        store_record_t record = {.key = change->key};
+
+        if (change->value != NULL) {
+            record.value = change->value->data;
+            record.length = change->value->len;
+        }
+        g_array_append_val(records, record);
+    }
+    append.records = (store_record_t *)records->data;
+    append.count = records->len;
+    leader->writing = true;
+    leader->write_sent_ms = leader_now_ms(leader);
+    store_append(leader->opts.store, &append, on_written, leader);
+}
+
+static void
+begin_write(leader_t *leader)
+{
+    leader->write_began_ms = leader_now_ms(leader);
+    send_write(leader);
+}
+
+static bool
+is_busy(const leader_t *leader)
+{
+    return leader->writing || loop_timer_is_active(&leader->retry);
+}
+
+static void
+write_changes(leader_t *leader)
+{
+    GPtrArray *changes;
+
+    if (is_busy(leader)) {
+        return;
+    }
+    changes = g_ptr_array_new();
+    if (!sched_take_changes(leader->sched, changes)) {
+        g_ptr_array_unref(changes);
+        return;
+    }
+    if (changes->len == 0) {
+        g_ptr_array_unref(changes);
+        sched_commit(leader->sched);
+        return;
+    }
+    leader->changes = changes;
+    begin_write(leader);
+}
+
+static void
+on_pump(loop_timer_t *timer)
+{
+    leader_t *leader = timer->data;
+
+    if (leader->stage != LEADER_READY) {
+        leader_send_orders(leader);
+        return;
+    }
+    sched_run(leader->sched);
+    write_changes(leader);
+    leader_send_orders(leader);
+}
+
+static void
+renew_proof(leader_t *leader)
+{
+    if (leader_now_ms(leader) - leader->proof_ms < RENEW_MS ||
+        is_busy(leader)) {
+        return;
+    }
+    leader->renewing = true;
+    begin_write(leader);
+}
+
+static void
+on_tick(loop_timer_t *timer)
+{
+    leader_t *leader = timer->data;
+
+    loop_timer_start(timer, TICK_MS);
+    leader_expire_calls(leader);
+    if (is_busy(leader) &&
+        leader_now_ms(leader) - leader->write_began_ms > WRITE_SLOW_MS) {
+        set_store_fails(leader, true);
+    }
+    if (leader->stage == LEADER_READY) {
+        renew_proof(leader);
+        leader_wake(leader);
+    }
+}
+
+static void
+become_ready(leader_t *leader)
+{
+    guint jobs = 0;
+
+    leader->stage = LEADER_READY;
+    LIST_FOREACH (job, sched_get_active_jobs(leader->sched), sched_job_t,
+                  link) {
+        jobs++;
+    }
+    event_log(EVENT_LEADING_READY, "epoch=%" G_GUINT64_FORMAT
+              " active_jobs=%u", leader->opts.epoch, jobs);
+    LIST_FOREACH (session, &leader->sessions, session_t, link) {
+        session->reply_due = true;
+    }
+    leader_handle_delayed(leader);
+    leader_wake(leader);
+}
+
+static void
+load_record(leader_t *leader, const store_record_t *record)
+{
+    g_autoptr(GError) error = NULL;
+
+    if (record->value == NULL) {
+        return;
+    }
+    if (!sched_load(leader->sched, record->value, record->length, &error)) {
+        event_log(EVENT_JOB_RECORD_INVALID, "key=%s offset=%" G_GUINT64_FORMAT
+                  " error=\"%s\"", record->key, record->offset,
+                  error->message);
+    }
+}
+
+static void
+on_loaded(store_status_t status, const store_page_t *page, void *data)
+{
+    leader_t *leader = data;
+
+    leader->writing = false;
+    if (leader->stage == LEADER_STOPPED) {
+        g_free(leader->write_us);
+        g_free(leader);
+        return;
+    }
+    if (status != STORE_OK) {
+        set_store_fails(leader, leader_now_ms(leader) -
+                                        leader->write_began_ms >
+                                    WRITE_RETRY_MS * 4);
+        loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+        return;
+    }
+    set_store_fails(leader, false);
+    for (size_t i = 0; i < page->count; i++) {
+        load_record(leader, &page->records[i]);
+    }
+    if (!page->more || page->count == 0) {
+        become_ready(leader);
+        return;
+    }
+    g_free(leader->list_after);
+    leader->list_after = g_strdup(page->records[page->count - 1].key);
+    load(leader);
+}
+
+/* The epoch is set, so nobody else writes between the pages. */
+static void
+load(leader_t *leader)
+{
+    leader->writing = true;
+    store_list(leader->opts.store, JOBS_TOPIC, leader->list_after, on_loaded,
+               leader);
+}
+
+leader_t *
+leader_new(const leader_opts_t *opts)
+{
+    leader_t *leader = g_new0(leader_t, 1);
+    sched_opts_t sched_opts = {
+        .clock = opts->clock,
+        .lapse_ms = opts->lease_ms + opts->lease_ms * DRIFT_PERCENT / 100 +
+                    LAPSE_MARGIN_MS,
+        .retain_ms = opts->retain_ms,
+        .stop_ms = opts->stop_ms,
+    };
+
+    leader->opts = *opts;
+    leader->sched = sched_new(&sched_opts);
+    leader->write_us = g_new0(histogram_t, 1);
+    list_init(&leader->sessions);
+    list_init(&leader->waiting);
+    loop_timer_init(&leader->tick, opts->loop, on_tick, leader);
+    loop_timer_init(&leader->pump, opts->loop, on_pump, leader);
+    loop_timer_init(&leader->retry, opts->loop, on_retry, leader);
+    loop_timer_start(&leader->tick, TICK_MS);
+    begin_write(leader);
+    return leader;
+}
+
+void
+leader_free(leader_t *leader)
+{
+    if (leader == NULL) {
+        return;
+    }
+    loop_timer_stop(&leader->tick);
+    loop_timer_stop(&leader->pump);
+    loop_timer_stop(&leader->retry);
+    leader_free_calls(leader);
+    leader_free_sessions(leader);
+    g_clear_pointer(&leader->changes, g_ptr_array_unref);
+    g_free(leader->list_after);
+    sched_free(leader->sched);
+    if (leader->writing) {
+        /* The answer of the store frees it. */
+        leader->stage = LEADER_STOPPED;
+        return;
+    }
+    g_free(leader->write_us);
+    g_free(leader);
+}
+
+static void
+write_counter(GString *out, const char *name, const char *help,
+              uint64_t value)
+{
+    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s counter\n%s %"
+                           G_GUINT64_FORMAT "\n", name, help, name, name,
+                           value);
+}
+
+void
+leader_write_metrics(const leader_t *leader, GString *out)
+{
+    write_counter(out, "teasel_jobs_accepted_total", "Jobs accepted.",
+                  leader->accepted);
+    write_counter(out, "teasel_jobs_refused_total",
+                  "Jobs refused while the store does not answer.",
+                  leader->refused);
+    write_counter(out, "teasel_store_writes_total",
+                  "Writes of job records and renewals.", leader->writes);
+    write_counter(out, "teasel_store_write_retries_total",
+                  "Repeated writes.", leader->write_retries);
+    g_string_append_printf(
+        out,
+        "# HELP teasel_store_write_seconds Time of a write to the store.\n"
+        "# TYPE teasel_store_write_seconds summary\n"
+        "teasel_store_write_seconds{quantile=\"0.5\"} %.6f\n"
+        "teasel_store_write_seconds{quantile=\"0.99\"} %.6f\n",
+        (double)histogram_get_quantile(leader->write_us, 0.5) / 1e6,
+        (double)histogram_get_quantile(leader->write_us, 0.99) / 1e6);
+}
--- /dev/null
+++ b/libteasel/scheduler/leader_calls.c
@@ -0,0 +1,275 @@
+/* Calls on jobs. */
+
+#include <string.h>
+
+#include "base/events.h"
+#include "scheduler/leader_internal.h"
+
+enum {
+    /* Loading takes tens of ms; a caller is told sooner than it would be by
+       its own timeout. */
+    MAX_DELAY_MS = 300,
+    /* A write that takes longer is answered as unknown; a repeat finds out. */
+    MAX_STORE_WAIT_MS = 1200,
+    RETRY_AFTER_MS = 1000,
+};
+
+static void
+answer_call(job_answer_fn answer, void *owner, uint64_t call_id,
+            job_outcome_t outcome, uint32_t state, uint32_t count)
+{
+    Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
+
+    message.call_id = call_id;
+    message.outcome = outcome;
+    message.state = state;
+    message.count = count;
+    if (outcome == JOB_OUTCOME_REFUSED) {
+        message.retry_after_ms = RETRY_AFTER_MS;
+    }
+    answer(&message, owner);
+}
+
+static void
+free_waiting(waiting_call_t *waiting)
+{
+    list_remove(&waiting->link);
+    if (waiting->call != NULL) {
+        teasel__job_call__free_unpacked(waiting->call, NULL);
+    }
+    g_free(waiting->job_id);
+    g_free(waiting);
+}
+
+static waiting_call_t *
+add_waiting(leader_t *leader, const Teasel__JobCall *call,
+            job_answer_fn answer, void *owner)
+{
+    waiting_call_t *waiting = g_new0(waiting_call_t, 1);
+
+    waiting->call_id = call->call_id;
+    waiting->verb = (job_verb_t)call->verb;
+    waiting->job_id = g_strdup(call->id);
+    waiting->since_ms = leader_now_ms(leader);
+    waiting->answer = answer;
+    waiting->owner = owner;
+    list_append(&leader->waiting, &waiting->link);
+    return waiting;
+}
+
+static Teasel__JobSpec *
+copy_spec(const Teasel__JobSpec *spec)
+{
+    size_t size = teasel__job_spec__get_packed_size(spec);
+    g_autofree uint8_t *bytes = g_malloc(size);
+
+    teasel__job_spec__pack(spec, bytes);
+    return teasel__job_spec__unpack(NULL, size, bytes);
+}
+
+static Teasel__JobCall *
+copy_call(const Teasel__JobCall *call)
+{
+    size_t size = teasel__job_call__get_packed_size(call);
+    g_autofree uint8_t *bytes = g_malloc(size);
+
+    teasel__job_call__pack(call, bytes);
+    return teasel__job_call__unpack(NULL, size, bytes);
+}
+
+static void
+submit(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
+       void *owner)
+{
+    sched_job_t *job = sched_find(leader->sched, call->id);
+    g_autoptr(GError) error = NULL;
+
+    if (job != NULL && job->stored) {
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE, 0, 0);
+        return;
+    }
+    if (call->spec == NULL || !sched_job_check(call->spec, &error)) {
+        event_log(EVENT_JOB_REFUSED, "job=%s reason=\"%s\"", call->id,
+                  error ? error->message : "no specification");
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_INVALID, 0, 0);
+        return;
+    }
+    if (job == NULL && leader->store_fails) {
+        leader->refused++;
+        event_log(EVENT_JOB_REFUSED,
+                  "job=%s reason=\"the store does not answer\" age_ms=%"
+                  G_GINT64_FORMAT, call->id,
+                  leader_now_ms(leader) - leader->write_began_ms);
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
+        return;
+    }
+    if (job == NULL) {
+        sched_submit(leader->sched, copy_spec(call->spec));
+        leader->accepted++;
+    }
+    add_waiting(leader, call, answer, owner);
+    leader_wake(leader);
+}
+
+static void
+cancel(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
+       void *owner)
+{
+    sched_job_t *job = sched_find(leader->sched, call->id);
+
+    if (job == NULL) {
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0, 0);
+        return;
+    }
+    sched_cancel(leader->sched, job);
+    if (job->stored && job->shown_state >= SCHED_JOB_COMPLETED) {
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE,
+                    job->shown_state, 0);
+        return;
+    }
+    add_waiting(leader, call, answer, owner);
+    leader_wake(leader);
+}
+
+static void
+handle(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
+       void *owner)
+{
+    sched_job_t *job;
+
+    switch ((job_verb_t)call->verb) {
+    case JOB_VERB_SUBMIT:
+        submit(leader, call, answer, owner);
+        return;
+    case JOB_VERB_CANCEL:
+        cancel(leader, call, answer, owner);
+        return;
+    case JOB_VERB_COUNT_PENDING:
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE, 0,
+                    sched_count_pending(leader->sched, call->queue));
+        return;
+    case JOB_VERB_GET:
+        job = sched_find(leader->sched, call->id);
+        if (job == NULL) {
+            answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0,
+                        0);
+        }
+        else {
+            answer_call(answer, owner, call->call_id,
+                        job->stored ? JOB_OUTCOME_DONE : JOB_OUTCOME_UNKNOWN,
+                        sched_job_get_shown_state(job), 0);
+        }
+        return;
+    }
+    answer_call(answer, owner, call->call_id, JOB_OUTCOME_INVALID, 0, 0);
+}
+
+void
+leader_call(leader_t *leader, const Teasel__JobCall *call,
+            job_answer_fn answer, void *owner)
+{
+    if (leader->stage == LEADER_READY) {
+        handle(leader, call, answer, owner);
+        return;
+    }
+    add_waiting(leader, call, answer, owner)->call = copy_call(call);
+}
+
+void
+leader_handle_delayed(leader_t *leader)
+{
+    list_t delayed;
+
+    list_init(&delayed);
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        list_remove(&waiting->link);
+        list_append(&delayed, &waiting->link);
+    }
+    LIST_FOREACH_SAFE (waiting, &delayed, waiting_call_t, link) {
+        handle(leader, waiting->call, waiting->answer, waiting->owner);
+        free_waiting(waiting);
+    }
+}
+
+static bool
+is_stored(leader_t *leader, const waiting_call_t *waiting)
+{
+    const sched_job_t *job = sched_find(leader->sched, waiting->job_id);
+
+    if (waiting->call != NULL || job == NULL || !job->stored) {
+        return false;
+    }
+    return waiting->verb == JOB_VERB_SUBMIT ||
+           job->shown_state >= SCHED_JOB_COMPLETED;
+}
+
+void
+leader_answer_stored(leader_t *leader)
+{
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        if (is_stored(leader, waiting)) {
+            answer_call(waiting->answer, waiting->owner, waiting->call_id,
+                        JOB_OUTCOME_DONE, 0, 0);
+            free_waiting(waiting);
+        }
+    }
+}
+
+/* A job whose record was never handed to the store can be withdrawn. */
+static job_outcome_t
+give_up(leader_t *leader, const waiting_call_t *waiting)
+{
+    sched_job_t *job = sched_find(leader->sched, waiting->job_id);
+
+    if (waiting->call != NULL) {
+        return JOB_OUTCOME_REFUSED;
+    }
+    /* An earlier call of the same job may have withdrawn it already. */
+    if (waiting->verb == JOB_VERB_SUBMIT &&
+        (job == NULL || sched_withdraw(leader->sched, job))) {
+        return JOB_OUTCOME_REFUSED;
+    }
+    return JOB_OUTCOME_UNKNOWN;
+}
+
+void
+leader_expire_calls(leader_t *leader)
+{
+    int64_t now_ms = leader_now_ms(leader);
+
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        int64_t limit_ms =
+            waiting->call != NULL ? MAX_DELAY_MS : MAX_STORE_WAIT_MS;
+        job_outcome_t outcome;
+
+        if (now_ms - waiting->since_ms < limit_ms) {
+            continue;
+        }
+        outcome = give_up(leader, waiting);
+        event_log(EVENT_CALL_UNANSWERED, "job=%s verb=%d waited_ms=%"
+                  G_GINT64_FORMAT " outcome=%s", waiting->job_id,
+                  waiting->verb, now_ms - waiting->since_ms,
+                  outcome == JOB_OUTCOME_REFUSED ? "refused" : "unknown");
+        answer_call(waiting->answer, waiting->owner, waiting->call_id, outcome,
+                    0, 0);
+        free_waiting(waiting);
+    }
+}
+
+void
+leader_forget(leader_t *leader, void *owner)
+{
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        if (waiting->owner == owner) {
+            free_waiting(waiting);
+        }
+    }
+}
+
+void
+leader_free_calls(leader_t *leader)
+{
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        free_waiting(waiting);
+    }
+}
--- /dev/null
+++ b/libteasel/scheduler/leader_nodes.c
@@ -0,0 +1,192 @@
+/* Connections of the node agents: reports, leases and orders. */
+
+#include <string.h>
+
+#include "base/events.h"
+#include "scheduler/leader_internal.h"
+
+enum {
+    /* Clocks of executors may be slow by 2%; the rest covers messages. */
+    DRIFT_PERCENT = 4,
+    LEASE_MARGIN_MS = 300,
+};
+
+static session_t *
+find_session(leader_t *leader, const peer_t *peer)
+{
+    LIST_FOREACH (session, &leader->sessions, session_t, link) {
+        if (session->peer == peer) {
+            return session;
+        }
+    }
+    return NULL;
+}
+
+static void
+free_session(session_t *session)
+{
+    list_remove(&session->link);
+    g_free(session->node);
+    g_free(session);
+}
+
+static void
+drop_sessions_of(leader_t *leader, const char *node)
+{
+    LIST_FOREACH_SAFE (session, &leader->sessions, session_t, link) {
+        if (strcmp(session->node, node) == 0) {
+            sched_disconnect(leader->sched, node);
+            free_session(session);
+        }
+    }
+}
+
+static session_t *
+open_session(leader_t *leader, peer_t *peer, const char *node)
+{
+    session_t *session;
+
+    drop_sessions_of(leader, node);
+    session = g_new0(session_t, 1);
+    session->peer = peer;
+    session->node = g_strdup(node);
+    list_append(&leader->sessions, &session->link);
+    event_log(EVENT_NODE_CONNECTED, "node=%s", node);
+    return session;
+}
+
+static bool
+is_complete(const Teasel__NodeReport *report)
+{
+    for (size_t i = 0; i < report->n_executors; i++) {
+        if (!report->executors[i]->listed && !report->executors[i]->gone) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+leader_report(leader_t *leader, peer_t *peer, const char *node,
+              const Teasel__NodeReport *report)
+{
+    session_t *session = find_session(leader, peer);
+
+    if (session == NULL) {
+        session = open_session(leader, peer, node);
+    }
+    session->echo_us = MAX(session->echo_us, report->sent_us);
+    session->reply_due |= report->sent_us != 0;
+    if (leader->stage != LEADER_READY) {
+        return;
+    }
+    if (session->listed || is_complete(report)) {
+        session->listed = true;
+        for (size_t i = 0; i < report->n_executors; i++) {
+            sched_apply_report(leader->sched, node, report->executors[i]);
+        }
+    }
+    leader_wake(leader);
+}
+
+void
+leader_lose_peer(leader_t *leader, peer_t *peer)
+{
+    session_t *session = find_session(leader, peer);
+
+    leader_forget(leader, peer);
+    if (session == NULL) {
+        return;
+    }
+    event_log(EVENT_NODE_LOST, "node=%s", session->node);
+    sched_disconnect(leader->sched, session->node);
+    free_session(session);
+}
+
+/* Nobody else led when the proof was sent, and a successor waits for the
+   longest lease before it gives up on an executor. */
+static int64_t
+get_lease_ms(const leader_t *leader)
+{
+    int64_t contact_ms = leader->opts.get_contact_ms(leader->opts.data);
+    int64_t proof_ms = MAX(leader->proof_ms, contact_ms);
+    int64_t age_ms = leader_now_ms(leader) - proof_ms;
+
+    return MAX(0, leader->opts.lease_ms - age_ms);
+}
+
+static void
+grant_lease(leader_t *leader, const session_t *session,
+            Teasel__NodeOrders *orders)
+{
+    int64_t lease_ms = get_lease_ms(leader);
+
+    orders->lease_ms = (uint32_t)lease_ms;
+    orders->echo_us = session->echo_us;
+    sched_grant(leader->sched, session->node,
+                leader_now_ms(leader) + lease_ms +
+                    lease_ms * DRIFT_PERCENT / 100 + LEASE_MARGIN_MS);
+}
+
+static void
+free_executor_orders(void *data)
+{
+    sched_orders_free(data);
+}
+
+static GPtrArray *
+take_orders(leader_t *leader, const session_t *session)
+{
+    GPtrArray *taken = g_ptr_array_new_with_free_func(free_executor_orders);
+
+    LIST_FOREACH (executor, sched_get_executors(leader->sched),
+                  sched_executor_t, link) {
+        Teasel__ExecutorOrders *orders;
+
+        if (!executor->listed || g_strcmp0(executor->node, session->node)) {
+            continue;
+        }
+        orders = sched_take_orders(executor);
+        if (orders != NULL) {
+            g_ptr_array_add(taken, orders);
+        }
+    }
+    return taken;
+}
+
+static void
+send_to(leader_t *leader, session_t *session)
+{
+    g_autoptr(GPtrArray) taken = take_orders(leader, session);
+    Teasel__NodeOrders orders = TEASEL__NODE_ORDERS__INIT;
+    Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+
+    if (taken->len == 0 && !session->reply_due) {
+        return;
+    }
+    session->reply_due = false;
+    orders.epoch = leader->opts.epoch;
+    orders.send_lists = !session->listed;
+    orders.n_executors = taken->len;
+    orders.executors = (Teasel__ExecutorOrders **)taken->pdata;
+    grant_lease(leader, session, &orders);
+    envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
+    envelope.node_orders = &orders;
+    peer_send(session->peer, &envelope);
+}
+
+void
+leader_send_orders(leader_t *leader)
+{
+    LIST_FOREACH (session, &leader->sessions, session_t, link) {
+        send_to(leader, session);
+    }
+}
+
+void
+leader_free_sessions(leader_t *leader)
+{
+    LIST_FOREACH_SAFE (session, &leader->sessions, session_t, link) {
+        free_session(session);
+    }
+}
--- /dev/null
+++ b/libteasel/scheduler/scheduler.h
@@ -0,0 +1,100 @@
+#ifndef TEASEL_SCHEDULER_SCHEDULER_H
+#define TEASEL_SCHEDULER_SCHEDULER_H
+
+#include "base/clock.h"
+#include "base/loop.h"
+#include "scheduler/job_call.h"
+#include "scheduler/queue_table.h"
+#include "store/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * A scheduler process: takes calls on jobs, and leads if it is elected.
+ */
+
+typedef struct scheduler scheduler_t;
+
+/**
+ * struct scheduler_settings - settings of the process
+ * @name: unique name of the process
+ * @data_centre: where it runs
+ * @peer_address: where other processes reach it
+ * @metrics_listen: address of the metrics, or NULL
+ * @max_lease_ms: longest lease that executors take; shortens @lease_ms
+ */
+typedef struct scheduler_settings {
+    char *name;
+    char *data_centre;
+    char *peer_address;
+    char *http_listen;
+    char *ready_listen;
+    char *metrics_listen;
+    char *store_address;
+    int64_t lease_ms;
+    int64_t max_lease_ms;
+    int64_t retain_ms;
+    int64_t stop_run_ms;
+    int64_t silence_ms;
+    int64_t status_ms;
+    int64_t leave_delay_ms;
+    int64_t stop_timeout_ms;
+    int64_t max_body_bytes;
+} scheduler_settings_t;
+
+bool scheduler_settings_load(const char *path, scheduler_settings_t *out,
+                             GError **error);
+void scheduler_settings_clear(scheduler_settings_t *settings);
+
+/**
+ * struct scheduler_opts - options of scheduler_new()
+ * @settings: must outlive the scheduler
+ * @on_left: a planned stop is complete
+ */
+typedef struct scheduler_opts {
+    loop_t *loop;
+    const clock_source_t *clock;
+    store_t *store;
+    const scheduler_settings_t *settings;
+    void (*on_left)(void *data);
+    void *data;
+} scheduler_opts_t;
+
+scheduler_t *scheduler_new(const scheduler_opts_t *opts, GError **error);
+void scheduler_free(scheduler_t *scheduler);
+
+/**
+ * scheduler_call() - see gateway_call()
+ */
+void scheduler_call(scheduler_t *scheduler, const Teasel__JobCall *call,
+                    job_answer_fn answer, void *data);
+
+/**
+ * scheduler_set_queues() - put a version of the queues in force
+ * @table: taken over; an older version than the one in force is ignored
+ */
+void scheduler_set_queues(scheduler_t *scheduler, queue_table_t *table);
+
+/**
+ * scheduler_get_queues() - the queues in force, or NULL before the first
+ */
+const queue_table_t *scheduler_get_queues(const scheduler_t *scheduler);
+
+/**
+ * scheduler_is_ready() - queues are known and there is a leader
+ */
+bool scheduler_is_ready(const scheduler_t *scheduler);
+
+/**
+ * scheduler_leave() - begin a planned stop
+ */
+void scheduler_leave(scheduler_t *scheduler);
+bool scheduler_is_leaving(const scheduler_t *scheduler);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/libteasel/scheduler/scheduler_settings.c
@@ -0,0 +1,65 @@
+#include <string.h>
+
+#include "base/settings.h"
+#include "scheduler/scheduler.h"
+
+#define FIELD(name) .key = #name, .offset = offsetof(scheduler_settings_t, name)
+#define INTEGER(name, low, high, value)                                       \
+    {                                                                         \
+        FIELD(name), .type = SETTING_INTEGER, .min = (low), .max = (high),    \
+                     .preset = (value)                                        \
+    }
+
+static const setting_t table[] = {
+    {FIELD(name), .type = SETTING_STRING, .required = true},
+    {FIELD(data_centre), .type = SETTING_STRING, .required = true},
+    {FIELD(peer_address), .type = SETTING_ADDRESS, .required = true},
+    {FIELD(http_listen), .type = SETTING_ADDRESS, .required = true},
+    {FIELD(ready_listen), .type = SETTING_ADDRESS, .required = true},
+    {FIELD(metrics_listen), .type = SETTING_ADDRESS},
+    {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
+    INTEGER(lease_ms, 500, 600000, 6000),
+    INTEGER(max_lease_ms, 500, 600000, 600000),
+    INTEGER(retain_ms, 1000, 86400000, 600000),
+    INTEGER(stop_run_ms, 0, 60000, 1000),
+    INTEGER(silence_ms, 100, 60000, 1000),
+    INTEGER(status_ms, 10, 60000, 300),
+    INTEGER(leave_delay_ms, 0, 60000, 2500),
+    INTEGER(stop_timeout_ms, 0, 600000, 5000),
+    INTEGER(max_body_bytes, 1024, 15 * 1024 * 1024, 1024 * 1024),
+    {.key = NULL},
+};
+
+static bool
+check(const char *path, const scheduler_settings_t *settings, GError **error)
+{
+    return settings_check_order(path, "status_ms", settings->status_ms,
+                                "silence_ms", settings->silence_ms, error) &&
+           settings_check_order(path, "silence_ms", settings->silence_ms,
+                                "lease_ms", settings->lease_ms, error) &&
+           settings_check_order(path, "leave_delay_ms",
+                                settings->leave_delay_ms, "stop_timeout_ms",
+                                settings->stop_timeout_ms, error);
+}
+
+bool
+scheduler_settings_load(const char *path, scheduler_settings_t *out,
+                        GError **error)
+{
+    memset(out, 0, sizeof(*out));
+    if (!settings_load(path, table, out, error)) {
+        return false;
+    }
+    out->lease_ms = MIN(out->lease_ms, out->max_lease_ms);
+    if (!check(path, out, error)) {
+        scheduler_settings_clear(out);
+        return false;
+    }
+    return true;
+}
+
+void
+scheduler_settings_clear(scheduler_settings_t *settings)
+{
+    settings_clear(table, settings);
+}
--- /dev/null
+++ b/libteasel/store/follower.c
@@ -0,0 +1,212 @@
+#include "store/follower.h"
+
+#include <string.h>
+
+#include "base/events.h"
+
+enum {
+    MIN_RETRY_MS = 50,
+    MAX_RETRY_MS = 400,
+};
+
+struct follower {
+    follower_opts_t opts;
+    loop_timer_t retry;
+    uint64_t retry_ms;
+    uint64_t next;
+    bool current;
+    bool usable;
+    bool freed; /* a call is under way; free when it returns */
+    bool calling;
+    bool listing_started;
+    char *after; /* last key of the listing under way */
+};
+
+static void go_on(follower_t *follower);
+
+static void
+on_retry(loop_timer_t *timer)
+{
+    go_on(timer->data);
+}
+
+static void
+destroy(follower_t *follower)
+{
+    loop_timer_stop(&follower->retry);
+    g_free(follower->after);
+    g_free(follower);
+}
+
+static void
+set_usable(follower_t *follower, bool usable)
+{
+    if (follower->usable == usable) {
+        return;
+    }
+    follower->usable = usable;
+    event_log(usable ? EVENT_STORE_BACK : EVENT_STORE_LOST, "topic=%s next=%"
+              G_GUINT64_FORMAT, follower->opts.topic, follower->next);
+    if (follower->opts.on_usable != NULL) {
+        follower->opts.on_usable(usable, follower->opts.data);
+    }
+}
+
+static void
+retry_later(follower_t *follower)
+{
+    set_usable(follower, false);
+    loop_timer_start(&follower->retry, follower->retry_ms);
+    follower->retry_ms = MIN(follower->retry_ms * 2, MAX_RETRY_MS);
+}
+
+static void
+deliver(follower_t *follower, const store_page_t *page)
+{
+    follower->retry_ms = MIN_RETRY_MS;
+    set_usable(follower, true);
+    for (size_t i = 0; i < page->count && !follower->freed; i++) {
+        follower->opts.on_record(&page->records[i], follower->opts.data);
+    }
+}
+
+static void
+end_listing(follower_t *follower)
+{
+    bool was_current = follower->current;
+
+    g_clear_pointer(&follower->after, g_free);
+    follower->listing_started = false;
+    follower->current = true;
+    if (!was_current && follower->opts.on_current != NULL) {
+        follower->opts.on_current(follower->opts.data);
+    }
+}
+
+static void
+take_listing(follower_t *follower, const store_page_t *page)
+{
+    /* Pages are no snapshot, so reading goes on from the end as it was
+       before the first page. */
+    if (!follower->listing_started) {
+        follower->listing_started = true;
+        follower->next = page->next;
+    }
+    deliver(follower, page);
+    if (page->more && page->count > 0) {
+        g_free(follower->after);
+        follower->after = g_strdup(page->records[page->count - 1].key);
+        return;
+    }
+    end_listing(follower);
+}
+
+static bool
+finish_call(follower_t *follower)
+{
+    follower->calling = false;
+    if (follower->freed) {
+        destroy(follower);
+        return false;
+    }
+    return true;
+}
+
+static void
+on_listed(store_status_t status, const store_page_t *page, void *data)
+{
+    follower_t *follower = data;
+
+    if (!finish_call(follower)) {
+        return;
+    }
+    if (status != STORE_OK) {
+        retry_later(follower);
+        return;
+    }
+    take_listing(follower, page);
+    go_on(follower);
+}
+
+static void
+on_read(store_status_t status, const store_page_t *page, void *data)
+{
+    follower_t *follower = data;
+
+    if (!finish_call(follower)) {
+        return;
+    }
+    if (status == STORE_TRIMMED) {
+        follower->current = false;
+        go_on(follower);
+        return;
+    }
+    if (status != STORE_OK) {
+        retry_later(follower);
+        return;
+    }
+    follower->next = page->next;
+    deliver(follower, page);
+    go_on(follower);
+}
+
+static void
+go_on(follower_t *follower)
+{
+    follower_opts_t *opts = &follower->opts;
+
+    follower->calling = true;
+    if (!follower->current) {
+        store_list(opts->store, opts->topic, follower->after, on_listed,
+                   follower);
+        return;
+    }
+    /* A read after an outage must not wait, to tell that it is over. */
+    store_read(opts->store, opts->topic, follower->next,
+               follower->usable ? opts->wait_ms : 0, on_read, follower);
+}
+
+follower_t *
+follower_new(const follower_opts_t *opts)
+{
+    follower_t *follower = g_new0(follower_t, 1);
+
+    follower->opts = *opts;
+    follower->retry_ms = MIN_RETRY_MS;
+    follower->usable = true;
+    loop_timer_init(&follower->retry, opts->loop, on_retry, follower);
+    loop_timer_start(&follower->retry, 0);
+    return follower;
+}
+
+void
+follower_free(follower_t *follower)
+{
+    if (follower == NULL) {
+        return;
+    }
+    if (follower->calling) {
+        loop_timer_stop(&follower->retry);
+        follower->freed = true;
+        return;
+    }
+    destroy(follower);
+}
+
+bool
+follower_is_current(const follower_t *follower)
+{
+    return follower->current;
+}
+
+uint64_t
+follower_get_next(const follower_t *follower)
+{
+    return follower->next;
+}
+
+bool
+follower_is_usable(const follower_t *follower)
+{
+    return follower->usable;
+}
--- a/libteasel/platform/plog.h
+++ b/libteasel/stream/plog.h
@@ -1,5 +1,5 @@
-#ifndef TEASEL_PLATFORM_PLOG_H
-#define TEASEL_PLATFORM_PLOG_H
+#ifndef TEASEL_STREAM_PLOG_H
+#define TEASEL_STREAM_PLOG_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/libteasel/platform/plog_http.c
+++ b/libteasel/stream/plog_http.c
@@ -1,4 +1,4 @@
-#include "platform/plog_http.h"
+#include "stream/plog_http.h"
 
 #include <json-c/json.h>
 #include <string.h>
--- a/libteasel/platform/plog_http.h
+++ b/libteasel/stream/plog_http.h
@@ -1,10 +1,10 @@
-#ifndef TEASEL_PLATFORM_PLOG_HTTP_H
-#define TEASEL_PLATFORM_PLOG_HTTP_H
+#ifndef TEASEL_STREAM_PLOG_HTTP_H
+#define TEASEL_STREAM_PLOG_HTTP_H
 
 #include <glib.h>
 
 #include "base/loop.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/platform/snapshot.c
+++ b/libteasel/stream/snapshot.c
@@ -2,7 +2,7 @@
 #include <xxhash.h>
 
 #include "base/events.h"
-#include "platform/stream_internal.h"
+#include "stream/stream_internal.h"
 
 enum {
     CHUNK_SIZE = 256 * 1024,
--- a/libteasel/platform/stream.c
+++ b/libteasel/stream/stream.c
@@ -1,6 +1,6 @@
-#include "platform/stream.h"
+#include "stream/stream.h"
 
-#include "platform/stream_internal.h"
+#include "stream/stream_internal.h"
 
 stream_t *
 stream_new(const stream_opts_t *opts)
--- a/libteasel/platform/stream.h
+++ b/libteasel/stream/stream.h
@@ -1,5 +1,5 @@
-#ifndef TEASEL_PLATFORM_STREAM_H
-#define TEASEL_PLATFORM_STREAM_H
+#ifndef TEASEL_STREAM_STREAM_H
+#define TEASEL_STREAM_STREAM_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "base/loop.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 #include "wire/teasel.pb-c.h"
 
 #ifdef __cplusplus
--- a/libteasel/platform/stream_append.c
+++ b/libteasel/stream/stream_append.c
@@ -1,7 +1,7 @@
 #include <string.h>
 #include <sys/random.h>
 
-#include "platform/stream_internal.h"
+#include "stream/stream_internal.h"
 
 /**
  * struct pending_append - a record between its append and its read-back
--- a/libteasel/platform/stream_follower.c
+++ b/libteasel/stream/stream_follower.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 
 #include "base/events.h"
-#include "platform/stream_internal.h"
+#include "stream/stream_internal.h"
 
 enum {
     POLL_WAIT_MS = 1000,
--- a/libteasel/platform/stream_internal.h
+++ b/libteasel/stream/stream_internal.h
@@ -1,8 +1,8 @@
-#ifndef TEASEL_PLATFORM_STREAM_INTERNAL_H
-#define TEASEL_PLATFORM_STREAM_INTERNAL_H
+#ifndef TEASEL_STREAM_STREAM_INTERNAL_H
+#define TEASEL_STREAM_STREAM_INTERNAL_H
 
 #include "base/list.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 
 enum {
     STREAM_ID_SIZE = 16,
--- a/libteasel/platform/stream_loader.c
+++ b/libteasel/stream/stream_loader.c
@@ -2,7 +2,7 @@
 #include <xxhash.h>
 
 #include "base/events.h"
-#include "platform/stream_internal.h"
+#include "stream/stream_internal.h"
 
 enum {
     /* 1 GiB in chunks of 256 KiB; a larger count is taken as damage. */
--- a/libteasel/wire/teasel.pb-c.c
+++ b/libteasel/wire/teasel.pb-c.c
@@ -3766,7 +3766,7 @@
   (ProtobufCMessageInit) teasel__release_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__envelope__field_descriptors[17] =
+static const ProtobufCFieldDescriptor teasel__envelope__field_descriptors[23] =
 {
   {
     "hello",
@@ -3972,6 +3972,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_hello",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, peer_hello),
+    &teasel__peer_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_status",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, peer_status),
+    &teasel__peer_status__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_call",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, job_call),
+    &teasel__job_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_answer",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, job_answer),
+    &teasel__job_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_report",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, node_report),
+    &teasel__node_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_orders",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__Envelope, body_case),
+    offsetof(Teasel__Envelope, node_orders),
+    &teasel__node_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__envelope__field_indices_by_name[] = {
   7,   /* field[7] = cancel_request */
@@ -3979,8 +4051,14 @@
   11,   /* field[11] = heartbeat */
   0,   /* field[0] = hello */
   1,   /* field[1] = hello_ack */
+  20,   /* field[20] = job_answer */
+  19,   /* field[19] = job_call */
   8,   /* field[8] = leave */
+  22,   /* field[22] = node_orders */
+  21,   /* field[21] = node_report */
   5,   /* field[5] = not_run */
+  17,   /* field[17] = peer_hello */
+  18,   /* field[18] = peer_status */
   9,   /* field[9] = ping */
   16,   /* field[16] = release_task */
   12,   /* field[12] = renew */
@@ -3995,7 +4073,7 @@
 static const ProtobufCIntRange teasel__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor teasel__envelope__descriptor =
 {
@@ -4005,7 +4083,7 @@
   "Teasel__Envelope",
   "teasel",
   sizeof(Teasel__Envelope),
-  17,
+  23,
   teasel__envelope__field_descriptors,
   teasel__envelope__field_indices_by_name,
   1,  teasel__envelope__number_ranges,
--- a/libteasel/platform/worker.h
+++ b/libteasel/worker/worker.h
@@ -1,5 +1,5 @@
-#ifndef TEASEL_PLATFORM_WORKER_H
-#define TEASEL_PLATFORM_WORKER_H
+#ifndef TEASEL_WORKER_WORKER_H
+#define TEASEL_WORKER_WORKER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/libteasel/platform/worker_http.c
+++ b/libteasel/worker/worker_http.c
@@ -1,4 +1,4 @@
-#include "platform/worker_http.h"
+#include "worker/worker_http.h"
 
 #include <json-c/json.h>
 #include <string.h>
@@ -6,7 +6,7 @@
 #include "base/clock.h"
 #include "base/http_client.h"
 #include "base/list.h"
-#include "platform/worker_status.h"
+#include "worker/worker_status.h"
 
 enum {
     MAX_ANSWER = 16 * 1024 * 1024,
--- a/libteasel/platform/worker_http.h
+++ b/libteasel/worker/worker_http.h
@@ -1,10 +1,10 @@
-#ifndef TEASEL_PLATFORM_WORKER_HTTP_H
-#define TEASEL_PLATFORM_WORKER_HTTP_H
+#ifndef TEASEL_WORKER_WORKER_HTTP_H
+#define TEASEL_WORKER_WORKER_HTTP_H
 
 #include <glib.h>
 
 #include "base/loop.h"
-#include "platform/worker.h"
+#include "worker/worker.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/libteasel/platform/worker_status.c
+++ b/libteasel/worker/worker_status.c
@@ -1,4 +1,4 @@
-#include "platform/worker_status.h"
+#include "worker/worker_status.h"
 
 #include <glib.h>
 #include <string.h>
--- a/libteasel/platform/worker_status.h
+++ b/libteasel/worker/worker_status.h
@@ -1,9 +1,9 @@
-#ifndef TEASEL_PLATFORM_WORKER_STATUS_H
-#define TEASEL_PLATFORM_WORKER_STATUS_H
+#ifndef TEASEL_WORKER_WORKER_STATUS_H
+#define TEASEL_WORKER_WORKER_STATUS_H
 
 #include <json-c/json.h>
 
-#include "platform/worker.h"
+#include "worker/worker.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/tests/support/fake_plog.h
+++ b/tests/support/fake_plog.h
@@ -9,7 +9,7 @@
 
 extern "C" {
 #include "base/loop.h"
-#include "platform/plog.h"
+#include "stream/plog.h"
 }
 
 /* Log in memory. Answers come from timers of the loop, never from inside a
--- a/tests/support/task_runner_fixture.h
+++ b/tests/support/task_runner_fixture.h
@@ -10,7 +10,7 @@
 
 extern "C" {
 #include "agent/task_runner.h"
-#include "platform/worker.h"
+#include "worker/worker.h"
 }
 
 #include "fake_clock.h"
--- a/tests/unit/decoders_test.cc
+++ b/tests/unit/decoders_test.cc
@@ -11,7 +11,7 @@
 #include "batch/job.h"
 #include "config/config.h"
 #include "config/ticket.h"
-#include "platform/worker_status.h"
+#include "worker/worker_status.h"
 }
 
 namespace {
--- a/tests/unit/plog_http_test.cc
+++ b/tests/unit/plog_http_test.cc
@@ -5,7 +5,7 @@
 
 extern "C" {
 #include "base/http_server.h"
-#include "platform/plog_http.h"
+#include "stream/plog_http.h"
 }
 
 #include "test_address.h"
--- a/tests/unit/stream_test.cc
+++ b/tests/unit/stream_test.cc
@@ -7,7 +7,7 @@
 
 extern "C" {
 #include "base/clock.h"
-#include "platform/stream.h"
+#include "stream/stream.h"
 }
 
 #include "fake_plog.h"
