Let fillers use what serving tasks leave unused, and pack serving tasks

Cause: fillers waited for processor share that serving tasks reserve and do not use (60% of it at most in the traces), and each executor held serving tasks, which fillers disturb. The pace is now one level an executor, and 0 after a target was missed for 1.5 s.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -97,6 +97,7 @@
     executor->rejected = g_ptr_array_new_with_free_func(free_rejected);
     executor->must_list = true;
     executor->clock_ms = -1;
+    executor->pace = 100;
     teasel__capacity__init(&executor->capacity);
     list_init(&executor->runs);
     list_append(&node->executors, &executor->link);
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -42,7 +42,6 @@
     /* pace of a filler */
     uint32_t pace;
     bool pacing;
-    int64_t paced_ms;
 } run_t;
 
 /**
@@ -94,7 +93,9 @@
     list_t runs;
     unsigned starting;
     int64_t ending_ms;
-    int64_t harmed_ms; /* pacing: since when a serving task is over target */
+    uint32_t pace;     /* of the fillers on it, in percent */
+    int64_t paced_ms;
+    int64_t harmed_ms; /* since when a serving task misses its target, or 0 */
 } node_executor_t;
 
 struct node {
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -27,7 +27,7 @@
     status->percent = run->percent;
     status->figure = run->figure;
     status->pending = run->phase < RUN_STARTED;
-    status->paced = run->pace < 100;
+    status->slowdown = 100 - run->pace;
     if (run->checkpoint != NULL) {
         status->checkpoint = run->checkpoint;
     }
--- a/libteasel/node/pace.c
+++ b/libteasel/node/pace.c
@@ -13,6 +13,8 @@
        after 100 ms. */
     PACE_INTERVAL_MS = 600,
     PACE_STEP_PERCENT = 10,
+    /* Fillers stand still after a target was missed for this long. */
+    STOP_MS = 1500,
     PACE_MIN_PERCENT = 0,
     /* A pace of less than this is no work worth its memory; 0 at once. */
     PACE_LEAST_USEFUL = 8,
@@ -24,7 +26,7 @@
     bool any;
     bool missed;
     bool reserve; /* all tails are well below their target */
-    double worst; /* tail over target, of the worst task */
+    double worst; /* highest tail over target */
 } tail_t;
 
 static tail_t
@@ -62,7 +64,6 @@
 
     if (run != NULL) {
         run->pacing = false;
-        run->paced_ms = node_now_ms(call->executor->node);
         if (result == EXECUTOR_OK) {
             run->pace = call->pace;
         }
@@ -99,18 +100,21 @@
 }
 
 static uint32_t
-choose_pace(const run_t *run, const tail_t *tail)
+choose_pace(const node_executor_t *executor, const tail_t *tail,
+            int64_t now_ms)
 {
     if (!tail->any) {
         return 100;
     }
     if (tail->missed) {
-        return slow_down(run->pace, tail->worst);
+        return now_ms - executor->harmed_ms >= STOP_MS
+                   ? PACE_MIN_PERCENT
+                   : slow_down(executor->pace, tail->worst);
     }
     if (tail->reserve) {
-        return MIN(100, run->pace + PACE_STEP_PERCENT);
+        return MIN(100, executor->pace + PACE_STEP_PERCENT);
     }
-    return run->pace;
+    return executor->pace;
 }
 
 void
@@ -119,10 +123,19 @@
     tail_t tail = read_tail(executor);
     int64_t now_ms = node_now_ms(executor->node);
 
+    if (!tail.missed) {
+        executor->harmed_ms = 0;
+    }
+    else if (executor->harmed_ms == 0) {
+        executor->harmed_ms = now_ms;
+    }
+    if (now_ms - executor->paced_ms >= PACE_INTERVAL_MS || !tail.any) {
+        executor->paced_ms = now_ms;
+        executor->pace = choose_pace(executor, &tail, now_ms);
+    }
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        if (run->filler && run->phase == RUN_STARTED &&
-            now_ms - run->paced_ms >= PACE_INTERVAL_MS) {
-            set_pace(run, choose_pace(run, &tail));
+        if (run->filler && run->phase == RUN_STARTED) {
+            set_pace(run, executor->pace);
         }
     }
 }
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -145,6 +145,7 @@
             set_phase(run, RUN_STARTED);
             run->changed = true;
             executor->changed = true;
+            pace_check(executor);
             node_wake(executor->node);
         }
         break;
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -97,6 +97,7 @@
     executor->used.accelerators += (uint64_t)sign * spec->accelerators;
     if (spec->latency_target_ms > 0) {
         executor->serving += (uint32_t)sign;
+        executor->serving_cpu += (uint64_t)sign * spec->cpu_milli;
     }
 }
 
@@ -119,6 +120,22 @@
     task->place = NULL;
 }
 
+void
+sched_executor_measure(sched_executor_t *executor)
+{
+    executor->strain = 0;
+    executor->slowdown = 0;
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        uint32_t target_ms = task->step->spec->latency_target_ms;
+
+        if (target_ms > 0) {
+            executor->strain =
+                MAX(executor->strain, (double)task->figure / target_ms);
+        }
+        executor->slowdown = MAX(executor->slowdown, task->slowdown);
+    }
+}
+
 void
 sched_executor_add_stray(sched_executor_t *executor, const char *task,
                          uint32_t run)
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -42,6 +42,9 @@
  *     of fillers
  * @filler_cpu: processor share that the fillers on it ask for
  * @serving: tasks on it with a latency target
+ * @serving_cpu: processor share that these reserve
+ * @strain: highest tail latency of a serving task on it over its target
+ * @slowdown: highest slowdown of a filler on it, in percent
  * @end_seen: number of the newest end that was processed
  * @end_taken: @end_seen when the records that are being written were made
  * @end_stored: newest end whose effect is stored; the executor may forget it
@@ -71,6 +74,9 @@
     sched_room_t used;
     uint64_t filler_cpu;
     uint32_t serving;
+    uint64_t serving_cpu;
+    double strain;
+    uint32_t slowdown;
     uint64_t end_seen;
     uint64_t end_taken;
     uint64_t end_stored;
@@ -104,6 +110,11 @@
  */
 void sched_executor_detach(sched_task_t *task);
 
+/**
+ * sched_executor_measure() - summarize the figures of the tasks on it
+ */
+void sched_executor_measure(sched_executor_t *executor);
+
 void sched_executor_add_stray(sched_executor_t *executor, const char *task,
                               uint32_t run);
 
--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -108,6 +108,30 @@
     g_free(job);
 }
 
+static const char *const state_names[] = {
+    [SCHED_JOB_QUEUED] = "queued",       [SCHED_JOB_RUNNING] = "running",
+    [SCHED_JOB_COMPLETED] = "completed", [SCHED_JOB_FAILED] = "failed",
+    [SCHED_JOB_CANCELLED] = "cancelled",
+};
+
+static const char *const end_names[] = {
+    [SCHED_END_DONE] = "done",       [SCHED_END_FAILED] = "failed",
+    [SCHED_END_STOPPED] = "stopped", [SCHED_END_LAPSED] = "lapsed",
+    [SCHED_END_BROKEN] = "broken",   [SCHED_END_ALONE] = "alone",
+};
+
+const char *
+sched_job_state_to_string(sched_job_state_t state)
+{
+    return state < G_N_ELEMENTS(state_names) ? state_names[state] : "?";
+}
+
+const char *
+sched_end_to_string(sched_end_t end)
+{
+    return end < G_N_ELEMENTS(end_names) ? end_names[end] : "?";
+}
+
 sched_job_state_t
 sched_job_get_shown_state(const sched_job_t *job)
 {
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -79,6 +79,7 @@
     bool listed; /* in the report that is being processed */
     uint32_t percent;
     uint32_t figure;
+    uint32_t slowdown; /* percent */
     int64_t placed_ms;
     int64_t running_ms;
     int64_t progress_ms;
@@ -131,6 +132,7 @@
     uint32_t next_occurrence;
     list_t occurrences;
     int64_t finished_ms;
+    int64_t since_ms; /* known to this scheduler since */
 };
 
 /**
@@ -146,6 +148,9 @@
 sched_job_t *sched_job_new(Teasel__JobSpec *spec, uint64_t accepted);
 void sched_job_free(sched_job_t *job);
 
+const char *sched_job_state_to_string(sched_job_state_t state);
+const char *sched_end_to_string(sched_end_t end);
+
 /**
  * sched_job_get_shown_state() - what callers may see: a final state only
  * after its record is stored
--- a/libteasel/sched/place.c
+++ b/libteasel/sched/place.c
@@ -6,11 +6,22 @@
 /* Costs are shares of an executor: 1.0 weighs as much as the difference
    between an empty and a full one. */
 static const double COST_REMOTE_DATA = 0.7;
-static const double COST_FILLER_BESIDE_SERVING = 1.5;
+static const double COST_FILLER_BESIDE_SERVING = 1.0;
 static const double COST_SERVING_BESIDE_FILLER = 1.0;
+static const double COST_SERVING_APART = 1.0;
 static const double COST_FAILED_HERE = 1.0;
 static const double COST_SLOWNESS = 1.0;
 
+/* Share of its reservation that a serving task uses as a rule. */
+enum {
+    SERVING_USE_PERCENT = 60,
+    MAX_SLOWDOWN = 20,
+};
+
+/* No filler is added where a tail latency is above this share of its
+   target. */
+static const double MAX_STRAIN = 0.85;
+
 static bool
 is_open(const sched_executor_t *executor, const Teasel__JobSpec *job,
         int64_t now_ms)
@@ -30,6 +41,11 @@
     /* Fillers get what the others leave unused, so they wait for some. */
     if (step->filler) {
         cpu += executor->filler_cpu;
+        cpu -= executor->serving_cpu * (100 - SERVING_USE_PERCENT) / 100;
+        if (executor->strain > MAX_STRAIN ||
+            executor->slowdown > MAX_SLOWDOWN) {
+            return false;
+        }
     }
     return cpu <= room->cpu_milli &&
            used->memory_mb + step->memory_mb <= room->memory_mb &&
@@ -58,8 +74,10 @@
 static double
 get_load(const sched_executor_t *executor, const Teasel__StepSpec *step)
 {
+    uint64_t unused =
+        executor->serving_cpu * (100 - SERVING_USE_PERCENT) / 100;
     double cpu = (double)(executor->used.cpu_milli + executor->filler_cpu +
-                          step->cpu_milli) /
+                          step->cpu_milli - unused) /
                  fmax(1.0, (double)executor->room.cpu_milli);
     double memory = (double)(executor->used.memory_mb + step->memory_mb) /
                     fmax(1.0, (double)executor->room.memory_mb);
@@ -67,11 +85,25 @@
     return fmax(cpu, memory);
 }
 
+/* Serving tasks do not disturb each other, so they share as few executors as
+   possible and leave the others to the fillers, which disturb them. */
+static double
+get_base_cost(const sched_executor_t *executor, const Teasel__StepSpec *spec)
+{
+    double load = get_load(executor, spec);
+
+    if (spec->latency_target_ms == 0) {
+        return load;
+    }
+    return -COST_SERVING_APART * (double)executor->serving_cpu /
+           fmax(1.0, (double)executor->room.cpu_milli);
+}
+
 static double
 get_cost(const sched_executor_t *executor, const sched_task_t *task)
 {
     const Teasel__StepSpec *spec = task->step->spec;
-    double cost = get_load(executor, spec);
+    double cost = get_base_cost(executor, spec);
 
     cost += COST_SLOWNESS * (executor->slowness - 1.0);
     if (spec->data_rack[0] != '\0' &&
@@ -79,7 +111,7 @@
         cost += COST_REMOTE_DATA;
     }
     if (spec->filler && executor->serving > 0) {
-        cost += COST_FILLER_BESIDE_SERVING;
+        cost += COST_FILLER_BESIDE_SERVING * (0.5 + executor->strain);
     }
     if (spec->latency_target_ms > 0) {
         cost += COST_SERVING_BESIDE_FILLER * (double)executor->filler_cpu /
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/events.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -138,6 +139,7 @@
         return false;
     }
     sched->accepted = MAX(sched->accepted, job->accepted);
+    job->since_ms = sched_now_ms(sched);
     insert_job(sched, job);
     sched->must_place = true;
     return true;
@@ -167,9 +169,12 @@
         return job;
     }
     job = sched_job_new(spec, ++sched->accepted);
+    job->since_ms = sched_now_ms(sched);
     insert_job(sched, job);
     sched_touch_job(sched, job);
     sched_add_due_occurrences(sched, job);
+    event_log(EVENT_JOB_ACCEPTED, "job=%s queue=%s steps=%zu priority=%u",
+              spec->id, spec->queue, spec->n_steps, spec->priority);
     return job;
 }
 
@@ -187,7 +192,9 @@
 
         for (uint32_t j = 0; j < step->spec->count; j++) {
             if (step->tasks[j].place != NULL) {
-                sched_stop_task(sched, &step->tasks[j]);
+                sched_stop_task(sched, &step->tasks[j],
+                                sched_job_state_to_string(
+                                    occurrence->job->state));
             }
         }
     }
@@ -198,6 +205,9 @@
 {
     job->state = state;
     job->finished_ms = sched_wall_ms(sched);
+    event_log(EVENT_JOB_FINISHED, "job=%s state=%s age_ms=%" G_GINT64_FORMAT,
+              job->spec->id, sched_job_state_to_string(state),
+              sched_now_ms(sched) - job->since_ms);
     list_remove(&job->link);
     list_append(&sched->finished, &job->link);
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -45,7 +45,7 @@
 /**
  * sched_stop_task() - order a stop; a start that was not sent is withdrawn
  */
-void sched_stop_task(sched_t *sched, sched_task_t *task);
+void sched_stop_task(sched_t *sched, sched_task_t *task, const char *reason);
 
 /**
  * sched_end_task() - the run of a placed task has ended
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/events.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -52,12 +53,23 @@
     list_append(&sched->staged, &task->order_link);
 }
 
+static void
+log_stop(const sched_task_t *task, const char *reason)
+{
+    char name[SCHED_TASK_NAME_SIZE];
+
+    sched_task_format_name(task, name);
+    event_log(EVENT_RUN_STOPPED, "task=%s run=%u executor=%s reason=\"%s\"",
+              name, task->run, task->place->key, reason);
+}
+
 void
-sched_stop_task(sched_t *sched, sched_task_t *task)
+sched_stop_task(sched_t *sched, sched_task_t *task, const char *reason)
 {
     if (task->phase == SCHED_TASK_STOPPING) {
         return;
     }
+    log_stop(task, reason);
     if (!task->sent) {
         sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
         return;
@@ -208,12 +220,28 @@
     }
 }
 
+static void
+log_end(const sched_t *sched, const sched_task_t *task, sched_end_t how)
+{
+    char name[SCHED_TASK_NAME_SIZE];
+
+    sched_task_format_name(task, name);
+    event_log(EVENT_RUN_ENDED,
+              "task=%s run=%u executor=%s how=%s age_ms=%" G_GINT64_FORMAT
+              " failures=%u",
+              name, task->run, task->place->key, sched_end_to_string(how),
+              sched_now_ms(sched) - task->placed_ms, task->failures);
+}
+
 void
 sched_end_task(sched_t *sched, sched_task_t *task, sched_end_t how,
                const char *checkpoint)
 {
     sched_job_t *job = sched_task_get_job(task);
 
+    if (how != SCHED_END_DONE) {
+        log_end(sched, task, how);
+    }
     learn_from_end(sched, task, how);
     list_remove(&task->order_link);
     sched_executor_detach(task);
@@ -281,7 +309,8 @@
     if (job->state == SCHED_JOB_QUEUED) {
         job->state = SCHED_JOB_RUNNING;
     }
-    if (status->percent != task->percent || status->paced) {
+    task->slowdown = status->slowdown;
+    if (status->percent != task->percent || status->slowdown > 0) {
         task->percent = status->percent;
         task->progress_ms = sched_now_ms(sched);
     }
@@ -378,6 +407,7 @@
     sched->must_place |= changed || report->listed;
     executor->connected = true;
     apply_lists(sched, executor, report);
+    sched_executor_measure(executor);
     if (report->listed) {
         executor->listed = true;
         executor->end_sent = 0;
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -1,5 +1,6 @@
 /* What is due by time, and the placement of waiting tasks. */
 
+#include "base/events.h"
 #include "sched/place.h"
 #include "sched/sched_internal.h"
 
@@ -26,9 +27,26 @@
     sched_stage_order(sched, task);
 }
 
+static void
+log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms)
+{
+    const sched_job_t *job = step->occurrence->job;
+
+    if (placed > 0) {
+        event_log(EVENT_STEP_PLACED,
+                  "job=%s occurrence=%u step=%u placed=%u waiting=%u "
+                  "filler=%d target_ms=%u age_ms=%" G_GINT64_FORMAT,
+                  job->spec->id, step->occurrence->number, step->number,
+                  placed, step->waiting, step->spec->filler,
+                  step->spec->latency_target_ms, now_ms - job->since_ms);
+    }
+}
+
 static void
 place_tasks(sched_t *sched, sched_step_t *step, int64_t now_ms)
 {
+    uint32_t waiting = step->waiting;
+
     for (uint32_t i = 0; i < step->spec->count && step->waiting > 0; i++) {
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
@@ -39,10 +57,11 @@
         executor =
             sched_place_choose(&sched->executor_list, task, NULL, now_ms);
         if (executor == NULL) {
-            return;
+            break;
         }
         place_task(sched, task, executor, task->run + 1);
     }
+    log_placed(step, waiting - step->waiting, now_ms);
 }
 
 static void
@@ -157,7 +176,7 @@
 
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, place_link) {
         if (task->step->spec->long_running || last_call) {
-            sched_stop_task(sched, task);
+            sched_stop_task(sched, task, "the executor is leaving");
         }
     }
 }
@@ -180,7 +199,7 @@
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, place_link) {
         if (is_stalled(task, now_ms)) {
             task->avoid = executor;
-            sched_stop_task(sched, task);
+            sched_stop_task(sched, task, "no progress");
         }
     }
 }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -2302,12 +2302,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "paced",
+    "slowdown",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Teasel__RunStatus, paced),
+    offsetof(Teasel__RunStatus, slowdown),
     NULL,
     NULL,
     0,             /* flags */
@@ -2317,10 +2317,10 @@
 static const unsigned teasel__run_status__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
   4,   /* field[4] = figure */
-  6,   /* field[6] = paced */
   5,   /* field[5] = pending */
   3,   /* field[3] = percent */
   1,   /* field[1] = run */
+  6,   /* field[6] = slowdown */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange teasel__run_status__number_ranges[1 + 1] =
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -304,9 +304,9 @@
    */
   uint32_t figure;
   /*
-   * its agent slows it down
+   * percent by which its agent slows it down
    */
-  protobuf_c_boolean paced;
+  uint32_t slowdown;
   /*
    * the start is not confirmed by the executor yet
    */
