Learn which fillers disturb which serving tasks

Cause: fillers differ by image in what they do to the tail latency of a serving task (traces: from nothing to 0.8 of the target for an eighth of the executor), and the pace alone slowed all of them down. The pair weights are learned by normalized least mean squares; a filler is placed where no target is predicted to be missed, and moved when it stays slowed down.

--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -78,6 +78,7 @@
     teasel__executor_report__init(message);
     describe(report, executor, message);
     message->listed = executor->must_list;
+    message->has_figures = heartbeat;
     add_running(report, executor, message, heartbeat || executor->must_list);
     message->ended = (Teasel__RunEnd **)executor->ends->pdata + from;
     message->n_ended = executor->ends->len - from;
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -123,15 +123,8 @@
 void
 sched_executor_measure(sched_executor_t *executor)
 {
-    executor->strain = 0;
     executor->slowdown = 0;
     LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
-        uint32_t target_ms = task->step->spec->latency_target_ms;
-
-        if (target_ms > 0) {
-            executor->strain =
-                MAX(executor->strain, (double)task->figure / target_ms);
-        }
         executor->slowdown = MAX(executor->slowdown, task->slowdown);
     }
 }
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -43,7 +43,6 @@
  * @filler_cpu: processor share that the fillers on it ask for
  * @serving: tasks on it with a latency target
  * @serving_cpu: processor share that these reserve
- * @strain: highest tail latency of a serving task on it over its target
  * @slowdown: highest slowdown of a filler on it, in percent
  * @end_seen: number of the newest end that was processed
  * @end_taken: @end_seen when the records that are being written were made
@@ -75,7 +74,6 @@
     uint64_t filler_cpu;
     uint32_t serving;
     uint64_t serving_cpu;
-    double strain;
     uint32_t slowdown;
     uint64_t end_seen;
     uint64_t end_taken;
--- /dev/null
+++ b/libteasel/sched/interference.c
@@ -0,0 +1,165 @@
+#include "sched/interference.h"
+
+#include <math.h>
+
+/* Of an image pair that has not been seen: a filler that uses an eighth of an
+   executor adds a quarter of the target. */
+static const double UNKNOWN_WEIGHT = 2.0;
+static const double MAX_WEIGHT = 20.0;
+static const double WEIGHT_RATE = 0.5;
+static const double LEVEL_RATE = 0.25;
+/* Keeps the steps small where fillers use little of the executor. */
+static const double REGULARIZATION = 0.004;
+
+struct interference {
+    GHashTable *weights; /* "FILLER IMAGE/SERVING IMAGE" -> double */
+};
+
+interference_t *
+interference_new(void)
+{
+    interference_t *table = g_new0(interference_t, 1);
+
+    table->weights =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return table;
+}
+
+void
+interference_free(interference_t *table)
+{
+    g_hash_table_unref(table->weights);
+    g_free(table);
+}
+
+static char *
+new_key(const Teasel__StepSpec *filler, const Teasel__StepSpec *serving)
+{
+    return g_strconcat(filler->image, "/", serving->image, NULL);
+}
+
+static double
+get_weight(const interference_t *table, const Teasel__StepSpec *filler,
+           const Teasel__StepSpec *serving)
+{
+    g_autofree char *key = new_key(filler, serving);
+    const double *weight = g_hash_table_lookup(table->weights, key);
+
+    return weight != NULL ? *weight : UNKNOWN_WEIGHT;
+}
+
+static void
+adjust_weight(interference_t *table, const Teasel__StepSpec *filler,
+              const Teasel__StepSpec *serving, double step)
+{
+    double *weight = g_new(double, 1);
+
+    *weight = CLAMP(get_weight(table, filler, serving) + step, 0.0,
+                    MAX_WEIGHT);
+    g_hash_table_insert(table->weights, new_key(filler, serving), weight);
+}
+
+static double
+get_share(const sched_executor_t *executor, uint64_t cpu_milli)
+{
+    return (double)cpu_milli / fmax(1.0, (double)executor->room.cpu_milli);
+}
+
+static bool
+is_working_filler(const sched_task_t *task)
+{
+    return task->step->spec->filler && task->phase == SCHED_TASK_RUNNING;
+}
+
+static void
+learn(interference_t *table, sched_executor_t *executor, sched_task_t *serving)
+{
+    const Teasel__StepSpec *spec = serving->step->spec;
+    double ratio = (double)serving->figure / spec->latency_target_ms;
+    double pressure = 0;
+    double norm = REGULARIZATION;
+    double error;
+
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        double share = get_share(executor, task->figure);
+
+        if (is_working_filler(task)) {
+            pressure += share * get_weight(table, task->step->spec, spec);
+            norm += share * share;
+        }
+    }
+    if (serving->level == 0) {
+        serving->level = fmax(0.05, ratio - pressure);
+    }
+    error = ratio - serving->level - pressure;
+    serving->level = fmax(0.05, serving->level + LEVEL_RATE * error);
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        double share = get_share(executor, task->figure);
+
+        if (is_working_filler(task) && share > 0) {
+            adjust_weight(table, task->step->spec, spec,
+                          WEIGHT_RATE * error * share / norm);
+        }
+    }
+}
+
+static bool
+is_serving(const sched_task_t *task)
+{
+    /* A task that has just started has no figure yet. */
+    return task->step->spec->latency_target_ms > 0 && task->figure > 0 &&
+           task->phase == SCHED_TASK_RUNNING;
+}
+
+void
+interference_observe(interference_t *table, sched_executor_t *executor)
+{
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        if (is_serving(task)) {
+            learn(table, executor, task);
+        }
+    }
+}
+
+/* Fillers that were placed since the figures were read have an effect that
+   these do not show yet. */
+static double
+get_pending_pressure(const interference_t *table,
+                     const sched_executor_t *executor,
+                     const Teasel__StepSpec *serving)
+{
+    double pressure = 0;
+
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        const Teasel__StepSpec *spec = task->step->spec;
+
+        if (spec->filler && task->figure == 0) {
+            pressure += get_share(executor, spec->cpu_milli) *
+                        get_weight(table, spec, serving);
+        }
+    }
+    return pressure;
+}
+
+double
+interference_predict(const interference_t *table,
+                     const sched_executor_t *executor,
+                     const Teasel__StepSpec *filler)
+{
+    double worst = 0;
+
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        const Teasel__StepSpec *serving = task->step->spec;
+        double ratio;
+
+        if (serving->latency_target_ms == 0) {
+            continue;
+        }
+        ratio = (double)task->figure / serving->latency_target_ms +
+                get_pending_pressure(table, executor, serving) +
+                get_share(executor, filler->cpu_milli) *
+                    get_weight(table, filler, serving);
+        worst = fmax(worst, ratio);
+    }
+    return worst;
+}
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -80,6 +80,8 @@
     uint32_t percent;
     uint32_t figure;
     uint32_t slowdown; /* percent */
+    int64_t slowed_ms; /* since when it is slowed down, or 0 */
+    double level; /* of a serving task: its tail over target without fillers */
     int64_t placed_ms;
     int64_t running_ms;
     int64_t progress_ms;
--- a/libteasel/sched/place.c
+++ b/libteasel/sched/place.c
@@ -18,9 +18,8 @@
     MAX_SLOWDOWN = 20,
 };
 
-/* No filler is added where a tail latency is above this share of its
-   target. */
-static const double MAX_STRAIN = 0.85;
+/* Fillers are added up to this predicted tail latency over target. */
+static const double MAX_TAIL = 0.9;
 
 static bool
 is_open(const sched_executor_t *executor, const Teasel__JobSpec *job,
@@ -42,8 +41,7 @@
     if (step->filler) {
         cpu += executor->filler_cpu;
         cpu -= executor->serving_cpu * (100 - SERVING_USE_PERCENT) / 100;
-        if (executor->strain > MAX_STRAIN ||
-            executor->slowdown > MAX_SLOWDOWN) {
+        if (executor->slowdown > MAX_SLOWDOWN) {
             return false;
         }
     }
@@ -99,8 +97,23 @@
            fmax(1.0, (double)executor->room.cpu_milli);
 }
 
+/* Infinite where the filler would make a task miss its target. */
 static double
-get_cost(const sched_executor_t *executor, const sched_task_t *task)
+get_filler_cost(const sched_places_t *places, const sched_executor_t *executor,
+                const Teasel__StepSpec *spec)
+{
+    double tail;
+
+    if (!spec->filler || executor->serving == 0) {
+        return 0;
+    }
+    tail = interference_predict(places->interference, executor, spec);
+    return tail > MAX_TAIL ? INFINITY : COST_FILLER_BESIDE_SERVING * tail;
+}
+
+static double
+get_cost(const sched_places_t *places, const sched_executor_t *executor,
+         const sched_task_t *task)
 {
     const Teasel__StepSpec *spec = task->step->spec;
     double cost = get_base_cost(executor, spec);
@@ -110,9 +123,7 @@
         !sched_executor_has_label(executor, spec->data_rack)) {
         cost += COST_REMOTE_DATA;
     }
-    if (spec->filler && executor->serving > 0) {
-        cost += COST_FILLER_BESIDE_SERVING * (0.5 + executor->strain);
-    }
+    cost += get_filler_cost(places, executor, spec);
     if (spec->latency_target_ms > 0) {
         cost += COST_SERVING_BESIDE_FILLER * (double)executor->filler_cpu /
                 fmax(1.0, (double)executor->room.cpu_milli);
@@ -124,23 +135,23 @@
 }
 
 sched_executor_t *
-sched_place_choose(const list_t *executors, const sched_task_t *task,
-                   const char *rack, int64_t now_ms)
+sched_place_choose(const sched_places_t *places, const sched_task_t *task)
 {
     const Teasel__JobSpec *job = sched_task_get_job(task)->spec;
     sched_executor_t *best = NULL;
     double best_cost = INFINITY;
 
-    LIST_FOREACH (executor, executors, sched_executor_t, link) {
+    LIST_FOREACH (executor, places->executors, sched_executor_t, link) {
         double cost;
 
-        if (!is_open(executor, job, now_ms) ||
+        if (!is_open(executor, job, places->now_ms) ||
             !has_room(executor, task->step->spec) ||
             !is_allowed(executor, task) ||
-            (rack != NULL && g_strcmp0(executor->rack, rack) != 0)) {
+            (places->rack != NULL &&
+             g_strcmp0(executor->rack, places->rack) != 0)) {
             continue;
         }
-        cost = get_cost(executor, task);
+        cost = get_cost(places, executor, task);
         if (cost < best_cost) {
             best = executor;
             best_cost = cost;
--- a/libteasel/sched/place.h
+++ b/libteasel/sched/place.h
@@ -3,6 +3,7 @@
 
 #include "base/list.h"
 #include "sched/executor.h"
+#include "sched/interference.h"
 #include "sched/job.h"
 
 #ifdef __cplusplus
@@ -10,13 +11,23 @@
 #endif
 
 /**
- * sched_place_choose() - best executor for a task, or NULL if none has room
+ * struct sched_places - what placement chooses from
  * @executors: list of sched_executor_t
+ * @interference: what fillers do to serving tasks
  * @rack: only this rack; NULL for any
  */
-sched_executor_t *sched_place_choose(const list_t *executors,
-                                     const sched_task_t *task,
-                                     const char *rack, int64_t now_ms);
+typedef struct sched_places {
+    const list_t *executors;
+    const interference_t *interference;
+    const char *rack;
+    int64_t now_ms;
+} sched_places_t;
+
+/**
+ * sched_place_choose() - best executor for a task, or NULL if none has room
+ */
+sched_executor_t *sched_place_choose(const sched_places_t *places,
+                                     const sched_task_t *task);
 
 #ifdef __cplusplus
 }
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -28,6 +28,7 @@
     sched->opts = *opts;
     sched->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     sched->executors = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->interference = interference_new();
     sched->taken = g_ptr_array_new();
     sched->dropped = g_ptr_array_new_with_free_func(g_free);
     list_init(&sched->executor_list);
@@ -56,6 +57,7 @@
                        link) {
         sched_executor_free(executor);
     }
+    interference_free(sched->interference);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->executors);
     g_ptr_array_unref(sched->taken);
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -1,6 +1,7 @@
 #ifndef TEASEL_SCHED_SCHED_INTERNAL_H
 #define TEASEL_SCHED_SCHED_INTERNAL_H
 
+#include "sched/interference.h"
 #include "sched/sched.h"
 
 struct sched {
@@ -8,6 +9,7 @@
     GHashTable *jobs;      /* id -> sched_job_t, owned */
     GHashTable *executors; /* key -> sched_executor_t, owned */
     list_t executor_list;
+    interference_t *interference;
     list_t active;   /* jobs that are not final, in scheduling order */
     list_t finished; /* final jobs, oldest first */
     list_t dirty;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -12,6 +12,8 @@
     PROBATION_MS = 4000,
     MAX_RESTART_DELAY_MS = 2000,
     RESTART_DELAY_STEP_MS = 100,
+    /* A filler that is slowed down by this many percent is worth moving. */
+    MOVE_SLOWDOWN = 50,
 };
 
 /* Share of a new run time in the moving average of an executor. */
@@ -249,6 +251,10 @@
     task->sent = false;
     task->running_ms = 0;
     task->percent = 0;
+    task->figure = 0;
+    task->level = 0;
+    task->slowdown = 0;
+    task->slowed_ms = 0;
     if (checkpoint != NULL && checkpoint[0] != '\0') {
         g_free(task->checkpoint);
         task->checkpoint = g_strdup(checkpoint);
@@ -283,6 +289,18 @@
     sched_executor_free(executor);
 }
 
+static void
+note_slowdown(const sched_t *sched, sched_task_t *task, uint32_t slowdown)
+{
+    task->slowdown = slowdown;
+    if (slowdown < MOVE_SLOWDOWN) {
+        task->slowed_ms = 0;
+    }
+    else if (task->slowed_ms == 0) {
+        task->slowed_ms = sched_now_ms(sched);
+    }
+}
+
 static void
 apply_running(sched_t *sched, sched_executor_t *executor,
               const Teasel__RunStatus *status)
@@ -309,7 +327,7 @@
     if (job->state == SCHED_JOB_QUEUED) {
         job->state = SCHED_JOB_RUNNING;
     }
-    task->slowdown = status->slowdown;
+    note_slowdown(sched, task, status->slowdown);
     if (status->percent != task->percent || status->slowdown > 0) {
         task->percent = status->percent;
         task->progress_ms = sched_now_ms(sched);
@@ -407,7 +425,10 @@
     sched->must_place |= changed || report->listed;
     executor->connected = true;
     apply_lists(sched, executor, report);
-    sched_executor_measure(executor);
+    if (report->has_figures) {
+        sched_executor_measure(executor);
+        interference_observe(sched->interference, executor);
+    }
     if (report->listed) {
         executor->listed = true;
         executor->end_sent = 0;
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -7,12 +7,27 @@
 enum {
     /* A run without progress for this long is moved to another executor. */
     STALL_MS = 6000,
+    MOVE_AFTER_MS = 1000,
     /* Time for the messages of an evacuation. */
     EVACUATE_MARGIN_MS = 500,
     /* Probations and restart delays end without an event. */
     PLACE_INTERVAL_MS = 200,
 };
 
+static sched_executor_t *
+choose_executor(const sched_t *sched, const sched_task_t *task,
+                const char *rack)
+{
+    sched_places_t places = {
+        .executors = &sched->executor_list,
+        .interference = sched->interference,
+        .rack = rack,
+        .now_ms = sched_now_ms(sched),
+    };
+
+    return sched_place_choose(&places, task);
+}
+
 static void
 place_task(sched_t *sched, sched_task_t *task, sched_executor_t *executor,
            uint32_t run)
@@ -54,8 +69,7 @@
         if (task->phase != SCHED_TASK_WAITING || now_ms < task->not_before_ms) {
             continue;
         }
-        executor =
-            sched_place_choose(&sched->executor_list, task, NULL, now_ms);
+        executor = choose_executor(sched, task, NULL);
         if (executor == NULL) {
             break;
         }
@@ -74,12 +88,11 @@
 
 /* Reserves room for all members of a gang, or for none. */
 static bool
-try_gang(sched_t *sched, sched_step_t *step, const char *rack, int64_t now_ms)
+try_gang(sched_t *sched, sched_step_t *step, const char *rack)
 {
     for (uint32_t i = 0; i < step->spec->count; i++) {
         sched_task_t *task = &step->tasks[i];
-        sched_executor_t *executor =
-            sched_place_choose(&sched->executor_list, task, rack, now_ms);
+        sched_executor_t *executor = choose_executor(sched, task, rack);
 
         if (executor == NULL) {
             undo_trial(step);
@@ -91,29 +104,29 @@
 }
 
 static bool
-reserve_gang(sched_t *sched, sched_step_t *step, int64_t now_ms)
+reserve_gang(sched_t *sched, sched_step_t *step)
 {
     if (step->spec->same_rack) {
         LIST_FOREACH (executor, &sched->executor_list, sched_executor_t,
                       link) {
             if (executor->rack != NULL &&
-                try_gang(sched, step, executor->rack, now_ms)) {
+                try_gang(sched, step, executor->rack)) {
                 return true;
             }
         }
     }
-    return try_gang(sched, step, NULL, now_ms);
+    return try_gang(sched, step, NULL);
 }
 
 /* All members of a gang have the same run number and checkpoint. */
 static void
-place_gang(sched_t *sched, sched_step_t *step, int64_t now_ms)
+place_gang(sched_t *sched, sched_step_t *step)
 {
     const char *checkpoint = NULL;
     uint32_t run = 0;
 
     if (step->waiting < step->spec->count ||
-        !reserve_gang(sched, step, now_ms)) {
+        !reserve_gang(sched, step)) {
         return;
     }
     for (uint32_t i = 0; i < step->spec->count; i++) {
@@ -146,7 +159,7 @@
                 continue;
             }
             if (step->spec->gang) {
-                place_gang(sched, step, now_ms);
+                place_gang(sched, step);
             }
             else {
                 place_tasks(sched, step, now_ms);
@@ -190,6 +203,23 @@
            !spec->gang && now_ms - task->progress_ms > STALL_MS;
 }
 
+/* A filler that is slowed down goes on elsewhere, if it keeps its progress and
+   there is an executor where it disturbs nobody. */
+static bool
+is_worth_moving(const sched_t *sched, const sched_task_t *task,
+                int64_t now_ms)
+{
+    const sched_executor_t *executor;
+
+    if (task->phase != SCHED_TASK_RUNNING || task->slowed_ms == 0 ||
+        now_ms - task->slowed_ms < MOVE_AFTER_MS ||
+        !task->step->spec->checkpointing) {
+        return false;
+    }
+    executor = choose_executor(sched, task, NULL);
+    return executor != NULL && executor != task->place;
+}
+
 static void
 check_executor(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
 {
@@ -201,6 +231,9 @@
             task->avoid = executor;
             sched_stop_task(sched, task, "no progress");
         }
+        else if (is_worth_moving(sched, task, now_ms)) {
+            sched_stop_task(sched, task, "it disturbs serving tasks");
+        }
     }
 }
 
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -2497,7 +2497,7 @@
   (ProtobufCMessageInit) teasel__rejected_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[14] =
 {
   {
     "key",
@@ -2655,6 +2655,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_figures",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ExecutorReport, has_figures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__executor_report__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -2662,6 +2674,7 @@
   5,   /* field[5] = draining */
   10,   /* field[10] = ended */
   7,   /* field[7] = gone */
+  13,   /* field[13] = has_figures */
   0,   /* field[0] = key */
   3,   /* field[3] = labels */
   8,   /* field[8] = listed */
@@ -2674,7 +2687,7 @@
 static const ProtobufCIntRange teasel__executor_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor teasel__executor_report__descriptor =
 {
@@ -2684,7 +2697,7 @@
   "Teasel__ExecutorReport",
   "teasel",
   sizeof(Teasel__ExecutorReport),
-  13,
+  14,
   teasel__executor_report__field_descriptors,
   teasel__executor_report__field_indices_by_name,
   1,  teasel__executor_report__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -369,10 +369,14 @@
   size_t n_rejected;
   Teasel__RejectedStart **rejected;
   char *rack;
+  /*
+   * all running tasks are listed with new figures
+   */
+  protobuf_c_boolean has_figures;
 };
 #define TEASEL__EXECUTOR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__executor_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Teasel__Capacity
