Take a status for a resignation only in its own epoch

Each took the other's last status, sent before it was elected, for its resignation. Tasks of a cancelled job ran on meanwhile (UNASKED). Ruled out: the silence of connections; none was lost.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -215,6 +215,19 @@
     cluster_send_status(cluster);
 }
 
+/* A new leader is given time to tell of itself, whatever was known of its
+   process before. */
+static void
+expect_leader(cluster_t *cluster)
+{
+    member_t *leader = cluster_find_member(cluster, cluster->leader_name);
+
+    if (leader != NULL) {
+        leader->sudden = false;
+    }
+    cluster_check(cluster);
+}
+
 static void
 take_leader(cluster_t *cluster, const Teasel__LeaderRecord *record,
             uint64_t epoch)
@@ -245,7 +258,7 @@
               epoch, record->name);
     cluster_know_member(cluster, record->name, record->address,
                         record->incarnation);
-    cluster_check(cluster);
+    expect_leader(cluster);
 }
 
 static void
@@ -380,7 +393,9 @@
     const member_t *leader =
         cluster_find_member(cluster, cluster->leader_name);
     int64_t delay_ms = get_rank(cluster) * CLAIM_STAGGER_MS;
-    bool resigned = leader != NULL && is_fresh(leader) && !leader->leading;
+    /* A status of an earlier epoch was sent before it was elected. */
+    bool resigned = leader != NULL && is_fresh(leader) && !leader->leading &&
+                    leader->epoch == cluster->epoch;
 
     if (cluster->resigned) {
         return RESIGNED_WAIT_MS;
