--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -134,6 +134,7 @@
     uint32_t next_occurrence;
     list_t occurrences;
     int64_t finished_ms;
+    int64_t idle_ms;  /* since when no task is placed, or 0 */
     int64_t since_ms; /* known to this scheduler since */
 };
 
--- a/libteasel/sched/place.c
+++ b/libteasel/sched/place.c
@@ -31,14 +31,18 @@
 }
 
 static bool
-has_room(const sched_executor_t *executor, const Teasel__StepSpec *step)
+has_room(const sched_places_t *places, const sched_executor_t *executor,
+         const Teasel__StepSpec *step)
 {
     const sched_room_t *room = &executor->room;
     const sched_room_t *used = &executor->used;
     uint64_t cpu = used->cpu_milli + step->cpu_milli;
 
     /* Fillers get what the others leave unused, so they wait for some. */
-    if (step->filler) {
+    if (step->filler && places->idle) {
+        cpu = 0;
+    }
+    else if (step->filler) {
         cpu += executor->filler_cpu;
         cpu -= executor->serving_cpu * (100 - SERVING_USE_PERCENT) / 100;
         if (executor->slowdown > MAX_SLOWDOWN) {
@@ -97,7 +101,8 @@
            fmax(1.0, (double)executor->room.cpu_milli);
 }
 
-/* Infinite where the filler would make a task miss its target. */
+/* Infinite where the filler would make a task miss its target, unless its job
+   stands still. */
 static double
 get_filler_cost(const sched_places_t *places, const sched_executor_t *executor,
                 const Teasel__StepSpec *spec)
@@ -108,7 +113,10 @@
         return 0;
     }
     tail = interference_predict(places->interference, executor, spec);
-    return tail > MAX_TAIL ? INFINITY : COST_FILLER_BESIDE_SERVING * tail;
+    if (tail > MAX_TAIL && !places->idle) {
+        return INFINITY;
+    }
+    return COST_FILLER_BESIDE_SERVING * tail;
 }
 
 static double
@@ -145,7 +153,7 @@
         double cost;
 
         if (!is_open(executor, job, places->now_ms) ||
-            !has_room(executor, task->step->spec) ||
+            !has_room(places, executor, task->step->spec) ||
             !is_allowed(executor, task) ||
             (places->rack != NULL &&
              g_strcmp0(executor->rack, places->rack) != 0)) {
--- a/libteasel/sched/place.h
+++ b/libteasel/sched/place.h
@@ -15,11 +15,14 @@
  * @executors: list of sched_executor_t
  * @interference: what fillers do to serving tasks
  * @rack: only this rack; NULL for any
+ * @idle: the job stands still, so that its fillers are placed even where they
+ *     disturb, at a pace that their agent chooses
  */
 typedef struct sched_places {
     const list_t *executors;
     const interference_t *interference;
     const char *rack;
+    bool idle;
     int64_t now_ms;
 } sched_places_t;
 
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -8,6 +8,8 @@
     /* A run without progress for this long is moved to another executor. */
     STALL_MS = 6000,
     MOVE_AFTER_MS = 1000,
+    /* A job without a run for this long takes a place where it disturbs. */
+    IDLE_MS = 2000,
     /* Time for the messages of an evacuation. */
     EVACUATE_MARGIN_MS = 500,
     /* Probations and restart delays end without an event. */
@@ -24,6 +26,9 @@
         .rack = rack,
         .now_ms = sched_now_ms(sched),
     };
+    const sched_job_t *job = sched_task_get_job(task);
+
+    places.idle = job->idle_ms != 0 && places.now_ms - job->idle_ms > IDLE_MS;
 
     return sched_place_choose(&places, task);
 }
@@ -38,6 +43,7 @@
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
     sched_executor_attach(executor, task);
+    sched_task_get_job(task)->idle_ms = 0;
     sched_touch_job(sched, sched_task_get_job(task));
     sched_stage_order(sched, task);
 }
@@ -148,9 +154,21 @@
     g_free((char *)checkpoint);
 }
 
+static void
+note_idle(sched_job_t *job, int64_t now_ms)
+{
+    if (sched_job_count_placed(job) > 0) {
+        job->idle_ms = 0;
+    }
+    else if (job->idle_ms == 0) {
+        job->idle_ms = now_ms;
+    }
+}
+
 static void
 place_job(sched_t *sched, sched_job_t *job, int64_t now_ms)
 {
+    note_idle(job, now_ms);
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         for (size_t i = 0; i < job->spec->n_steps; i++) {
             sched_step_t *step = &occurrence->steps[i];
