--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -15,11 +15,13 @@
     CLAIM_STAGGER_MS = 100,
     /* A process that is restarted at once may still lead. */
     SUDDEN_LOSS_MS = 50,
+    /* A leader that was just elected tells of itself within this time. */
+    SILENT_LOSS_MS = 300,
     /* A scheduler that hears nobody is probably cut off itself. */
     ISOLATED_WAIT_MS = 3500,
     RESIGNED_WAIT_MS = 3000,
     /* A status that is older says nothing about the present. */
-    FRESH_MS = 900,
+    FRESH_MS = 700,
     PROBE_INTERVAL_MS = 300,
     MAX_QUEUED_BYTES = 8 * 1024 * 1024,
 };
@@ -408,7 +410,7 @@
         return delay_ms + SUDDEN_LOSS_MS;
     }
     if (hears_somebody(cluster)) {
-        return delay_ms + FRESH_MS;
+        return delay_ms + SILENT_LOSS_MS;
     }
     return delay_ms + ISOLATED_WAIT_MS;
 }
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -4,6 +4,7 @@
 
 #include "base/events.h"
 #include "node/node_internal.h"
+#include "sched/executor.h"
 
 enum {
     POLL_RETRY_MS = 150,
@@ -88,8 +89,8 @@
     executor = g_new0(node_executor_t, 1);
     executor->node = node;
     executor->api = api;
-    executor->key = g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, info->address,
-                                    info->id, info->born_ms);
+    executor->key =
+        sched_executor_key(info->address, info->id, info->born_ms);
     executor->id = g_strdup(info->id);
     executor->born_ms = info->born_ms;
     executor->address = g_strdup(info->address);
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -2,6 +2,29 @@
 
 #include <string.h>
 
+char *
+sched_executor_key(const char *address, const char *id, int64_t born_ms)
+{
+    return g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, address, id, born_ms);
+}
+
+static int64_t
+get_born_ms(const char *key)
+{
+    const char *last = strrchr(key, '/');
+
+    return last != NULL ? g_ascii_strtoll(last + 1, NULL, 10) : 0;
+}
+
+bool
+sched_executor_key_replaces(const char *later, const char *older)
+{
+    size_t address = strcspn(older, "/");
+
+    return strncmp(later, older, address + 1) == 0 &&
+           get_born_ms(later) > get_born_ms(older);
+}
+
 static void
 free_stray(void *data)
 {
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -88,6 +88,23 @@
     int64_t probation_ms;
 };
 
+/*
+ * A key has the form ADDRESS/ID/BORN, where BORN is the wall clock of the
+ * start of this life in ms.
+ */
+
+/**
+ * sched_executor_key() - key of a life; free with g_free()
+ */
+char *sched_executor_key(const char *address, const char *id,
+                         int64_t born_ms);
+
+/**
+ * sched_executor_key_replaces() - a life that started later at the same
+ * address, so that the older one has ended
+ */
+bool sched_executor_key_replaces(const char *later, const char *older);
+
 sched_executor_t *sched_executor_new(const char *key);
 void sched_executor_free(sched_executor_t *executor);
 
--- a/libteasel/sched/place.c
+++ b/libteasel/sched/place.c
@@ -11,6 +11,9 @@
 static const double COST_SERVING_APART = 1.0;
 static const double COST_FAILED_HERE = 1.0;
 static const double COST_SLOWNESS = 1.0;
+/* Tasks of a step that end late are compared with those that ended early, so
+   that the average lies above 1.0. */
+static const double NORMAL_SLOWNESS = 1.6;
 
 /* Share of its reservation that a serving task uses as a rule. */
 enum {
@@ -126,7 +129,7 @@
     const Teasel__StepSpec *spec = task->step->spec;
     double cost = get_base_cost(executor, spec);
 
-    cost += COST_SLOWNESS * (executor->slowness - 1.0);
+    cost += COST_SLOWNESS * fmax(0, executor->slowness - NORMAL_SLOWNESS);
     if (spec->data_rack[0] != '\0' &&
         !sched_executor_has_label(executor, spec->data_rack)) {
         cost += COST_REMOTE_DATA;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -401,6 +401,22 @@
     }
 }
 
+/* An agent that was restarted does not know the executors that ended
+   meanwhile. */
+static void
+expire_older_lives(sched_t *sched, const char *key)
+{
+    LIST_FOREACH_SAFE (executor, &sched->executor_list, sched_executor_t,
+                       link) {
+        if (sched_executor_key_replaces(key, executor->key)) {
+            event_log(EVENT_EXECUTOR_LAPSED,
+                      "executor=%s reason=\"replaced by %s\"", executor->key,
+                      key);
+            sched_expire_executor(sched, executor);
+        }
+    }
+}
+
 static bool
 has_changed(const sched_executor_t *executor,
             const Teasel__ExecutorReport *report)
@@ -419,6 +435,9 @@
         sched_expire_executor(sched, executor);
         return;
     }
+    if (!executor->connected) {
+        expire_older_lives(sched, report->key);
+    }
     if (changed || report->listed) {
         sched_executor_describe(executor, node, report, sched_now_ms(sched));
     }
