--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -94,6 +94,7 @@
     EVENT(EVENT_STEP_PLACED, 7016, G_LOG_LEVEL_MESSAGE, "step-placed")        \
     EVENT(EVENT_RUN_ENDED, 7017, G_LOG_LEVEL_WARNING, "run-ended")            \
     EVENT(EVENT_RUN_STOPPED, 7018, G_LOG_LEVEL_MESSAGE, "run-stopped")        \
+    EVENT(EVENT_LOAD, 7019, G_LOG_LEVEL_MESSAGE, "load")                      \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -127,6 +127,11 @@
 Teasel__ExecutorOrders *sched_take_orders(sched_executor_t *executor);
 void sched_orders_free(Teasel__ExecutorOrders *orders);
 
+/**
+ * sched_log_load() - write the load of the executors to the log
+ */
+void sched_log_load(const sched_t *sched);
+
 const list_t *sched_get_executors(const sched_t *sched);
 const list_t *sched_get_active_jobs(const sched_t *sched);
 
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -13,6 +13,7 @@
     WRITE_SLOW_MS = 500,
     /* Age of the proof of leadership at which it is renewed by a call. */
     RENEW_MS = 1000,
+    LOAD_LOG_MS = 2000,
     /* A successor waits this much longer than the longest lease. */
     DRIFT_PERCENT = 5,
     LAPSE_MARGIN_MS = 400,
@@ -228,6 +229,15 @@
     begin_write(leader);
 }
 
+static void
+log_load(leader_t *leader)
+{
+    if (leader_now_ms(leader) - leader->load_logged_ms >= LOAD_LOG_MS) {
+        leader->load_logged_ms = leader_now_ms(leader);
+        sched_log_load(leader->sched);
+    }
+}
+
 static void
 on_tick(loop_timer_t *timer)
 {
@@ -241,6 +251,7 @@
     }
     if (leader->stage == LEADER_READY) {
         renew_proof(leader);
+        log_load(leader);
         leader_wake(leader);
     }
 }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -64,6 +64,7 @@
     int64_t write_sent_ms;  /* last attempt */
     int64_t proof_ms; /* a write sent then has shown that nobody else leads */
     bool store_fails;
+    int64_t load_logged_ms;
 
     uint64_t accepted;
     uint64_t refused;
