Order jobs by lateness and remaining work

Cause: when fillers wait, jobs in order of arrival all become late. Jobs that can still meet their objective go first, the one with the least work left before the others. Estimates are corrected by a moving average a queue.

--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -134,6 +134,8 @@
     uint32_t next_occurrence;
     list_t occurrences;
     int64_t finished_ms;
+    int64_t due_ms;   /* objective, by the estimates */
+    double work_left; /* core-ms, when the jobs were ordered last */
     int64_t idle_ms;  /* since when no task is placed, or 0 */
     int64_t since_ms; /* known to this scheduler since */
 };
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -29,6 +29,8 @@
     sched->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     sched->executors = g_hash_table_new(g_str_hash, g_str_equal);
     sched->interference = interference_new();
+    sched->estimate_errors =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sched->taken = g_ptr_array_new();
     sched->dropped = g_ptr_array_new_with_free_func(g_free);
     list_init(&sched->executor_list);
@@ -58,6 +60,7 @@
         sched_executor_free(executor);
     }
     interference_free(sched->interference);
+    g_hash_table_unref(sched->estimate_errors);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->executors);
     g_ptr_array_unref(sched->taken);
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -10,6 +10,7 @@
     GHashTable *executors; /* key -> sched_executor_t, owned */
     list_t executor_list;
     interference_t *interference;
+    GHashTable *estimate_errors; /* queue -> double, run time over estimate */
     list_t active;   /* jobs that are not final, in scheduling order */
     list_t finished; /* final jobs, oldest first */
     list_t dirty;
@@ -20,10 +21,23 @@
     bool cursors_moved;
     bool must_place;
     bool committing;
-    int64_t placed_ms; /* of the last placement */
+    int64_t placed_ms;  /* of the last placement */
+    int64_t ordered_ms; /* when the jobs were ordered last */
     uint64_t accepted;
 };
 
+/**
+ * sched_learn_estimate() - a task of a queue ran for a time
+ */
+void sched_learn_estimate(sched_t *sched, const sched_task_t *task,
+                          double ran_ms);
+
+/**
+ * sched_order_jobs() - put the jobs first that can still meet their objective
+ * with the least work
+ */
+void sched_order_jobs(sched_t *sched);
+
 int64_t sched_now_ms(const sched_t *sched);
 int64_t sched_wall_ms(const sched_t *sched);
 void sched_touch_job(sched_t *sched, sched_job_t *job);
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -183,6 +183,7 @@
     if (task->running_ms == 0 || task->checkpoint != NULL) {
         return;
     }
+    sched_learn_estimate(sched, task, ran_ms);
     if (step->timed_runs > 0 && step->run_ms_total > 0) {
         double ratio = ran_ms * step->timed_runs / step->run_ms_total;
 
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -292,6 +292,7 @@
     }
     sched->must_place = false;
     sched->placed_ms = now_ms;
+    sched_order_jobs(sched);
     LIST_FOREACH (job, &sched->active, sched_job_t, link) {
         place_job(sched, job, now_ms);
     }
--- a/libteasel/scheduler/queue_table.h
+++ b/libteasel/scheduler/queue_table.h
@@ -13,6 +13,8 @@
  * struct queue - a queue of jobs, selected by host and path
  * @service: executors that run its tasks
  * @priority: 0 goes first
+ * @allowance_ms: the objective of a job is this much more than
+ * @slack_percent: this share of its longest chain of work
  * @needs_advice: its policy lets only some executors run a step, which is not
  *     supported
  */
@@ -23,6 +25,8 @@
     char *service;
     uint32_t max_attempts;
     uint32_t priority;
+    uint32_t allowance_ms;
+    uint32_t slack_percent;
     bool needs_advice;
 } queue_t;
 
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1211,7 +1211,7 @@
   (ProtobufCMessageInit) teasel__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__job_spec__field_descriptors[10] =
+static const ProtobufCFieldDescriptor teasel__job_spec__field_descriptors[12] =
 {
   {
     "id",
@@ -1333,8 +1333,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allowance_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__JobSpec, allowance_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slack_percent",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__JobSpec, slack_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__job_spec__field_indices_by_name[] = {
+  10,   /* field[10] = allowance_ms */
   6,   /* field[6] = first_start_ms */
   0,   /* field[0] = id */
   7,   /* field[7] = interval_ms */
@@ -1344,12 +1369,13 @@
   1,   /* field[1] = queue */
   5,   /* field[5] = repeat_count */
   2,   /* field[2] = service */
+  11,   /* field[11] = slack_percent */
   4,   /* field[4] = steps */
 };
 static const ProtobufCIntRange teasel__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor teasel__job_spec__descriptor =
 {
@@ -1359,7 +1385,7 @@
   "Teasel__JobSpec",
   "teasel",
   sizeof(Teasel__JobSpec),
-  10,
+  12,
   teasel__job_spec__field_descriptors,
   teasel__job_spec__field_indices_by_name,
   1,  teasel__job_spec__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -106,10 +106,18 @@
    * 0 goes first
    */
   uint32_t priority;
+  /*
+   * its objective is this much more than
+   */
+  uint32_t allowance_ms;
+  /*
+   * this share of its longest chain of work
+   */
+  uint32_t slack_percent;
 };
 #define TEASEL__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Teasel__TaskRecord
