Move one slowed filler at a time; pace in proportion to the tail

Cause: several fillers were stopped for one free place and then waited, each losing a second of work and more; and the pace took 6 s to rise from 0.

--- a/libteasel/node/pace.c
+++ b/libteasel/node/pace.c
@@ -12,7 +12,8 @@
     /* The figures are averages of half a second, and a pace takes effect
        after 100 ms. */
     PACE_INTERVAL_MS = 600,
-    PACE_STEP_PERCENT = 10,
+    PACE_STEP_PERCENT = 10, /* least rise */
+    PACE_MAX_STEP_PERCENT = 30,
     /* Fillers stand still after a target was missed for this long. */
     STOP_MS = 1500,
     PACE_MIN_PERCENT = 0,
@@ -91,14 +92,35 @@
                               executor->node->epoch, on_paced, call);
 }
 
+/* The part of a tail over target that fillers do not cause, as a rule. */
+static const double OWN_SHARE = 0.45;
+/* Tail over target that the pace aims at. */
+static const double AIM = 0.9;
+
+/* The part that fillers cause is taken to be proportional to their pace. */
+static double
+get_ratio(double worst)
+{
+    return (AIM - OWN_SHARE) / MAX(0.05, worst - OWN_SHARE);
+}
+
 static uint32_t
 slow_down(uint32_t pace, double worst)
 {
-    uint32_t slower = (uint32_t)(pace / MAX(1.3, worst));
+    uint32_t slower = (uint32_t)(pace * CLAMP(get_ratio(worst), 0.3, 0.85));
 
     return slower < PACE_LEAST_USEFUL ? PACE_MIN_PERCENT : slower;
 }
 
+static uint32_t
+speed_up(uint32_t pace, double worst)
+{
+    double faster = pace * get_ratio(worst);
+
+    return (uint32_t)MIN(100, CLAMP(faster, pace + PACE_STEP_PERCENT,
+                                    pace + PACE_MAX_STEP_PERCENT));
+}
+
 static uint32_t
 choose_pace(const node_executor_t *executor, const tail_t *tail,
             int64_t now_ms)
@@ -112,7 +134,7 @@
                    : slow_down(executor->pace, tail->worst);
     }
     if (tail->reserve) {
-        return MIN(100, executor->pace + PACE_STEP_PERCENT);
+        return speed_up(executor->pace, tail->worst);
     }
     return executor->pace;
 }
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -238,6 +238,36 @@
     return executor != NULL && executor != task->place;
 }
 
+static unsigned
+count_stopping(const sched_t *sched)
+{
+    unsigned count = 0;
+
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+            count += task->phase == SCHED_TASK_STOPPING;
+        }
+    }
+    return count;
+}
+
+/* One at a time, as the next may find the place taken. */
+static void
+move_filler(sched_t *sched, int64_t now_ms)
+{
+    if (count_stopping(sched) > 0) {
+        return;
+    }
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+            if (is_worth_moving(sched, task, now_ms)) {
+                sched_stop_task(sched, task, "it disturbs serving tasks");
+                return;
+            }
+        }
+    }
+}
+
 static void
 check_executor(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
 {
@@ -249,9 +279,6 @@
             task->avoid = executor;
             sched_stop_task(sched, task, "no progress");
         }
-        else if (is_worth_moving(sched, task, now_ms)) {
-            sched_stop_task(sched, task, "it disturbs serving tasks");
-        }
     }
 }
 
@@ -283,6 +310,7 @@
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
         check_executor(sched, executor, now_ms);
     }
+    move_filler(sched, now_ms);
     LIST_FOREACH (job, &sched->active, sched_job_t, link) {
         sched_add_due_occurrences(sched, job);
     }
