--- /dev/null
+++ b/tests/support/fake_store.h
@@ -0,0 +1,79 @@
+#ifndef TEASEL_TESTS_FAKE_STORE_H
+#define TEASEL_TESTS_FAKE_STORE_H
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/loop.h"
+#include "store/store.h"
+}
+
+/* A store in memory, shared by the views of several processes. */
+struct FakeStore {
+    struct Record {
+        std::string key;
+        std::string value;
+        bool dropped;
+    };
+    struct Writer {
+        uint64_t epoch = 0;
+        uint64_t next = 0;
+        std::map<uint64_t, uint64_t> answers; /* sequence -> offset */
+    };
+    struct Topic {
+        std::vector<Record> records;
+        std::map<std::string, Writer> writers;
+        uint64_t first = 0;
+    };
+    std::map<std::string, Topic> topics;
+    uint64_t appends = 0;
+
+    /* Newest value of a key, or an empty string. */
+    std::string newest(const std::string &topic, const std::string &key);
+    /* Appends as another writer does. */
+    uint64_t put(const std::string &topic, const std::string &key,
+                 const std::string &value);
+};
+
+/* What one process sees of the store. */
+struct FakeStoreView {
+    store_t base;
+    FakeStore *store;
+    loop_t *loop;
+    bool refuse = false;       /* answers that nothing was done */
+    bool silent = false;       /* no answer, no effect */
+    int lose_answers = 0;      /* appends that take effect unanswered */
+    uint64_t silence_ms = 30;  /* until a lost call is given up */
+
+    struct Call {
+        loop_timer_t timer;
+        FakeStoreView *view;
+        std::function<void()> deliver;
+        std::list<Call>::iterator self;
+    };
+    struct Reader {
+        std::string topic;
+        uint64_t from;
+        store_page_cb cb;
+        void *data;
+        loop_timer_t timer;
+        FakeStoreView *view;
+        std::list<Reader>::iterator self;
+    };
+    std::list<Call> calls;
+    std::list<Reader> readers;
+
+    FakeStoreView(FakeStore *store, loop_t *loop);
+    FakeStoreView(const FakeStoreView &) = delete;
+    ~FakeStoreView();
+
+    void later(uint64_t ms, std::function<void()> deliver);
+    static std::vector<FakeStoreView *> &all();
+};
+
+#endif
--- /dev/null
+++ b/tests/support/sched_fixture.h
@@ -0,0 +1,321 @@
+#ifndef TEASEL_TESTS_SCHED_FIXTURE_H
+#define TEASEL_TESTS_SCHED_FIXTURE_H
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+extern "C" {
+#include "fake_clock.h"
+#include "sched/sched.h"
+}
+
+/* Options of a step; the rest of the specification is zero. */
+struct Step {
+    uint32_t count = 1;
+    uint32_t cpu = 1000;
+    uint32_t memory = 100;
+    std::vector<uint32_t> after = {};
+    bool gang = false;
+    bool long_running = false;
+    bool filler = false;
+    uint32_t target_ms = 0;
+    uint32_t max_per_executor = 0;
+    std::string label = "";
+    bool checkpointing = false;
+};
+
+inline Teasel__JobSpec *
+make_spec(const std::string &id, const std::vector<Step> &steps,
+          uint32_t max_attempts = 2, uint32_t priority = 0)
+{
+    auto *spec =
+        static_cast<Teasel__JobSpec *>(g_malloc(sizeof(Teasel__JobSpec)));
+
+    teasel__job_spec__init(spec);
+    spec->id = g_strdup(id.c_str());
+    spec->queue = g_strdup("queue");
+    spec->service = g_strdup("service");
+    spec->payload = g_strdup(("payload of " + id).c_str());
+    spec->max_attempts = max_attempts;
+    spec->priority = priority;
+    spec->steps = g_new(Teasel__StepSpec *, steps.size() + 1);
+    for (const Step &step : steps) {
+        auto *out = g_new(Teasel__StepSpec, 1);
+
+        teasel__step_spec__init(out);
+        out->count = step.count;
+        out->cpu_milli = step.cpu;
+        out->memory_mb = step.memory;
+        out->gang = step.gang;
+        out->long_running = step.long_running;
+        out->filler = step.filler;
+        out->latency_target_ms = step.target_ms;
+        out->max_per_executor = step.max_per_executor;
+        out->checkpointing = step.checkpointing;
+        out->required_label = g_strdup(step.label.c_str());
+        out->data_rack = g_strdup("");
+        out->image = g_strdup("image");
+        out->after = g_new(uint32_t, step.after.size() + 1);
+        for (uint32_t before : step.after) {
+            out->after[out->n_after++] = before;
+        }
+        spec->steps[spec->n_steps++] = out;
+    }
+    return spec;
+}
+
+using TaskRun = std::pair<std::string, uint32_t>;
+
+/* What an agent reports of an executor. */
+struct Report {
+    Teasel__ExecutorReport message = TEASEL__EXECUTOR_REPORT__INIT;
+    Teasel__Capacity capacity = TEASEL__CAPACITY__INIT;
+    std::vector<Teasel__RunStatus> running;
+    std::vector<Teasel__RunEnd> ended;
+    std::vector<Teasel__RejectedStart> rejected;
+    std::vector<void *> pointers;
+    std::vector<std::string> texts;
+    std::vector<char *> labels;
+
+    Report(const std::string &key, uint32_t cpu = 4000)
+    {
+        texts.reserve(1000);
+        message.key = text(key);
+        message.service = text("service");
+        message.data_centre = text("dc");
+        message.rack = text("r1");
+        capacity.cpu_milli = cpu;
+        capacity.memory_mb = 100000;
+        message.capacity = &capacity;
+        message.listed = true;
+    }
+    Report(const Report &) = delete;
+
+    char *
+    text(const std::string &value)
+    {
+        texts.push_back(value);
+        return texts.back().data();
+    }
+    Report &
+    label(const std::string &value)
+    {
+        labels.push_back(text(value));
+        return *this;
+    }
+    Report &
+    runs(const TaskRun &run, uint32_t figure = 0, uint32_t slowdown = 0)
+    {
+        Teasel__RunStatus status = TEASEL__RUN_STATUS__INIT;
+
+        status.task = text(run.first);
+        status.run = run.second;
+        status.figure = figure;
+        status.slowdown = slowdown;
+        running.push_back(status);
+        return *this;
+    }
+    Report &
+    ends(uint64_t number, const TaskRun &run, sched_end_t how,
+         const std::string &checkpoint = "")
+    {
+        Teasel__RunEnd end = TEASEL__RUN_END__INIT;
+
+        end.number = number;
+        end.task = text(run.first);
+        end.run = run.second;
+        end.how = how;
+        end.checkpoint = text(checkpoint);
+        ended.push_back(end);
+        return *this;
+    }
+    Report &
+    rejects(const TaskRun &run)
+    {
+        Teasel__RejectedStart start = TEASEL__REJECTED_START__INIT;
+
+        start.task = text(run.first);
+        start.run = run.second;
+        rejected.push_back(start);
+        return *this;
+    }
+    Teasel__ExecutorReport *
+    get()
+    {
+        size_t at = 0;
+
+        pointers.resize(running.size() + ended.size() + rejected.size() + 1);
+        message.running = reinterpret_cast<Teasel__RunStatus **>(&pointers[0]);
+        message.n_running = running.size();
+        for (auto &status : running) {
+            pointers[at++] = &status;
+        }
+        message.ended = reinterpret_cast<Teasel__RunEnd **>(&pointers[at]);
+        message.n_ended = ended.size();
+        for (auto &end : ended) {
+            pointers[at++] = &end;
+        }
+        message.rejected =
+            reinterpret_cast<Teasel__RejectedStart **>(&pointers[at]);
+        message.n_rejected = rejected.size();
+        for (auto &start : rejected) {
+            pointers[at++] = &start;
+        }
+        message.labels = labels.data();
+        message.n_labels = labels.size();
+        return &message;
+    }
+};
+
+/* A scheduler core with the store and the agents played by the test. */
+struct Core {
+    fake_clock_t clock;
+    sched_t *sched;
+    std::map<std::string, std::string> stored;
+    std::vector<std::pair<std::string, std::string>> taken;
+    bool writing = false;
+
+    Core()
+    {
+        fake_clock_init(&clock);
+        sched = create();
+    }
+    Core(const Core &) = delete;
+    ~Core()
+    {
+        sched_free(sched);
+    }
+    sched_t *
+    create()
+    {
+        sched_opts_t opts = {};
+
+        opts.clock = &clock.clock;
+        opts.lapse_ms = 6000;
+        opts.retain_ms = 600000;
+        opts.stop_ms = 500;
+        return sched_new(&opts);
+    }
+    /* A new leader that knows only what is stored. */
+    void
+    restart()
+    {
+        sched_free(sched);
+        sched = create();
+        writing = false;
+        for (auto &[key, value] : stored) {
+            g_autoptr(GError) error = nullptr;
+
+            g_assert(sched_load(sched, value.data(), value.size(), &error));
+        }
+    }
+    void
+    begin_write()
+    {
+        GPtrArray *changes = g_ptr_array_new();
+
+        if (sched_take_changes(sched, changes)) {
+            writing = true;
+            taken.clear();
+            for (guint i = 0; i < changes->len; i++) {
+                auto *change = static_cast<sched_change_t *>(
+                    g_ptr_array_index(changes, i));
+
+                taken.emplace_back(
+                    change->key,
+                    change->value == nullptr
+                        ? ""
+                        : std::string(reinterpret_cast<char *>(
+                                          change->value->data),
+                                      change->value->len));
+            }
+        }
+        g_ptr_array_unref(changes);
+    }
+    /* The records reach the store whether or not the writer learns of it. */
+    void
+    store_taken()
+    {
+        for (auto &[key, value] : taken) {
+            if (value.empty()) {
+                stored.erase(key);
+            }
+            else {
+                stored[key] = value;
+            }
+        }
+        taken.clear();
+    }
+    void
+    end_write()
+    {
+        if (writing) {
+            store_taken();
+            writing = false;
+            sched_commit(sched);
+        }
+    }
+    /* Decides, and writes all changes. */
+    void
+    settle()
+    {
+        sched_run(sched);
+        begin_write();
+        end_write();
+    }
+    void
+    report(Report &report, const std::string &node = "node")
+    {
+        sched_apply_report(sched, node.c_str(), report.get());
+    }
+
+    struct Orders {
+        std::vector<TaskRun> starts;
+        std::vector<TaskRun> stops;
+        std::map<TaskRun, std::string> checkpoints;
+        uint64_t cursor = 0;
+    };
+    Orders
+    orders(const std::string &key)
+    {
+        Orders out;
+
+        LIST_FOREACH (executor, sched_get_executors(sched), sched_executor_t,
+                      link) {
+            Teasel__ExecutorOrders *orders;
+
+            if (key != executor->key) {
+                continue;
+            }
+            orders = sched_take_orders(executor);
+            if (orders == nullptr) {
+                return out;
+            }
+            for (size_t i = 0; i < orders->n_starts; i++) {
+                TaskRun run(orders->starts[i]->task, orders->starts[i]->run);
+
+                out.starts.push_back(run);
+                out.checkpoints[run] = orders->starts[i]->checkpoint;
+            }
+            for (size_t i = 0; i < orders->n_stops; i++) {
+                out.stops.emplace_back(orders->stops[i]->task,
+                                       orders->stops[i]->run);
+            }
+            out.cursor = orders->end_cursor;
+            sched_orders_free(orders);
+        }
+        return out;
+    }
+    sched_job_state_t
+    shown(const std::string &id)
+    {
+        sched_job_t *job = sched_find(sched, id.c_str());
+
+        g_assert(job != nullptr);
+        return sched_job_get_shown_state(job);
+    }
+};
+
+#endif
--- /dev/null
+++ b/tests/unit/sched_model_test.cc
@@ -0,0 +1,387 @@
+/*
+ * Random interleavings of a leader, its successors, agents and executors, with
+ * lost messages, late starts, crashes and lapsed leases. The executors check
+ * what must never happen; at the end, without faults, every job is done.
+ */
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <set>
+
+#include "sched_fixture.h"
+
+namespace {
+
+constexpr int64_t LEASE_MS = 3000;
+constexpr int64_t LAPSE_MS = 3300; /* lease and drift */
+constexpr uint32_t CAPACITY = 3000;
+
+struct End {
+    uint64_t number;
+    TaskRun run;
+    sched_end_t how;
+};
+
+struct Executor {
+    std::string address;
+    int born = 0;
+    bool up = true;
+    bool connected = false;
+    int64_t deadline_ms = 0;
+    std::map<std::string, uint32_t> running;  /* task -> run */
+    std::set<std::string> stopping;
+    std::map<std::string, uint32_t> finished; /* highest run that ended */
+    std::vector<End> ends;
+    uint64_t next_end = 1;
+    std::vector<TaskRun> rejected;
+    bool listed = false;
+
+    std::string
+    key() const
+    {
+        return address + "/id/" + std::to_string(born);
+    }
+};
+
+struct LateStart {
+    size_t executor;
+    int born;
+    TaskRun run;
+    int64_t deadline_ms;
+    int64_t at_ms;
+};
+
+struct World {
+    Core core;
+    std::mt19937 random;
+    std::vector<Executor> executors;
+    std::vector<LateStart> late;
+    std::set<std::string> done;     /* tasks with an end done */
+    std::set<std::string> noted;    /* of these, acknowledged by the leader */
+    std::set<std::string> accepted; /* jobs whose acceptance was answered */
+    std::map<std::string, bool> cancelled;
+    std::vector<std::string> faults;
+    int jobs = 0;
+    bool calm = false;
+
+    explicit World(unsigned seed) : random(seed)
+    {
+        for (int i = 0; i < 3; i++) {
+            Executor executor;
+
+            executor.address = "10.0.0." + std::to_string(i) + ":80";
+            executor.born = 100;
+            executors.push_back(executor);
+        }
+    }
+
+    int64_t
+    now() const
+    {
+        return (int64_t)timespec_to_ms(core.clock.now);
+    }
+    bool
+    chance(int percent)
+    {
+        return !calm && (int)(random() % 100) < percent;
+    }
+    Executor &
+    any()
+    {
+        return executors[random() % executors.size()];
+    }
+
+    static uint32_t
+    cpu_of(const std::string &task)
+    {
+        return task.find(".0.1.") != std::string::npos ? 1500 : 1000;
+    }
+
+    void
+    check_start(Executor &executor, const TaskRun &run)
+    {
+        uint32_t used = cpu_of(run.first);
+        std::string job = run.first.substr(0, run.first.find('.'));
+
+        for (auto &other : executors) {
+            if (other.up && other.running.count(run.first) != 0) {
+                faults.push_back("twice: " + run.first);
+            }
+        }
+        for (auto &[task, number] : executor.running) {
+            used += cpu_of(task);
+        }
+        if (used > CAPACITY) {
+            faults.push_back("over capacity: " + executor.key());
+        }
+        if (noted.count(run.first) != 0) {
+            faults.push_back("started after its end: " + run.first);
+        }
+        if (run.first.find(".0.1.") != std::string::npos) {
+            for (int i = 0; i < 2; i++) {
+                std::string before = job + ".0.0." + std::to_string(i);
+
+                if (done.count(before) == 0) {
+                    faults.push_back("out of order: " + run.first);
+                }
+            }
+        }
+    }
+
+    /* False if the executor rejects the start. */
+    bool
+    start(Executor &executor, const TaskRun &run, int64_t deadline_ms)
+    {
+        auto found = executor.running.find(run.first);
+        auto past = executor.finished.find(run.first);
+
+        if (found != executor.running.end()) {
+            return found->second == run.second;
+        }
+        if (deadline_ms <= now() ||
+            (past != executor.finished.end() && past->second >= run.second)) {
+            return false;
+        }
+        check_start(executor, run);
+        executor.running[run.first] = run.second;
+        return true;
+    }
+
+    void
+    end(Executor &executor, const std::string &task, sched_end_t how)
+    {
+        uint32_t run = executor.running[task];
+
+        executor.running.erase(task);
+        executor.stopping.erase(task);
+        executor.finished[task] = run;
+        executor.ends.push_back({executor.next_end++, {task, run}, how});
+        if (how == SCHED_END_DONE) {
+            done.insert(task);
+        }
+    }
+
+    void
+    deliver(size_t index)
+    {
+        Executor &executor = executors[index];
+        Core::Orders orders;
+
+        if (!executor.connected) {
+            return;
+        }
+        orders = core.orders(executor.key());
+        if (chance(8)) {
+            /* The messages are lost with the connection. */
+            disconnect(executor);
+            return;
+        }
+        for (auto &end : executor.ends) {
+            if (end.number <= orders.cursor && end.how == SCHED_END_DONE) {
+                noted.insert(end.run.first);
+            }
+        }
+        while (!executor.ends.empty() &&
+               executor.ends.front().number <= orders.cursor) {
+            executor.ends.erase(executor.ends.begin());
+        }
+        for (auto &stop : orders.stops) {
+            auto found = executor.running.find(stop.first);
+
+            if (found != executor.running.end() &&
+                found->second == stop.second) {
+                executor.stopping.insert(stop.first);
+            }
+            else if (found == executor.running.end()) {
+                executor.finished[stop.first] =
+                    std::max(executor.finished[stop.first], stop.second);
+                executor.rejected.push_back(stop);
+            }
+        }
+        for (auto &run : orders.starts) {
+            if (chance(10)) {
+                /* Carried out late, after a repeat of the agent. */
+                late.push_back({index, executor.born, run,
+                                executor.deadline_ms,
+                                now() + (int64_t)(random() % 4000)});
+            }
+            if (!start(executor, run, executor.deadline_ms)) {
+                executor.rejected.push_back(run);
+            }
+        }
+    }
+
+    void
+    report(Executor &executor)
+    {
+        Report message(executor.key(), CAPACITY);
+
+        if (!executor.up) {
+            return;
+        }
+        message.message.listed = !executor.connected || !executor.listed;
+        for (auto &[task, run] : executor.running) {
+            message.runs({task, run});
+        }
+        for (auto &end : executor.ends) {
+            message.ends(end.number, end.run, end.how, "saved");
+        }
+        for (auto &run : executor.rejected) {
+            message.rejects(run);
+        }
+        executor.rejected.clear();
+        core.report(message, executor.address);
+        executor.connected = true;
+        executor.listed = true;
+        executor.deadline_ms =
+            std::max(executor.deadline_ms, now() + LEASE_MS);
+        sched_grant(core.sched, executor.address.c_str(), now() + LAPSE_MS);
+    }
+
+    void
+    disconnect(Executor &executor)
+    {
+        executor.connected = false;
+        executor.listed = false;
+        sched_disconnect(core.sched, executor.address.c_str());
+    }
+
+    void
+    crash(Executor &executor)
+    {
+        disconnect(executor);
+        executor.running.clear();
+        executor.stopping.clear();
+        executor.finished.clear();
+        executor.ends.clear();
+        executor.rejected.clear();
+        executor.next_end = 1;
+        executor.born++;
+        executor.deadline_ms = 0;
+    }
+
+    void
+    submit()
+    {
+        std::string id = "j" + std::to_string(jobs++);
+
+        sched_submit(core.sched,
+                     make_spec(id,
+                               {{.count = 2},
+                                {.count = 2, .cpu = 1500, .after = {0}}},
+                               100));
+    }
+
+    /* A write may reach the store although its leader is gone. */
+    void
+    replace_leader()
+    {
+        if (core.writing && random() % 2 == 0) {
+            core.store_taken();
+        }
+        core.restart();
+        for (auto &executor : executors) {
+            executor.connected = false;
+            executor.listed = false;
+        }
+    }
+
+    void
+    pass_time()
+    {
+        fake_clock_advance_ms(&core.clock, 20 + random() % 100);
+        for (auto &executor : executors) {
+            std::vector<std::string> names;
+
+            for (auto &[task, run] : executor.running) {
+                names.push_back(task);
+            }
+            for (auto &task : names) {
+                if (now() > executor.deadline_ms) {
+                    end(executor, task, SCHED_END_LAPSED);
+                }
+                else if (executor.stopping.count(task) != 0) {
+                    end(executor, task, SCHED_END_STOPPED);
+                }
+                else if (random() % 8 == 0) {
+                    end(executor, task,
+                        chance(15) ? SCHED_END_FAILED : SCHED_END_DONE);
+                }
+            }
+        }
+        for (size_t i = 0; i < late.size();) {
+            LateStart &order = late[i];
+            Executor &executor = executors[order.executor];
+
+            if (order.at_ms > now()) {
+                i++;
+                continue;
+            }
+            if (executor.born == order.born) {
+                start(executor, order.run, order.deadline_ms);
+            }
+            late.erase(late.begin() + (long)i);
+        }
+    }
+
+    void
+    step()
+    {
+        pass_time();
+        if (jobs < 12 && random() % 6 == 0) {
+            submit();
+        }
+        for (size_t i = 0; i < executors.size(); i++) {
+            if (!chance(30)) {
+                report(executors[i]);
+            }
+        }
+        sched_run(core.sched);
+        if (!core.writing) {
+            core.begin_write();
+        }
+        if (!chance(30)) {
+            core.end_write();
+        }
+        for (size_t i = 0; i < executors.size(); i++) {
+            deliver(i);
+        }
+        if (chance(2)) {
+            replace_leader();
+        }
+        if (chance(1)) {
+            crash(any());
+        }
+        if (chance(2)) {
+            disconnect(any());
+        }
+    }
+};
+
+class SchedModel : public testing::TestWithParam<unsigned> {};
+
+TEST_P(SchedModel, KeepsItsPromises)
+{
+    World world(GetParam());
+
+    for (int i = 0; i < 400; i++) {
+        world.step();
+        ASSERT_TRUE(world.faults.empty())
+            << "step " << i << ": " << world.faults[0];
+    }
+    world.calm = true;
+    for (int i = 0; i < 400; i++) {
+        world.step();
+        ASSERT_TRUE(world.faults.empty())
+            << "calm step " << i << ": " << world.faults[0];
+    }
+    for (auto &[id, record] : world.core.stored) {
+        EXPECT_EQ(world.core.shown(id), SCHED_JOB_COMPLETED) << id;
+    }
+    EXPECT_GE(world.core.stored.size(), 5U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SchedModel, testing::Range(1U, 301U));
+
+} // namespace
--- /dev/null
+++ b/tests/unit/sched_test.cc
@@ -0,0 +1,491 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "sched_fixture.h"
+
+namespace {
+
+const std::string A = "10.0.0.1:80/a/100";
+const std::string B = "10.0.0.2:80/b/100";
+
+void
+connect(Core &core, const std::string &key, uint32_t cpu = 4000,
+        const std::string &node = "node")
+{
+    Report report(key, cpu);
+
+    core.report(report, node);
+}
+
+// Guards against a start that leaves the process before its record is stored:
+// a successor would run the task a second time.
+TEST(Sched, SendsStartsAfterTheirRecordIsStored)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.count = 2}}));
+    sched_run(core.sched);
+    core.begin_write();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    core.end_write();
+    EXPECT_EQ(core.orders(A).starts,
+              (std::vector<TaskRun>{{"j.0.0.0", 1}, {"j.0.0.1", 1}}));
+}
+
+// Guards against a step that starts before the steps it waits for are done.
+TEST(Sched, KeepsTheOrderOfSteps)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched,
+                 make_spec("j", {{.count = 2}, {.after = {0}}}));
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts.size(), 2U);
+    Report first(A);
+    first.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE).runs({"j.0.0.1", 1});
+    core.report(first);
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    Report second(A);
+    second.ends(2, {"j.0.0.1", 1}, SCHED_END_DONE);
+    core.report(second);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+}
+
+// Guards against an executor that forgets an end whose effect is not stored.
+TEST(Sched, MovesTheCursorAfterTheEndIsStored)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.settle();
+    core.orders(A);
+    report.ends(7, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(report);
+    sched_run(core.sched);
+    core.begin_write();
+    EXPECT_EQ(core.orders(A).cursor, 0U);
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_RUNNING);
+    core.end_write();
+    EXPECT_EQ(core.orders(A).cursor, 7U);
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_COMPLETED);
+}
+
+// Guards against more tasks than the executor has processors for; a task that
+// is being stopped still counts.
+TEST(Sched, CountsStoppingTasksAgainstTheCapacity)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.count = 2, .cpu = 2000}}));
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts.size(), 2U);
+    sched_cancel(core.sched, sched_find(core.sched, "j"));
+    sched_submit(core.sched, make_spec("k", {{.cpu = 2000}}));
+    core.settle();
+    EXPECT_EQ(core.orders(A).stops.size(), 2U);
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_STOPPED).runs({"j.0.0.1", 1});
+    core.report(report);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against a job that is tried more often, or less often, than allowed.
+TEST(Sched, FailsAJobAfterItsAttempts)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}, 2));
+    for (uint32_t run = 1; run <= 2; run++) {
+        core.settle();
+        EXPECT_EQ(core.orders(A).starts,
+                  (std::vector<TaskRun>{{"j.0.0.0", run}}));
+        Report report(A);
+        report.ends(run, {"j.0.0.0", run}, SCHED_END_FAILED);
+        core.report(report);
+    }
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_FAILED);
+}
+
+// Guards against a lapse or a stop that counts as a failed attempt.
+TEST(Sched, CountsOnlyFailuresAsAttempts)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}, 1));
+    for (uint32_t run = 1; run <= 4; run++) {
+        core.settle();
+        core.orders(A);
+        Report report(A);
+        report.ends(run, {"j.0.0.0", run},
+                    run % 2 ? SCHED_END_LAPSED : SCHED_END_STOPPED);
+        core.report(report);
+    }
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts.size(), 1U);
+}
+
+// Guards against a task that lasts and is given up after failures.
+TEST(Sched, RestartsLongRunningTasksHoweverTheyEnd)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.long_running = true}}, 1));
+    for (uint32_t run = 1; run <= 5; run++) {
+        fake_clock_advance_ms(&core.clock, 3000);
+        core.settle();
+        EXPECT_EQ(core.orders(A).starts.size(), 1U) << run;
+        Report report(A);
+        report.ends(run, {"j.0.0.0", run}, SCHED_END_FAILED);
+        core.report(report);
+    }
+}
+
+// Guards against a run that starts on another executor while the first may
+// still work, and against one that never restarts.
+TEST(Sched, WaitsForTheLeaseOfALostExecutor)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    connect(core, B, 4000, "other");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.settle();
+    bool on_a = !core.orders(A).starts.empty();
+    const std::string &lost = on_a ? A : B;
+    const std::string &other = on_a ? B : A;
+    sched_grant(core.sched, on_a ? "node" : "other",
+                timespec_to_ms(core.clock.now) + 8000);
+    sched_disconnect(core.sched, on_a ? "node" : "other");
+    fake_clock_advance_ms(&core.clock, 7900);
+    core.settle();
+    EXPECT_TRUE(core.orders(other).starts.empty()) << lost;
+    fake_clock_advance_ms(&core.clock, 200);
+    core.settle();
+    EXPECT_EQ(core.orders(other).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
+// Guards against the wait for a lease after a power loss: the restarted agent
+// does not know of the old life, so its successor at the address has to end
+// it (scale-2 of the first measured rounds).
+TEST(Sched, EndsTheOlderLifeAtAnAddress)
+{
+    Core core;
+    Report later("10.0.0.1:80/x/200");
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.settle();
+    core.orders(A);
+    core.restart();
+    core.report(later);
+    core.settle();
+    EXPECT_EQ(core.orders("10.0.0.1:80/x/200").starts,
+              (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
+// Guards against a new leader that starts a task again that still runs.
+TEST(Sched, TakesOverRunsFromTheStore)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.count = 2}}));
+    core.settle();
+    core.orders(A);
+    core.restart();
+    core.settle();
+    report.runs({"j.0.0.0", 1});
+    core.report(report);
+    core.settle();
+    /* The other start may have been lost with the old leader. */
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.1", 1}}));
+}
+
+// Guards against runs of forgotten tasks that keep an executor busy.
+TEST(Sched, StopsRunsThatNoTaskExpects)
+{
+    Core core;
+    Report report(A);
+
+    report.runs({"gone.0.0.0", 3});
+    core.report(report);
+    core.settle();
+    EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"gone.0.0.0", 3}}));
+}
+
+// Guards against a job that is accepted twice under one id, also after its
+// end.
+TEST(Sched, KnowsAJobByItsId)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.settle();
+    core.orders(A);
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(report);
+    core.settle();
+    core.restart();
+    sched_submit(core.sched, make_spec("j", {{}}));
+    connect(core, A);
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_COMPLETED);
+}
+
+// Guards against a refusal of a job that may be stored.
+TEST(Sched, WithdrawsOnlyWhatWasNeverWritten)
+{
+    Core core;
+
+    sched_submit(core.sched, make_spec("j", {{}}));
+    EXPECT_TRUE(sched_withdraw(core.sched, sched_find(core.sched, "j")));
+    EXPECT_EQ(sched_find(core.sched, "j"), nullptr);
+    sched_submit(core.sched, make_spec("k", {{}}));
+    core.begin_write();
+    EXPECT_FALSE(sched_withdraw(core.sched, sched_find(core.sched, "k")));
+    core.end_write();
+    EXPECT_FALSE(sched_withdraw(core.sched, sched_find(core.sched, "k")));
+}
+
+// Guards against more tasks of a step on one executor than allowed, and
+// against executors without the label.
+TEST(Sched, KeepsTheConstraintsOfPlaces)
+{
+    Core core;
+    Report labelled(B);
+
+    connect(core, A);
+    labelled.label("gpu");
+    core.report(labelled, "other");
+    sched_submit(core.sched,
+                 make_spec("j", {{.count = 4, .cpu = 100,
+                                  .max_per_executor = 1}}));
+    sched_submit(core.sched,
+                 make_spec("k", {{.count = 2, .cpu = 100, .label = "gpu"}}));
+    core.settle();
+    auto on_a = core.orders(A).starts;
+    auto on_b = core.orders(B).starts;
+    EXPECT_EQ(on_a.size(), 1U);
+    EXPECT_EQ(on_b.size(), 3U);
+}
+
+// Guards against a gang of which only some members are started, and against
+// members with different run numbers.
+TEST(Sched, StartsAGangWholeOrNotAtAll)
+{
+    Core core;
+    std::set<uint32_t> runs;
+
+    connect(core, A, 3000);
+    sched_submit(core.sched, make_spec("j", {{.count = 4, .gang = true}}));
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    connect(core, B, 1000, "other");
+    core.settle();
+    auto on_a = core.orders(A).starts;
+    auto on_b = core.orders(B).starts;
+    EXPECT_EQ(on_a.size(), 3U);
+    EXPECT_EQ(on_b.size(), 1U);
+    for (auto &run : on_a) {
+        runs.insert(run.second);
+    }
+    runs.insert(on_b[0].second);
+    EXPECT_EQ(runs.size(), 1U);
+}
+
+// Guards against members of a gang that run again after one has ended done.
+TEST(Sched, TakesOneDoneMemberForTheGang)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.count = 2, .gang = true}}));
+    core.settle();
+    core.orders(A);
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE)
+        .ends(2, {"j.0.0.1", 1}, SCHED_END_LAPSED);
+    core.report(report);
+    core.settle();
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_COMPLETED);
+    EXPECT_TRUE(core.orders(A).starts.empty());
+}
+
+// Guards against new work on an executor that leaves, and against serving
+// tasks that go down with it.
+TEST(Sched, EvacuatesALeavingExecutor)
+{
+    Core core;
+    Report leaving(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
+    core.settle();
+    core.orders(A);
+    connect(core, B, 4000, "other");
+    leaving.message.draining = true;
+    leaving.message.remaining_ms = 5000;
+    leaving.runs({"j.0.0.0", 1});
+    core.report(leaving);
+    core.settle();
+    EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    Report stopped(A);
+    stopped.message.draining = true;
+    stopped.ends(1, {"j.0.0.0", 1}, SCHED_END_STOPPED, "saved");
+    core.report(stopped);
+    core.settle();
+    auto orders = core.orders(B);
+    EXPECT_EQ(orders.starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+    EXPECT_EQ((orders.checkpoints[{"j.0.0.0", 2}]), "saved");
+}
+
+// Guards against a rejected start that is lost.
+TEST(Sched, PlacesARejectedStartAgain)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.settle();
+    core.orders(A);
+    report.rejects({"j.0.0.0", 1});
+    core.report(report);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
+// Guards against fillers that are placed where a target is missed, and against
+// a job that stands still for good because every place disturbs (LOST on
+// trouble-1 of the measured rounds).
+TEST(Sched, PlacesOneFillerOfAJobThatStandsStill)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("s", {{.long_running = true,
+                                              .target_ms = 10}}));
+    core.settle();
+    core.orders(A);
+    Report report(A);
+    report.runs({"s.0.0.0", 1}, 9);
+    report.message.has_figures = true;
+    core.report(report);
+    sched_submit(core.sched, make_spec("f", {{.count = 3, .filler = true}}));
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    for (int i = 0; i < 12; i++) {
+        fake_clock_advance_ms(&core.clock, 200);
+        core.settle();
+    }
+    EXPECT_EQ(core.orders(A).starts.size(), 1U);
+}
+
+// Guards against a late job that delays those that can still be in time.
+TEST(Sched, PutsLateJobsLast)
+{
+    Core core;
+    Teasel__JobSpec *late = make_spec("a-late", {{.cpu = 4000}});
+    Teasel__JobSpec *timely = make_spec("b-timely", {{.cpu = 4000}});
+
+    late->allowance_ms = 100;
+    timely->allowance_ms = 60000;
+    sched_submit(core.sched, late);
+    fake_clock_advance_ms(&core.clock, 1000);
+    sched_submit(core.sched, timely);
+    connect(core, A);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts,
+              (std::vector<TaskRun>{{"b-timely.0.0.0", 1}}));
+}
+
+// Guards against occurrences that start early, or not at all.
+TEST(Sched, StartsOccurrencesWhenTheyAreDue)
+{
+    Core core;
+    Teasel__JobSpec *spec = make_spec("j", {{}});
+
+    spec->repeat_count = 2;
+    spec->first_start_ms = (int64_t)timespec_to_ms(core.clock.now) + 1000;
+    spec->interval_ms = 500;
+    connect(core, A);
+    sched_submit(core.sched, spec);
+    core.settle();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    fake_clock_advance_ms(&core.clock, 1000);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    fake_clock_advance_ms(&core.clock, 500);
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.1.0.0", 1}}));
+    Report report(A);
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE)
+        .ends(2, {"j.1.0.0", 1}, SCHED_END_DONE);
+    core.report(report);
+    core.settle();
+    EXPECT_EQ(core.shown("j"), SCHED_JOB_COMPLETED);
+}
+
+// Guards against malformed specifications and records that crash a leader.
+TEST(Sched, RefusesMalformedJobs)
+{
+    g_autoptr(GError) no_steps = nullptr;
+    g_autoptr(GError) cycle = nullptr;
+    g_autoptr(GError) bytes = nullptr;
+    Teasel__JobSpec *empty = make_spec("j", {});
+    Teasel__JobSpec *own = make_spec("j", {{.after = {0}}});
+    Core core;
+
+    EXPECT_FALSE(sched_job_check(empty, &no_steps));
+    EXPECT_FALSE(sched_job_check(own, &cycle));
+    EXPECT_NE(std::string(cycle->message).find("step 0"), std::string::npos);
+    EXPECT_FALSE(sched_load(core.sched, "\xff\xff", 2, &bytes));
+    teasel__job_spec__free_unpacked(empty, nullptr);
+    teasel__job_spec__free_unpacked(own, nullptr);
+}
+
+// Guards against task names that are taken for another task.
+TEST(Sched, ParsesTaskNames)
+{
+    g_autofree char *id = nullptr;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+
+    ASSERT_TRUE(
+        sched_task_parse_name("a.b.3.2.17", &id, &occurrence, &step, &index));
+    EXPECT_STREQ(id, "a.b");
+    EXPECT_EQ(occurrence, 3U);
+    EXPECT_EQ(step, 2U);
+    EXPECT_EQ(index, 17U);
+    for (const char *bad : {"", "a", "a.1.2", ".1.2.3", "a.1.2.x",
+                            "a.1.2.99999999999"}) {
+        char *none = nullptr;
+
+        EXPECT_FALSE(
+            sched_task_parse_name(bad, &none, &occurrence, &step, &index))
+            << bad;
+    }
+}
+
+} // namespace
