Give a silent executor no further lease

Cause: the agent raised the deadline with each poll that was not answered, so that a silent executor never lapsed and its tasks never ran again.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -14,7 +14,7 @@
     /* A run that the executor has confirmed and does not list is gone; a
        list may have been made before the start. */
     UNSEEN_MS = 1500,
-    SILENT_MS = 2000,
+    SILENT_MS = 1500,
 };
 
 static void
@@ -148,8 +148,9 @@
     const node_t *node = executor->node;
 
     /* The clock was read at the executor before its answer arrived here, so
-       this is never too late. */
-    if (executor->clock_ms < 0 ||
+       this is never too late. A silent executor gets no further lease, as it
+       may receive what it does not answer. */
+    if (executor->clock_ms < 0 || executor->silent ||
         node_now_ms(node) >= node->lease_until_ms) {
         return 0;
     }
--- /dev/null
+++ b/tests/support/fake_executor.cc
@@ -0,0 +1,219 @@
+#include "fake_executor.h"
+
+namespace {
+
+struct Api {
+    executor_api_t base;
+    FakeExecutor *executor;
+    loop_t *loop;
+
+    struct Call {
+        loop_timer_t timer;
+        Api *api;
+        std::function<void()> deliver;
+        std::list<Call>::iterator self;
+    };
+    std::list<Call> calls;
+
+    static void
+    on_call(loop_timer_t *timer)
+    {
+        auto *call = static_cast<Call *>(timer->data);
+        auto deliver = std::move(call->deliver);
+
+        call->api->calls.erase(call->self);
+        deliver();
+    }
+    void
+    later(uint64_t ms, std::function<void()> deliver)
+    {
+        auto call = calls.emplace(calls.end());
+
+        call->api = this;
+        call->deliver = std::move(deliver);
+        call->self = call;
+        loop_timer_init(&call->timer, loop, on_call, &*call);
+        loop_timer_start(&call->timer, ms);
+    }
+};
+
+constexpr uint64_t NO_ANSWER_MS = 60;
+
+void
+start(executor_api_t *base, const executor_start_t *order,
+      executor_done_fn done, void *data)
+{
+    auto *api = reinterpret_cast<Api *>(base);
+    FakeExecutor *executor = api->executor;
+    std::string task = order->task;
+    auto past = executor->past.find(task);
+    executor_result_t result = EXECUTOR_OK;
+    const char *reason = nullptr;
+
+    executor->advance();
+    if (executor->mute) {
+        api->later(NO_ANSWER_MS,
+                   [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
+    if (executor->busy > 0) {
+        executor->busy--;
+        api->later(0, [=] { done(EXECUTOR_BUSY, nullptr, data); });
+        return;
+    }
+    if (!executor->reject.empty()) {
+        result = EXECUTOR_REJECTED;
+        reason = executor->reject.c_str();
+    }
+    else if (order->fence < executor->fence) {
+        result = EXECUTOR_REJECTED;
+        reason = "fence";
+    }
+    else if (past != executor->past.end() && past->second >= order->run) {
+        result = EXECUTOR_REJECTED;
+        reason = "old";
+    }
+    else if (executor->running.count(task) == 0) {
+        executor->deadline_ms =
+            std::max(executor->deadline_ms, order->deadline_ms);
+        executor->starts[task]++;
+        executor->running[task] = {order->run,
+                                   FakeExecutor::now_ms() + executor->work_ms,
+                                   0, 50, 100};
+    }
+    if (executor->lose_starts > 0) {
+        executor->lose_starts--;
+        api->later(NO_ANSWER_MS,
+                   [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
+    api->later(0, [=] { done(result, reason, data); });
+}
+
+void
+stop(executor_api_t *base, const char *task, uint32_t run, uint64_t fence,
+     executor_done_fn done, void *data)
+{
+    auto *api = reinterpret_cast<Api *>(base);
+    FakeExecutor *executor = api->executor;
+
+    if (executor->mute) {
+        api->later(NO_ANSWER_MS,
+                   [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
+    executor->advance();
+    if (executor->running.count(task) != 0) {
+        executor->end(task, 2);
+    }
+    executor->past[task] = std::max(executor->past[task], run);
+    api->later(0, [=] { done(EXECUTOR_OK, nullptr, data); });
+}
+
+void
+answer_poll(Api *api, uint64_t cursor, executor_lists_fn done, void *data)
+{
+    FakeExecutor *executor = api->executor;
+    std::vector<Teasel__RunStatus> running;
+    std::vector<Teasel__RunEnd> ended;
+    std::vector<Teasel__RunStatus *> running_list;
+    std::vector<Teasel__RunEnd *> ended_list;
+    executor_lists_t lists = {};
+
+    executor->advance();
+    for (auto &[task, entry] : executor->running) {
+        Teasel__RunStatus status = TEASEL__RUN_STATUS__INIT;
+
+        status.task = const_cast<char *>(task.c_str());
+        status.run = entry.run;
+        status.percent = entry.percent;
+        status.figure = entry.figure;
+        running.push_back(status);
+    }
+    for (auto &end : executor->ends) {
+        Teasel__RunEnd entry = TEASEL__RUN_END__INIT;
+
+        if (end.number <= cursor) {
+            continue;
+        }
+        entry.number = end.number;
+        entry.task = const_cast<char *>(end.task.c_str());
+        entry.run = end.run;
+        entry.how = end.how;
+        entry.checkpoint = const_cast<char *>(end.checkpoint.c_str());
+        ended.push_back(entry);
+    }
+    for (auto &status : running) {
+        running_list.push_back(&status);
+    }
+    for (auto &entry : ended) {
+        ended_list.push_back(&entry);
+    }
+    lists.clock_ms = FakeExecutor::now_ms();
+    lists.running = running_list.data();
+    lists.running_count = running_list.size();
+    lists.ended = ended_list.data();
+    lists.ended_count = ended_list.size();
+    done(EXECUTOR_OK, &lists, data);
+}
+
+void
+poll(executor_api_t *base, const executor_poll_t *poll, executor_lists_fn done,
+     void *data)
+{
+    auto *api = reinterpret_cast<Api *>(base);
+    FakeExecutor *executor = api->executor;
+    uint64_t cursor = poll->cursor;
+
+    if (executor->mute) {
+        api->later(NO_ANSWER_MS,
+                   [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
+    executor->polls++;
+    executor->fence = std::max(executor->fence, poll->fence);
+    executor->deadline_ms =
+        std::max(executor->deadline_ms, poll->deadline_ms);
+    while (!executor->ends.empty() && executor->ends[0].number <= cursor) {
+        executor->ends.erase(executor->ends.begin());
+    }
+    api->later(poll->wait_ms == 0 ? 0 : 15,
+               [=] { answer_poll(api, cursor, done, data); });
+}
+
+void
+pace(executor_api_t *base, const char *task, uint32_t run, uint32_t percent,
+     uint64_t fence, executor_done_fn done, void *data)
+{
+    auto *api = reinterpret_cast<Api *>(base);
+
+    api->executor->paces.emplace_back(task, percent);
+    api->later(0, [=] { done(EXECUTOR_OK, nullptr, data); });
+}
+
+void
+free_api(executor_api_t *base)
+{
+    auto *api = reinterpret_cast<Api *>(base);
+
+    for (auto &call : api->calls) {
+        loop_timer_stop(&call.timer);
+    }
+    delete api;
+}
+
+const executor_vtbl_t vtbl = {start, stop, poll, pace, free_api};
+
+} // namespace
+
+executor_api_t *
+FakeExecutor::connect(loop_t *loop, const char *address, const char *id,
+                      int64_t born_ms, GError **error)
+{
+    auto *api = new Api;
+
+    api->base.vtbl = &vtbl;
+    api->executor = at().at(address);
+    api->loop = loop;
+    return &api->base;
+}
--- /dev/null
+++ b/tests/support/fake_executor.h
@@ -0,0 +1,90 @@
+#ifndef TEASEL_TESTS_FAKE_EXECUTOR_H
+#define TEASEL_TESTS_FAKE_EXECUTOR_H
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "base/loop.h"
+#include "node/executor_api.h"
+}
+
+/* An executor in memory, and the interface of the node agent to it. */
+struct FakeExecutor {
+    struct End {
+        uint64_t number;
+        std::string task;
+        uint32_t run;
+        uint32_t how;
+        std::string checkpoint;
+    };
+    struct Running {
+        uint32_t run;
+        int64_t until_ms;
+        uint32_t figure;
+        uint32_t percent;
+        int pace;
+    };
+    loop_t *loop = nullptr;
+    int64_t work_ms = 40;
+    bool mute = false;       /* answers nothing and does nothing */
+    int lose_starts = 0;     /* starts that are carried out unanswered */
+    int busy = 0;            /* starts that are refused as busy */
+    std::string reject;      /* reason of rejection of all starts */
+    std::map<std::string, Running> running;
+    std::map<std::string, uint32_t> past;
+    std::vector<End> ends;
+    uint64_t next_end = 1;
+    int64_t deadline_ms = 0;
+    uint64_t fence = 0;
+    std::map<std::string, int> starts; /* runs that began, by task */
+    std::vector<std::pair<std::string, uint32_t>> paces;
+    int polls = 0;
+
+    static std::map<std::string, FakeExecutor *> &
+    at()
+    {
+        static std::map<std::string, FakeExecutor *> executors;
+
+        return executors;
+    }
+    static int64_t
+    now_ms()
+    {
+        return (int64_t)timespec_to_ms(clock_get_monotonic(clock_system()));
+    }
+    void
+    end(const std::string &task, uint32_t how)
+    {
+        ends.push_back({next_end++, task, running[task].run, how, "saved"});
+        past[task] = running[task].run;
+        running.erase(task);
+    }
+    void
+    advance()
+    {
+        std::vector<std::string> names;
+
+        for (auto &[task, entry] : running) {
+            names.push_back(task);
+        }
+        for (auto &task : names) {
+            if (now_ms() > deadline_ms) {
+                end(task, 3);
+            }
+            else if (work_ms >= 0 && now_ms() >= running[task].until_ms) {
+                end(task, 0);
+            }
+        }
+    }
+
+    static executor_api_t *connect(loop_t *loop, const char *address,
+                                   const char *id, int64_t born_ms,
+                                   GError **error);
+};
+
+#endif
