--- a/cli/teasel-agent.c
+++ b/cli/teasel-agent.c
@@ -28,7 +28,7 @@
 }
 
 static program_exit_t
-run(const void *data, GError **error)
+run(void *data, GError **error)
 {
     const agent_settings_t *settings = data;
     loop_t *loop = loop_new();
--- a/cli/teasel-node.c
+++ b/cli/teasel-node.c
@@ -3,6 +3,7 @@
 #include "announcements.h"
 #include "base/events.h"
 #include "base/program.h"
+#include "base/settings_watch.h"
 #include "executor_http.h"
 #include "node/node.h"
 #include "store_http.h"
@@ -19,12 +20,21 @@
     node_settings_clear(settings);
 }
 
+typedef struct process {
+    loop_t *loop;
+    settings_watch_t *watch;
+} process_t;
+
 static void
 on_signal(int signal_number, void *data)
 {
-    if (signal_number != SIGHUP) {
-        loop_stop(data);
+    process_t *process = data;
+
+    if (signal_number == SIGHUP) {
+        settings_watch_reload(process->watch);
+        return;
     }
+    loop_stop(process->loop);
 }
 
 static void
@@ -58,10 +68,20 @@
 }
 
 static program_exit_t
-run(const void *data, GError **error)
+run(void *data, GError **error)
 {
-    const node_settings_t *settings = data;
+    node_settings_t *settings = data;
     loop_t *loop = loop_new();
+    settings_watch_opts_t watch_opts = {
+        .loop = loop,
+        .path = program_get_config_path(),
+        .table = node_settings_table(),
+        .load = load_settings,
+        .clear = clear_settings,
+        .live = settings,
+        .size = sizeof(*settings),
+    };
+    process_t process = {.loop = loop};
     node_opts_t opts = {
         .loop = loop,
         .clock = clock_system(),
@@ -74,11 +94,12 @@
     if (opts.store == NULL) {
         return PROGRAM_EXIT_FAILED;
     }
+    process.watch = settings_watch_new(&watch_opts);
     node = node_new(&opts, error);
     if (node == NULL || !start_metrics(loop, settings, node, error) ||
         announcements_new(loop, settings->control_listen, node, error) ==
             NULL ||
-        !loop_on_signals(loop, on_signal, loop, error)) {
+        !loop_on_signals(loop, on_signal, &process, error)) {
         return PROGRAM_EXIT_FAILED;
     }
     loop_run(loop);
--- a/cli/teasel-scheduler.c
+++ b/cli/teasel-scheduler.c
@@ -2,6 +2,7 @@
 
 #include "base/events.h"
 #include "base/program.h"
+#include "base/settings_watch.h"
 #include "config_feed.h"
 #include "ingress.h"
 #include "scheduler/scheduler.h"
@@ -14,6 +15,7 @@
     http_server_t *ingress;
     http_server_t *readiness;
     follower_t *config;
+    settings_watch_t *watch;
 } process_t;
 
 static bool
@@ -42,6 +44,7 @@
     process_t *process = data;
 
     if (signal_number == SIGHUP) {
+        settings_watch_reload(process->watch);
         return;
     }
     scheduler_leave(process->scheduler);
@@ -51,8 +54,17 @@
 }
 
 static bool
-start(process_t *process, const scheduler_settings_t *settings, GError **error)
+start(process_t *process, scheduler_settings_t *settings, GError **error)
 {
+    settings_watch_opts_t watch_opts = {
+        .loop = process->loop,
+        .path = program_get_config_path(),
+        .table = scheduler_settings_table(),
+        .load = load_settings,
+        .clear = clear_settings,
+        .live = settings,
+        .size = sizeof(*settings),
+    };
     scheduler_opts_t opts = {
         .loop = process->loop,
         .clock = clock_system(),
@@ -71,6 +83,7 @@
     if (process->scheduler == NULL) {
         return false;
     }
+    process->watch = settings_watch_new(&watch_opts);
     process->config = config_feed_new(process->loop, clock_system(),
                                       process->store, process->scheduler);
     process->ingress = ingress_new(process->loop, settings->http_listen,
@@ -83,9 +96,9 @@
 }
 
 static program_exit_t
-run(const void *data, GError **error)
+run(void *data, GError **error)
 {
-    const scheduler_settings_t *settings = data;
+    scheduler_settings_t *settings = data;
     process_t process = {.loop = loop_new()};
 
     if (!start(&process, settings, error)) {
--- a/libteasel/base/http_client.c
+++ b/libteasel/base/http_client.c
@@ -72,10 +72,9 @@
 {
     idle_pool_t *pool = g_new0(idle_pool_t, 1);
 
-    h2o_socketpool_init_by_address(&pool->sockets,
-                                   (struct sockaddr *)&client->name,
-                                   sizeof(client->name), 0,
-                                   client->max_connections);
+    h2o_socketpool_init_by_address(
+        &pool->sockets, (struct sockaddr *)&client->name, sizeof(client->name),
+        0, client->max_connections);
     h2o_socketpool_set_timeout(&pool->sockets, loop_get_h2o(client->loop),
                                IDLE_TIMEOUT_MS);
     loop_timer_init(&pool->dispose_timer, client->loop, on_dispose, pool);
--- a/libteasel/base/program.c
+++ b/libteasel/base/program.c
@@ -29,6 +29,12 @@
     return g_option_context_parse(context, &argc, &argv, error);
 }
 
+const char *
+program_get_config_path(void)
+{
+    return config_path;
+}
+
 int
 program_main(const program_opts_t *opts, int argc, char **argv)
 {
--- a/libteasel/base/program.h
+++ b/libteasel/base/program.h
@@ -29,9 +29,14 @@
     void *settings;
     bool (*load_settings)(const char *path, void *settings, GError **error);
     void (*clear_settings)(void *settings);
-    program_exit_t (*run)(const void *settings, GError **error);
+    program_exit_t (*run)(void *settings, GError **error);
 } program_opts_t;
 
+/**
+ * program_get_config_path() - path given with --config
+ */
+const char *program_get_config_path(void);
+
 /**
  * program_main() - parse the command line, load the settings and run
  *
--- a/libteasel/base/settings.c
+++ b/libteasel/base/settings.c
@@ -353,3 +353,42 @@
                 "address \"%s\" is not IPv4:PORT", text);
     return false;
 }
+
+static void
+apply_string(const setting_t *setting, const void *live, const void *fresh,
+             GString *kept)
+{
+    const char *old = *(char *const *)((const char *)live + setting->offset);
+    const char *new = *(char *const *)((const char *)fresh + setting->offset);
+
+    if (g_strcmp0(old, new) != 0) {
+        g_string_append_printf(kept, "%s%s", kept->len > 0 ? "," : "",
+                               setting->key);
+    }
+}
+
+void
+settings_apply(const setting_t *table, void *live, const void *fresh,
+               GString *kept)
+{
+    for (const setting_t *setting = table; setting->key; setting++) {
+        char *to = (char *)live + setting->offset;
+        const char *from = (const char *)fresh + setting->offset;
+
+        switch (setting->type) {
+        case SETTING_INTEGER:
+            memcpy(to, from, sizeof(int64_t));
+            break;
+        case SETTING_BOOLEAN:
+            memcpy(to, from, sizeof(gboolean));
+            break;
+        case SETTING_STRING:
+        case SETTING_CHOICE:
+        case SETTING_ADDRESS:
+            apply_string(setting, live, fresh, kept);
+            break;
+        default:
+            break; /* lists are read at the start only */
+        }
+    }
+}
--- a/libteasel/base/settings.h
+++ b/libteasel/base/settings.h
@@ -59,6 +59,14 @@
  */
 void settings_clear(const setting_t *table, void *out);
 
+/**
+ * settings_apply() - take over the numbers and booleans of freshly loaded
+ * settings
+ * @kept: gets the keys of the strings that differ, which keep their old value
+ */
+void settings_apply(const setting_t *table, void *live, const void *fresh,
+                    GString *kept);
+
 /**
  * settings_check_order() - check that one integer is at most another
  * @path: the file, for the message
--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -41,8 +41,8 @@
 static bool
 is_fresh(const member_t *member)
 {
-    return member->open && cluster_now_ms(member->cluster) -
-                                   member->status_ms < FRESH_MS;
+    return member->open &&
+           cluster_now_ms(member->cluster) - member->status_ms < FRESH_MS;
 }
 
 bool
@@ -461,8 +461,7 @@
     int64_t now_ms = cluster_now_ms(cluster);
 
     loop_timer_start(timer, TICK_MS);
-    if (now_ms - cluster->status_sent_ms >=
-        (int64_t)cluster->opts.status_ms) {
+    if (now_ms - cluster->status_sent_ms >= (int64_t)cluster->opts.status_ms) {
         cluster->status_sent_ms = now_ms;
         cluster_send_status(cluster);
     }
@@ -517,8 +516,8 @@
         .ping_ms = opts->status_ms,
     };
 
-    cluster->listener = peer_listen(&peer_opts, cluster->address,
-                                    cluster_on_accept, error);
+    cluster->listener =
+        peer_listen(&peer_opts, cluster->address, cluster_on_accept, error);
     return cluster->listener != NULL;
 }
 
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -235,8 +235,8 @@
             send_status_to(peer, inbound->cluster, 0);
         }
         else if (inbound->name != NULL) {
-            opts->handler->on_report(peer, inbound->name,
-                                     message->node_report, opts->data);
+            opts->handler->on_report(peer, inbound->name, message->node_report,
+                                     opts->data);
         }
         break;
     default:
--- a/libteasel/node/executor_api.h
+++ b/libteasel/node/executor_api.h
@@ -22,7 +22,8 @@
     EXECUTOR_REJECTED,  /* this run was not started by this call */
     EXECUTOR_BUSY,      /* unhealthy; nothing was done */
     EXECUTOR_OTHER,     /* another life answers at this address */
-    EXECUTOR_NO_ANSWER, /* the call may have had an effect, or may have later */
+    EXECUTOR_NO_ANSWER, /* the call may have had an effect, or may have later
+                         */
     EXECUTOR_NOT_SENT,
 } executor_result_t;
 
@@ -67,6 +68,7 @@
 
 /**
  * @reason: of a rejection, for the log; may be NULL
+ * @lists: NULL unless the result is EXECUTOR_OK
  */
 typedef void (*executor_done_fn)(executor_result_t result, const char *reason,
                                  void *data);
--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/events.h"
-#include "base/settings.h"
 #include "node/node_internal.h"
 
 enum {
@@ -12,48 +11,6 @@
     ENDING_MS = 300,
 };
 
-#define FIELD(name) .key = #name, .offset = offsetof(node_settings_t, name)
-#define INTEGER(name, low, high, value)                                       \
-    {                                                                         \
-        FIELD(name), .type = SETTING_INTEGER, .min = (low), .max = (high),    \
-                     .preset = (value)                                        \
-    }
-
-static const setting_t settings_table[] = {
-    {FIELD(name), .type = SETTING_STRING, .required = true},
-    {FIELD(data_centre), .type = SETTING_STRING, .required = true},
-    {FIELD(control_listen), .type = SETTING_ADDRESS, .required = true},
-    {FIELD(metrics_listen), .type = SETTING_ADDRESS},
-    {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
-    INTEGER(max_lease_ms, 500, 600000, 10000),
-    INTEGER(report_ms, 50, 60000, 500),
-    INTEGER(silence_ms, 100, 60000, 1500),
-    INTEGER(poll_wait_ms, 0, 2000, 500),
-    INTEGER(stop_run_ms, 0, 60000, 1000),
-    {.key = NULL},
-};
-
-bool
-node_settings_load(const char *path, node_settings_t *out, GError **error)
-{
-    memset(out, 0, sizeof(*out));
-    if (!settings_load(path, settings_table, out, error)) {
-        return false;
-    }
-    if (!settings_check_order(path, "report_ms", out->report_ms,
-                              "silence_ms", out->silence_ms, error)) {
-        node_settings_clear(out);
-        return false;
-    }
-    return true;
-}
-
-void
-node_settings_clear(node_settings_t *settings)
-{
-    settings_clear(settings_table, settings);
-}
-
 int64_t
 node_now_ms(const node_t *node)
 {
@@ -288,12 +245,11 @@
 }
 
 static void
-write_counter(GString *out, const char *name, const char *help,
-              uint64_t value)
+write_counter(GString *out, const char *name, const char *help, uint64_t value)
 {
-    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s counter\n%s %"
-                           G_GUINT64_FORMAT "\n", name, help, name, name,
-                           value);
+    g_string_append_printf(
+        out, "# HELP %s %s\n# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
+        name, help, name, name, value);
 }
 
 void
--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/loop.h"
+#include "base/settings.h"
 #include "node/executor_api.h"
 #include "store/store.h"
 
@@ -39,6 +40,11 @@
                         GError **error);
 void node_settings_clear(node_settings_t *settings);
 
+/**
+ * node_settings_table() - the keys of the settings file
+ */
+const setting_t *node_settings_table(void);
+
 /**
  * struct node_opts - options of node_new()
  * @connect: opens the interface to one life of an executor
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -79,8 +79,8 @@
 node_executor_t *
 node_executor_new(node_t *node, const executor_info_t *info, GError **error)
 {
-    executor_api_t *api = node->opts.connect(
-        node->opts.loop, info->address, info->id, info->born_ms, error);
+    executor_api_t *api = node->opts.connect(node->opts.loop, info->address,
+                                             info->id, info->born_ms, error);
     node_executor_t *executor;
 
     if (api == NULL) {
@@ -89,8 +89,7 @@
     executor = g_new0(node_executor_t, 1);
     executor->node = node;
     executor->api = api;
-    executor->key =
-        sched_executor_key(info->address, info->id, info->born_ms);
+    executor->key = sched_executor_key(info->address, info->id, info->born_ms);
     executor->id = g_strdup(info->id);
     executor->born_ms = info->born_ms;
     executor->address = g_strdup(info->address);
@@ -103,9 +102,11 @@
     list_init(&executor->runs);
     list_append(&node->executors, &executor->link);
     node_executor_update(executor, info);
-    event_log(EVENT_EXECUTOR_JOINED, "executor=%s service=%s cpu_milli=%u "
-              "memory_mb=%u", executor->key, executor->service,
-              info->cpu_milli, info->memory_mb);
+    event_log(EVENT_EXECUTOR_JOINED,
+              "executor=%s service=%s cpu_milli=%u "
+              "memory_mb=%u",
+              executor->key, executor->service, info->cpu_milli,
+              info->memory_mb);
     return executor;
 }
 
@@ -263,12 +264,11 @@
 has_lapsed(const node_executor_t *executor)
 {
     int64_t lease_ms = executor->deadline_ms - executor->clock_ms;
-    int64_t passed_ms =
-        node_now_ms(executor->node) - executor->clock_read_ms;
+    int64_t passed_ms = node_now_ms(executor->node) - executor->clock_read_ms;
 
     return executor->polled && executor->silent &&
-           passed_ms > lease_ms + lease_ms * DRIFT_PERCENT / 100 +
-                           LAPSE_MARGIN_MS;
+           passed_ms >
+               lease_ms + lease_ms * DRIFT_PERCENT / 100 + LAPSE_MARGIN_MS;
 }
 
 static void
@@ -290,8 +290,8 @@
         if (!executor->silent &&
             now_ms - executor->clock_read_ms > SILENT_MS) {
             executor->silent = true;
-            event_log(EVENT_EXECUTOR_SILENT, "executor=%s heard_ms=%"
-                      G_GINT64_FORMAT, executor->key,
+            event_log(EVENT_EXECUTOR_SILENT,
+                      "executor=%s heard_ms=%" G_GINT64_FORMAT, executor->key,
                       now_ms - executor->clock_read_ms);
         }
         executor->retry_ms = now_ms + POLL_RETRY_MS;
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -9,8 +9,8 @@
     RUN_QUEUED,   /* the start was not sent */
     RUN_STARTING, /* a start is under way, or was not answered */
     RUN_STARTED,
-    RUN_STOPPING,  /* a stop is under way */
-    RUN_STOPPED,   /* the executor took the stop; the lists tell the end */
+    RUN_STOPPING, /* a stop is under way */
+    RUN_STOPPED,  /* the executor took the stop; the lists tell the end */
 } run_phase_t;
 
 /**
@@ -93,7 +93,7 @@
     list_t runs;
     unsigned starting;
     int64_t ending_ms;
-    uint32_t pace;     /* of the fillers on it, in percent */
+    uint32_t pace; /* of the fillers on it, in percent */
     int64_t paced_ms;
     int64_t harmed_ms; /* since when a serving task misses its target, or 0 */
 } node_executor_t;
--- a/libteasel/node/node_link.c
+++ b/libteasel/node/node_link.c
@@ -21,9 +21,9 @@
     follower_t *follower;
     peer_t *peer;
     bool open;
-    char *address;   /* of the connection */
-    char *leader;    /* address of the newest leader, or NULL */
-    uint64_t epoch;  /* of the newest leader */
+    char *address;    /* of the connection */
+    char *leader;     /* address of the newest leader, or NULL */
+    uint64_t epoch;   /* of the newest leader */
     GPtrArray *known; /* addresses of schedulers */
     guint next_known;
     bool tried_leader;
@@ -52,8 +52,9 @@
     link->peer = NULL;
     link->open = false;
     if (was_open) {
-        event_log(EVENT_LEADER_DISCONNECTED, "address=%s epoch=%"
-                  G_GUINT64_FORMAT, link->address, link->epoch);
+        event_log(EVENT_LEADER_DISCONNECTED,
+                  "address=%s epoch=%" G_GUINT64_FORMAT, link->address,
+                  link->epoch);
         link->opts.on_change(false, link->opts.data);
     }
 }
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -82,8 +82,7 @@
     add_running(report, executor, message, heartbeat || executor->must_list);
     message->ended = (Teasel__RunEnd **)executor->ends->pdata + from;
     message->n_ended = executor->ends->len - from;
-    message->rejected =
-        (Teasel__RejectedStart **)executor->rejected->pdata;
+    message->rejected = (Teasel__RejectedStart **)executor->rejected->pdata;
     message->n_rejected = executor->rejected->len;
     g_ptr_array_add(report->executors, message);
 }
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -96,8 +96,7 @@
 /**
  * sched_executor_key() - key of a life; free with g_free()
  */
-char *sched_executor_key(const char *address, const char *id,
-                         int64_t born_ms);
+char *sched_executor_key(const char *address, const char *id, int64_t born_ms);
 
 /**
  * sched_executor_key_replaces() - a life that started later at the same
--- a/libteasel/sched/interference.c
+++ b/libteasel/sched/interference.c
@@ -54,8 +54,8 @@
 {
     double *weight = g_new(double, 1);
 
-    *weight = CLAMP(get_weight(table, filler, serving) + step, 0.0,
-                    MAX_WEIGHT);
+    *weight =
+        CLAMP(get_weight(table, filler, serving) + step, 0.0, MAX_WEIGHT);
     g_hash_table_insert(table->weights, new_key(filler, serving), weight);
 }
 
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -38,7 +38,7 @@
     SCHED_TASK_WAITING = 0,
     SCHED_TASK_PLACED, /* a run may exist on its executor */
     SCHED_TASK_DONE,
-    SCHED_TASK_FAILED, /* out of attempts */
+    SCHED_TASK_FAILED,   /* out of attempts */
     SCHED_TASK_RUNNING,  /* stored as placed: the executor confirmed the run */
     SCHED_TASK_STOPPING, /* stored as placed: a stop was ordered */
 } sched_task_phase_t;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -20,8 +20,8 @@
     if (executor == NULL) {
         return 0;
     }
-    index = GPOINTER_TO_UINT(
-        g_hash_table_lookup(places->indexes, executor->key));
+    index =
+        GPOINTER_TO_UINT(g_hash_table_lookup(places->indexes, executor->key));
     if (index == 0) {
         g_ptr_array_add(places->keys, executor->key);
         index = places->keys->len;
@@ -75,6 +75,7 @@
     teasel__occurrence_record__init(record);
     record->number = occurrence->number;
     record->tasks = g_new(Teasel__TaskRecord *, count);
+    record->tasks[0] = tasks;
     for (size_t i = 0; i < spec->n_steps; i++) {
         for (uint32_t j = 0; j < spec->steps[i]->count; j++) {
             record->tasks[n] = &tasks[n];
@@ -213,8 +214,7 @@
                       sched_place_lookup_fn lookup, void *lookup_data,
                       GError **error)
 {
-    Teasel__JobRecord *record =
-        teasel__job_record__unpack(NULL, length, data);
+    Teasel__JobRecord *record = teasel__job_record__unpack(NULL, length, data);
     g_autoptr(GPtrArray) places = g_ptr_array_new();
     sched_job_t *job;
 
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -107,8 +107,7 @@
         return;
     }
     while (position->prev != &sched->active &&
-           goes_before(job,
-                       LIST_ENTRY(position->prev, sched_job_t, link))) {
+           goes_before(job, LIST_ENTRY(position->prev, sched_job_t, link))) {
         position = position->prev;
     }
     list_insert_before(position, &job->link);
@@ -197,9 +196,9 @@
 
         for (uint32_t j = 0; j < step->spec->count; j++) {
             if (step->tasks[j].place != NULL) {
-                sched_stop_task(sched, &step->tasks[j],
-                                sched_job_state_to_string(
-                                    occurrence->job->state));
+                sched_stop_task(
+                    sched, &step->tasks[j],
+                    sched_job_state_to_string(occurrence->job->state));
             }
         }
     }
--- a/libteasel/sched/sched_load.c
+++ b/libteasel/sched/sched_load.c
@@ -74,8 +74,8 @@
               "executors=%u connected=%u placed=%u waiting=%u "
               "waiting_fillers=%u fillers=%u slowed=%u serving=%u missed=%u "
               "room_cpu=%" G_GUINT64_FORMAT " reserved_cpu=%" G_GUINT64_FORMAT
-              " filler_cpu=%" G_GUINT64_FORMAT " filler_use=%"
-              G_GUINT64_FORMAT,
+              " filler_cpu=%" G_GUINT64_FORMAT
+              " filler_use=%" G_GUINT64_FORMAT,
               load.executors, load.connected, load.running, load.waiting,
               load.waiting_fillers, load.fillers, load.slowed, load.serving,
               load.missed, load.room_cpu, load.used_cpu, load.filler_cpu,
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -72,7 +72,8 @@
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
 
-        if (task->phase != SCHED_TASK_WAITING || now_ms < task->not_before_ms) {
+        if (task->phase != SCHED_TASK_WAITING ||
+            now_ms < task->not_before_ms) {
             continue;
         }
         executor = choose_executor(sched, task, NULL);
@@ -131,8 +132,7 @@
     const char *checkpoint = NULL;
     uint32_t run = 0;
 
-    if (step->waiting < step->spec->count ||
-        !reserve_gang(sched, step)) {
+    if (step->waiting < step->spec->count || !reserve_gang(sched, step)) {
         return;
     }
     for (uint32_t i = 0; i < step->spec->count; i++) {
@@ -224,8 +224,7 @@
 /* A filler that is slowed down goes on elsewhere, if it keeps its progress and
    there is an executor where it disturbs nobody. */
 static bool
-is_worth_moving(const sched_t *sched, const sched_task_t *task,
-                int64_t now_ms)
+is_worth_moving(const sched_t *sched, const sched_task_t *task, int64_t now_ms)
 {
     const sched_executor_t *executor;
 
--- a/libteasel/scheduler/gateway.c
+++ b/libteasel/scheduler/gateway.c
@@ -115,12 +115,12 @@
 {
     Teasel__JobAnswer answer = TEASEL__JOB_ANSWER__INIT;
 
-    answer.outcome =
-        pending->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_REFUSED;
+    answer.outcome = pending->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_REFUSED;
     answer.retry_after_ms = RETRY_AFTER_MS;
-    event_log(EVENT_CALL_UNANSWERED, "job=%s verb=%u waited_ms=%"
-              G_GINT64_FORMAT " outcome=%s reason=\"%s\"", pending->call->id,
-              pending->call->verb,
+    event_log(EVENT_CALL_UNANSWERED,
+              "job=%s verb=%u waited_ms=%" G_GINT64_FORMAT
+              " outcome=%s reason=\"%s\"",
+              pending->call->id, pending->call->verb,
               now_ms(pending->gateway) - pending->since_ms,
               pending->sent ? "unknown" : "refused",
               pending->sent ? "no answer of the leader" : "no leader");
--- a/libteasel/scheduler/job_call.h
+++ b/libteasel/scheduler/job_call.h
@@ -16,7 +16,7 @@
 } job_verb_t;
 
 typedef enum job_outcome {
-    JOB_OUTCOME_DONE = 0,  /* stored, or state or count filled in */
+    JOB_OUTCOME_DONE = 0, /* stored, or state or count filled in */
     JOB_OUTCOME_NOT_FOUND,
     JOB_OUTCOME_REFUSED, /* nothing was done and nothing will be */
     JOB_OUTCOME_UNKNOWN, /* the call may have taken effect */
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -53,8 +53,9 @@
     }
     leader->store_fails = fails;
     event_log(fails ? EVENT_WRITE_FAILED : EVENT_STORE_BACK,
-              "topic=%s sequence=%" G_GUINT64_FORMAT " since_ms=%"
-              G_GINT64_FORMAT, JOBS_TOPIC, leader->sequence,
+              "topic=%s sequence=%" G_GUINT64_FORMAT
+              " since_ms=%" G_GINT64_FORMAT,
+              JOBS_TOPIC, leader->sequence,
               leader_now_ms(leader) - leader->write_began_ms);
     leader->opts.on_store(!fails, leader->opts.data);
 }
@@ -130,9 +131,9 @@
     default:
         leader->write_retries++;
         leader->writing = false;
-        set_store_fails(leader, leader_now_ms(leader) -
-                                        leader->write_began_ms >
-                                    WRITE_RETRY_MS * 4);
+        set_store_fails(leader,
+                        leader_now_ms(leader) - leader->write_began_ms >
+                            WRITE_RETRY_MS * 4);
         loop_timer_start(&leader->retry, WRITE_RETRY_MS);
         return;
     }
@@ -266,8 +267,9 @@
                   link) {
         jobs++;
     }
-    event_log(EVENT_LEADING_READY, "epoch=%" G_GUINT64_FORMAT
-              " active_jobs=%u", leader->opts.epoch, jobs);
+    event_log(EVENT_LEADING_READY,
+              "epoch=%" G_GUINT64_FORMAT " active_jobs=%u", leader->opts.epoch,
+              jobs);
     LIST_FOREACH (session, &leader->sessions, session_t, link) {
         session->reply_due = true;
     }
@@ -284,9 +286,9 @@
         return;
     }
     if (!sched_load(leader->sched, record->value, record->length, &error)) {
-        event_log(EVENT_JOB_RECORD_INVALID, "key=%s offset=%" G_GUINT64_FORMAT
-                  " error=\"%s\"", record->key, record->offset,
-                  error->message);
+        event_log(EVENT_JOB_RECORD_INVALID,
+                  "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
+                  record->key, record->offset, error->message);
     }
 }
 
@@ -302,9 +304,9 @@
         return;
     }
     if (status != STORE_OK) {
-        set_store_fails(leader, leader_now_ms(leader) -
-                                        leader->write_began_ms >
-                                    WRITE_RETRY_MS * 4);
+        set_store_fails(leader,
+                        leader_now_ms(leader) - leader->write_began_ms >
+                            WRITE_RETRY_MS * 4);
         loop_timer_start(&leader->retry, WRITE_RETRY_MS);
         return;
     }
@@ -379,12 +381,11 @@
 }
 
 static void
-write_counter(GString *out, const char *name, const char *help,
-              uint64_t value)
+write_counter(GString *out, const char *name, const char *help, uint64_t value)
 {
-    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s counter\n%s %"
-                           G_GUINT64_FORMAT "\n", name, help, name, name,
-                           value);
+    g_string_append_printf(
+        out, "# HELP %s %s\n# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
+        name, help, name, name, value);
 }
 
 void
@@ -397,8 +398,8 @@
                   leader->refused);
     write_counter(out, "teasel_store_writes_total",
                   "Writes of job records and renewals.", leader->writes);
-    write_counter(out, "teasel_store_write_retries_total",
-                  "Repeated writes.", leader->write_retries);
+    write_counter(out, "teasel_store_write_retries_total", "Repeated writes.",
+                  leader->write_retries);
     g_string_append_printf(
         out,
         "# HELP teasel_store_write_seconds Time of a write to the store.\n"
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -97,9 +97,9 @@
     if (job == NULL && leader->store_fails) {
         leader->refused++;
         event_log(EVENT_JOB_REFUSED,
-                  "job=%s reason=\"the store does not answer\" age_ms=%"
-                  G_GINT64_FORMAT, call->id,
-                  leader_now_ms(leader) - leader->write_began_ms);
+                  "job=%s reason=\"the store does not answer\" "
+                  "age_ms=%" G_GINT64_FORMAT,
+                  call->id, leader_now_ms(leader) - leader->write_began_ms);
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
         return;
     }
@@ -246,9 +246,9 @@
             continue;
         }
         outcome = give_up(leader, waiting);
-        event_log(EVENT_CALL_UNANSWERED, "job=%s verb=%d waited_ms=%"
-                  G_GINT64_FORMAT " outcome=%s", waiting->job_id,
-                  waiting->verb, now_ms - waiting->since_ms,
+        event_log(EVENT_CALL_UNANSWERED,
+                  "job=%s verb=%d waited_ms=%" G_GINT64_FORMAT " outcome=%s",
+                  waiting->job_id, waiting->verb, now_ms - waiting->since_ms,
                   outcome == JOB_OUTCOME_REFUSED ? "refused" : "unknown");
         answer_call(waiting->answer, waiting->owner, waiting->call_id, outcome,
                     0, 0);
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -31,8 +31,7 @@
 static int64_t
 now_ms(const scheduler_t *scheduler)
 {
-    return (int64_t)timespec_to_ms(
-        clock_get_monotonic(scheduler->opts.clock));
+    return (int64_t)timespec_to_ms(clock_get_monotonic(scheduler->opts.clock));
 }
 
 static int64_t
@@ -272,7 +271,8 @@
         .store = scheduler->opts.store,
         .name = settings->name,
         .address = settings->peer_address,
-        .incarnation = timespec_to_ms(wall) << 16 | g_random_int_range(0, 65536),
+        .incarnation =
+            timespec_to_ms(wall) << 16 | g_random_int_range(0, 65536),
         .silence_ms = (uint64_t)settings->silence_ms,
         .status_ms = (uint64_t)settings->status_ms,
         .handler = &cluster_handler,
@@ -337,9 +337,10 @@
         queue_table_free(table);
         return;
     }
-    event_log(EVENT_ROUTES_CHANGED, "version=%" G_GUINT64_FORMAT
-              " old=%" G_GUINT64_FORMAT " queues=%u", table->version, old,
-              table->queues->len);
+    event_log(EVENT_ROUTES_CHANGED,
+              "version=%" G_GUINT64_FORMAT " old=%" G_GUINT64_FORMAT
+              " queues=%u",
+              table->version, old, table->queues->len);
     queue_table_free(scheduler->queues);
     scheduler->queues = table;
 }
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/loop.h"
+#include "base/settings.h"
 #include "scheduler/job_call.h"
 #include "scheduler/queue_table.h"
 #include "store/store.h"
@@ -48,6 +49,11 @@
                              GError **error);
 void scheduler_settings_clear(scheduler_settings_t *settings);
 
+/**
+ * scheduler_settings_table() - the keys of the settings file
+ */
+const setting_t *scheduler_settings_table(void);
+
 /**
  * struct scheduler_opts - options of scheduler_new()
  * @settings: must outlive the scheduler
--- a/libteasel/scheduler/scheduler_settings.c
+++ b/libteasel/scheduler/scheduler_settings.c
@@ -3,7 +3,8 @@
 #include "base/settings.h"
 #include "scheduler/scheduler.h"
 
-#define FIELD(name) .key = #name, .offset = offsetof(scheduler_settings_t, name)
+#define FIELD(name)                                                           \
+    .key = #name, .offset = offsetof(scheduler_settings_t, name)
 #define INTEGER(name, low, high, value)                                       \
     {                                                                         \
         FIELD(name), .type = SETTING_INTEGER, .min = (low), .max = (high),    \
@@ -63,3 +64,9 @@
 {
     settings_clear(table, settings);
 }
+
+const setting_t *
+scheduler_settings_table(void)
+{
+    return table;
+}
--- a/libteasel/store/follower.c
+++ b/libteasel/store/follower.c
@@ -45,8 +45,9 @@
         return;
     }
     follower->usable = usable;
-    event_log(usable ? EVENT_STORE_BACK : EVENT_STORE_LOST, "topic=%s next=%"
-              G_GUINT64_FORMAT, follower->opts.topic, follower->next);
+    event_log(usable ? EVENT_STORE_BACK : EVENT_STORE_LOST,
+              "topic=%s next=%" G_GUINT64_FORMAT, follower->opts.topic,
+              follower->next);
     if (follower->opts.on_usable != NULL) {
         follower->opts.on_usable(usable, follower->opts.data);
     }
--- /dev/null
+++ b/tests/standins/taskd.c
@@ -0,0 +1,410 @@
+/* Stand-in of an executor that runs tasks; protocol in docs/standins.md. */
+
+#include "base/http_client.h"
+#include "standin.h"
+
+typedef struct task {
+    char *name;
+    int64_t run;
+    loop_timer_t timer;
+} task_t;
+
+typedef struct run_end {
+    int64_t number;
+    char *name;
+    int64_t run;
+    const char *how;
+} run_end_t;
+
+typedef struct faults {
+    int64_t refuse;       /* answers 503 to starts */
+    int64_t drop_answers; /* starts that are carried out unanswered */
+    int64_t work_ms;      /* duration of each task */
+    int64_t draining;     /* announces that it leaves */
+} faults_t;
+
+static const standin_fault_t fault_table[] = {
+    {"refuse", offsetof(faults_t, refuse)},
+    {"drop_answers", offsetof(faults_t, drop_answers)},
+    {"work_ms", offsetof(faults_t, work_ms)},
+    {"draining", offsetof(faults_t, draining)},
+    {NULL, 0},
+};
+
+enum {
+    BEAT_MS = 300,
+    CALL_TIMEOUT_MS = 1000,
+};
+
+static faults_t faults = {.work_ms = 200};
+static char *listen_address;
+static char *node_address;
+static char *instance_id;
+static GPtrArray *tasks;
+static GPtrArray *ends;
+static GHashTable *finished; /* task -> highest run */
+static GHashTable *starts;   /* task -> count */
+static int64_t next_end = 1;
+static int64_t sequence;
+static int64_t born_ms;
+static int64_t fence;
+static int64_t acknowledged;
+static http_client_t *node;
+static loop_timer_t beat_timer;
+
+static json_object *
+new_answer(void)
+{
+    json_object *body = json_object_new_object();
+
+    standin_add_int(body, "ClockMs", standin_now_ms());
+    standin_add_int(body, "born", born_ms);
+    return body;
+}
+
+static task_t *
+find_task(const char *name)
+{
+    for (guint i = 0; i < tasks->len; i++) {
+        task_t *task = g_ptr_array_index(tasks, i);
+
+        if (strcmp(task->name, name) == 0) {
+            return task;
+        }
+    }
+    return NULL;
+}
+
+static void
+end_task(task_t *task, const char *how)
+{
+    run_end_t *end = g_new(run_end_t, 1);
+
+    end->number = next_end++;
+    end->name = task->name;
+    end->run = task->run;
+    end->how = how;
+    g_ptr_array_add(ends, end);
+    g_hash_table_insert(finished, g_strdup(task->name),
+                        GSIZE_TO_POINTER((gsize)task->run));
+    loop_timer_stop(&task->timer);
+    g_ptr_array_remove(tasks, task);
+    g_free(task);
+}
+
+static void
+on_done(loop_timer_t *timer)
+{
+    end_task(timer->data, "done");
+}
+
+static void
+begin_task(const char *name, int64_t run)
+{
+    task_t *task = g_new0(task_t, 1);
+    gsize count = GPOINTER_TO_SIZE(g_hash_table_lookup(starts, name));
+
+    task->name = g_strdup(name);
+    task->run = run;
+    g_hash_table_insert(starts, g_strdup(name), GSIZE_TO_POINTER(count + 1));
+    loop_timer_init(&task->timer, standin_loop, on_done, task);
+    loop_timer_start(&task->timer, (uint64_t)faults.work_ms);
+    g_ptr_array_add(tasks, task);
+}
+
+static void
+reject(http_exchange_t *exchange, const char *reason)
+{
+    json_object *body = new_answer();
+
+    standin_add_string(body, "Reason", reason);
+    standin_reply_json(exchange, 409, body);
+}
+
+/* False if the call was answered with a rejection. */
+static bool
+check_fence(http_exchange_t *exchange, json_object *body)
+{
+    int64_t value = standin_get_int(body, "FencingToken", 0);
+
+    if (value < fence) {
+        reject(exchange, "fence");
+        return false;
+    }
+    fence = value;
+    return true;
+}
+
+static void
+handle_start(http_exchange_t *exchange, json_object *body)
+{
+    const char *name = standin_get_string(body, "Task", "");
+    int64_t run = standin_get_int(body, "Run", 0);
+    gsize past = GPOINTER_TO_SIZE(g_hash_table_lookup(finished, name));
+
+    if (faults.refuse) {
+        standin_reply_error(exchange, 503, "unhealthy");
+        return;
+    }
+    if (find_task(name) == NULL && (gsize)run <= past) {
+        reject(exchange, "old");
+        return;
+    }
+    if (find_task(name) == NULL) {
+        begin_task(name, run);
+    }
+    if (standin_take(&faults.drop_answers)) {
+        http_exchange_abort(exchange, NULL, 0);
+        return;
+    }
+    standin_reply_json(exchange, 200, new_answer());
+}
+
+static void
+handle_stop(http_exchange_t *exchange, json_object *body)
+{
+    const char *name = standin_get_string(body, "Task", "");
+    task_t *task = find_task(name);
+
+    if (task != NULL) {
+        end_task(task, "stopped");
+    }
+    else {
+        g_hash_table_insert(
+            finished, g_strdup(name),
+            GSIZE_TO_POINTER((gsize)standin_get_int(body, "Run", 0)));
+    }
+    standin_reply_json(exchange, 200, new_answer());
+}
+
+static json_object *
+new_row(const char *first, int64_t second)
+{
+    json_object *row = json_object_new_array();
+
+    json_object_array_add(row, json_object_new_string(first));
+    json_object_array_add(row, json_object_new_int64(second));
+    return row;
+}
+
+static json_object *
+list_running(void)
+{
+    json_object *rows = json_object_new_array();
+
+    for (guint i = 0; i < tasks->len; i++) {
+        const task_t *task = g_ptr_array_index(tasks, i);
+        json_object *row = new_row(task->name, task->run);
+
+        json_object_array_add(row, json_object_new_string(""));
+        json_object_array_add(row, json_object_new_int64(50));
+        json_object_array_add(row, json_object_new_int64(100));
+        json_object_array_add(rows, row);
+    }
+    return rows;
+}
+
+static json_object *
+list_ended(int64_t cursor)
+{
+    json_object *rows = json_object_new_array();
+
+    for (guint i = 0; i < ends->len; i++) {
+        const run_end_t *end = g_ptr_array_index(ends, i);
+        json_object *row;
+
+        if (end->number <= cursor) {
+            continue;
+        }
+        row = json_object_new_array();
+        json_object_array_add(row, json_object_new_int64(end->number));
+        json_object_array_add(row, json_object_new_string(end->name));
+        json_object_array_add(row, json_object_new_int64(end->run));
+        json_object_array_add(row, json_object_new_string(end->how));
+        json_object_array_add(row, json_object_new_string(""));
+        json_object_array_add(rows, row);
+    }
+    return rows;
+}
+
+static void
+handle_hold(http_exchange_t *exchange, json_object *body)
+{
+    json_object *answer = new_answer();
+
+    acknowledged = MAX(acknowledged, standin_get_int(body, "AckCursor", 0));
+    json_object_object_add(answer, "Running", list_running());
+    json_object_object_add(answer, "Ended", list_ended(acknowledged));
+    standin_reply_later(exchange, MIN(20, standin_get_int(body, "WaitMs", 0)),
+                        200, answer);
+}
+
+static void
+handle_pace(http_exchange_t *exchange, json_object *body)
+{
+    standin_reply_json(exchange, 200, new_answer());
+}
+
+static void
+with_body(http_exchange_t *exchange,
+          void (*handle)(http_exchange_t *exchange, json_object *body))
+{
+    const char *intended =
+        http_exchange_get_header(exchange, "x-expected-instance");
+    json_object *body = standin_parse_body(exchange);
+
+    if (body == NULL) {
+        return;
+    }
+    if (g_strcmp0(intended, instance_id) != 0) {
+        standin_reply_error(exchange, 421, "another incarnation");
+    }
+    else if (check_fence(exchange, body)) {
+        handle(exchange, body);
+    }
+    json_object_put(body);
+}
+
+static void
+on_start(http_exchange_t *exchange, void *data)
+{
+    with_body(exchange, handle_start);
+}
+
+static void
+on_stop(http_exchange_t *exchange, void *data)
+{
+    with_body(exchange, handle_stop);
+}
+
+static void
+on_hold(http_exchange_t *exchange, void *data)
+{
+    with_body(exchange, handle_hold);
+}
+
+static void
+on_pace(http_exchange_t *exchange, void *data)
+{
+    with_body(exchange, handle_pace);
+}
+
+static void
+on_fault(http_exchange_t *exchange, void *data)
+{
+    json_object *body = standin_parse_body(exchange);
+
+    if (body == NULL) {
+        return;
+    }
+    standin_set_faults(body, fault_table, &faults);
+    json_object_put(body);
+    standin_reply_json(exchange, 200, json_object_new_object());
+}
+
+static void
+on_stats(http_exchange_t *exchange, void *data)
+{
+    json_object *body = json_object_new_object();
+    json_object *list = json_object_new_object();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer count;
+
+    g_hash_table_iter_init(&iter, starts);
+    while (g_hash_table_iter_next(&iter, &name, &count)) {
+        standin_add_int(list, name, (int64_t)GPOINTER_TO_SIZE(count));
+    }
+    json_object_object_add(body, "starts", list);
+    standin_add_int(body, "running", tasks->len);
+    standin_add_int(body, "acknowledged", acknowledged);
+    standin_reply_json(exchange, 200, body);
+}
+
+static const http_route_t routes[] = {
+    {"/api/run-start", on_start},
+    {"/api/run-stop", on_stop},
+    {"/api/hold", on_hold},
+    {"/api/pace", on_pace},
+    {"/standin/fault", on_fault},
+    {"/standin/stats", on_stats},
+    {NULL, NULL},
+};
+
+static void
+on_beat_answered(const http_response_t *response, void *data)
+{
+    loop_timer_start(&beat_timer, BEAT_MS);
+}
+
+static json_object *
+new_beat(void)
+{
+    json_object *body = new_answer();
+    json_object *capacity = json_object_new_object();
+    json_object *labels = json_object_new_array();
+
+    standin_add_string(body, "Service", "work");
+    standin_add_string(body, "Address", listen_address);
+    standin_add_string(body, "Zone", "dc");
+    standin_add_string(body, "State", faults.draining ? "draining" : "ready");
+    standin_add_int(body, "RemainingMs", faults.draining ? 3000 : 0);
+    standin_add_int(body, "Sequence", ++sequence);
+    standin_add_int(capacity, "Cpu", 8000);
+    standin_add_int(capacity, "MemMb", 8000);
+    standin_add_int(capacity, "Gpu", 0);
+    json_object_object_add(body, "Capacity", capacity);
+    json_object_array_add(labels, json_object_new_string("a"));
+    json_object_array_add(labels, json_object_new_string("r1"));
+    json_object_object_add(body, "Labels", labels);
+    return body;
+}
+
+static void
+send_beat(loop_timer_t *timer)
+{
+    g_autofree char *target =
+        g_strdup_printf("/api/executors/%s", instance_id);
+    json_object *body = new_beat();
+    const char *text = json_object_to_json_string(body);
+    http_call_opts_t opts = {
+        .method = "PUT",
+        .target = target,
+        .body = text,
+        .body_length = strlen(text),
+        .timeout_ms = CALL_TIMEOUT_MS,
+        .max_response = 4096,
+    };
+
+    http_client_send(node, &opts, on_beat_answered, NULL);
+    json_object_put(body);
+}
+
+int
+main(int argc, char **argv)
+{
+    const GOptionEntry entries[] = {
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &listen_address,
+         "Address to serve", "IPv4:PORT"},
+        {"node", 0, 0, G_OPTION_ARG_STRING, &node_address,
+         "Address of the node agent", "IPv4:PORT"},
+        {"id", 0, 0, G_OPTION_ARG_STRING, &instance_id, "Incarnation", "ID"},
+        G_OPTION_ENTRY_NULL,
+    };
+    http_client_opts_t opts = {.max_connections = 2};
+
+    standin_parse_options(argc, argv, entries);
+    tasks = g_ptr_array_new();
+    ends = g_ptr_array_new();
+    finished = g_hash_table_new(g_str_hash, g_str_equal);
+    starts = g_hash_table_new(g_str_hash, g_str_equal);
+    born_ms = standin_wall_ms();
+    opts.loop = standin_loop;
+    opts.address = node_address;
+    node = http_client_new(&opts, NULL);
+    standin_listen(listen_address, routes);
+    loop_timer_init(&beat_timer, standin_loop, send_beat, NULL);
+    loop_timer_start(&beat_timer, 0);
+    standin_run();
+    return 0;
+}
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -172,8 +172,7 @@
     }
     executor->polls++;
     executor->fence = std::max(executor->fence, poll->fence);
-    executor->deadline_ms =
-        std::max(executor->deadline_ms, poll->deadline_ms);
+    executor->deadline_ms = std::max(executor->deadline_ms, poll->deadline_ms);
     while (!executor->ends.empty() && executor->ends[0].number <= cursor) {
         executor->ends.erase(executor->ends.begin());
     }
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -31,10 +31,10 @@
     };
     loop_t *loop = nullptr;
     int64_t work_ms = 40;
-    bool mute = false;       /* answers nothing and does nothing */
-    int lose_starts = 0;     /* starts that are carried out unanswered */
-    int busy = 0;            /* starts that are refused as busy */
-    std::string reject;      /* reason of rejection of all starts */
+    bool mute = false;   /* answers nothing and does nothing */
+    int lose_starts = 0; /* starts that are carried out unanswered */
+    int busy = 0;        /* starts that are refused as busy */
+    std::string reject;  /* reason of rejection of all starts */
     std::map<std::string, Running> running;
     std::map<std::string, uint32_t> past;
     std::vector<End> ends;
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -225,8 +225,9 @@
     reader->self = reader;
     loop_timer_init(&reader->timer, view->loop, on_reader, &*reader);
     loop_timer_start(&reader->timer, ready ? 0
-                                     : view->silent ? wait_ms + view->silence_ms
-                                                    : wait_ms);
+                                     : view->silent
+                                         ? wait_ms + view->silence_ms
+                                         : wait_ms);
 }
 
 static void
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -45,10 +45,10 @@
     store_t base;
     FakeStore *store;
     loop_t *loop;
-    bool refuse = false;       /* answers that nothing was done */
-    bool silent = false;       /* no answer, no effect */
-    int lose_answers = 0;      /* appends that take effect unanswered */
-    uint64_t silence_ms = 30;  /* until a lost call is given up */
+    bool refuse = false;      /* answers that nothing was done */
+    bool silent = false;      /* no answer, no effect */
+    int lose_answers = 0;     /* appends that take effect unanswered */
+    uint64_t silence_ms = 30; /* until a lost call is given up */
 
     struct Call {
         loop_timer_t timer;
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -223,13 +223,12 @@
                 auto *change = static_cast<sched_change_t *>(
                     g_ptr_array_index(changes, i));
 
-                taken.emplace_back(
-                    change->key,
-                    change->value == nullptr
-                        ? ""
-                        : std::string(reinterpret_cast<char *>(
-                                          change->value->data),
-                                      change->value->len));
+                taken.emplace_back(change->key,
+                                   change->value == nullptr
+                                       ? ""
+                                       : std::string(reinterpret_cast<char *>(
+                                                         change->value->data),
+                                                     change->value->len));
             }
         }
         g_ptr_array_unref(changes);
--- /dev/null
+++ b/tests/system/platform_test.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# The programs on the platform's published protocol: a job runs once, from any
+# scheduler, over the loss of the leader, an outage of the store, a SIGHUP and
+# planned stops.
+# shellcheck source=tests/system/platform.bash
+. "$(dirname "$0")/platform.bash"
+
+two_steps='{"Spec":"text","Phases":[{"Count":3,"Cpu":500,"MemMb":64,"EstimatedMs":200},{"Count":2,"Cpu":500,"MemMb":64,"After":[0]}]}'
+
+start_store
+put_config 1
+for n in 0 1 2; do start_scheduler $n; done
+for n in 0 1; do start_node $n; done
+for n in 0 1 2; do wait_until is_ready $n; done
+
+# Guards against a path that serves no job, and against a second job of an id.
+id=00000000000000a1
+accept 0 $id "$two_steps"
+accept 1 $id "$two_steps"
+wait_until has_state 2 $id completed
+for task in 0.0.0 0.0.1 0.0.2 0.1.0 0.1.1; do
+    [ "$(count_starts "$id.$task")" = 1 ] || fail "$task did not run once"
+done
+
+# Guards against answers that are not those of the published interface.
+[ "$(call 0 GET /q/00000000000000ff | cut -c1-3)" = 410 ] || fail 'no 410'
+[ "$(call 0 GET /none/00000000000000a1 | cut -c1-3)" = 404 ] || fail 'no 404'
+[ "$(call 0 GET /q/)" = '200 {"Pending":0}' ] || fail "count: $(call 0 GET /q/)"
+[ "$(call 0 POST /q/00000000000000b1 'no json' | cut -c1-3)" = 400 ] ||
+    fail 'no 400'
+
+# Guards against jobs that are lost, or tasks that run twice, when the leader
+# is killed with tasks running.
+for n in 0 1; do
+    curl -fsS -o /dev/null -d '{"work_ms":1500}' \
+        "http://$(task_address $n)/standin/fault"
+done
+id=00000000000000a2
+accept 0 $id "$two_steps"
+leader=$(grep -l ' 7004 ' "$work"/scheduler?.log | tail -1 |
+    sed -E 's/.*scheduler([0-9])\.log/\1/')
+kill -9 "${scheduler_pids[$leader]}"
+other=$(((leader + 1) % 3))
+wait_until has_state $other $id completed
+for task in 0.0.0 0.0.1 0.0.2 0.1.0 0.1.1; do
+    [ "$(count_starts "$id.$task")" = 1 ] ||
+        fail "$task of $id ran $(count_starts "$id.$task") times"
+done
+start_scheduler "$leader"
+wait_until is_ready "$leader"
+
+# Guards against an outage of the store that loses a job, and against refusals
+# without a time to come back.
+id=00000000000000a3
+accept $other $id "$two_steps"
+curl -fsS -o /dev/null -d '{"refuse":1}' "http://$store/standin/fault"
+tries=0
+refused() {
+    tries=$((tries + 1))
+    curl -sS -m 5 -D - -o /dev/null -X POST -H 'Host: host.example' \
+        -d "$two_steps" \
+        "http://$(scheduler_http $other)/q/$(printf 'c%015d' $tries)" |
+        tr -d '\r' | grep -qi '^retry-after: [1-9]'
+}
+wait_until refused
+curl -fsS -o /dev/null -d '{"refuse":0}' "http://$store/standin/fault"
+wait_until has_state $other $id completed
+for task in 0.0.0 0.0.1 0.0.2 0.1.0 0.1.1; do
+    [ "$(count_starts "$id.$task")" = 1 ] || fail "$task of $id"
+done
+
+# Guards against a start whose answer is lost and that is run again.
+for n in 0 1; do
+    curl -fsS -o /dev/null -d '{"drop_answers":2,"work_ms":300}' \
+        "http://$(task_address $n)/standin/fault"
+done
+id=00000000000000a4
+accept $other $id "$two_steps"
+wait_until has_state $other $id completed
+for task in 0.0.0 0.0.1 0.0.2 0.1.0 0.1.1; do
+    [ "$(count_starts "$id.$task")" = 1 ] || fail "$task of $id"
+done
+
+# Guards against a SIGHUP that ends the process, and against settings that are
+# taken over although they are wrong.
+cp "$work/scheduler$other.json" "$work/good.json"
+kill -HUP "${scheduler_pids[$other]}"
+wait_until grep -q ' 9004 ' "$work/scheduler$other.log"
+echo '{"name": 3}' >"$work/scheduler$other.json"
+kill -HUP "${scheduler_pids[$other]}"
+wait_until grep -q ' 9005 ' "$work/scheduler$other.log"
+is_ready $other || fail 'not ready after SIGHUP'
+cp "$work/good.json" "$work/scheduler$other.json"
+
+# Guards against a version of the configuration that is not put in force.
+put_config 2
+wait_until grep -q 'version=2' "$work/scheduler$other.log"
+
+# Guards against planned stops that do not end.
+for n in 0 1 2; do kill -TERM "${scheduler_pids[$n]}"; done
+for n in 0 1 2; do
+    wait "${scheduler_pids[$n]}" || fail "scheduler $n: exit code $?"
+done
+echo passed
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -91,12 +91,11 @@
     all.schedulers[old]->view->refuse = true;
     ASSERT_TRUE(all.wait([&] { return all.leader_index() != old; }));
     int other = all.leader_index();
-    ASSERT_TRUE(all.wait([&] {
-        return scheduler_is_ready(all.schedulers[other]->scheduler);
-    }));
-    EXPECT_EQ(all.call(other, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}))
-                  .outcome,
-              (uint32_t)JOB_OUTCOME_DONE);
+    ASSERT_TRUE(all.wait(
+        [&] { return scheduler_is_ready(all.schedulers[other]->scheduler); }));
+    EXPECT_EQ(
+        all.call(other, JOB_VERB_SUBMIT, "j", make_spec("j", {{}})).outcome,
+        (uint32_t)JOB_OUTCOME_DONE);
     EXPECT_TRUE(all.wait_state(other, "j", SCHED_JOB_COMPLETED));
 }
 
@@ -149,9 +148,9 @@
     ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
     int leader = all.leader_index();
     all.schedulers[leader]->view->lose_answers = 3;
-    EXPECT_EQ(all.call(leader, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}))
-                  .outcome,
-              (uint32_t)JOB_OUTCOME_DONE);
+    EXPECT_EQ(
+        all.call(leader, JOB_VERB_SUBMIT, "j", make_spec("j", {{}})).outcome,
+        (uint32_t)JOB_OUTCOME_DONE);
     EXPECT_TRUE(all.wait_state(leader, "j", SCHED_JOB_COMPLETED));
     EXPECT_EQ(all.count_starts("j.0.0.0"), 1);
     EXPECT_EQ(all.leader_index(), leader);
@@ -287,13 +286,12 @@
     ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
     all.nodes[0]->executor.work_ms = 60000;
     all.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
-    ASSERT_TRUE(all.wait([&] {
-        return all.nodes[0]->executor.running.size() == 2;
-    }));
+    ASSERT_TRUE(
+        all.wait([&] { return all.nodes[0]->executor.running.size() == 2; }));
     EXPECT_EQ(all.call(1, JOB_VERB_CANCEL, "j").outcome,
               (uint32_t)JOB_OUTCOME_DONE);
-    EXPECT_TRUE(all.wait(
-        [&] { return all.nodes[0]->executor.running.empty(); }));
+    EXPECT_TRUE(
+        all.wait([&] { return all.nodes[0]->executor.running.empty(); }));
     EXPECT_TRUE(all.wait_state(1, "j", SCHED_JOB_CANCELLED));
 }
 
@@ -307,16 +305,15 @@
     executor.work_ms = 60000;
     all.call(0, JOB_VERB_SUBMIT, "f", make_spec("f", {{.filler = true}}));
     ASSERT_TRUE(all.wait([&] { return executor.running.size() == 1; }));
-    all.call(0, JOB_VERB_SUBMIT, "s", make_spec("s", {{.long_running = true,
-                                                       .target_ms = 10}}));
+    all.call(0, JOB_VERB_SUBMIT, "s",
+             make_spec("s", {{.long_running = true, .target_ms = 10}}));
     ASSERT_TRUE(all.wait([&] { return executor.running.size() == 2; }));
     executor.running["s.0.0.0"].figure = 30;
     ASSERT_TRUE(all.wait([&] {
         return !executor.paces.empty() && executor.paces.back().second == 0;
     }));
     executor.running["s.0.0.0"].figure = 3;
-    EXPECT_TRUE(
-        all.wait([&] { return executor.paces.back().second == 100; }));
+    EXPECT_TRUE(all.wait([&] { return executor.paces.back().second == 100; }));
 }
 
 } // namespace
--- a/tests/unit/sched_model_test.cc
+++ b/tests/unit/sched_model_test.cc
@@ -29,7 +29,7 @@
     bool up = true;
     bool connected = false;
     int64_t deadline_ms = 0;
-    std::map<std::string, uint32_t> running;  /* task -> run */
+    std::map<std::string, uint32_t> running; /* task -> run */
     std::set<std::string> stopping;
     std::map<std::string, uint32_t> finished; /* highest run that ended */
     std::vector<End> ends;
@@ -266,11 +266,11 @@
     {
         std::string id = "j" + std::to_string(jobs++);
 
-        sched_submit(core.sched,
-                     make_spec(id,
-                               {{.count = 2},
-                                {.count = 2, .cpu = 1500, .after = {0}}},
-                               100));
+        sched_submit(
+            core.sched,
+            make_spec(id,
+                      {{.count = 2}, {.count = 2, .cpu = 1500, .after = {0}}},
+                      100));
     }
 
     /* A write may reach the store although its leader is gone. */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -40,8 +40,7 @@
     Core core;
 
     connect(core, A);
-    sched_submit(core.sched,
-                 make_spec("j", {{.count = 2}, {.after = {0}}}));
+    sched_submit(core.sched, make_spec("j", {{.count = 2}, {.after = {0}}}));
     core.settle();
     EXPECT_EQ(core.orders(A).starts.size(), 2U);
     Report first(A);
@@ -177,7 +176,8 @@
     EXPECT_TRUE(core.orders(other).starts.empty()) << lost;
     fake_clock_advance_ms(&core.clock, 200);
     core.settle();
-    EXPECT_EQ(core.orders(other).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+    EXPECT_EQ(core.orders(other).starts,
+              (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
 // Guards against the wait for a lease after a power loss: the restarted agent
@@ -277,9 +277,9 @@
     connect(core, A);
     labelled.label("gpu");
     core.report(labelled, "other");
-    sched_submit(core.sched,
-                 make_spec("j", {{.count = 4, .cpu = 100,
-                                  .max_per_executor = 1}}));
+    sched_submit(
+        core.sched,
+        make_spec("j", {{.count = 4, .cpu = 100, .max_per_executor = 1}}));
     sched_submit(core.sched,
                  make_spec("k", {{.count = 2, .cpu = 100, .label = "gpu"}}));
     core.settle();
@@ -383,8 +383,8 @@
     Core core;
 
     connect(core, A);
-    sched_submit(core.sched, make_spec("s", {{.long_running = true,
-                                              .target_ms = 10}}));
+    sched_submit(core.sched,
+                 make_spec("s", {{.long_running = true, .target_ms = 10}}));
     core.settle();
     core.orders(A);
     Report report(A);
@@ -478,8 +478,8 @@
     EXPECT_EQ(occurrence, 3U);
     EXPECT_EQ(step, 2U);
     EXPECT_EQ(index, 17U);
-    for (const char *bad : {"", "a", "a.1.2", ".1.2.3", "a.1.2.x",
-                            "a.1.2.99999999999"}) {
+    for (const char *bad :
+         {"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.99999999999"}) {
         char *none = nullptr;
 
         EXPECT_FALSE(
