--- a/libteasel/base/events.c
+++ b/libteasel/base/events.c
@@ -1,7 +1,14 @@
 #include "base/events.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log_sink.h"
+#include "base/loop.h"
 
 typedef struct event_info {
     int number;
@@ -41,6 +48,223 @@
     return NULL;
 }
 
+enum {
+    BUFFER_SIZE = 256 * 1024,
+    FLUSH_SIZE = 2048,
+    FLUSH_MS = 100,
+    /* Lines of one event: a burst, and then this many a second. */
+    EVENT_BURST = 400,
+    EVENTS_PER_S = 100,
+};
+
+/* Bounds the lines of one event. */
+typedef struct bucket {
+    double tokens;
+    int64_t filled_us;
+    uint64_t suppressed;
+} bucket_t;
+
+static bucket_t buckets[EVENT_COUNT];
+static log_sink_t *sink;
+static loop_timer_t flush_timer;
+static bool has_loop;
+
+static bool
+take_token(bucket_t *bucket)
+{
+    int64_t now_us = g_get_monotonic_time();
+    double passed_s = (double)(now_us - bucket->filled_us) / 1e6;
+
+    if (bucket->filled_us == 0) {
+        bucket->tokens = EVENT_BURST;
+    }
+    bucket->filled_us = now_us;
+    bucket->tokens =
+        MIN((double)EVENT_BURST, bucket->tokens + passed_s * EVENTS_PER_S);
+    if (bucket->tokens < 1) {
+        bucket->suppressed++;
+        return false;
+    }
+    bucket->tokens -= 1;
+    return true;
+}
+
+static void
+append_escaped(GString *line, const char *text, size_t length)
+{
+    g_string_append_c(line, '"');
+    for (size_t i = 0; i < length; i++) {
+        unsigned char c = (unsigned char)text[i];
+
+        if (c == '"' || c == '\\') {
+            g_string_append_c(line, '\\');
+            g_string_append_c(line, (char)c);
+        }
+        else if (c < 0x20 || c == 0x7f) {
+            g_string_append_printf(line, "\\u%04x", c);
+        }
+        else {
+            g_string_append_c(line, (char)c);
+        }
+    }
+    g_string_append_c(line, '"');
+}
+
+static bool
+is_number(const char *text, size_t length)
+{
+    size_t digits = length > 0 && text[0] == '-' ? 1 : 0;
+
+    if (length == digits || length > 18 ||
+        (text[digits] == '0' && length > digits + 1)) {
+        return false;
+    }
+    for (size_t i = digits; i < length; i++) {
+        if (!g_ascii_isdigit(text[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+append_value(GString *line, const char *text, size_t length)
+{
+    if (is_number(text, length)) {
+        g_string_append_len(line, text, (gssize)length);
+    }
+    else {
+        append_escaped(line, text, length);
+    }
+}
+
+/* Length of a value: up to the next space, or in quotes. */
+static size_t
+measure_value(const char *text)
+{
+    const char *end;
+
+    if (text[0] != '"') {
+        return strcspn(text, " ");
+    }
+    end = text + 1;
+    /* A quote inside the value is not followed by a space. */
+    while (*end != '\0' && !(*end == '"' && (end[1] == ' ' || !end[1]))) {
+        end++;
+    }
+    return (size_t)(end - text) + (*end == '"');
+}
+
+/* Turns key=value pairs into members; other words are collected. */
+static void
+append_details(GString *line, const char *details)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+
+    while (*details != '\0') {
+        size_t word = strcspn(details, " =");
+        size_t length;
+
+        if (details[word] != '=') {
+            g_string_append_len(text, details, (gssize)word);
+            g_string_append_c(text, ' ');
+            details += word + (details[word] == ' ');
+            continue;
+        }
+        g_string_append_c(line, ',');
+        append_escaped(line, details, word);
+        g_string_append_c(line, ':');
+        details += word + 1;
+        length = measure_value(details);
+        if (details[0] == '"' && length >= 2) {
+            append_escaped(line, details + 1, length - 2);
+        }
+        else {
+            append_value(line, details, length);
+        }
+        details += length;
+        details += *details == ' ';
+    }
+    if (text->len > 0) {
+        g_string_append(line, ",\"text\":");
+        append_escaped(line, text->str, text->len - 1);
+    }
+}
+
+static int64_t
+get_steady_ms(void)
+{
+    struct timespec now = clock_get_monotonic(clock_system());
+
+    return (int64_t)timespec_to_ms(now);
+}
+
+static void
+append_head(GString *line, GLogLevelFlags level, int number, const char *name)
+{
+    struct timespec wall = clock_get_wall(clock_system());
+    struct tm utc;
+    char time[32];
+
+    gmtime_r(&wall.tv_sec, &utc);
+    strftime(time, sizeof(time), "%Y-%m-%dT%H:%M:%S", &utc);
+    g_string_append_printf(
+        line,
+        "{\"time\":\"%s.%03ldZ\",\"steady_ms\":%" G_GINT64_FORMAT
+        ",\"level\":\"%s\",\"event\":%d,\"event_name\":\"%s\",\"program\":\"%"
+        "s\"",
+        time, wall.tv_nsec / 1000000, get_steady_ms(), level_to_string(level),
+        number, name, program_name);
+}
+
+static void
+on_flush(loop_timer_t *timer)
+{
+    if (!log_sink_flush(sink)) {
+        loop_timer_start(timer, FLUSH_MS);
+    }
+}
+
+static void
+flush_soon(bool important)
+{
+    if (important || !has_loop || log_sink_get_pending(sink) >= FLUSH_SIZE) {
+        log_sink_flush(sink);
+    }
+    if (has_loop && log_sink_get_pending(sink) > 0 &&
+        !loop_timer_is_active(&flush_timer)) {
+        loop_timer_start(&flush_timer, FLUSH_MS);
+    }
+}
+
+static void
+add_line(GLogLevelFlags level, int number, const char *name,
+         const char *details)
+{
+    g_autoptr(GString) line = g_string_sized_new(256);
+    bool important = (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_WARNING;
+
+    append_head(line, level, number, name);
+    append_details(line, details);
+    g_string_append(line, "}\n");
+    log_sink_add(sink, line->str, line->len, important);
+    flush_soon(important);
+}
+
+static void
+tell_dropped(void)
+{
+    uint64_t dropped = log_sink_take_dropped(sink);
+    char details[64];
+
+    if (dropped > 0) {
+        g_snprintf(details, sizeof(details), "lines=%" G_GUINT64_FORMAT,
+                   dropped);
+        add_line(G_LOG_LEVEL_WARNING, infos[EVENT_LOG_DROPPED].number,
+                 infos[EVENT_LOG_DROPPED].name, details);
+    }
+}
+
 static GLogWriterOutput
 write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
            gpointer data)
@@ -48,26 +272,60 @@
     const char *number = find_field(fields, count, "EVENT_NUMBER");
     const char *name = find_field(fields, count, "EVENT_NAME");
     const char *message = find_field(fields, count, "MESSAGE");
-    g_autoptr(GDateTime) now = g_date_time_new_now_utc();
-    g_autofree char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
 
-    if (level & G_LOG_LEVEL_DEBUG) {
-        return G_LOG_WRITER_HANDLED;
+    if (!(level & G_LOG_LEVEL_DEBUG)) {
+        tell_dropped();
+        add_line(level, number ? atoi(number) : 0, name ? name : "-",
+                 message ? message : "");
     }
-    fprintf(stderr, "%s.%03dZ %s %s %s %s %s\n", time,
-            g_date_time_get_microsecond(now) / 1000, level_to_string(level),
-            number ? number : "0", name ? name : "-", program_name,
-            message ? message : "");
     return G_LOG_WRITER_HANDLED;
 }
 
+static void
+flush_at_exit(void)
+{
+    log_sink_flush(sink);
+}
+
 void
 events_init(const char *program)
 {
     program_name = program;
+    if (sink == NULL) {
+        sink = log_sink_new(STDOUT_FILENO, BUFFER_SIZE);
+        atexit(flush_at_exit);
+    }
     g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+void
+events_use_loop(loop_t *loop)
+{
+    if (sink == NULL) {
+        return;
+    }
+    has_loop = loop != NULL;
+    if (has_loop) {
+        loop_timer_init(&flush_timer, loop, on_flush, NULL);
+    }
+    log_sink_flush(sink);
+}
+
+/* Tells how many lines of the event were left out before this one. */
+static void
+tell_suppressed(event_id_t id)
+{
+    bucket_t *bucket = &buckets[id];
+    uint64_t suppressed = bucket->suppressed;
+
+    if (suppressed > 0) {
+        bucket->suppressed = 0;
+        event_log(EVENT_LOG_SUPPRESSED,
+                  "suppressed_event=%d lines=%" G_GUINT64_FORMAT,
+                  infos[id].number, suppressed);
+    }
+}
+
 void
 event_log(event_id_t id, const char *format, ...)
 {
@@ -76,6 +334,10 @@
     char number[16];
     va_list args;
 
+    if (sink != NULL && !take_token(&buckets[id])) {
+        return;
+    }
+    tell_suppressed(id);
     va_start(args, format);
     message = g_strdup_vprintf(format, args);
     va_end(args);
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -114,6 +114,8 @@
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
           "settings-refused")                                                 \
+    EVENT(EVENT_LOG_DROPPED, 9006, G_LOG_LEVEL_WARNING, "log-dropped")        \
+    EVENT(EVENT_LOG_SUPPRESSED, 9007, G_LOG_LEVEL_WARNING, "log-suppressed")  \
     EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
           "config-ticket-accepted")                                           \
     EVENT(EVENT_CONFIG_TICKET_REFUSED, 5002, G_LOG_LEVEL_WARNING,             \
@@ -150,6 +152,8 @@
 } event_id_t;
 #undef EVENT_ENUM
 
+struct loop;
+
 /**
  * event_log() - write a numbered event
  * @id: the event
@@ -161,10 +165,18 @@
  * events_init() - install the log writer
  * @program: program name, put on each line
  *
- * Lines go to standard error: time, level, number, name, program, details.
+ * Lines are JSON objects on standard output: time, steady_ms, level, event,
+ * event_name, program, and a member for each detail. They wait in a buffer if
+ * standard output does not take them.
  */
 void events_init(const char *program);
 
+/**
+ * events_use_loop() - write lines that had to wait from this loop; NULL if
+ * the loop ends
+ */
+void events_use_loop(struct loop *loop);
+
 /**
  * event_get_name() - name and number of an event, for tests of the catalogue
  */
--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "base/events.h"
 
 /* h2o keeps one list of entries per distinct delay and visits every list in
    each turn, so delays are rounded up to bound the number of lists. */
@@ -65,9 +66,11 @@
 loop_run(loop_t *loop)
 {
     loop->stopped = false;
+    events_use_loop(loop);
     while (!loop->stopped) {
         h2o_evloop_run(loop->h2o, INT32_MAX);
     }
+    events_use_loop(NULL);
 }
 
 void
--- a/tests/system/agent_batch_test.sh
+++ b/tests/system/agent_batch_test.sh
@@ -51,6 +51,6 @@
 assert set(effects.values()) == {1}, effects
 assert stops > 0, "no task was handed over"
 ' "$jobs"
-if grep -H 'stop-unfinished' "$cluster"/logs/agent-*.log; then
+if grep -H '"event_name":"stop-unfinished"' "$cluster"/logs/agent-*.log; then
     exit 1
 fi
--- a/tests/system/agent_failure_test.sh
+++ b/tests/system/agent_failure_test.sh
@@ -23,7 +23,7 @@
 fault "$EXECUTOR_2" '{"refuse_ms": 500}'
 wait "$load"
 cat "$result"
-grep -q ' agent-frozen ' "$cluster/logs/agent-2.log"
+grep -q '"event_name":"agent-frozen"' "$cluster/logs/agent-2.log"
 for i in 1 2; do
     url="EXECUTOR_$i"
     curl -fsS "${!url}/standin/stats"
--- a/tests/system/platform_test.sh
+++ b/tests/system/platform_test.sh
@@ -37,7 +37,7 @@
 done
 id=00000000000000a2
 accept 0 $id "$two_steps"
-leader=$(grep -l ' 7004 ' "$work"/scheduler?.log | tail -1 |
+leader=$(grep -l '"event":7004,' "$work"/scheduler?.log | tail -1 |
     sed -E 's/.*scheduler([0-9])\.log/\1/')
 kill -9 "${scheduler_pids[$leader]}"
 other=$(((leader + 1) % 3))
@@ -85,16 +85,16 @@
 # taken over although they are wrong.
 cp "$work/scheduler$other.json" "$work/good.json"
 kill -HUP "${scheduler_pids[$other]}"
-wait_until grep -q ' 9004 ' "$work/scheduler$other.log"
+wait_until grep -q '"event":9004,' "$work/scheduler$other.log"
 echo '{"name": 3}' >"$work/scheduler$other.json"
 kill -HUP "${scheduler_pids[$other]}"
-wait_until grep -q ' 9005 ' "$work/scheduler$other.log"
+wait_until grep -q '"event":9005,' "$work/scheduler$other.log"
 is_ready $other || fail 'not ready after SIGHUP'
 cp "$work/good.json" "$work/scheduler$other.json"
 
 # Guards against a version of the configuration that is not put in force.
 put_config 2
-wait_until grep -q 'version=2' "$work/scheduler$other.log"
+wait_until grep -q '"version":2,' "$work/scheduler$other.log"
 
 # Guards against planned stops that do not end.
 for n in 0 1 2; do kill -TERM "${scheduler_pids[$n]}"; done
