--- a/libteasel/node/node_link.c
+++ b/libteasel/node/node_link.c
@@ -21,6 +21,7 @@
     follower_t *follower;
     peer_t *peer;
     bool open;
+    bool led; /* orders arrived on this connection */
     char *address;    /* of the connection */
     char *leader;     /* address of the newest leader, or NULL */
     uint64_t epoch;   /* of the newest leader */
@@ -51,6 +52,7 @@
 
     link->peer = NULL;
     link->open = false;
+    link->led = false;
     if (was_open) {
         event_log(EVENT_LEADER_DISCONNECTED,
                   "address=%s epoch=%" G_GUINT64_FORMAT, link->address,
@@ -110,6 +112,18 @@
     link->opts.on_change(true, link->opts.data);
 }
 
+/* The first orders on a connection show that its other end leads. */
+static void
+note_leader(node_link_t *link)
+{
+    if (!link->led) {
+        link->led = true;
+        event_log(EVENT_LEADER_CONNECTED,
+                  "address=%s epoch=%" G_GUINT64_FORMAT, link->address,
+                  link->epoch);
+    }
+}
+
 static void
 on_message(peer_t *peer, const Teasel__Envelope *message, void *data)
 {
@@ -129,6 +143,7 @@
             g_free(link->leader);
             link->leader = g_strdup(link->address);
         }
+        note_leader(link);
         link->opts.on_orders(message->node_orders, link->opts.data);
         break;
     default:
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -205,6 +205,9 @@
     executor->failed_in_row++;
     if (executor->failed_in_row >= SUSPECT_FAILURES) {
         executor->probation_ms = sched_now_ms(sched) + PROBATION_MS;
+        event_log(EVENT_EXECUTOR_SUSPECTED,
+                  "executor=%s jobs_in_row=%u probation_ms=%d", executor->key,
+                  executor->failed_in_row, PROBATION_MS);
         /* One more failure after the probation renews it. */
         executor->failed_in_row = SUSPECT_FAILURES - 1;
     }
