--- a/libteasel/node/node_link.c
+++ b/libteasel/node/node_link.c
@@ -21,7 +21,7 @@
     follower_t *follower;
     peer_t *peer;
     bool open;
-    bool led; /* orders arrived on this connection */
+    bool led;         /* orders arrived on this connection */
     char *address;    /* of the connection */
     char *leader;     /* address of the newest leader, or NULL */
     uint64_t epoch;   /* of the newest leader */
--- a/libteasel/sched/interference.c
+++ b/libteasel/sched/interference.c
@@ -1,6 +1,7 @@
 #include "sched/interference.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Of an image pair that has not been seen: a filler that uses an eighth of an
    executor adds a quarter of the target. */
@@ -163,3 +164,45 @@
     }
     return worst;
 }
+
+static void
+free_pair(void *data)
+{
+    Teasel__LearnedPair *pair = data;
+
+    g_free(pair->filler);
+    g_free(pair->serving);
+    g_free(pair);
+}
+
+void
+interference_write(const interference_t *table, GPtrArray *pairs)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer weight;
+
+    g_ptr_array_set_free_func(pairs, free_pair);
+    g_hash_table_iter_init(&iter, table->weights);
+    while (g_hash_table_iter_next(&iter, &key, &weight)) {
+        Teasel__LearnedPair *pair = g_new(Teasel__LearnedPair, 1);
+        const char *slash = strchr(key, '/');
+
+        teasel__learned_pair__init(pair);
+        pair->filler = g_strndup(key, (gsize)(slash - (const char *)key));
+        pair->serving = g_strdup(slash + 1);
+        pair->weight = *(const double *)weight;
+        g_ptr_array_add(pairs, pair);
+    }
+}
+
+void
+interference_read(interference_t *table, const Teasel__LearnedPair *pair)
+{
+    double *weight = g_new(double, 1);
+
+    *weight = CLAMP(pair->weight, 0.0, MAX_WEIGHT);
+    g_hash_table_insert(table->weights,
+                        g_strconcat(pair->filler, "/", pair->serving, NULL),
+                        weight);
+}
--- a/libteasel/sched/interference.h
+++ b/libteasel/sched/interference.h
@@ -37,6 +37,17 @@
                             const sched_executor_t *executor,
                             const Teasel__StepSpec *filler);
 
+/**
+ * interference_write() - add all pairs to a record
+ * @pairs: gets LearnedPair, which own their memory
+ */
+void interference_write(const interference_t *table, GPtrArray *pairs);
+
+/**
+ * interference_read() - take over a pair of a record
+ */
+void interference_read(interference_t *table, const Teasel__LearnedPair *pair);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/libteasel/sched/learned.c
@@ -0,0 +1,87 @@
+/* What a leader has learned is stored for its successors. */
+
+#include "sched/sched_internal.h"
+
+enum {
+    WRITE_INTERVAL_MS = 2000,
+};
+
+static void
+free_queue(void *data)
+{
+    Teasel__LearnedQueue *queue = data;
+
+    g_free(queue->queue);
+    g_free(queue);
+}
+
+static void
+write_queues(const sched_t *sched, GPtrArray *queues)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gpointer error;
+
+    g_ptr_array_set_free_func(queues, free_queue);
+    g_hash_table_iter_init(&iter, sched->estimate_errors);
+    while (g_hash_table_iter_next(&iter, &name, &error)) {
+        Teasel__LearnedQueue *queue = g_new(Teasel__LearnedQueue, 1);
+
+        teasel__learned_queue__init(queue);
+        queue->queue = g_strdup(name);
+        queue->estimate_error = *(const double *)error;
+        g_ptr_array_add(queues, queue);
+    }
+}
+
+bool
+sched_learned_is_due(const sched_t *sched)
+{
+    return sched->learned &&
+           sched_now_ms(sched) - sched->learned_ms >= WRITE_INTERVAL_MS;
+}
+
+GByteArray *
+sched_learned_to_record(sched_t *sched)
+{
+    Teasel__LearnedRecord record = TEASEL__LEARNED_RECORD__INIT;
+    g_autoptr(GPtrArray) pairs = g_ptr_array_new();
+    g_autoptr(GPtrArray) queues = g_ptr_array_new();
+    GByteArray *out = g_byte_array_new();
+
+    sched->learned = false;
+    sched->learned_ms = sched_now_ms(sched);
+    interference_write(sched->interference, pairs);
+    write_queues(sched, queues);
+    record.n_pairs = pairs->len;
+    record.pairs = (Teasel__LearnedPair **)pairs->pdata;
+    record.n_queues = queues->len;
+    record.queues = (Teasel__LearnedQueue **)queues->pdata;
+    g_byte_array_set_size(out,
+                          teasel__learned_record__get_packed_size(&record));
+    teasel__learned_record__pack(&record, out->data);
+    return out;
+}
+
+bool
+sched_load_learned(sched_t *sched, const void *data, size_t length)
+{
+    Teasel__LearnedRecord *record =
+        teasel__learned_record__unpack(NULL, length, data);
+
+    if (record == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < record->n_pairs; i++) {
+        interference_read(sched->interference, record->pairs[i]);
+    }
+    for (size_t i = 0; i < record->n_queues; i++) {
+        double *error = g_new(double, 1);
+
+        *error = CLAMP(record->queues[i]->estimate_error, 0.1, 10.0);
+        g_hash_table_insert(sched->estimate_errors,
+                            g_strdup(record->queues[i]->queue), error);
+    }
+    teasel__learned_record__free_unpacked(record, NULL);
+    return true;
+}
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -328,6 +328,9 @@
     sched->committing = true;
     g_ptr_array_set_free_func(changes, free_change);
     take_dirty_jobs(sched, changes);
+    if (sched_learned_is_due(sched)) {
+        add_change(changes, SCHED_LEARNED_KEY, sched_learned_to_record(sched));
+    }
     for (guint i = 0; i < sched->dropped->len; i++) {
         add_change(changes, g_ptr_array_index(sched->dropped, i), NULL);
     }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -55,6 +55,16 @@
 bool sched_load(sched_t *sched, const void *record, size_t length,
                 GError **error);
 
+/* Key of the record of what was learned; no job has such an id. */
+#define SCHED_LEARNED_KEY "@learned"
+
+/**
+ * sched_load_learned() - take over what a predecessor has learned
+ *
+ * Return: false if the record is malformed
+ */
+bool sched_load_learned(sched_t *sched, const void *record, size_t length);
+
 /**
  * sched_submit() - accept a job, unless one of its id is known
  * @spec: taken over
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -22,6 +22,8 @@
     bool must_place;
     bool committing;
     int64_t placed_ms;  /* of the last placement */
+    bool learned;       /* something since the last record of it */
+    int64_t learned_ms; /* when the last record was made */
     int64_t ordered_ms; /* when the jobs were ordered last */
     uint64_t accepted;
 };
@@ -38,6 +40,12 @@
  */
 void sched_order_jobs(sched_t *sched);
 
+/**
+ * sched_learned_is_due() - a record of what was learned has to be written
+ */
+bool sched_learned_is_due(const sched_t *sched);
+GByteArray *sched_learned_to_record(sched_t *sched);
+
 int64_t sched_now_ms(const sched_t *sched);
 int64_t sched_wall_ms(const sched_t *sched);
 void sched_touch_job(sched_t *sched, sched_job_t *job);
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -451,6 +451,7 @@
     if (report->has_figures) {
         sched_executor_measure(executor);
         interference_observe(sched->interference, executor);
+        sched->learned |= executor->serving > 0;
     }
     if (report->listed) {
         executor->listed = true;
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -285,6 +285,15 @@
     if (record->value == NULL) {
         return;
     }
+    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
+        if (!sched_load_learned(leader->sched, record->value,
+                                record->length)) {
+            event_log(EVENT_RECORD_MALFORMED,
+                      "topic=%s offset=%" G_GUINT64_FORMAT, JOBS_TOPIC,
+                      record->offset);
+        }
+        return;
+    }
     if (!sched_load(leader->sched, record->value, record->length, &error)) {
         event_log(EVENT_JOB_RECORD_INVALID,
                   "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -232,6 +232,141 @@
   assert(message->base.descriptor == &teasel__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__learned_pair__init
+                     (Teasel__LearnedPair         *message)
+{
+  static const Teasel__LearnedPair init_value = TEASEL__LEARNED_PAIR__INIT;
+  *message = init_value;
+}
+size_t teasel__learned_pair__get_packed_size
+                     (const Teasel__LearnedPair *message)
+{
+  assert(message->base.descriptor == &teasel__learned_pair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__learned_pair__pack
+                     (const Teasel__LearnedPair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__learned_pair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__learned_pair__pack_to_buffer
+                     (const Teasel__LearnedPair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__learned_pair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__LearnedPair *
+       teasel__learned_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__LearnedPair *)
+     protobuf_c_message_unpack (&teasel__learned_pair__descriptor,
+                                allocator, len, data);
+}
+void   teasel__learned_pair__free_unpacked
+                     (Teasel__LearnedPair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__learned_pair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   teasel__learned_queue__init
+                     (Teasel__LearnedQueue         *message)
+{
+  static const Teasel__LearnedQueue init_value = TEASEL__LEARNED_QUEUE__INIT;
+  *message = init_value;
+}
+size_t teasel__learned_queue__get_packed_size
+                     (const Teasel__LearnedQueue *message)
+{
+  assert(message->base.descriptor == &teasel__learned_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__learned_queue__pack
+                     (const Teasel__LearnedQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__learned_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__learned_queue__pack_to_buffer
+                     (const Teasel__LearnedQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__learned_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__LearnedQueue *
+       teasel__learned_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__LearnedQueue *)
+     protobuf_c_message_unpack (&teasel__learned_queue__descriptor,
+                                allocator, len, data);
+}
+void   teasel__learned_queue__free_unpacked
+                     (Teasel__LearnedQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__learned_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   teasel__learned_record__init
+                     (Teasel__LearnedRecord         *message)
+{
+  static const Teasel__LearnedRecord init_value = TEASEL__LEARNED_RECORD__INIT;
+  *message = init_value;
+}
+size_t teasel__learned_record__get_packed_size
+                     (const Teasel__LearnedRecord *message)
+{
+  assert(message->base.descriptor == &teasel__learned_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__learned_record__pack
+                     (const Teasel__LearnedRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__learned_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__learned_record__pack_to_buffer
+                     (const Teasel__LearnedRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__learned_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__LearnedRecord *
+       teasel__learned_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__LearnedRecord *)
+     protobuf_c_message_unpack (&teasel__learned_record__descriptor,
+                                allocator, len, data);
+}
+void   teasel__learned_record__free_unpacked
+                     (Teasel__LearnedRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__learned_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__leader_record__init
                      (Teasel__LeaderRecord         *message)
 {
@@ -1649,6 +1784,172 @@
   (ProtobufCMessageInit) teasel__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor teasel__learned_pair__field_descriptors[3] =
+{
+  {
+    "filler",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LearnedPair, filler),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serving",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LearnedPair, serving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LearnedPair, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__learned_pair__field_indices_by_name[] = {
+  0,   /* field[0] = filler */
+  1,   /* field[1] = serving */
+  2,   /* field[2] = weight */
+};
+static const ProtobufCIntRange teasel__learned_pair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor teasel__learned_pair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.LearnedPair",
+  "LearnedPair",
+  "Teasel__LearnedPair",
+  "teasel",
+  sizeof(Teasel__LearnedPair),
+  3,
+  teasel__learned_pair__field_descriptors,
+  teasel__learned_pair__field_indices_by_name,
+  1,  teasel__learned_pair__number_ranges,
+  (ProtobufCMessageInit) teasel__learned_pair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__learned_queue__field_descriptors[2] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LearnedQueue, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "estimate_error",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LearnedQueue, estimate_error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__learned_queue__field_indices_by_name[] = {
+  1,   /* field[1] = estimate_error */
+  0,   /* field[0] = queue */
+};
+static const ProtobufCIntRange teasel__learned_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor teasel__learned_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.LearnedQueue",
+  "LearnedQueue",
+  "Teasel__LearnedQueue",
+  "teasel",
+  sizeof(Teasel__LearnedQueue),
+  2,
+  teasel__learned_queue__field_descriptors,
+  teasel__learned_queue__field_indices_by_name,
+  1,  teasel__learned_queue__number_ranges,
+  (ProtobufCMessageInit) teasel__learned_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__learned_record__field_descriptors[2] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__LearnedRecord, n_pairs),
+    offsetof(Teasel__LearnedRecord, pairs),
+    &teasel__learned_pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__LearnedRecord, n_queues),
+    offsetof(Teasel__LearnedRecord, queues),
+    &teasel__learned_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__learned_record__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+  1,   /* field[1] = queues */
+};
+static const ProtobufCIntRange teasel__learned_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor teasel__learned_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.LearnedRecord",
+  "LearnedRecord",
+  "Teasel__LearnedRecord",
+  "teasel",
+  sizeof(Teasel__LearnedRecord),
+  2,
+  teasel__learned_record__field_descriptors,
+  teasel__learned_record__field_indices_by_name,
+  1,  teasel__learned_record__number_ranges,
+  (ProtobufCMessageInit) teasel__learned_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor teasel__leader_record__field_descriptors[4] =
 {
   {
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -20,6 +20,9 @@
 typedef struct Teasel__TaskRecord Teasel__TaskRecord;
 typedef struct Teasel__OccurrenceRecord Teasel__OccurrenceRecord;
 typedef struct Teasel__JobRecord Teasel__JobRecord;
+typedef struct Teasel__LearnedPair Teasel__LearnedPair;
+typedef struct Teasel__LearnedQueue Teasel__LearnedQueue;
+typedef struct Teasel__LearnedRecord Teasel__LearnedRecord;
 typedef struct Teasel__LeaderRecord Teasel__LeaderRecord;
 typedef struct Teasel__SchedulerRecord Teasel__SchedulerRecord;
 typedef struct Teasel__PeerHello Teasel__PeerHello;
@@ -176,6 +179,45 @@
     , NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
+/*
+ * What a leader has learned, for its successors.
+ */
+struct  Teasel__LearnedPair
+{
+  ProtobufCMessage base;
+  char *filler;
+  char *serving;
+  double weight;
+};
+#define TEASEL__LEARNED_PAIR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__learned_pair__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Teasel__LearnedQueue
+{
+  ProtobufCMessage base;
+  char *queue;
+  double estimate_error;
+};
+#define TEASEL__LEARNED_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__learned_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Teasel__LearnedRecord
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Teasel__LearnedPair **pairs;
+  size_t n_queues;
+  Teasel__LearnedQueue **queues;
+};
+#define TEASEL__LEARNED_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__learned_record__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /*
  * Value of the key that names the leading scheduler.
  */
@@ -560,6 +602,63 @@
 void   teasel__job_record__free_unpacked
                      (Teasel__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__LearnedPair methods */
+void   teasel__learned_pair__init
+                     (Teasel__LearnedPair         *message);
+size_t teasel__learned_pair__get_packed_size
+                     (const Teasel__LearnedPair   *message);
+size_t teasel__learned_pair__pack
+                     (const Teasel__LearnedPair   *message,
+                      uint8_t             *out);
+size_t teasel__learned_pair__pack_to_buffer
+                     (const Teasel__LearnedPair   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__LearnedPair *
+       teasel__learned_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__learned_pair__free_unpacked
+                     (Teasel__LearnedPair *message,
+                      ProtobufCAllocator *allocator);
+/* Teasel__LearnedQueue methods */
+void   teasel__learned_queue__init
+                     (Teasel__LearnedQueue         *message);
+size_t teasel__learned_queue__get_packed_size
+                     (const Teasel__LearnedQueue   *message);
+size_t teasel__learned_queue__pack
+                     (const Teasel__LearnedQueue   *message,
+                      uint8_t             *out);
+size_t teasel__learned_queue__pack_to_buffer
+                     (const Teasel__LearnedQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__LearnedQueue *
+       teasel__learned_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__learned_queue__free_unpacked
+                     (Teasel__LearnedQueue *message,
+                      ProtobufCAllocator *allocator);
+/* Teasel__LearnedRecord methods */
+void   teasel__learned_record__init
+                     (Teasel__LearnedRecord         *message);
+size_t teasel__learned_record__get_packed_size
+                     (const Teasel__LearnedRecord   *message);
+size_t teasel__learned_record__pack
+                     (const Teasel__LearnedRecord   *message,
+                      uint8_t             *out);
+size_t teasel__learned_record__pack_to_buffer
+                     (const Teasel__LearnedRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__LearnedRecord *
+       teasel__learned_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__learned_record__free_unpacked
+                     (Teasel__LearnedRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__LeaderRecord methods */
 void   teasel__leader_record__init
                      (Teasel__LeaderRecord         *message);
@@ -881,6 +980,15 @@
 typedef void (*Teasel__JobRecord_Closure)
                  (const Teasel__JobRecord *message,
                   void *closure_data);
+typedef void (*Teasel__LearnedPair_Closure)
+                 (const Teasel__LearnedPair *message,
+                  void *closure_data);
+typedef void (*Teasel__LearnedQueue_Closure)
+                 (const Teasel__LearnedQueue *message,
+                  void *closure_data);
+typedef void (*Teasel__LearnedRecord_Closure)
+                 (const Teasel__LearnedRecord *message,
+                  void *closure_data);
 typedef void (*Teasel__LeaderRecord_Closure)
                  (const Teasel__LeaderRecord *message,
                   void *closure_data);
@@ -940,6 +1048,9 @@
 extern const ProtobufCMessageDescriptor teasel__task_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__occurrence_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__job_record__descriptor;
+extern const ProtobufCMessageDescriptor teasel__learned_pair__descriptor;
+extern const ProtobufCMessageDescriptor teasel__learned_queue__descriptor;
+extern const ProtobufCMessageDescriptor teasel__learned_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__leader_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__scheduler_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__peer_hello__descriptor;
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -208,6 +208,11 @@
         for (auto &[key, value] : stored) {
             g_autoptr(GError) error = nullptr;
 
+            if (key == SCHED_LEARNED_KEY) {
+                g_assert(
+                    sched_load_learned(sched, value.data(), value.size()));
+                continue;
+            }
             g_assert(sched_load(sched, value.data(), value.size(), &error));
         }
     }
--- a/tests/unit/sched_model_test.cc
+++ b/tests/unit/sched_model_test.cc
@@ -376,6 +376,7 @@
         ASSERT_TRUE(world.faults.empty())
             << "calm step " << i << ": " << world.faults[0];
     }
+    world.core.stored.erase(SCHED_LEARNED_KEY);
     for (auto &[id, record] : world.core.stored) {
         EXPECT_EQ(world.core.shown(id), SCHED_JOB_COMPLETED) << id;
     }
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -401,6 +401,46 @@
     EXPECT_EQ(core.orders(A).starts.size(), 1U);
 }
 
+// Guards against a successor that has to learn again which fillers disturb.
+TEST(Sched, HandsOnWhatItHasLearned)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched,
+                 make_spec("s", {{.long_running = true, .target_ms = 10}}));
+    core.settle();
+    core.orders(A);
+    for (int i = 0; i < 44; i++) {
+        Report report(A);
+
+        /* A filler comes, and the tail stays as low as before. */
+        if (i == 4) {
+            sched_submit(core.sched,
+                         make_spec("f", {{.cpu = 500, .filler = true}}));
+            core.settle();
+        }
+        report.runs({"s.0.0.0", 1}, 3);
+        if (i > 4) {
+            report.runs({"f.0.0.0", 1}, 500);
+        }
+        report.message.has_figures = true;
+        core.report(report);
+        fake_clock_advance_ms(&core.clock, 500);
+        core.settle();
+    }
+    EXPECT_FALSE(core.stored[SCHED_LEARNED_KEY].empty());
+    core.restart();
+    Report report(A);
+    report.runs({"s.0.0.0", 1}, 7).runs({"f.0.0.0", 1}, 500);
+    core.report(report);
+    /* With the weight of an unknown pair the tail would be predicted at 1.7
+       of the target. */
+    sched_submit(core.sched, make_spec("g", {{.cpu = 2000, .filler = true}}));
+    core.settle();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"g.0.0.0", 1}}));
+}
+
 // Guards against a late job that delays those that can still be in time.
 TEST(Sched, PutsLateJobsLast)
 {
