--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -320,7 +320,7 @@
 {
     bool any = !list_is_empty(&sched->dirty) ||
                !list_is_empty(&sched->staged) || sched->cursors_moved ||
-               sched->dropped->len > 0;
+               sched->dropped->len > 0 || sched_learned_is_due(sched);
 
     if (!any || sched->committing) {
         return false;
