--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -29,11 +29,9 @@
     char *control_listen;
     char *metrics_listen;
     char *store_address;
-    int64_t max_lease_ms;
     int64_t report_ms;
     int64_t silence_ms;
     int64_t poll_wait_ms;
-    int64_t stop_run_ms;
 } node_settings_t;
 
 bool node_settings_load(const char *path, node_settings_t *out,
--- a/libteasel/node/node_settings.c
+++ b/libteasel/node/node_settings.c
@@ -16,11 +16,9 @@
     {FIELD(control_listen), .type = SETTING_ADDRESS, .required = true},
     {FIELD(metrics_listen), .type = SETTING_ADDRESS},
     {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
-    INTEGER(max_lease_ms, 500, 600000, 10000),
     INTEGER(report_ms, 50, 60000, 500),
     INTEGER(silence_ms, 100, 60000, 1500),
     INTEGER(poll_wait_ms, 0, 2000, 500),
-    INTEGER(stop_run_ms, 0, 60000, 1000),
     {.key = NULL},
 };
 
--- a/libteasel/operator/ctl.h
+++ b/libteasel/operator/ctl.h
@@ -94,6 +94,7 @@
 int ctl_run_audit(ctl_t *ctl);
 int ctl_run_diff(ctl_t *ctl);
 int ctl_run_drain(ctl_t *ctl);
+int ctl_run_explain(ctl_t *ctl);
 int ctl_run_jobs(ctl_t *ctl);
 int ctl_run_members(ctl_t *ctl);
 int ctl_run_show(ctl_t *ctl);
--- a/libteasel/operator/ctl_main.c
+++ b/libteasel/operator/ctl_main.c
@@ -7,6 +7,7 @@
 enum {
     DEFAULT_TIMEOUT_MS = 10000,
     MAX_TIMEOUT_MS = 600000,
+    MAX_LOGS = 1000, /* arguments of explain */
 };
 
 static const char *const no_options[] = {NULL};
@@ -30,6 +31,9 @@
      ctl_run_members},
     {"drain", "AGENT", "give an agent no new work, or end that (--off)", 1, 1,
      drain_options, ctl_run_drain},
+    {"explain", "ID LOGFILE...",
+     "tell the story of a job from the logs of the processes", 2, MAX_LOGS,
+     no_options, ctl_run_explain},
     {"audit", "", "tell who changed what, when and why", 0, 0, audit_options,
      ctl_run_audit},
 };
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -236,7 +236,8 @@
               "task=%s run=%u executor=%s how=%s age_ms=%" G_GINT64_FORMAT
               " failures=%u",
               name, task->run, task->place->key, sched_end_to_string(how),
-              sched_now_ms(sched) - task->placed_ms, task->failures);
+              task->placed_ms > 0 ? sched_now_ms(sched) - task->placed_ms : -1,
+              task->failures);
 }
 
 void
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -137,7 +137,6 @@
         one.settings.report_ms = 100;
         one.settings.silence_ms = 800;
         one.settings.poll_wait_ms = 500;
-        one.settings.stop_run_ms = 100;
         opts.loop = loop;
         opts.clock = clock_system();
         opts.store = &one.view->base;
