Let the level of a tail follow its load faster than the weights

Cause: the tail of a serving task swings with its load; with a slow level the swing went into the weights of the fillers beside it, which then were kept from places where they disturb nobody.

--- a/libteasel/sched/interference.c
+++ b/libteasel/sched/interference.c
@@ -7,8 +7,8 @@
    executor adds a quarter of the target. */
 static const double UNKNOWN_WEIGHT = 2.0;
 static const double MAX_WEIGHT = 20.0;
-static const double WEIGHT_RATE = 0.5;
-static const double LEVEL_RATE = 0.25;
+static const double WEIGHT_RATE = 0.2;
+static const double LEVEL_RATE = 0.4;
 /* Keeps the steps small where fillers use little of the executor. */
 static const double REGULARIZATION = 0.004;
 
