Tell a restarted agent which of the runs it finds it has to pace

Cause: an agent learned from the start order only that a run is a filler or has a latency target. After a restart it found the runs in the lists of its executor, knew neither, and paced nothing; a filler that its predecessor had slowed down stayed slow, since the new agent took its pace for 100 percent. The leader now answers a complete list with the traits of its runs, and the pace of a run that was found, or whose call was not answered, counts as unknown.

Found by reading.

Tests: TellsARestartedAgentWhatItFinds and PacesFillersAfterARestartOfTheAgent; the second fails in its first half without the traits and in its second half without the unknown pace.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -370,6 +370,7 @@
 
     if (run == NULL) {
         run = run_new(executor, order->task, order->run);
+        run->pace_known = true;
         run->payload = g_strdup(order->payload);
         run->checkpoint = g_strdup(order->checkpoint);
     }
@@ -377,6 +378,17 @@
     run->latency_target_ms = order->latency_target_ms;
 }
 
+static void
+take_traits(node_executor_t *executor, const Teasel__RunTraits *traits)
+{
+    run_t *run = run_find(executor, traits->task, traits->run);
+
+    if (run != NULL) {
+        run->filler = traits->filler;
+        run->latency_target_ms = traits->latency_target_ms;
+    }
+}
+
 static void
 take_stop(node_executor_t *executor, const Teasel__RunRef *order)
 {
@@ -403,5 +415,8 @@
     for (size_t i = 0; i < orders->n_starts; i++) {
         take_start(executor, orders->starts[i]);
     }
+    for (size_t i = 0; i < orders->n_traits; i++) {
+        take_traits(executor, orders->traits[i]);
+    }
     node_executor_check(executor);
 }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -39,8 +39,9 @@
     int64_t phase_ms;
     int64_t retry_ms;
     int64_t seen_ms; /* last listed as running */
-    /* pace of a filler */
+    /* pace of a filler; a predecessor may have set that of a found run */
     uint32_t pace;
+    bool pace_known;
     bool pacing;
 } run_t;
 
--- a/libteasel/node/pace.c
+++ b/libteasel/node/pace.c
@@ -65,6 +65,8 @@
 
     if (run != NULL) {
         run->pacing = false;
+        /* A call without answer may have had an effect. */
+        run->pace_known = result == EXECUTOR_OK;
         if (result == EXECUTOR_OK) {
             run->pace = call->pace;
         }
@@ -79,7 +81,7 @@
     node_executor_t *executor = run->executor;
     pace_call_t *call;
 
-    if (run->pacing || pace == run->pace) {
+    if (run->pacing || (run->pace_known && pace == run->pace)) {
         return;
     }
     call = g_new(pace_call_t, 1);
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -48,6 +48,7 @@
  * @end_taken: @end_seen when the records that are being written were made
  * @end_stored: newest end whose effect is stored; the executor may forget it
  * @end_sent: last cursor that was sent to the agent
+ * @untold: its agent, perhaps restarted, does not know the traits of its runs
  * @orders: tasks with a start or stop to be sent
  * @strays: runs to be stopped
  * @slowness: moving average of run times against those of other executors;
@@ -79,6 +80,7 @@
     uint64_t end_taken;
     uint64_t end_stored;
     uint64_t end_sent;
+    bool untold;
     list_t tasks;
     list_t orders;
     GPtrArray *strays; /* sched_stray_t */
--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -38,6 +38,37 @@
     return stop;
 }
 
+static Teasel__RunTraits *
+new_traits(const sched_task_t *task)
+{
+    Teasel__RunTraits *traits = g_new(Teasel__RunTraits, 1);
+    const Teasel__StepSpec *step = task->step->spec;
+
+    teasel__run_traits__init(traits);
+    traits->task = new_task_name(task);
+    traits->run = task->run;
+    traits->latency_target_ms = step->latency_target_ms;
+    traits->filler = step->filler;
+    return traits;
+}
+
+/* An agent that was restarted finds runs whose orders it has not seen. */
+static void
+add_traits(sched_executor_t *executor, GPtrArray *traits)
+{
+    if (!executor->untold) {
+        return;
+    }
+    executor->untold = false;
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, place_link) {
+        const Teasel__StepSpec *step = task->step->spec;
+
+        if (task->sent && (step->filler || step->latency_target_ms > 0)) {
+            g_ptr_array_add(traits, new_traits(task));
+        }
+    }
+}
+
 static void
 add_order(sched_task_t *task, GPtrArray *starts, GPtrArray *stops)
 {
@@ -67,14 +98,17 @@
 {
     GPtrArray *starts;
     GPtrArray *stops;
+    GPtrArray *traits;
     Teasel__ExecutorOrders *orders;
 
     if (list_is_empty(&executor->orders) && executor->strays->len == 0 &&
-        executor->end_sent == executor->end_stored) {
+        !executor->untold && executor->end_sent == executor->end_stored) {
         return NULL;
     }
     starts = g_ptr_array_new();
     stops = g_ptr_array_new();
+    traits = g_ptr_array_new();
+    add_traits(executor, traits);
     while (!list_is_empty(&executor->orders)) {
         sched_task_t *task =
             LIST_ENTRY(executor->orders.next, sched_task_t, order_link);
@@ -92,6 +126,8 @@
     orders->starts = (Teasel__StartOrder **)g_ptr_array_free(starts, FALSE);
     orders->n_stops = stops->len;
     orders->stops = (Teasel__RunRef **)g_ptr_array_free(stops, FALSE);
+    orders->n_traits = traits->len;
+    orders->traits = (Teasel__RunTraits **)g_ptr_array_free(traits, FALSE);
     return orders;
 }
 
@@ -108,6 +144,11 @@
         g_free(orders->stops[i]->task);
         g_free(orders->stops[i]);
     }
+    for (size_t i = 0; i < orders->n_traits; i++) {
+        g_free(orders->traits[i]->task);
+        g_free(orders->traits[i]);
+    }
+    g_free(orders->traits);
     g_free(orders->starts);
     g_free(orders->stops);
     g_free(orders->key);
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -457,6 +457,7 @@
     if (report->listed) {
         executor->listed = true;
         executor->end_sent = 0;
+        executor->untold = true;
         repeat_orders(sched, executor);
     }
 }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -997,6 +997,51 @@
   assert(message->base.descriptor == &teasel__start_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__run_traits__init
+                     (Teasel__RunTraits         *message)
+{
+  static const Teasel__RunTraits init_value = TEASEL__RUN_TRAITS__INIT;
+  *message = init_value;
+}
+size_t teasel__run_traits__get_packed_size
+                     (const Teasel__RunTraits *message)
+{
+  assert(message->base.descriptor == &teasel__run_traits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__run_traits__pack
+                     (const Teasel__RunTraits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__run_traits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__run_traits__pack_to_buffer
+                     (const Teasel__RunTraits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__run_traits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__RunTraits *
+       teasel__run_traits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__RunTraits *)
+     protobuf_c_message_unpack (&teasel__run_traits__descriptor,
+                                allocator, len, data);
+}
+void   teasel__run_traits__free_unpacked
+                     (Teasel__RunTraits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__run_traits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__executor_orders__init
                      (Teasel__ExecutorOrders         *message)
 {
@@ -3237,7 +3282,84 @@
   (ProtobufCMessageInit) teasel__start_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__executor_orders__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__run_traits__field_descriptors[4] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunTraits, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunTraits, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_target_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunTraits, latency_target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filler",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunTraits, filler),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__run_traits__field_indices_by_name[] = {
+  3,   /* field[3] = filler */
+  2,   /* field[2] = latency_target_ms */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange teasel__run_traits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor teasel__run_traits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.RunTraits",
+  "RunTraits",
+  "Teasel__RunTraits",
+  "teasel",
+  sizeof(Teasel__RunTraits),
+  4,
+  teasel__run_traits__field_descriptors,
+  teasel__run_traits__field_indices_by_name,
+  1,  teasel__run_traits__number_ranges,
+  (ProtobufCMessageInit) teasel__run_traits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__executor_orders__field_descriptors[5] =
 {
   {
     "key",
@@ -3287,17 +3409,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "traits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__ExecutorOrders, n_traits),
+    offsetof(Teasel__ExecutorOrders, traits),
+    &teasel__run_traits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__executor_orders__field_indices_by_name[] = {
   1,   /* field[1] = end_cursor */
   0,   /* field[0] = key */
   2,   /* field[2] = starts */
   3,   /* field[3] = stops */
+  4,   /* field[4] = traits */
 };
 static const ProtobufCIntRange teasel__executor_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__executor_orders__descriptor =
 {
@@ -3307,7 +3442,7 @@
   "Teasel__ExecutorOrders",
   "teasel",
   sizeof(Teasel__ExecutorOrders),
-  4,
+  5,
   teasel__executor_orders__field_descriptors,
   teasel__executor_orders__field_indices_by_name,
   1,  teasel__executor_orders__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Teasel__Capacity Teasel__Capacity;
 typedef struct Teasel__NodeReport Teasel__NodeReport;
 typedef struct Teasel__StartOrder Teasel__StartOrder;
+typedef struct Teasel__RunTraits Teasel__RunTraits;
 typedef struct Teasel__ExecutorOrders Teasel__ExecutorOrders;
 typedef struct Teasel__NodeOrders Teasel__NodeOrders;
 
@@ -464,6 +465,22 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * What an agent has to know of a run that it found on its executor.
+ */
+struct  Teasel__RunTraits
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+  uint32_t latency_target_ms;
+  protobuf_c_boolean filler;
+};
+#define TEASEL__RUN_TRAITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__run_traits__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Teasel__ExecutorOrders
 {
   ProtobufCMessage base;
@@ -476,10 +493,12 @@
   Teasel__StartOrder **starts;
   size_t n_stops;
   Teasel__RunRef **stops;
+  size_t n_traits;
+  Teasel__RunTraits **traits;
 };
 #define TEASEL__EXECUTOR_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__executor_orders__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Teasel__NodeOrders
@@ -921,6 +940,25 @@
 void   teasel__start_order__free_unpacked
                      (Teasel__StartOrder *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__RunTraits methods */
+void   teasel__run_traits__init
+                     (Teasel__RunTraits         *message);
+size_t teasel__run_traits__get_packed_size
+                     (const Teasel__RunTraits   *message);
+size_t teasel__run_traits__pack
+                     (const Teasel__RunTraits   *message,
+                      uint8_t             *out);
+size_t teasel__run_traits__pack_to_buffer
+                     (const Teasel__RunTraits   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__RunTraits *
+       teasel__run_traits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__run_traits__free_unpacked
+                     (Teasel__RunTraits *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__ExecutorOrders methods */
 void   teasel__executor_orders__init
                      (Teasel__ExecutorOrders         *message);
@@ -1027,6 +1065,9 @@
 typedef void (*Teasel__StartOrder_Closure)
                  (const Teasel__StartOrder *message,
                   void *closure_data);
+typedef void (*Teasel__RunTraits_Closure)
+                 (const Teasel__RunTraits *message,
+                  void *closure_data);
 typedef void (*Teasel__ExecutorOrders_Closure)
                  (const Teasel__ExecutorOrders *message,
                   void *closure_data);
@@ -1061,6 +1102,7 @@
 extern const ProtobufCMessageDescriptor teasel__capacity__descriptor;
 extern const ProtobufCMessageDescriptor teasel__node_report__descriptor;
 extern const ProtobufCMessageDescriptor teasel__start_order__descriptor;
+extern const ProtobufCMessageDescriptor teasel__run_traits__descriptor;
 extern const ProtobufCMessageDescriptor teasel__executor_orders__descriptor;
 extern const ProtobufCMessageDescriptor teasel__node_orders__descriptor;
 
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -2,6 +2,7 @@
 #define TEASEL_TESTS_SCHED_FIXTURE_H
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -279,6 +280,8 @@
         std::vector<TaskRun> starts;
         std::vector<TaskRun> stops;
         std::map<TaskRun, std::string> checkpoints;
+        std::map<TaskRun, uint32_t> targets; /* of traits */
+        std::set<TaskRun> fillers;           /* of traits */
         uint64_t cursor = 0;
     };
     Orders
@@ -307,6 +310,15 @@
                 out.stops.emplace_back(orders->stops[i]->task,
                                        orders->stops[i]->run);
             }
+            for (size_t i = 0; i < orders->n_traits; i++) {
+                const Teasel__RunTraits *traits = orders->traits[i];
+                TaskRun run(traits->task, traits->run);
+
+                out.targets[run] = traits->latency_target_ms;
+                if (traits->filler) {
+                    out.fillers.insert(run);
+                }
+            }
             out.cursor = orders->end_cursor;
             sched_orders_free(orders);
         }
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -316,4 +316,33 @@
     EXPECT_TRUE(all.wait([&] { return executor.paces.back().second == 100; }));
 }
 
+// Guards against an agent that, once restarted, neither slows down fillers nor
+// lets those work again that its predecessor slowed down.
+TEST(Deployment, PacesFillersAfterARestartOfTheAgent)
+{
+    Deployment all(1, 1, PORT);
+    FakeExecutor &executor = all.nodes[0]->executor;
+
+    ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
+    executor.work_ms = 60000;
+    all.call(0, JOB_VERB_SUBMIT, "f", make_spec("f", {{.filler = true}}));
+    ASSERT_TRUE(all.wait([&] { return executor.running.size() == 1; }));
+    all.call(0, JOB_VERB_SUBMIT, "s",
+             make_spec("s", {{.long_running = true, .target_ms = 10}}));
+    ASSERT_TRUE(all.wait([&] { return executor.running.size() == 2; }));
+    node_free(all.nodes[0]->node);
+    all.start_node(0);
+    executor.running["s.0.0.0"].figure = 30;
+    ASSERT_TRUE(all.wait([&] {
+        return !executor.paces.empty() && executor.paces.back().second == 0;
+    }));
+    node_free(all.nodes[0]->node);
+    executor.paces.clear();
+    executor.running["s.0.0.0"].figure = 3;
+    all.start_node(0);
+    EXPECT_TRUE(all.wait([&] {
+        return !executor.paces.empty() && executor.paces.back().second == 100;
+    }));
+}
+
 } // namespace
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -426,6 +426,33 @@
     EXPECT_EQ(core.orders(A).starts.size(), 1U);
 }
 
+// Guards against an agent that is restarted beside a running executor and, as
+// it has not seen the start orders, never slows a filler down (HARM).
+TEST(Sched, TellsARestartedAgentWhatItFinds)
+{
+    Core core;
+    TaskRun serving = {"s.0.0.0", 1};
+    TaskRun filler = {"f.0.0.0", 1};
+
+    connect(core, A);
+    sched_submit(core.sched,
+                 make_spec("s", {{.long_running = true, .target_ms = 10}}));
+    sched_submit(core.sched, make_spec("f", {{.cpu = 100, .filler = true}}));
+    sched_submit(core.sched, make_spec("p", {{}}));
+    core.settle();
+    core.orders(A);
+    sched_disconnect(core.sched, "node");
+    Report report(A);
+    report.runs(serving).runs(filler).runs({"p.0.0.0", 1});
+    core.report(report);
+    core.settle();
+    Core::Orders orders = core.orders(A);
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_EQ(orders.targets,
+              (std::map<TaskRun, uint32_t>{{filler, 0}, {serving, 10}}));
+    EXPECT_EQ(orders.fillers, std::set<TaskRun>{filler});
+}
+
 // Guards against a successor that has to learn again which fillers disturb.
 TEST(Sched, HandsOnWhatItHasLearned)
 {
