Repeat a write whose answer is lost after some usual answer times

Cause: a lost answer held up all decisions for 1 s, the longest time that an answer of the store may take, although answers take 4 ms; submissions waited past their limit and were answered as unknown. The leader now repeats the write, which its sequence makes safe, after four times the usual time of an answer (150 ms at least), and doubles that up to 1 s, so that a slow store is not pressed. A lost answer alone no longer counts as a store that is away before 500 ms; refusals still do after 200 ms.

Test: RepeatsALostWriteSoonThenLater.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -11,6 +11,13 @@
     WRITE_RETRY_MS = 50,
     /* Longer than the slowest write that the platform announces. */
     WRITE_SLOW_MS = 500,
+    /* Refusals for this long mean that the store is away. */
+    REFUSED_MS = 200,
+    /* A lost answer is found out by a repeat, which the store answers as the
+       first time; it is sent after some times the usual time of an answer. */
+    MIN_TIMEOUT_MS = 150,
+    MAX_TIMEOUT_MS = 1000,
+    TIMEOUT_ANSWERS = 4,
     /* Age of the proof of leadership at which it is renewed by a call. */
     RENEW_MS = 1000,
     LOAD_LOG_MS = 2000,
@@ -45,6 +52,9 @@
     }
 }
 
+/* Share of a new answer in the moving average of their time. */
+static const double ANSWER_WEIGHT = 0.3;
+
 static void
 set_store_fails(leader_t *leader, bool fails)
 {
@@ -81,6 +91,10 @@
     int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
 
     leader->proof_ms = leader->write_sent_ms;
+    leader->answer_ms +=
+        ANSWER_WEIGHT *
+        ((double)(leader_now_ms(leader) - leader->write_sent_ms) -
+         leader->answer_ms);
     leader->writes++;
     histogram_add(leader->write_us, (uint64_t)MAX(0, took_ms) * 1000);
     set_store_fails(leader, false);
@@ -107,6 +121,22 @@
     leader_wake(leader);
 }
 
+static void
+retry_write(leader_t *leader, store_status_t status)
+{
+    int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
+
+    leader->write_retries++;
+    if (status == STORE_UNKNOWN) {
+        leader->write_tries++;
+        set_store_fails(leader, took_ms > WRITE_SLOW_MS);
+        loop_timer_start(&leader->retry, 0);
+        return;
+    }
+    set_store_fails(leader, took_ms > REFUSED_MS);
+    loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+}
+
 static void
 on_written(store_status_t status, uint64_t offset, void *data)
 {
@@ -129,16 +159,24 @@
                                leader->opts.data);
         return;
     default:
-        leader->write_retries++;
         leader->writing = false;
-        set_store_fails(leader,
-                        leader_now_ms(leader) - leader->write_began_ms >
-                            WRITE_RETRY_MS * 4);
-        loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+        retry_write(leader, status);
         return;
     }
 }
 
+static uint64_t
+get_timeout_ms(const leader_t *leader)
+{
+    double timeout_ms =
+        MAX(MIN_TIMEOUT_MS, TIMEOUT_ANSWERS * leader->answer_ms);
+
+    for (unsigned i = 0; i < leader->write_tries; i++) {
+        timeout_ms = MIN(MAX_TIMEOUT_MS, timeout_ms * 2);
+    }
+    return (uint64_t)MIN(MAX_TIMEOUT_MS, timeout_ms);
+}
+
 /* Sends the write under way, again if it was not answered: the store knows a
    repeat by its sequence. */
 static void
@@ -151,6 +189,7 @@
         .producer = JOBS_PRODUCER,
         .epoch = leader->opts.epoch,
         .sequence = leader->sequence,
+        .timeout_ms = get_timeout_ms(leader),
     };
 
     for (guint i = 0; leader->changes && i < leader->changes->len; i++) {
@@ -174,6 +213,7 @@
 begin_write(leader_t *leader)
 {
     leader->write_began_ms = leader_now_ms(leader);
+    leader->write_tries = 0;
     send_write(leader);
 }
 
@@ -315,7 +355,7 @@
     if (status != STORE_OK) {
         set_store_fails(leader,
                         leader_now_ms(leader) - leader->write_began_ms >
-                            WRITE_RETRY_MS * 4);
+                            REFUSED_MS);
         loop_timer_start(&leader->retry, WRITE_RETRY_MS);
         return;
     }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -62,6 +62,8 @@
     uint64_t sequence;
     int64_t write_began_ms; /* first attempt of the write under way */
     int64_t write_sent_ms;  /* last attempt */
+    unsigned write_tries;   /* of the write under way, without an answer */
+    double answer_ms;       /* moving average of the time of an answer */
     int64_t proof_ms; /* a write sent then has shown that nobody else leads */
     bool store_fails;
     int64_t load_logged_ms;
--- a/libteasel/store/store.h
+++ b/libteasel/store/store.h
@@ -43,6 +43,8 @@
  * @check_end: append only if the topic ends at @expected_end
  * @producer: name of the writer that is fenced by epochs, or NULL
  * @sequence: of this append within the epoch; a repeat is answered as before
+ * @timeout_ms: without an answer for this long the status is unknown; 0 for
+ *     that of the store
  *
  * An append of no records only sets the epoch.
  */
@@ -55,6 +57,7 @@
     const char *producer;
     uint64_t epoch;
     uint64_t sequence;
+    uint64_t timeout_ms;
 } store_append_t;
 
 /**
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -185,6 +185,7 @@
     status = do_append(view->store, append, &offset);
     if (view->lose_answers > 0) {
         view->lose_answers--;
+        view->lost_timeouts.push_back(append->timeout_ms);
         view->later(view->silence_ms, [=] { cb(STORE_UNKNOWN, 0, data); });
         return;
     }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -49,6 +49,7 @@
     bool silent = false;      /* no answer, no effect */
     int lose_answers = 0;     /* appends that take effect unanswered */
     uint64_t silence_ms = 30; /* until a lost call is given up */
+    std::vector<uint64_t> lost_timeouts; /* that lost appends asked for */
 
     struct Call {
         loop_timer_t timer;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -156,6 +156,24 @@
     EXPECT_EQ(all.leader_index(), leader);
 }
 
+// Guards against a lost answer that holds up all decisions for the longest
+// time that an answer may take, and against repeats that press on a slow
+// store.
+TEST(Deployment, RepeatsALostWriteSoonThenLater)
+{
+    Deployment all(1, 1, PORT);
+
+    ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
+    FakeStoreView &view = *all.schedulers[0]->view;
+    view.lose_answers = 5;
+    all.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}));
+    ASSERT_EQ(view.lost_timeouts.size(), 5U);
+    EXPECT_GT(view.lost_timeouts[0], 0U);
+    EXPECT_LT(view.lost_timeouts[0], view.lost_timeouts[1]);
+    EXPECT_LT(view.lost_timeouts[1], view.lost_timeouts[2]);
+    EXPECT_EQ(view.lost_timeouts[4], 1000U);
+}
+
 // Guards against a claim whose answer is lost, so that nobody leads.
 TEST(Deployment, LeadsAfterALostAnswerToItsClaim)
 {
