Free the records of calls that are under way when an executor's life ends

They are on a list now; starts, stops and paces share one record. The prefix of keyed topics is the platform's, so its adapter adds it.

--- a/libteasel/cluster/control.h
+++ b/libteasel/cluster/control.h
@@ -4,7 +4,7 @@
 /*
  * The control topic: who leads, and which schedulers exist.
  */
-#define CONTROL_TOPIC "keyed.control"
+#define CONTROL_TOPIC "control"
 #define CONTROL_KEY_LEADER "leader"
 #define CONTROL_SCHEDULER_PREFIX "scheduler/"
 
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -100,6 +100,7 @@
     executor->pace = 100;
     teasel__capacity__init(&executor->capacity);
     list_init(&executor->runs);
+    list_init(&executor->calls);
     list_append(&node->executors, &executor->link);
     node_executor_update(executor, info);
     event_log(EVENT_EXECUTOR_JOINED,
@@ -117,6 +118,9 @@
         run_free(run);
     }
     executor->api->vtbl->free(executor->api);
+    LIST_FOREACH_SAFE (call, &executor->calls, run_call_t, link) {
+        run_call_free(call);
+    }
     list_remove(&executor->link);
     g_ptr_array_unref(executor->ends);
     g_ptr_array_unref(executor->rejected);
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -45,6 +45,19 @@
     bool pacing;
 } run_t;
 
+/**
+ * struct run_call - a call on a run, which may end before the answer comes
+ * @link: on the list of its executor
+ * @pace: percentage that the call sets
+ */
+typedef struct run_call {
+    list_t link;
+    struct node_executor *executor;
+    char *task;
+    uint32_t run;
+    uint32_t pace;
+} run_call_t;
+
 /**
  * struct node_executor - one life of an executor
  * @key: unique name of this life
@@ -92,6 +105,7 @@
     guint ends_sent;
     GPtrArray *rejected;
     list_t runs;
+    list_t calls; /* run_call_t under way */
     unsigned starting;
     int64_t ending_ms;
     uint32_t pace; /* of the fillers on it, in percent */
@@ -153,6 +167,16 @@
 void run_free(run_t *run);
 void run_reject(run_t *run, const char *reason);
 
+run_call_t *run_call_new(const run_t *run);
+
+/**
+ * run_call_finish() - free a call that was answered
+ *
+ * Return: its run, or NULL if that has ended
+ */
+run_t *run_call_finish(run_call_t *call);
+void run_call_free(run_call_t *call);
+
 /**
  * run_check() - send the start, the stop or a repeat that is due
  *
--- a/libteasel/node/pace.c
+++ b/libteasel/node/pace.c
@@ -50,44 +50,34 @@
     return tail;
 }
 
-typedef struct pace_call {
-    node_executor_t *executor;
-    char *task;
-    uint32_t run;
-    uint32_t pace;
-} pace_call_t;
-
 static void
 on_paced(executor_result_t result, const char *reason, void *data)
 {
-    pace_call_t *call = data;
-    run_t *run = run_find(call->executor, call->task, call->run);
-
-    if (run != NULL) {
-        run->pacing = false;
-        /* A call without answer may have had an effect. */
-        run->pace_known = result == EXECUTOR_OK;
-        if (result == EXECUTOR_OK) {
-            run->pace = call->pace;
-        }
+    run_call_t *call = data;
+    uint32_t pace = call->pace;
+    run_t *run = run_call_finish(call);
+
+    if (run == NULL) {
+        return;
+    }
+    run->pacing = false;
+    /* A call without answer may have had an effect. */
+    run->pace_known = result == EXECUTOR_OK;
+    if (result == EXECUTOR_OK) {
+        run->pace = pace;
     }
-    g_free(call->task);
-    g_free(call);
 }
 
 static void
 set_pace(run_t *run, uint32_t pace)
 {
     node_executor_t *executor = run->executor;
-    pace_call_t *call;
+    run_call_t *call;
 
     if (run->pacing || (run->pace_known && pace == run->pace)) {
         return;
     }
-    call = g_new(pace_call_t, 1);
-    call->executor = executor;
-    call->task = g_strdup(run->task);
-    call->run = run->run;
+    call = run_call_new(run);
     call->pace = pace;
     run->pacing = true;
     executor->api->vtbl->pace(executor->api, run->task, run->run, pace,
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -67,32 +67,47 @@
     node_wake(executor->node);
 }
 
-/* A callback may come after its run has ended and was freed. */
-typedef struct run_call {
-    node_executor_t *executor;
-    char *task;
-    uint32_t run;
-} run_call_t;
-
-static run_call_t *
-begin_call(run_t *run)
+run_call_t *
+run_call_new(const run_t *run)
 {
-    run_call_t *call = g_new(run_call_t, 1);
+    run_call_t *call = g_new0(run_call_t, 1);
 
     call->executor = run->executor;
     call->task = g_strdup(run->task);
     call->run = run->run;
-    run->calling = true;
+    list_append(&run->executor->calls, &call->link);
     return call;
 }
 
+void
+run_call_free(run_call_t *call)
+{
+    list_remove(&call->link);
+    g_free(call->task);
+    g_free(call);
+}
+
+run_t *
+run_call_finish(run_call_t *call)
+{
+    run_t *run = run_find(call->executor, call->task, call->run);
+
+    run_call_free(call);
+    return run;
+}
+
+static run_call_t *
+begin_call(run_t *run)
+{
+    run->calling = true;
+    return run_call_new(run);
+}
+
 static run_t *
 end_call(run_call_t *call)
 {
-    run_t *run = run_find(call->executor, call->task, call->run);
+    run_t *run = run_call_finish(call);
 
-    g_free(call->task);
-    g_free(call);
     if (run != NULL) {
         run->calling = false;
     }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -5,7 +5,7 @@
 #include "base/list.h"
 #include "scheduler/leader.h"
 
-#define JOBS_TOPIC "keyed.jobs"
+#define JOBS_TOPIC "jobs"
 #define JOBS_PRODUCER "jobs"
 
 /**
