Do not send the addresses of all schedulers in the status between schedulers

Cause: each status, sent to every other scheduler every 200 ms, held the addresses of all schedulers, which only agents use, so that the bytes of a scheduler grew with the square of their number. Agents still get the addresses when they report to a scheduler that does not lead.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -79,8 +79,7 @@
 }
 
 void
-cluster_write_status(const cluster_t *cluster, Teasel__PeerStatus *status,
-                     GPtrArray *addresses)
+cluster_write_status(const cluster_t *cluster, Teasel__PeerStatus *status)
 {
     int64_t now_ms = cluster_now_ms(cluster);
 
@@ -97,12 +96,6 @@
     status->store_usable = cluster->leading
                                ? !cluster->store_fails
                                : now_ms - cluster->probe_ok_ms < FRESH_MS;
-    g_ptr_array_add(addresses, cluster->address);
-    LIST_FOREACH (member, &cluster->members, member_t, link) {
-        g_ptr_array_add(addresses, member->address);
-    }
-    status->n_schedulers = addresses->len;
-    status->schedulers = (char **)addresses->pdata;
 }
 
 static void
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -114,10 +114,9 @@
 
 /**
  * cluster_write_status() - fill the status that peers are sent
- * @addresses: gets the addresses of the schedulers, not owned
  */
-void cluster_write_status(const cluster_t *cluster, Teasel__PeerStatus *status,
-                          GPtrArray *addresses);
+void cluster_write_status(const cluster_t *cluster,
+                          Teasel__PeerStatus *status);
 
 #ifdef __cplusplus
 }
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -16,19 +16,44 @@
 };
 
 static void
-send_status_to(peer_t *peer, cluster_t *cluster, uint64_t echo_us)
+send_status(peer_t *peer, Teasel__PeerStatus *status)
 {
-    g_autoptr(GPtrArray) addresses = g_ptr_array_new();
-    Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
     Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
 
-    cluster_write_status(cluster, &status, addresses);
-    status.echo_us = echo_us;
     envelope.body_case = TEASEL__ENVELOPE__BODY_PEER_STATUS;
-    envelope.peer_status = &status;
+    envelope.peer_status = status;
     peer_send(peer, &envelope);
 }
 
+static void
+send_status_to(peer_t *peer, cluster_t *cluster, uint64_t echo_us)
+{
+    Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
+
+    cluster_write_status(cluster, &status);
+    status.echo_us = echo_us;
+    send_status(peer, &status);
+}
+
+/* An agent looks for the leader and learns all addresses. Schedulers read
+   these from the store, so that the messages between them do not grow with
+   their number. */
+static void
+send_status_to_node(peer_t *peer, cluster_t *cluster)
+{
+    g_autoptr(GPtrArray) addresses = g_ptr_array_new();
+    Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
+
+    cluster_write_status(cluster, &status);
+    g_ptr_array_add(addresses, cluster->address);
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        g_ptr_array_add(addresses, member->address);
+    }
+    status.n_schedulers = addresses->len;
+    status.schedulers = (char **)addresses->pdata;
+    send_status(peer, &status);
+}
+
 void
 cluster_send_status(cluster_t *cluster)
 {
@@ -230,7 +255,7 @@
         break;
     case TEASEL__ENVELOPE__BODY_NODE_REPORT:
         if (!inbound->cluster->leading) {
-            send_status_to(peer, inbound->cluster, 0);
+            send_status_to_node(peer, inbound->cluster);
         }
         else if (inbound->name != NULL) {
             opts->handler->on_report(peer, inbound->name, message->node_report,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -289,7 +289,7 @@
    */
   uint64_t echo_us;
   /*
-   * addresses
+   * addresses, only to agents
    */
   size_t n_schedulers;
   char **schedulers;
