--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -5,6 +5,10 @@
 
 #include "deployment.h"
 
+extern "C" {
+#include "wire/peer.h"
+}
+
 namespace {
 
 enum {
@@ -363,4 +367,74 @@
     }));
 }
 
+/* A connection to a scheduler that notes the statuses it gets. */
+struct StatusReader {
+    peer_handler_t handler = {};
+    peer_t *peer = nullptr;
+    bool open = false;
+    std::vector<size_t> address_counts;
+
+    StatusReader(loop_t *loop, const char *address)
+    {
+        peer_opts_t opts = {};
+
+        handler.on_open = [](peer_t *, void *data) {
+            static_cast<StatusReader *>(data)->open = true;
+        };
+        handler.on_message = [](peer_t *, const Teasel__Envelope *message,
+                                void *data) {
+            if (message->body_case == TEASEL__ENVELOPE__BODY_PEER_STATUS) {
+                static_cast<StatusReader *>(data)->address_counts.push_back(
+                    message->peer_status->n_schedulers);
+            }
+        };
+        handler.on_close = [](peer_t *, const char *, void *data) {
+            static_cast<StatusReader *>(data)->peer = nullptr;
+        };
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.handler = &handler;
+        opts.data = this;
+        opts.max_queued_bytes = 1024 * 1024;
+        opts.silence_ms = 5000;
+        opts.ping_ms = 1000;
+        peer = peer_connect(&opts, address, nullptr);
+    }
+    ~StatusReader()
+    {
+        if (peer != nullptr) {
+            peer_close(peer);
+        }
+    }
+};
+
+// Guards against statuses between schedulers that grow with their number, and
+// against agents that do not learn where the schedulers are.
+TEST(Deployment, TellsAddressesOnlyToAgents)
+{
+    Deployment all(3, 1, PORT);
+
+    ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
+    int other = (all.leader_index() + 1) % 3;
+    StatusReader reader(all.loop, all.schedulers[other]->address);
+    Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
+    Teasel__NodeReport report = TEASEL__NODE_REPORT__INIT;
+    Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+    char name[] = "";
+
+    ASSERT_TRUE(all.wait([&] { return reader.open; }));
+    status.name = name;
+    status.leader_address = name;
+    envelope.body_case = TEASEL__ENVELOPE__BODY_PEER_STATUS;
+    envelope.peer_status = &status;
+    peer_send(reader.peer, &envelope);
+    ASSERT_TRUE(all.wait([&] { return reader.address_counts.size() == 1; }));
+    EXPECT_EQ(reader.address_counts[0], 0U);
+    envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_REPORT;
+    envelope.node_report = &report;
+    peer_send(reader.peer, &envelope);
+    ASSERT_TRUE(all.wait([&] { return reader.address_counts.size() == 2; }));
+    EXPECT_EQ(reader.address_counts[1], 3U);
+}
+
 } // namespace
