--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -317,10 +317,10 @@
     EXPECT_TRUE(all.wait_state(1, "j", SCHED_JOB_CANCELLED));
 }
 
-// Guards against fillers that work on while a serving task misses its target.
-TEST(Deployment, SlowsDownFillersThatDisturb)
+/* Task f.0.0.0 fills beside s.0.0.0, whose target is 10 ms. */
+void
+run_filler_beside_serving(Deployment &all)
 {
-    Deployment all(1, 1, PORT);
     FakeExecutor &executor = all.nodes[0]->executor;
 
     ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
@@ -330,6 +330,15 @@
     all.call(0, JOB_VERB_SUBMIT, "s",
              make_spec("s", {{.long_running = true, .target_ms = 10}}));
     ASSERT_TRUE(all.wait([&] { return executor.running.size() == 2; }));
+}
+
+// Guards against fillers that work on while a serving task misses its target.
+TEST(Deployment, SlowsDownFillersThatDisturb)
+{
+    Deployment all(1, 1, PORT);
+    FakeExecutor &executor = all.nodes[0]->executor;
+
+    ASSERT_NO_FATAL_FAILURE(run_filler_beside_serving(all));
     executor.running["s.0.0.0"].figure = 30;
     ASSERT_TRUE(all.wait([&] {
         return !executor.paces.empty() && executor.paces.back().second == 0;
@@ -345,13 +354,7 @@
     Deployment all(1, 1, PORT);
     FakeExecutor &executor = all.nodes[0]->executor;
 
-    ASSERT_TRUE(all.wait([&] { return all.all_ready(); }));
-    executor.work_ms = 60000;
-    all.call(0, JOB_VERB_SUBMIT, "f", make_spec("f", {{.filler = true}}));
-    ASSERT_TRUE(all.wait([&] { return executor.running.size() == 1; }));
-    all.call(0, JOB_VERB_SUBMIT, "s",
-             make_spec("s", {{.long_running = true, .target_ms = 10}}));
-    ASSERT_TRUE(all.wait([&] { return executor.running.size() == 2; }));
+    ASSERT_NO_FATAL_FAILURE(run_filler_beside_serving(all));
     node_free(all.nodes[0]->node);
     all.start_node(0);
     executor.running["s.0.0.0"].figure = 30;
