Make the cost of a scheduling turn follow what changed

Cause: with 240 executors each turn of the leader visited every executor for every waiting task, and for each of them every pair of tasks with two string copies (interference), compared the node of every executor with the node of every session (57,600 string comparisons a turn), and scanned all tasks for timers and counts.

Now: images have numbers; the executors are evaluated once per step (a heap), and once more after they receive a task; a demand that no executor could meet covers equal and larger ones for the rest of the pass; executors are listed by node; timers are checked every 50 ms; running and stopping tasks are counted.

Ruled out: a change of decisions; the properties in placement_test compare the heap with an evaluation per task and check that a covered demand cannot be met.

--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -25,6 +25,27 @@
            get_started_ms(later) > get_started_ms(older);
 }
 
+sched_node_t *
+sched_node_new(const char *name)
+{
+    sched_node_t *node = g_new0(sched_node_t, 1);
+
+    node->name = g_strdup(name);
+    list_init(&node->executors);
+    return node;
+}
+
+void
+sched_node_free(sched_node_t *node)
+{
+    LIST_FOREACH_SAFE (executor, &node->executors, sched_executor_t,
+                       node_link) {
+        sched_executor_set_node(executor, NULL);
+    }
+    g_free(node->name);
+    g_free(node);
+}
+
 static void
 free_orphan(void *data)
 {
@@ -43,6 +64,7 @@
     executor->run_time_ratio = 1.0;
     executor->orphans = g_ptr_array_new_with_free_func(free_orphan);
     list_init(&executor->link);
+    list_init(&executor->node_link);
     list_init(&executor->tasks);
     list_init(&executor->orders);
     return executor;
@@ -58,10 +80,10 @@
         list_remove(&task->order_link);
     }
     list_remove(&executor->link);
+    list_remove(&executor->node_link);
     g_ptr_array_unref(executor->orphans);
     g_strfreev(executor->labels);
     g_free(executor->key);
-    g_free(executor->node);
     g_free(executor->service);
     g_free(executor->data_centre);
     g_free(executor->rack);
@@ -89,10 +111,19 @@
 }
 
 void
-sched_executor_update(sched_executor_t *executor, const char *node,
+sched_executor_set_node(sched_executor_t *executor, sched_node_t *node)
+{
+    executor->node = node;
+    list_remove(&executor->node_link);
+    if (node != NULL) {
+        list_append(&node->executors, &executor->node_link);
+    }
+}
+
+void
+sched_executor_update(sched_executor_t *executor,
                       const Teasel__ExecutorReport *report, int64_t now_ms)
 {
-    replace_string(&executor->node, node);
     replace_string(&executor->service, report->service);
     replace_string(&executor->data_centre, report->data_centre);
     replace_string(&executor->rack, report->rack);
@@ -130,6 +161,7 @@
 {
     task->executor = executor;
     list_append(&executor->tasks, &task->executor_link);
+    executor->stopping += task->phase == SCHED_TASK_STOPPING;
     add_reservation(executor, task->step->spec, 1);
 }
 
@@ -140,6 +172,7 @@
         return;
     }
     add_reservation(task->executor, task->step->spec, -1);
+    task->executor->stopping -= task->phase == SCHED_TASK_STOPPING;
     list_remove(&task->executor_link);
     task->executor = NULL;
 }
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -29,10 +29,22 @@
     uint32_t run;
 } sched_orphan_t;
 
+/**
+ * struct sched_node - node agent
+ * @executors: list of the executors that it reports
+ */
+typedef struct sched_node {
+    char *name;
+    list_t executors;
+} sched_node_t;
+
+sched_node_t *sched_node_new(const char *name);
+void sched_node_free(sched_node_t *node);
+
 /**
  * struct sched_executor - one incarnation of an executor
  * @key: unique name of this incarnation
- * @node: name of the agent that reports it, NULL before the first report
+ * @node: agent that reports it, NULL before the first report
  * @connected: its agent is connected
  * @listed: its agent has sent a complete list of runs on this connection
  * @leaves_ms: when a draining executor may leave
@@ -44,6 +56,7 @@
  * @best_effort_cpu: CPU share that its best-effort tasks request, in milli-CPU
  * @serving: number of tasks on it with a latency target
  * @serving_cpu: CPU share that these reserve, in milli-CPU
+ * @stopping: number of tasks in phase SCHED_TASK_STOPPING
  * @slowdown: highest slowdown of a best-effort task on it, in percent
  * @end_seen: number of the newest run end that was processed
  * @end_pending: value of @end_seen when the pending write was prepared
@@ -62,8 +75,9 @@
  */
 struct sched_executor {
     list_t link;
+    list_t node_link;
     char *key;
-    char *node;
+    sched_node_t *node;
     char *service;
     char *data_centre;
     char *rack;
@@ -78,6 +92,7 @@
     uint64_t best_effort_cpu;
     uint32_t serving;
     uint64_t serving_cpu;
+    uint32_t stopping;
     uint32_t slowdown;
     uint64_t end_seen;
     uint64_t end_pending;
@@ -117,10 +132,15 @@
 sched_executor_t *sched_executor_new(const char *key);
 void sched_executor_free(sched_executor_t *executor);
 
+/**
+ * sched_executor_set_node() - record which agent reports an executor
+ */
+void sched_executor_set_node(sched_executor_t *executor, sched_node_t *node);
+
 /**
  * sched_executor_update() - copy the description of an executor from a report
  */
-void sched_executor_update(sched_executor_t *executor, const char *node,
+void sched_executor_update(sched_executor_t *executor,
                            const Teasel__ExecutorReport *report,
                            int64_t now_ms);
 
--- a/libteasel/sched/interference.c
+++ b/libteasel/sched/interference.c
@@ -1,7 +1,6 @@
 #include "sched/interference.h"
 
 #include <math.h>
-#include <string.h>
 
 /* Weight of a pair of images without measurements: a best-effort task that
    uses an eighth of an executor adds a quarter of the target to the tail
@@ -13,8 +12,22 @@
 /* Limits weight updates when best-effort tasks use little of the executor. */
 static const double REGULARIZATION = 0.004;
 
+enum {
+    /* Bounds of the memory and of the stored record. */
+    MAX_IMAGES = 4096,
+    MAX_PAIRS = 4096,
+};
+
+/**
+ * struct interference - see interference.h
+ * @image_ids: image name -> number
+ * @images: image names by number; number 0 is SCHED_NO_IMAGE
+ * @weights: pair of numbers, see get_pair_key() -> double
+ */
 struct interference {
-    GHashTable *weights; /* "BEST EFFORT IMAGE/SERVING IMAGE" -> double */
+    GHashTable *image_ids;
+    GPtrArray *images;
+    GHashTable *weights;
 };
 
 interference_t *
@@ -22,8 +35,10 @@
 {
     interference_t *table = g_new0(interference_t, 1);
 
-    table->weights =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    table->images = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(table->images, NULL);
+    table->image_ids = g_hash_table_new(g_str_hash, g_str_equal);
+    table->weights = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return table;
 }
 
@@ -31,34 +46,63 @@
 interference_free(interference_t *table)
 {
     g_hash_table_unref(table->weights);
+    g_hash_table_unref(table->image_ids);
+    g_ptr_array_unref(table->images);
     g_free(table);
 }
 
-static char *
-new_key(const Teasel__StepSpec *best_effort, const Teasel__StepSpec *serving)
+uint16_t
+interference_get_image_id(interference_t *table, const char *image)
+{
+    gpointer id = g_hash_table_lookup(table->image_ids, image);
+    char *name;
+
+    if (id != NULL) {
+        return (uint16_t)GPOINTER_TO_UINT(id);
+    }
+    if (table->images->len >= MAX_IMAGES) {
+        return SCHED_NO_IMAGE;
+    }
+    name = g_strdup(image);
+    g_ptr_array_add(table->images, name);
+    g_hash_table_insert(table->image_ids, name,
+                        GUINT_TO_POINTER(table->images->len - 1));
+    return (uint16_t)(table->images->len - 1);
+}
+
+static gpointer
+get_pair_key(uint16_t best_effort, uint16_t serving)
 {
-    return g_strconcat(best_effort->image, "/", serving->image, NULL);
+    return GUINT_TO_POINTER((guint)best_effort << 16 | serving);
 }
 
 static double
-get_weight(const interference_t *table, const Teasel__StepSpec *best_effort,
-           const Teasel__StepSpec *serving)
+get_weight(const interference_t *table, uint16_t best_effort, uint16_t serving)
 {
-    g_autofree char *key = new_key(best_effort, serving);
-    const double *weight = g_hash_table_lookup(table->weights, key);
+    const double *weight = g_hash_table_lookup(
+        table->weights, get_pair_key(best_effort, serving));
 
     return weight != NULL ? *weight : DEFAULT_WEIGHT;
 }
 
 static void
-adjust_weight(interference_t *table, const Teasel__StepSpec *best_effort,
-              const Teasel__StepSpec *serving, double step)
+set_weight(interference_t *table, uint16_t best_effort, uint16_t serving,
+           double weight)
 {
-    double *weight = g_new(double, 1);
+    gpointer key = get_pair_key(best_effort, serving);
+    double *stored = g_hash_table_lookup(table->weights, key);
 
-    *weight =
-        CLAMP(get_weight(table, best_effort, serving) + step, 0.0, MAX_WEIGHT);
-    g_hash_table_insert(table->weights, new_key(best_effort, serving), weight);
+    if (best_effort == SCHED_NO_IMAGE || serving == SCHED_NO_IMAGE) {
+        return;
+    }
+    if (stored == NULL) {
+        if (g_hash_table_size(table->weights) >= MAX_PAIRS) {
+            return;
+        }
+        stored = g_new(double, 1);
+        g_hash_table_insert(table->weights, key, stored);
+    }
+    *stored = CLAMP(weight, 0.0, MAX_WEIGHT);
 }
 
 static double
@@ -77,8 +121,9 @@
 update_weights(interference_t *table, sched_executor_t *executor,
                sched_task_t *serving)
 {
-    const Teasel__StepSpec *spec = serving->step->spec;
-    double ratio = (double)serving->measurement / spec->latency_target_ms;
+    uint16_t image = sched_step_get_image_id(serving->step);
+    double ratio =
+        (double)serving->measurement / serving->step->spec->latency_target_ms;
     double pressure = 0;
     double norm = REGULARIZATION;
     double error;
@@ -87,7 +132,9 @@
         double share = get_share(executor, task->measurement);
 
         if (is_running_best_effort(task)) {
-            pressure += share * get_weight(table, task->step->spec, spec);
+            pressure +=
+                share *
+                get_weight(table, sched_step_get_image_id(task->step), image);
             norm += share * share;
         }
     }
@@ -101,8 +148,11 @@
         double share = get_share(executor, task->measurement);
 
         if (is_running_best_effort(task) && share > 0) {
-            adjust_weight(table, task->step->spec, spec,
-                          WEIGHT_RATE * error * share / norm);
+            uint16_t other = sched_step_get_image_id(task->step);
+
+            set_weight(table, other, image,
+                       get_weight(table, other, image) +
+                           WEIGHT_RATE * error * share / norm);
         }
     }
 }
@@ -130,8 +180,7 @@
    include their effect yet. */
 static double
 get_pending_pressure(const interference_t *table,
-                     const sched_executor_t *executor,
-                     const Teasel__StepSpec *serving)
+                     const sched_executor_t *executor, uint16_t serving)
 {
     double pressure = 0;
 
@@ -140,7 +189,8 @@
 
         if (spec->filler && task->measurement == 0) {
             pressure += get_share(executor, spec->cpu_milli) *
-                        get_weight(table, spec, serving);
+                        get_weight(table, sched_step_get_image_id(task->step),
+                                   serving);
         }
     }
     return pressure;
@@ -149,22 +199,30 @@
 double
 interference_predict(const interference_t *table,
                      const sched_executor_t *executor,
-                     const Teasel__StepSpec *best_effort)
+                     const sched_step_t *best_effort, double limit)
 {
+    double share = get_share(executor, best_effort->spec->cpu_milli);
+    uint16_t image = sched_step_get_image_id(best_effort);
     double worst = 0;
 
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
-        const Teasel__StepSpec *serving = task->step->spec;
+        uint32_t target_ms = task->step->spec->latency_target_ms;
+        uint16_t serving;
         double ratio;
 
-        if (serving->latency_target_ms == 0) {
+        if (target_ms == 0) {
             continue;
         }
-        ratio = (double)task->measurement / serving->latency_target_ms +
-                get_pending_pressure(table, executor, serving) +
-                get_share(executor, best_effort->cpu_milli) *
-                    get_weight(table, best_effort, serving);
+        serving = sched_step_get_image_id(task->step);
+        ratio = (double)task->measurement / target_ms +
+                share * get_weight(table, image, serving);
+        if (ratio <= limit) {
+            ratio += get_pending_pressure(table, executor, serving);
+        }
         worst = fmax(worst, ratio);
+        if (worst > limit) {
+            break;
+        }
     }
     return worst;
 }
@@ -190,11 +248,12 @@
     g_hash_table_iter_init(&iter, table->weights);
     while (g_hash_table_iter_next(&iter, &key, &weight)) {
         Teasel__LearnedPair *pair = g_new(Teasel__LearnedPair, 1);
-        const char *slash = strchr(key, '/');
+        guint ids = GPOINTER_TO_UINT(key);
 
         teasel__learned_pair__init(pair);
-        pair->filler = g_strndup(key, (gsize)(slash - (const char *)key));
-        pair->serving = g_strdup(slash + 1);
+        pair->filler = g_strdup(g_ptr_array_index(table->images, ids >> 16));
+        pair->serving =
+            g_strdup(g_ptr_array_index(table->images, ids & UINT16_MAX));
         pair->weight = *(const double *)weight;
         g_ptr_array_add(pairs, pair);
     }
@@ -203,10 +262,6 @@
 void
 interference_add_pair(interference_t *table, const Teasel__LearnedPair *pair)
 {
-    double *weight = g_new(double, 1);
-
-    *weight = CLAMP(pair->weight, 0.0, MAX_WEIGHT);
-    g_hash_table_insert(table->weights,
-                        g_strconcat(pair->filler, "/", pair->serving, NULL),
-                        weight);
+    set_weight(table, interference_get_image_id(table, pair->filler),
+               interference_get_image_id(table, pair->serving), pair->weight);
 }
--- a/libteasel/sched/interference.h
+++ b/libteasel/sched/interference.h
@@ -17,6 +17,9 @@
  * the pair of images times the share of the executor's CPU that the task uses.
  * The baseline and the weights follow the prediction error by normalized least
  * mean squares.
+ *
+ * Images are identified by small numbers, because the model is evaluated for
+ * many executors in each placement.
  */
 
 typedef struct interference interference_t;
@@ -24,6 +27,14 @@
 interference_t *interference_new(void);
 void interference_free(interference_t *table);
 
+/**
+ * interference_get_image_id() - return the number of an image
+ *
+ * Return: a number that is unique within the table, or SCHED_NO_IMAGE if the
+ * table is full. Weights of SCHED_NO_IMAGE are not learned.
+ */
+uint16_t interference_get_image_id(interference_t *table, const char *image);
+
 /**
  * interference_update() - update the model with the newest measurements of an
  * executor
@@ -34,13 +45,14 @@
  * interference_predict() - predict the tail latency with one more best-effort
  * task
  * @best_effort: step of the task that would be added
+ * @limit: the prediction stops once it exceeds this ratio
  *
  * Return: the highest ratio of tail latency to target on the executor, or 0 if
- * no task there has a target.
+ * no task there has a target. A ratio above @limit may be too low.
  */
 double interference_predict(const interference_t *table,
                             const sched_executor_t *executor,
-                            const Teasel__StepSpec *best_effort);
+                            const sched_step_t *best_effort, double limit);
 
 /**
  * interference_to_pairs() - export the weights of all pairs of images
--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -67,6 +67,7 @@
 
     job->spec = spec;
     job->sequence = sequence;
+    job->image_ids = g_new0(uint16_t, spec->n_steps);
     list_init(&job->link);
     list_init(&job->dirty_link);
     list_init(&job->occurrences);
@@ -105,6 +106,7 @@
     list_remove(&job->link);
     list_remove(&job->dirty_link);
     teasel__job_spec__free_unpacked(job->spec, NULL);
+    g_free(job->image_ids);
     g_free(job);
 }
 
@@ -203,24 +205,12 @@
     return task->executor != NULL;
 }
 
-static bool
-is_running(const sched_task_t *task)
-{
-    return task->phase == SCHED_TASK_RUNNING;
-}
-
 uint32_t
 sched_job_count_placed(const sched_job_t *job)
 {
     return count_tasks(job, is_placed);
 }
 
-bool
-sched_job_is_running(const sched_job_t *job)
-{
-    return count_tasks(job, is_running) > 0;
-}
-
 int64_t
 sched_job_get_start_ms(const sched_job_t *job, uint32_t occurrence)
 {
@@ -251,6 +241,26 @@
     return task->step->occurrence->job;
 }
 
+void
+sched_task_set_phase(sched_task_t *task, sched_task_phase_t phase)
+{
+    sched_job_t *job = sched_task_get_job(task);
+
+    job->running -= task->phase == SCHED_TASK_RUNNING;
+    job->running += phase == SCHED_TASK_RUNNING;
+    if (task->executor != NULL) {
+        task->executor->stopping -= task->phase == SCHED_TASK_STOPPING;
+        task->executor->stopping += phase == SCHED_TASK_STOPPING;
+    }
+    task->phase = phase;
+}
+
+uint16_t
+sched_step_get_image_id(const sched_step_t *step)
+{
+    return step->occurrence->job->image_ids[step->number];
+}
+
 bool
 sched_step_is_ready(const sched_step_t *step)
 {
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -16,6 +16,7 @@
     SCHED_TASK_NAME_SIZE = 96,
     SCHED_MAX_STEPS = 64,
     SCHED_MAX_TASKS = 4096, /* of one occurrence */
+    SCHED_NO_IMAGE = 0,
 };
 
 typedef struct sched_job sched_job_t;
@@ -138,6 +139,9 @@
  * @sequence: position in the order of acceptance
  * @next_occurrence: number of the next occurrence to create
  * @finished_ms: wall-clock time at which the job became final, 0 before
+ * @image_ids: number of the image of each step, see
+ *     interference_get_image_id()
+ * @running: number of tasks in phase SCHED_TASK_RUNNING
  * @deadline_ms: when the job should be done, by the estimates of its steps
  * @remaining_work: core-ms, as of the last sort of the jobs
  * @idle_since_ms: since when the job has no running task, or 0
@@ -156,6 +160,8 @@
     uint64_t sequence;
     uint32_t next_occurrence;
     list_t occurrences;
+    uint16_t *image_ids;
+    uint32_t running;
     int64_t finished_ms;
     int64_t deadline_ms;
     double remaining_work;
@@ -202,11 +208,6 @@
  */
 uint32_t sched_job_count_placed(const sched_job_t *job);
 
-/**
- * sched_job_is_running() - check for a running task without a stop order
- */
-bool sched_job_is_running(const sched_job_t *job);
-
 /**
  * sched_job_get_start_ms() - return the wall-clock time at which an occurrence
  * may start, 0 if the job does not repeat
@@ -223,6 +224,14 @@
 
 sched_job_t *sched_task_get_job(const sched_task_t *task);
 
+/**
+ * sched_task_set_phase() - change the phase of a task and the counts that
+ * depend on it
+ */
+void sched_task_set_phase(sched_task_t *task, sched_task_phase_t phase);
+
+uint16_t sched_step_get_image_id(const sched_step_t *step);
+
 /**
  * sched_step_is_ready() - check whether all steps that this one waits for are
  * done
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -63,9 +63,9 @@
 }
 
 static bool
-meets_constraints(const sched_executor_t *executor, const sched_task_t *task)
+meets_constraints(const sched_executor_t *executor, const sched_step_t *step)
 {
-    const Teasel__StepSpec *spec = task->step->spec;
+    const Teasel__StepSpec *spec = step->spec;
     uint32_t siblings = 0;
 
     if (spec->required_label[0] != '\0' &&
@@ -76,7 +76,7 @@
         return true;
     }
     LIST_FOREACH (other, &executor->tasks, sched_task_t, executor_link) {
-        siblings += other->step == task->step;
+        siblings += other->step == step;
     }
     return siblings < spec->max_per_executor;
 }
@@ -116,42 +116,51 @@
 static double
 get_best_effort_cost(const sched_placement_t *placement,
                      const sched_executor_t *executor,
-                     const Teasel__StepSpec *spec)
+                     const sched_step_t *step)
 {
+    double limit = placement->job_idle ? INFINITY : MAX_TAIL_RATIO;
     double tail;
 
-    if (!spec->filler || executor->serving == 0) {
+    if (!step->spec->filler || executor->serving == 0) {
         return 0;
     }
-    tail = interference_predict(placement->interference, executor, spec);
-    if (tail > MAX_TAIL_RATIO && !placement->job_idle) {
+    tail =
+        interference_predict(placement->interference, executor, step, limit);
+    if (tail > limit) {
         return INFINITY;
     }
     return COST_BEST_EFFORT_BESIDE_SERVING * tail;
 }
 
-static double
-get_cost(const sched_placement_t *placement, const sched_executor_t *executor,
-         const sched_task_t *task)
+double
+sched_placement_get_cost(const sched_placement_t *placement,
+                         const sched_executor_t *executor,
+                         const sched_step_t *step)
 {
-    const Teasel__StepSpec *spec = task->step->spec;
-    double cost = get_base_cost(executor, spec);
-
+    const Teasel__StepSpec *spec = step->spec;
+    double cost;
+
+    if (!accepts_tasks(executor, step->occurrence->job->spec,
+                       placement->now_ms) ||
+        !has_resources(placement, executor, spec) ||
+        !meets_constraints(executor, step) ||
+        (placement->rack != NULL &&
+         g_strcmp0(executor->rack, placement->rack) != 0)) {
+        return INFINITY;
+    }
+    cost = get_base_cost(executor, spec);
     cost += COST_RUN_TIME_RATIO *
             fmax(0, executor->run_time_ratio - NORMAL_RUN_TIME_RATIO);
     if (spec->data_rack[0] != '\0' &&
         !sched_executor_has_label(executor, spec->data_rack)) {
         cost += COST_REMOTE_DATA;
     }
-    cost += get_best_effort_cost(placement, executor, spec);
+    cost += get_best_effort_cost(placement, executor, step);
     if (spec->latency_target_ms > 0) {
         cost += COST_SERVING_BESIDE_BEST_EFFORT *
                 (double)executor->best_effort_cpu /
                 fmax(1.0, (double)executor->capacity.cpu_milli);
     }
-    if (task->avoid_executor == executor) {
-        cost += COST_FAILED_HERE;
-    }
     return cost;
 }
 
@@ -159,21 +168,16 @@
 sched_placement_choose(const sched_placement_t *placement,
                        const sched_task_t *task)
 {
-    const Teasel__JobSpec *job = sched_task_get_job(task)->spec;
     sched_executor_t *best = NULL;
     double best_cost = INFINITY;
 
     LIST_FOREACH (executor, placement->executors, sched_executor_t, link) {
-        double cost;
-
-        if (!accepts_tasks(executor, job, placement->now_ms) ||
-            !has_resources(placement, executor, task->step->spec) ||
-            !meets_constraints(executor, task) ||
-            (placement->rack != NULL &&
-             g_strcmp0(executor->rack, placement->rack) != 0)) {
-            continue;
+        double cost =
+            sched_placement_get_cost(placement, executor, task->step);
+
+        if (task->avoid_executor == executor) {
+            cost += COST_FAILED_HERE;
         }
-        cost = get_cost(placement, executor, task);
         if (cost < best_cost) {
             best = executor;
             best_cost = cost;
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -28,6 +28,17 @@
     int64_t now_ms;
 } sched_placement_t;
 
+/**
+ * sched_placement_get_cost() - return the cost of an executor for a task of a
+ * step
+ *
+ * Return: the cost; INFINITY if the executor is not allowed or lacks the
+ * resources.
+ */
+double sched_placement_get_cost(const sched_placement_t *placement,
+                                const sched_executor_t *executor,
+                                const sched_step_t *step);
+
 /**
  * sched_placement_choose() - choose the executor with the lowest cost for a
  * task
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -28,6 +28,7 @@
     sched->opts = *opts;
     sched->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     sched->executors = g_hash_table_new(g_str_hash, g_str_equal);
+    sched->nodes = g_hash_table_new(g_str_hash, g_str_equal);
     sched->interference = interference_new();
     sched->estimate_errors =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -59,10 +60,15 @@
                        link) {
         sched_executor_free(executor);
     }
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        sched_node_free(value);
+    }
     interference_free(sched->interference);
     g_hash_table_unref(sched->estimate_errors);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->executors);
+    g_hash_table_unref(sched->nodes);
     g_ptr_array_unref(sched->jobs_in_write);
     g_ptr_array_unref(sched->deleted_keys);
     g_free(sched);
@@ -102,6 +108,10 @@
     list_t *position = &sched->active_jobs;
 
     g_hash_table_insert(sched->jobs, job->spec->id, job);
+    for (size_t i = 0; i < job->spec->n_steps; i++) {
+        job->image_ids[i] = interference_get_image_id(
+            sched->interference, job->spec->steps[i]->image);
+    }
     if (sched_job_is_final(job)) {
         list_append(&sched->finished_jobs, &job->link);
         return;
@@ -254,24 +264,64 @@
     return count;
 }
 
+const sched_node_t *
+sched_find_node(const sched_t *sched, const char *name)
+{
+    return g_hash_table_lookup(sched->nodes, name);
+}
+
+static sched_node_t *
+get_node(sched_t *sched, const char *name)
+{
+    sched_node_t *node = g_hash_table_lookup(sched->nodes, name);
+
+    if (node == NULL) {
+        node = sched_node_new(name);
+        g_hash_table_insert(sched->nodes, node->name, node);
+    }
+    return node;
+}
+
 void
-sched_disconnect(sched_t *sched, const char *node)
+sched_assign_node(sched_t *sched, sched_executor_t *executor, const char *name)
 {
-    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
-        if (g_strcmp0(executor->node, node) == 0) {
-            executor->connected = false;
-            executor->listed = false;
-        }
+    sched_node_t *old = executor->node;
+
+    if (old != NULL && g_strcmp0(old->name, name) == 0) {
+        return;
+    }
+    sched_executor_set_node(executor,
+                            name != NULL ? get_node(sched, name) : NULL);
+    if (old != NULL && list_is_empty(&old->executors)) {
+        g_hash_table_remove(sched->nodes, old->name);
+        sched_node_free(old);
     }
 }
 
 void
-sched_extend_leases(sched_t *sched, const char *node, int64_t until_ms)
+sched_disconnect(sched_t *sched, const char *name)
 {
-    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
-        if (g_strcmp0(executor->node, node) == 0) {
-            executor->expiry_ms = MAX(executor->expiry_ms, until_ms);
-        }
+    const sched_node_t *node = sched_find_node(sched, name);
+
+    if (node == NULL) {
+        return;
+    }
+    LIST_FOREACH (executor, &node->executors, sched_executor_t, node_link) {
+        executor->connected = false;
+        executor->listed = false;
+    }
+}
+
+void
+sched_extend_leases(sched_t *sched, const char *name, int64_t until_ms)
+{
+    const sched_node_t *node = sched_find_node(sched, name);
+
+    if (node == NULL) {
+        return;
+    }
+    LIST_FOREACH (executor, &node->executors, sched_executor_t, node_link) {
+        executor->expiry_ms = MAX(executor->expiry_ms, until_ms);
     }
 }
 
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -149,6 +149,13 @@
 void sched_log_load(const sched_t *sched);
 
 const list_t *sched_get_executors(const sched_t *sched);
+
+/**
+ * sched_find_node() - find an agent by name
+ *
+ * Return: the agent, or NULL if it has reported no executor.
+ */
+const sched_node_t *sched_find_node(const sched_t *sched, const char *name);
 const list_t *sched_get_active_jobs(const sched_t *sched);
 
 #ifdef __cplusplus
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -8,6 +8,7 @@
  * struct sched - state of a scheduler
  * @jobs: job id -> sched_job_t, owned
  * @executors: key -> sched_executor_t, owned
+ * @nodes: name -> sched_node_t with at least one executor, owned
  * @estimate_errors: queue -> double, moving average of run time over estimate
  * @active_jobs: jobs that are not final, in scheduling order
  * @finished_jobs: final jobs, oldest first
@@ -20,6 +21,8 @@
  * @cursors_dirty: an executor reported a run end since the last write
  * @placement_needed: something changed that may let a waiting task be placed
  * @committing: a write is pending
+ * @check_needed: an executor changed, so its timers must be checked at once
+ * @last_check_ms: when the timers of executors and jobs were last checked
  * @last_placement_ms: time of the last placement
  * @learned_dirty: the learned estimates changed since their last record
  * @learned_written_ms: when that record was made
@@ -30,6 +33,7 @@
     sched_opts_t opts;
     GHashTable *jobs;
     GHashTable *executors;
+    GHashTable *nodes;
     list_t executor_list;
     interference_t *interference;
     GHashTable *estimate_errors;
@@ -43,6 +47,8 @@
     bool cursors_dirty;
     bool placement_needed;
     bool committing;
+    bool check_needed;
+    int64_t last_check_ms;
     int64_t last_placement_ms;
     bool learned_dirty;
     int64_t learned_written_ms;
@@ -116,4 +122,11 @@
  */
 sched_executor_t *sched_get_executor(sched_t *sched, const char *key);
 
+/**
+ * sched_assign_node() - record which agent reports an executor
+ * @node: name of the agent, or NULL for none
+ */
+void sched_assign_node(sched_t *sched, sched_executor_t *executor,
+                       const char *node);
+
 #endif
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -77,7 +77,7 @@
         sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
         return;
     }
-    task->phase = SCHED_TASK_STOPPING;
+    sched_task_set_phase(task, SCHED_TASK_STOPPING);
     sched_stage_order(sched, task);
 }
 
@@ -97,7 +97,7 @@
 mark_done(sched_task_t *task)
 {
     if (task->phase != SCHED_TASK_DONE) {
-        task->phase = SCHED_TASK_DONE;
+        sched_task_set_phase(task, SCHED_TASK_DONE);
         task->step->done++;
         g_clear_pointer(&task->checkpoint, g_free);
     }
@@ -145,7 +145,7 @@
 static void
 release_task(sched_t *sched, sched_task_t *task)
 {
-    task->phase = SCHED_TASK_WAITING;
+    sched_task_set_phase(task, SCHED_TASK_WAITING);
     task->step->waiting++;
     sched->placement_needed = true;
 }
@@ -166,7 +166,7 @@
         return;
     }
     if (count_failures(task) >= (attempts ? attempts : DEFAULT_ATTEMPTS)) {
-        task->phase = SCHED_TASK_FAILED;
+        sched_task_set_phase(task, SCHED_TASK_FAILED);
         task->step->waiting--;
         sched_finish_job(sched, job, SCHED_JOB_FAILED);
     }
@@ -268,7 +268,7 @@
         task->checkpoint = g_strdup(checkpoint);
     }
     if (sched_job_is_final(job)) {
-        task->phase = SCHED_TASK_WAITING;
+        sched_task_set_phase(task, SCHED_TASK_WAITING);
         sched->placement_needed = true;
         return;
     }
@@ -293,6 +293,7 @@
 
         sched_end_task(sched, task, SCHED_END_LAPSED, NULL);
     }
+    sched_assign_node(sched, executor, NULL);
     g_hash_table_remove(sched->executors, executor->key);
     sched_executor_free(executor);
 }
@@ -326,7 +327,7 @@
     }
     job = sched_task_get_job(task);
     if (task->phase == SCHED_TASK_PLACED) {
-        task->phase = SCHED_TASK_RUNNING;
+        sched_task_set_phase(task, SCHED_TASK_RUNNING);
         task->running_ms = sched_now_ms(sched);
         task->progress_ms = task->running_ms;
         list_remove(&task->order_link);
@@ -447,9 +448,11 @@
         expire_older_incarnations(sched, report->key);
     }
     if (changed || report->listed) {
-        sched_executor_update(executor, node, report, sched_now_ms(sched));
+        sched_assign_node(sched, executor, node);
+        sched_executor_update(executor, report, sched_now_ms(sched));
     }
     sched->placement_needed |= changed || report->listed;
+    sched->check_needed |= changed;
     executor->connected = true;
     apply_lists(sched, executor, report);
     if (report->has_figures) {
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -1,7 +1,8 @@
 /* Handles timers and places waiting tasks. */
 
 #include "base/events.h"
-#include "sched/placement.h"
+#include "sched/candidates.h"
+#include "sched/demand.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -14,14 +15,32 @@
     IDLE_TIMEOUT_MS = 2000,
     /* Allows for the delay of the messages of an evacuation. */
     EVACUATE_MARGIN_MS = 500,
+    /* Reports arrive more often than the timers need to be checked. */
+    CHECK_INTERVAL_MS = 50,
     /* Placement is repeated because probations and restart delays end without
        an event. */
     PLACE_INTERVAL_MS = 200,
 };
 
-static sched_executor_t *
-choose_executor(const sched_t *sched, const sched_task_t *task,
-                const char *rack)
+/**
+ * struct pass - a pass over the waiting tasks
+ * @failed: demands that no executor could meet in this pass
+ */
+typedef struct pass {
+    sched_t *sched;
+    int64_t now_ms;
+    demand_list_t *failed;
+} pass_t;
+
+static bool
+is_idle(const sched_job_t *job, int64_t now_ms)
+{
+    return job->idle_since_ms != 0 &&
+           now_ms - job->idle_since_ms > IDLE_TIMEOUT_MS;
+}
+
+static sched_placement_t
+new_placement(const sched_t *sched, const sched_job_t *job, const char *rack)
 {
     sched_placement_t placement = {
         .executors = &sched->executor_list,
@@ -29,11 +48,17 @@
         .rack = rack,
         .now_ms = sched_now_ms(sched),
     };
-    const sched_job_t *job = sched_task_get_job(task);
 
-    placement.job_idle =
-        job->idle_since_ms != 0 &&
-        placement.now_ms - job->idle_since_ms > IDLE_TIMEOUT_MS;
+    placement.job_idle = is_idle(job, placement.now_ms);
+    return placement;
+}
+
+static sched_executor_t *
+choose_executor(const sched_t *sched, const sched_task_t *task,
+                const char *rack)
+{
+    sched_placement_t placement =
+        new_placement(sched, sched_task_get_job(task), rack);
 
     return sched_placement_choose(&placement, task);
 }
@@ -43,7 +68,7 @@
            uint32_t run)
 {
     task->run = run;
-    task->phase = SCHED_TASK_PLACED;
+    sched_task_set_phase(task, SCHED_TASK_PLACED);
     task->start_sent = false;
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
@@ -68,26 +93,77 @@
     }
 }
 
-static void
-place_tasks(sched_t *sched, sched_step_t *step, int64_t now_ms)
+static bool
+is_placeable(const sched_task_t *task, int64_t now_ms)
 {
-    uint32_t waiting = step->waiting;
+    return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
+}
 
-    for (uint32_t i = 0; i < step->spec->count && step->waiting > 0; i++) {
+/* Tasks that avoid an executor have costs of their own. So has the first task
+   of an idle job, as its placement ends the idle time. */
+static bool
+place_special_tasks(pass_t *pass, sched_step_t *step)
+{
+    bool idle = is_idle(step->occurrence->job, pass->now_ms);
+
+    for (uint32_t i = 0; i < step->spec->count; i++) {
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
 
-        if (task->phase != SCHED_TASK_WAITING ||
-            now_ms < task->not_before_ms) {
+        if (!is_placeable(task, pass->now_ms) ||
+            (task->avoid_executor == NULL && !idle)) {
             continue;
         }
-        executor = choose_executor(sched, task, NULL);
+        executor = choose_executor(pass->sched, task, NULL);
         if (executor == NULL) {
-            break;
+            return false;
+        }
+        place_task(pass->sched, task, executor, task->run + 1);
+        idle = false;
+    }
+    return true;
+}
+
+static bool
+place_equal_tasks(pass_t *pass, sched_step_t *step)
+{
+    sched_placement_t placement =
+        new_placement(pass->sched, step->occurrence->job, NULL);
+    sched_candidates_t *candidates = sched_candidates_new(&placement, step);
+    bool found = true;
+
+    for (uint32_t i = 0; i < step->spec->count && found; i++) {
+        sched_task_t *task = &step->tasks[i];
+        sched_executor_t *executor;
+
+        if (!is_placeable(task, pass->now_ms)) {
+            continue;
+        }
+        executor = sched_candidates_get_best(candidates);
+        found = executor != NULL;
+        if (found) {
+            place_task(pass->sched, task, executor, task->run + 1);
+            sched_candidates_update_best(candidates);
         }
-        place_task(sched, task, executor, task->run + 1);
     }
-    log_placed(step, waiting - step->waiting, now_ms);
+    sched_candidates_free(candidates);
+    return found;
+}
+
+static void
+place_tasks(pass_t *pass, sched_step_t *step)
+{
+    const sched_job_t *job = step->occurrence->job;
+    uint32_t waiting = step->waiting;
+
+    if (demand_list_covers(pass->failed, step, is_idle(job, pass->now_ms))) {
+        return;
+    }
+    if (!place_special_tasks(pass, step) ||
+        (step->waiting > 0 && !place_equal_tasks(pass, step))) {
+        demand_list_add(pass->failed, step, is_idle(job, pass->now_ms));
+    }
+    log_placed(step, waiting - step->waiting, pass->now_ms);
 }
 
 static void
@@ -164,7 +240,7 @@
 static void
 update_idle_since(sched_job_t *job, int64_t now_ms)
 {
-    if (sched_job_is_running(job)) {
+    if (job->running > 0) {
         job->idle_since_ms = 0;
     }
     else if (job->idle_since_ms == 0) {
@@ -173,9 +249,9 @@
 }
 
 static void
-place_job(sched_t *sched, sched_job_t *job, int64_t now_ms)
+place_job(pass_t *pass, sched_job_t *job)
 {
-    update_idle_since(job, now_ms);
+    update_idle_since(job, pass->now_ms);
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         for (size_t i = 0; i < job->spec->n_steps; i++) {
             sched_step_t *step = &occurrence->steps[i];
@@ -184,10 +260,10 @@
                 continue;
             }
             if (step->spec->gang) {
-                place_gang(sched, step);
+                place_gang(pass->sched, step);
             }
             else {
-                place_tasks(sched, step, now_ms);
+                place_tasks(pass, step);
             }
         }
     }
@@ -245,24 +321,22 @@
     return executor != NULL && executor != task->executor;
 }
 
-static unsigned
-count_stopping(const sched_t *sched)
+static bool
+is_any_stopping(const sched_t *sched)
 {
-    unsigned count = 0;
-
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
-        LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
-            count += task->phase == SCHED_TASK_STOPPING;
+        if (executor->stopping > 0) {
+            return true;
         }
     }
-    return count;
+    return false;
 }
 
 /* Migrates one task at a time, since the next may need the same resources. */
 static void
 migrate_best_effort_task(sched_t *sched, int64_t now_ms)
 {
-    if (count_stopping(sched) > 0) {
+    if (is_any_stopping(sched)) {
         return;
     }
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
@@ -308,11 +382,15 @@
     }
 }
 
-void
-sched_run(sched_t *sched)
+static void
+check_timers(sched_t *sched, int64_t now_ms)
 {
-    int64_t now_ms = sched_now_ms(sched);
-
+    if (!sched->check_needed &&
+        now_ms - sched->last_check_ms < CHECK_INTERVAL_MS) {
+        return;
+    }
+    sched->check_needed = false;
+    sched->last_check_ms = now_ms;
     expire_executors(sched, now_ms);
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
         check_executor(sched, executor, now_ms);
@@ -322,6 +400,26 @@
         sched_add_due_occurrences(sched, job);
     }
     remove_expired_jobs(sched);
+}
+
+static void
+place_jobs(sched_t *sched, int64_t now_ms)
+{
+    pass_t pass = {.sched = sched, .now_ms = now_ms};
+
+    pass.failed = demand_list_new();
+    LIST_FOREACH (job, &sched->active_jobs, sched_job_t, link) {
+        place_job(&pass, job);
+    }
+    demand_list_free(pass.failed);
+}
+
+void
+sched_run(sched_t *sched)
+{
+    int64_t now_ms = sched_now_ms(sched);
+
+    check_timers(sched, now_ms);
     if (!sched->placement_needed &&
         now_ms - sched->last_placement_ms < PLACE_INTERVAL_MS) {
         return;
@@ -329,7 +427,5 @@
     sched->placement_needed = false;
     sched->last_placement_ms = now_ms;
     sched_sort_jobs(sched);
-    LIST_FOREACH (job, &sched->active_jobs, sched_job_t, link) {
-        place_job(sched, job, now_ms);
-    }
+    place_jobs(sched, now_ms);
 }
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -402,6 +402,7 @@
     leader->sched = sched_new(&sched_opts);
     leader->write_us = g_new0(histogram_t, 1);
     list_init(&leader->sessions);
+    leader->sessions_by_node = g_hash_table_new(g_str_hash, g_str_equal);
     list_init(&leader->waiting);
     loop_timer_init(&leader->tick, opts->loop, on_tick, leader);
     loop_timer_init(&leader->flush, opts->loop, on_flush, leader);
@@ -422,6 +423,7 @@
     loop_timer_stop(&leader->retry);
     leader_free_calls(leader);
     leader_free_sessions(leader);
+    g_hash_table_unref(leader->sessions_by_node);
     g_clear_pointer(&leader->changes, g_ptr_array_unref);
     g_free(leader->load_after_key);
     sched_free(leader->sched);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -52,7 +52,8 @@
     sched_t *sched;
     leader_stage_t stage;
     list_t sessions;
-    list_t waiting; /* waiting_call_t */
+    GHashTable *sessions_by_node; /* name -> session_t */
+    list_t waiting;               /* waiting_call_t */
     loop_timer_t tick;
     loop_timer_t flush;
     loop_timer_t retry;
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -12,46 +12,29 @@
     LEASE_MARGIN_MS = 300,
 };
 
-static session_t *
-find_session(leader_t *leader, const peer_t *peer)
-{
-    LIST_FOREACH (session, &leader->sessions, session_t, link) {
-        if (session->peer == peer) {
-            return session;
-        }
-    }
-    return NULL;
-}
-
 static void
-free_session(session_t *session)
+free_session(leader_t *leader, session_t *session)
 {
+    g_hash_table_remove(leader->sessions_by_node, session->node);
     list_remove(&session->link);
     g_free(session->node);
     g_free(session);
 }
 
-static void
-close_sessions_of(leader_t *leader, const char *node)
-{
-    LIST_FOREACH_SAFE (session, &leader->sessions, session_t, link) {
-        if (strcmp(session->node, node) == 0) {
-            sched_disconnect(leader->sched, node);
-            free_session(session);
-        }
-    }
-}
-
 static session_t *
 open_session(leader_t *leader, peer_t *peer, const char *node)
 {
-    session_t *session;
+    session_t *session = g_hash_table_lookup(leader->sessions_by_node, node);
 
-    close_sessions_of(leader, node);
+    if (session != NULL) {
+        sched_disconnect(leader->sched, node);
+        free_session(leader, session);
+    }
     session = g_new0(session_t, 1);
     session->peer = peer;
     session->node = g_strdup(node);
     list_append(&leader->sessions, &session->link);
+    g_hash_table_insert(leader->sessions_by_node, session->node, session);
     event_log(EVENT_NODE_CONNECTED, "node=%s", node);
     return session;
 }
@@ -71,9 +54,9 @@
 leader_handle_report(leader_t *leader, peer_t *peer, const char *node,
                      const Teasel__NodeReport *report)
 {
-    session_t *session = find_session(leader, peer);
+    session_t *session = g_hash_table_lookup(leader->sessions_by_node, node);
 
-    if (session == NULL) {
+    if (session == NULL || session->peer != peer) {
         session = open_session(leader, peer, node);
     }
     session->echo_us = MAX(session->echo_us, report->sent_us);
@@ -93,15 +76,14 @@
 void
 leader_remove_peer(leader_t *leader, peer_t *peer)
 {
-    session_t *session = find_session(leader, peer);
-
     leader_drop_calls(leader, peer);
-    if (session == NULL) {
-        return;
+    LIST_FOREACH_SAFE (session, &leader->sessions, session_t, link) {
+        if (session->peer == peer) {
+            event_log(EVENT_NODE_LOST, "node=%s", session->node);
+            sched_disconnect(leader->sched, session->node);
+            free_session(leader, session);
+        }
     }
-    event_log(EVENT_NODE_LOST, "node=%s", session->node);
-    sched_disconnect(leader->sched, session->node);
-    free_session(session);
 }
 
 /* Returns the lease counted from the last time at which this leader is known
@@ -141,15 +123,15 @@
 {
     GPtrArray *executor_orders =
         g_ptr_array_new_with_free_func(free_executor_orders);
+    const sched_node_t *node = sched_find_node(leader->sched, session->node);
 
-    LIST_FOREACH (executor, sched_get_executors(leader->sched),
-                  sched_executor_t, link) {
-        Teasel__ExecutorOrders *orders;
+    if (node == NULL) {
+        return executor_orders;
+    }
+    LIST_FOREACH (executor, &node->executors, sched_executor_t, node_link) {
+        Teasel__ExecutorOrders *orders =
+            executor->listed ? sched_take_orders(executor) : NULL;
 
-        if (!executor->listed || g_strcmp0(executor->node, session->node)) {
-            continue;
-        }
-        orders = sched_take_orders(executor);
         if (orders != NULL) {
             g_ptr_array_add(executor_orders, orders);
         }
@@ -190,6 +172,6 @@
 leader_free_sessions(leader_t *leader)
 {
     LIST_FOREACH_SAFE (session, &leader->sessions, session_t, link) {
-        free_session(session);
+        free_session(leader, session);
     }
 }
