Slow down the best-effort tasks that disturb, not all of an executor

Now: the leader sends the predicted effect of each task with its start; the agent limits the sum of the effects and slows down the largest first (effect_split). A task is placed where it uses the smallest share of the slack that the serving tasks have left, and only up to 0.75 of their targets; it may join an executor with throttled tasks if its own effect is negligible. The agent counts a tail above 0.95 of the target as missed.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -1,5 +1,6 @@
 /* One incarnation of an executor: its lease, its polls and its runs. */
 
+#include <math.h>
 #include <string.h>
 
 #include "base/events.h"
@@ -98,7 +99,7 @@
     executor->rejected = g_ptr_array_new_with_free_func(free_rejected);
     executor->full_report_due = true;
     executor->clock_ms = -1;
-    executor->throttle_percent = 100;
+    executor->effect_limit = INFINITY;
     teasel__capacity__init(&executor->capacity);
     list_init(&executor->runs);
     list_init(&executor->calls);
@@ -383,6 +384,7 @@
         run->checkpoint = g_strdup(order->checkpoint);
     }
     run->best_effort = order->filler;
+    run_set_tail_effect(run, order->tail_effect_permille);
     run->latency_target_ms = order->latency_target_ms;
 }
 
@@ -393,6 +395,7 @@
 
     if (run != NULL) {
         run->best_effort = traits->filler;
+        run_set_tail_effect(run, traits->tail_effect_permille);
         run->latency_target_ms = traits->latency_target_ms;
     }
 }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -16,6 +16,8 @@
 /**
  * struct run - a run that this agent was ordered to start or stop, or that an
  * executor has listed
+ * @tail_effect: by how much a best-effort run, at full speed, raises the
+ *     highest ratio of tail latency to target
  * @percent: progress
  * @measured: measured value of the task: tail latency in ms of a serving task,
  *     CPU use in milli-CPU of others
@@ -41,6 +43,7 @@
     char *checkpoint;
     uint32_t latency_target_ms;
     bool best_effort;
+    double tail_effect;
     uint32_t percent;
     uint32_t measured;
     bool outcome_unknown;
@@ -89,8 +92,9 @@
  * @calls: run_call_t in progress
  * @starting: number of start calls in progress
  * @ended_by_ms: time by which a retiring executor has exited, otherwise 0
- * @throttle_percent: share of full speed of its best-effort tasks
- * @throttle_updated_ms: time of the last choice of @throttle_percent
+ * @effect_limit: limit of the sum of the effects of its best-effort tasks on
+ *     the tail latency, in units of the latency target; INFINITY if none
+ * @throttle_updated_ms: time of the last choice of @effect_limit
  * @target_missed_since_ms: time since which a serving task has missed its
  *     latency target, or 0
  */
@@ -130,7 +134,7 @@
     list_t calls;
     unsigned starting;
     int64_t ended_by_ms;
-    uint32_t throttle_percent;
+    double effect_limit;
     int64_t throttle_updated_ms;
     int64_t target_missed_since_ms;
 } node_executor_t;
@@ -204,6 +208,13 @@
 run_t *run_new(node_executor_t *executor, const char *task, uint32_t number);
 void run_free(run_t *run);
 
+/**
+ * run_set_tail_effect() - set the effect of a best-effort run on the tail
+ * latency
+ * @permille: in thousandths of the latency target, 0 if not known
+ */
+void run_set_tail_effect(run_t *run, uint32_t permille);
+
 /**
  * run_reject() - report that a run does not exist and never will, and free it
  */
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -13,6 +13,15 @@
     MAX_START_ATTEMPTS = 2,
 };
 
+/* Effect of a best-effort run that the leader does not know. */
+static const double DEFAULT_TAIL_EFFECT = 0.1;
+
+void
+run_set_tail_effect(run_t *run, uint32_t permille)
+{
+    run->tail_effect = permille > 0 ? permille / 1000.0 : DEFAULT_TAIL_EFFECT;
+}
+
 run_t *
 run_find(node_executor_t *executor, const char *task, uint32_t number)
 {
@@ -33,6 +42,7 @@
     run->task = g_strdup(task);
     run->run = number;
     run->throttle_percent = 100;
+    run->tail_effect = DEFAULT_TAIL_EFFECT;
     list_append(&executor->runs, &run->link);
     return run;
 }
--- a/libteasel/node/throttle.c
+++ b/libteasel/node/throttle.c
@@ -1,33 +1,37 @@
 /*
  * Throttles best-effort tasks to protect the tail latency of serving tasks on
  * the same executor. The executor reports the tail latency of each serving
- * task with a delay. The speed of all best-effort tasks is cut by a factor
- * while a latency target is missed, and rises in small steps while all targets
- * are met with headroom.
+ * task with a delay. The sum of the effects of the best-effort tasks on the
+ * tail latency is cut by a factor while a latency target is missed, and rises
+ * in small steps while all targets are met with headroom. Within that sum, the
+ * tasks with the largest effects are slowed down first.
  */
 
+#include <math.h>
+
 #include "base/events.h"
+#include "node/effect_split.h"
 #include "node/node_internal.h"
 
 enum {
     /* Measured values are averages over 500 ms, and a throttle takes effect
        after 100 ms. */
     THROTTLE_INTERVAL_MS = 600,
-    /* Bounds of the rise per interval, in percentage points. */
-    MIN_RAISE_PERCENT = 10,
-    MAX_RAISE_PERCENT = 30,
     /* Best-effort tasks are paused after a target was missed for this long. */
     PAUSE_AFTER_MISS_MS = 1500,
     PAUSED_PERCENT = 0,
     /* Work below this speed is not worth its memory; the tasks are paused. */
     MIN_USEFUL_PERCENT = 8,
     /* Share of the target below which best-effort tasks may speed up. */
-    HEADROOM_PERCENT = 85,
+    HEADROOM_PERCENT = 75,
 };
 
+/* Ratio of tail latency to target that counts as missed. */
+static const double MISSED_RATIO = 0.95;
+
 typedef struct tail {
     bool has_target;    /* a serving task with a target runs */
-    bool missed;        /* a target is missed */
+    bool missed;        /* a target is missed, or about to be */
     bool headroom;      /* all tails are below HEADROOM_PERCENT */
     double worst_ratio; /* highest ratio of tail latency to target */
 } tail_t;
@@ -46,7 +50,7 @@
         ratio = (double)run->measured / run->latency_target_ms;
         tail.has_target = true;
         tail.worst_ratio = MAX(tail.worst_ratio, ratio);
-        tail.missed |= ratio > 1.0;
+        tail.missed |= ratio > MISSED_RATIO;
         tail.headroom &= ratio * 100 < HEADROOM_PERCENT;
     }
     return tail;
@@ -88,12 +92,19 @@
                                   on_throttled, call);
 }
 
+/* Bounds of the rise of the limit per interval, as a share of the effects at
+   full speed. */
+static const double MIN_RAISE = 0.1;
+static const double MAX_RAISE = 0.3;
+/* Bounds of the factor by which the limit is cut per interval. */
+static const double MIN_CUT = 0.3;
+static const double MAX_CUT = 0.85;
 /* Typical ratio of tail latency to target without best-effort tasks. */
 static const double BASELINE_RATIO = 0.45;
 /* Ratio of tail latency to target that the throttle aims at. */
-static const double TARGET_RATIO = 0.9;
+static const double TARGET_RATIO = 0.8;
 
-/* Returns the factor for the speed of the best-effort tasks, to which the
+/* Returns the factor for the effects of the best-effort tasks, to which the
    excess over BASELINE_RATIO is assumed to be proportional. */
 static double
 get_speed_factor(double worst_ratio)
@@ -102,66 +113,112 @@
            MAX(0.05, worst_ratio - BASELINE_RATIO);
 }
 
-static uint32_t
-reduce_throttle_percent(uint32_t throttle_percent, double worst_ratio)
-{
-    uint32_t slower =
-        (uint32_t)(throttle_percent *
-                   CLAMP(get_speed_factor(worst_ratio), 0.3, 0.85));
+/**
+ * struct effects - best-effort runs of an executor
+ * @total: sum of their effects at full speed
+ * @current: sum of their effects at their present speeds
+ */
+typedef struct effects {
+    GPtrArray *runs; /* run_t */
+    GArray *values;  /* double */
+    double total;
+    double current;
+} effects_t;
 
-    return slower < MIN_USEFUL_PERCENT ? PAUSED_PERCENT : slower;
+static void
+add_effect(effects_t *effects, run_t *run)
+{
+    g_ptr_array_add(effects->runs, run);
+    g_array_append_val(effects->values, run->tail_effect);
+    effects->total += run->tail_effect;
+    effects->current += run->tail_effect * run->throttle_percent / 100.0;
 }
 
-static uint32_t
-raise_throttle_percent(uint32_t throttle_percent, double worst_ratio)
+static double
+raise_limit(const effects_t *effects, double worst_ratio)
 {
-    double faster = throttle_percent * get_speed_factor(worst_ratio);
+    double limit = CLAMP(effects->current * get_speed_factor(worst_ratio),
+                         effects->current + MIN_RAISE * effects->total,
+                         effects->current + MAX_RAISE * effects->total);
 
-    return (uint32_t)MIN(100,
-                         CLAMP(faster, throttle_percent + MIN_RAISE_PERCENT,
-                               throttle_percent + MAX_RAISE_PERCENT));
+    return limit < effects->total ? limit : INFINITY;
 }
 
-static uint32_t
-choose_throttle(const node_executor_t *executor, const tail_t *tail,
-                int64_t now_ms)
+static double
+choose_limit(const node_executor_t *executor, const effects_t *effects,
+             const tail_t *tail, int64_t now_ms)
 {
     if (!tail->has_target) {
-        return 100;
+        return INFINITY;
     }
     if (tail->missed) {
         return now_ms - executor->target_missed_since_ms >= PAUSE_AFTER_MISS_MS
-                   ? PAUSED_PERCENT
-                   : reduce_throttle_percent(executor->throttle_percent,
-                                             tail->worst_ratio);
+                   ? 0
+                   : effects->current *
+                         CLAMP(get_speed_factor(tail->worst_ratio), MIN_CUT,
+                               MAX_CUT);
     }
     if (tail->headroom) {
-        return raise_throttle_percent(executor->throttle_percent,
-                                      tail->worst_ratio);
+        return raise_limit(effects, tail->worst_ratio);
     }
-    return executor->throttle_percent;
+    return executor->effect_limit;
 }
 
-void
-throttle_update(node_executor_t *executor)
+static uint32_t
+to_percent(double speed)
 {
-    tail_t tail = read_tail(executor);
-    int64_t now_ms = node_now_ms(executor->node);
+    uint32_t percent = (uint32_t)(speed * 100.0 + 0.5);
+
+    return percent < MIN_USEFUL_PERCENT ? PAUSED_PERCENT : percent;
+}
+
+static void
+set_speeds(const node_executor_t *executor, const effects_t *effects)
+{
+    g_autofree double *speeds = g_new0(double, effects->runs->len + 1);
 
-    if (!tail.missed) {
+    effect_split((const double *)effects->values->data, speeds,
+                 effects->runs->len, executor->effect_limit);
+    for (guint i = 0; i < effects->runs->len; i++) {
+        set_throttle(g_ptr_array_index(effects->runs, i),
+                     to_percent(speeds[i]));
+    }
+}
+
+static void
+update_miss(node_executor_t *executor, const tail_t *tail, int64_t now_ms)
+{
+    if (!tail->missed) {
         executor->target_missed_since_ms = 0;
     }
     else if (executor->target_missed_since_ms == 0) {
         executor->target_missed_since_ms = now_ms;
     }
-    if (now_ms - executor->throttle_updated_ms >= THROTTLE_INTERVAL_MS ||
-        !tail.has_target) {
-        executor->throttle_updated_ms = now_ms;
-        executor->throttle_percent = choose_throttle(executor, &tail, now_ms);
-    }
+}
+
+void
+throttle_update(node_executor_t *executor)
+{
+    tail_t tail = read_tail(executor);
+    int64_t now_ms = node_now_ms(executor->node);
+    effects_t effects = {
+        .runs = g_ptr_array_new(),
+        .values = g_array_new(FALSE, FALSE, sizeof(double)),
+    };
+
+    update_miss(executor, &tail, now_ms);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         if (run->best_effort && run->phase == RUN_STARTED) {
-            set_throttle(run, executor->throttle_percent);
+            add_effect(&effects, run);
         }
     }
+    if (now_ms - executor->throttle_updated_ms >= THROTTLE_INTERVAL_MS ||
+        !tail.has_target) {
+        executor->throttle_updated_ms = now_ms;
+        executor->effect_limit =
+            choose_limit(executor, &effects, &tail, now_ms);
+    }
+    set_speeds(executor, &effects);
+    g_ptr_array_unref(effects.runs);
+    g_array_unref(effects.values);
 }
--- a/libteasel/sched/interference.c
+++ b/libteasel/sched/interference.c
@@ -196,35 +196,51 @@
     return pressure;
 }
 
-double
+interference_prediction_t
 interference_predict(const interference_t *table,
                      const sched_executor_t *executor,
-                     const sched_step_t *best_effort, double limit)
+                     const sched_step_t *best_effort)
 {
+    interference_prediction_t prediction = {0};
     double share = get_share(executor, best_effort->spec->cpu_milli);
     uint16_t image = sched_step_get_image_id(best_effort);
-    double worst = 0;
 
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
         uint32_t target_ms = task->step->spec->latency_target_ms;
         uint16_t serving;
-        double ratio;
+        double effect;
+        double tail;
 
         if (target_ms == 0) {
             continue;
         }
         serving = sched_step_get_image_id(task->step);
-        ratio = (double)task->measurement / target_ms +
-                share * get_weight(table, image, serving);
-        if (ratio <= limit) {
-            ratio += get_pending_pressure(table, executor, serving);
-        }
-        worst = fmax(worst, ratio);
-        if (worst > limit) {
-            break;
+        effect = share * get_weight(table, image, serving);
+        tail = (double)task->measurement / target_ms + effect +
+               get_pending_pressure(table, executor, serving);
+        prediction.effect = fmax(prediction.effect, effect);
+        prediction.tail = fmax(prediction.tail, tail);
+    }
+    return prediction;
+}
+
+double
+interference_get_effect(const interference_t *table,
+                        const sched_executor_t *executor,
+                        const sched_step_t *best_effort)
+{
+    double share = get_share(executor, best_effort->spec->cpu_milli);
+    uint16_t image = sched_step_get_image_id(best_effort);
+    double effect = 0;
+
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
+        if (task->step->spec->latency_target_ms > 0) {
+            uint16_t serving = sched_step_get_image_id(task->step);
+
+            effect = fmax(effect, share * get_weight(table, image, serving));
         }
     }
-    return worst;
+    return effect;
 }
 
 static void
--- a/libteasel/sched/interference.h
+++ b/libteasel/sched/interference.h
@@ -42,17 +42,34 @@
 void interference_update(interference_t *table, sched_executor_t *executor);
 
 /**
- * interference_predict() - predict the tail latency with one more best-effort
- * task
+ * struct interference_prediction - predicted effect of one more best-effort
+ * task on the serving tasks of an executor
+ * @tail: highest ratio of tail latency to target with the task, 0 if no task
+ *     there has a target
+ * @effect: highest part of the ratio of a serving task that is due to it
+ */
+typedef struct interference_prediction {
+    double tail;
+    double effect;
+} interference_prediction_t;
+
+/**
+ * interference_predict() - predict the tail latencies with one more
+ * best-effort task
  * @best_effort: step of the task that would be added
- * @limit: the prediction stops once it exceeds this ratio
- *
- * Return: the highest ratio of tail latency to target on the executor, or 0 if
- * no task there has a target. A ratio above @limit may be too low.
  */
-double interference_predict(const interference_t *table,
-                            const sched_executor_t *executor,
-                            const sched_step_t *best_effort, double limit);
+interference_prediction_t
+interference_predict(const interference_t *table,
+                     const sched_executor_t *executor,
+                     const sched_step_t *best_effort);
+
+/**
+ * interference_get_effect() - return by how much a task of a step raises the
+ * ratio of tail latency to target of the most affected serving task
+ */
+double interference_get_effect(const interference_t *table,
+                               const sched_executor_t *executor,
+                               const sched_step_t *best_effort);
 
 /**
  * interference_to_pairs() - export the weights of all pairs of images
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -66,6 +66,8 @@
  * @measurement: last reported value: tail latency in ms of a task with a
  *     latency target, else CPU use in milli-CPU; 0 if none
  * @slowdown: percentage by which the agent throttles the run
+ * @tail_effect: by how much the run, at full speed, raises the highest ratio
+ *     of tail latency to target on its executor, as predicted
  * @slowed_since_ms: since when the slowdown is high enough to migrate, or 0
  * @baseline_ratio: ratio of tail latency to target without best-effort tasks,
  *     as estimated by interference_update()
@@ -92,6 +94,7 @@
     uint32_t percent;
     uint32_t measurement;
     uint32_t slowdown;
+    double tail_effect;
     int64_t slowed_since_ms;
     double baseline_ratio;
     int64_t placed_ms;
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -18,13 +18,16 @@
 enum {
     /* Share of its CPU reservation that a serving task usually uses. */
     SERVING_UTILIZATION_PERCENT = 60,
-    /* No best-effort task is added where one is throttled more than this. */
+    /* No slack is left where a best-effort task is throttled more than
+       this. */
     MAX_SLOWDOWN_PERCENT = 20,
 };
 
 /* Best-effort tasks are added up to this predicted ratio of tail latency to
    target. */
-static const double MAX_TAIL_RATIO = 0.9;
+static const double MAX_TAIL_RATIO = 0.75;
+/* A best-effort task with a smaller effect on the ratio is always allowed. */
+static const double NEGLIGIBLE_EFFECT = 0.02;
 
 static bool
 accepts_tasks(const sched_executor_t *executor, const Teasel__JobSpec *job,
@@ -52,9 +55,6 @@
         cpu += executor->best_effort_cpu;
         cpu -=
             executor->serving_cpu * (100 - SERVING_UTILIZATION_PERCENT) / 100;
-        if (executor->slowdown > MAX_SLOWDOWN_PERCENT) {
-            return false;
-        }
     }
     return cpu <= capacity->cpu_milli &&
            reserved->memory_mb + step->memory_mb <= capacity->memory_mb &&
@@ -111,25 +111,34 @@
            fmax(1.0, (double)executor->capacity.cpu_milli);
 }
 
-/* The cost is infinite where the task would make a serving task miss its
-   target, unless its job is idle. */
+/* The cost is the share of the remaining slack of the serving tasks that the
+   task would use, so that tasks with little effect fill executors where others
+   would be throttled. It is infinite where the task would make a serving task
+   miss its target, unless its job is idle. */
 static double
 get_best_effort_cost(const sched_placement_t *placement,
                      const sched_executor_t *executor,
                      const sched_step_t *step)
 {
-    double limit = placement->job_idle ? INFINITY : MAX_TAIL_RATIO;
-    double tail;
+    interference_prediction_t prediction;
+    double slack;
 
     if (!step->spec->filler || executor->serving == 0) {
         return 0;
     }
-    tail =
-        interference_predict(placement->interference, executor, step, limit);
-    if (tail > limit) {
+    prediction = interference_predict(placement->interference, executor, step);
+    slack = executor->slowdown > MAX_SLOWDOWN_PERCENT
+                ? 0
+                : MAX_TAIL_RATIO - (prediction.tail - prediction.effect);
+    if (prediction.effect <= fmax(slack, NEGLIGIBLE_EFFECT)) {
+        return COST_BEST_EFFORT_BESIDE_SERVING * prediction.effect /
+               fmax(slack, NEGLIGIBLE_EFFECT);
+    }
+    if (!placement->job_idle) {
         return INFINITY;
     }
-    return COST_BEST_EFFORT_BESIDE_SERVING * tail;
+    return COST_BEST_EFFORT_BESIDE_SERVING *
+           (1.0 + prediction.tail - MAX_TAIL_RATIO);
 }
 
 double
--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -12,6 +12,12 @@
     return g_strdup(name);
 }
 
+static uint32_t
+get_effect_permille(const sched_task_t *task)
+{
+    return (uint32_t)(CLAMP(task->tail_effect, 0.0, 1000.0) * 1000.0);
+}
+
 static Teasel__StartOrder *
 new_start(const sched_task_t *task)
 {
@@ -25,6 +31,7 @@
     start->checkpoint = g_strdup(task->checkpoint ? task->checkpoint : "");
     start->latency_target_ms = step->latency_target_ms;
     start->filler = step->filler;
+    start->tail_effect_permille = get_effect_permille(task);
     return start;
 }
 
@@ -50,6 +57,7 @@
     traits->run = task->run;
     traits->latency_target_ms = step->latency_target_ms;
     traits->filler = step->filler;
+    traits->tail_effect_permille = get_effect_permille(task);
     return traits;
 }
 
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -387,6 +387,8 @@
 repeat_orders(sched_t *sched, sched_executor_t *executor)
 {
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
+        task->tail_effect =
+            interference_get_effect(sched->interference, executor, task->step);
         if (task->start_sent &&
             (!task->reported || task->phase == SCHED_TASK_STOPPING)) {
             sched_stage_order(sched, task);
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -72,6 +72,8 @@
     task->start_sent = false;
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
+    task->tail_effect =
+        interference_get_effect(sched->interference, executor, task->step);
     sched_executor_attach(executor, task);
     sched_task_get_job(task)->idle_since_ms = 0;
     sched_mark_dirty(sched, sched_task_get_job(task));
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -3179,7 +3179,7 @@
   (ProtobufCMessageInit) teasel__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__start_order__field_descriptors[6] =
+static const ProtobufCFieldDescriptor teasel__start_order__field_descriptors[7] =
 {
   {
     "task",
@@ -3253,6 +3253,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tail_effect_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__StartOrder, tail_effect_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__start_order__field_indices_by_name[] = {
   3,   /* field[3] = checkpoint */
@@ -3260,12 +3272,13 @@
   4,   /* field[4] = latency_target_ms */
   2,   /* field[2] = payload */
   1,   /* field[1] = run */
+  6,   /* field[6] = tail_effect_permille */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange teasel__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor teasel__start_order__descriptor =
 {
@@ -3275,14 +3288,14 @@
   "Teasel__StartOrder",
   "teasel",
   sizeof(Teasel__StartOrder),
-  6,
+  7,
   teasel__start_order__field_descriptors,
   teasel__start_order__field_indices_by_name,
   1,  teasel__start_order__number_ranges,
   (ProtobufCMessageInit) teasel__start_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__run_traits__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__run_traits__field_descriptors[5] =
 {
   {
     "task",
@@ -3332,17 +3345,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tail_effect_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunTraits, tail_effect_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__run_traits__field_indices_by_name[] = {
   3,   /* field[3] = filler */
   2,   /* field[2] = latency_target_ms */
   1,   /* field[1] = run */
+  4,   /* field[4] = tail_effect_permille */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange teasel__run_traits__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__run_traits__descriptor =
 {
@@ -3352,7 +3378,7 @@
   "Teasel__RunTraits",
   "teasel",
   sizeof(Teasel__RunTraits),
-  4,
+  5,
   teasel__run_traits__field_descriptors,
   teasel__run_traits__field_indices_by_name,
   1,  teasel__run_traits__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -459,10 +459,14 @@
   char *checkpoint;
   uint32_t latency_target_ms;
   protobuf_c_boolean filler;
+  /*
+   * see RunTraits
+   */
+  uint32_t tail_effect_permille;
 };
 #define TEASEL__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__start_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -475,10 +479,15 @@
   uint32_t run;
   uint32_t latency_target_ms;
   protobuf_c_boolean filler;
+  /*
+   * By how much the run, at full speed, raises the highest ratio of tail
+   * latency to target on its executor; 0: not known.
+   */
+  uint32_t tail_effect_permille;
 };
 #define TEASEL__RUN_TRAITS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__run_traits__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Teasel__ExecutorOrders
