Order waiting jobs by what they can still achieve, and keep large ones from starving

Cause: a job counted as late only once its deadline had passed, so jobs that could not make it any more took the room of those that could, and both were late. A new leader took all loaded jobs for new.

Now (job_order): jobs that can still be done in time, then those that will be late but of use, then the rest; within these least remaining work first. The time of acceptance is stored. Size classes (size_share): a class whose share of jobs started in time is under 0.7 of that of its queue has one job at a time favoured, the newest, until all its tasks are placed.

--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -145,10 +145,15 @@
  * @image_ids: number of the image of each step, see
  *     interference_get_image_id()
  * @running: number of tasks in phase SCHED_TASK_RUNNING
- * @deadline_ms: when the job should be done, by the estimates of its steps
+ * @outlook: a job_outlook_t, as of the last sort of the jobs
+ * @size_class: a size_class_t among the jobs of its queue
+ * @favoured: goes before smaller jobs, see size_share.h
+ * @started_in_time: all tasks of a step were placed while it could be done in
+ *     time
  * @remaining_work: core-ms, as of the last sort of the jobs
  * @idle_since_ms: since when the job has no running task, or 0
- * @known_since_ms: when this leader accepted or loaded the job
+ * @known_since_ms: when the job was accepted, on the monotonic clock
+ * @accepted_ms: the same on the wall clock
  */
 struct sched_job {
     list_t link;
@@ -166,10 +171,14 @@
     uint16_t *image_ids;
     uint32_t running;
     int64_t finished_ms;
-    int64_t deadline_ms;
+    uint8_t outlook;
+    uint8_t size_class;
+    bool favoured;
+    bool started_in_time;
     double remaining_work;
     int64_t idle_since_ms;
     int64_t known_since_ms;
+    int64_t accepted_ms;
 };
 
 /**
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -114,6 +114,7 @@
     record.next_occurrence = job->next_occurrence;
     record.accepted = job->sequence;
     record.finished_ms = job->finished_ms;
+    record.accepted_ms = job->accepted_ms;
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         /* The tasks of a final job matter only while some may still run. */
         if (sched_job_is_final(job) && sched_job_count_placed(job) == 0) {
@@ -239,6 +240,7 @@
     job->pending_state = job->state;
     job->visible_state = job->state;
     job->finished_ms = record->finished_ms;
+    job->accepted_ms = record->accepted_ms;
     job->started = job->state != SCHED_JOB_QUEUED;
     job->stored = true;
     for (size_t i = 0; i < record->n_places; i++) {
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/events.h"
+#include "sched/job_order.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -32,6 +33,7 @@
     sched->interference = interference_new();
     sched->estimate_errors =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    sched->size_share = size_share_new();
     sched->jobs_in_write = g_ptr_array_new();
     sched->deleted_keys = g_ptr_array_new_with_free_func(g_free);
     list_init(&sched->executor_list);
@@ -66,6 +68,7 @@
     }
     interference_free(sched->interference);
     g_hash_table_unref(sched->estimate_errors);
+    size_share_free(sched->size_share);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->executors);
     g_hash_table_unref(sched->nodes);
@@ -116,6 +119,8 @@
         list_append(&sched->finished_jobs, &job->link);
         return;
     }
+    job->size_class = size_share_add_job(sched->size_share, job->spec->queue,
+                                         job_order_get_total_work(job->spec));
     while (position->prev != &sched->active_jobs &&
            goes_before(job, LIST_ENTRY(position->prev, sched_job_t, link))) {
         position = position->prev;
@@ -144,6 +149,18 @@
     return sched_get_executor(data, key);
 }
 
+/* Returns how long ago an earlier leader accepted a job. Wall clocks differ
+   between processes and may jump. */
+static int64_t
+get_stored_age_ms(const sched_t *sched, const sched_job_t *job)
+{
+    if (job->accepted_ms == 0) {
+        return 0;
+    }
+    return CLAMP(sched_wall_ms(sched) - job->accepted_ms, 0,
+                 sched->opts.retain_ms);
+}
+
 bool
 sched_load(sched_t *sched, const void *record, size_t length, GError **error)
 {
@@ -154,7 +171,7 @@
         return false;
     }
     sched->last_sequence = MAX(sched->last_sequence, job->sequence);
-    job->known_since_ms = sched_now_ms(sched);
+    job->known_since_ms = sched_now_ms(sched) - get_stored_age_ms(sched, job);
     insert_job(sched, job);
     sched->placement_needed = true;
     return true;
@@ -185,6 +202,7 @@
     }
     job = sched_job_new(spec, ++sched->last_sequence);
     job->known_since_ms = sched_now_ms(sched);
+    job->accepted_ms = sched_wall_ms(sched);
     insert_job(sched, job);
     sched_mark_dirty(sched, job);
     sched_add_due_occurrences(sched, job);
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -3,6 +3,7 @@
 
 #include "sched/interference.h"
 #include "sched/sched.h"
+#include "sched/size_share.h"
 
 /**
  * struct sched - state of a scheduler
@@ -10,6 +11,7 @@
  * @executors: key -> sched_executor_t, owned
  * @nodes: name -> sched_node_t with at least one executor, owned
  * @estimate_errors: queue -> double, moving average of run time over estimate
+ * @size_share: started jobs by their size
  * @active_jobs: jobs that are not final, in scheduling order
  * @finished_jobs: final jobs, oldest first
  * @dirty_jobs: jobs whose record has to be written
@@ -37,6 +39,7 @@
     list_t executor_list;
     interference_t *interference;
     GHashTable *estimate_errors;
+    size_share_t *size_share;
     list_t active_jobs;
     list_t finished_jobs;
     list_t dirty_jobs;
@@ -64,8 +67,7 @@
                                  double ran_ms);
 
 /**
- * sched_sort_jobs() - sort the active jobs by priority, then those within
- * their deadline first, then by least remaining work
+ * sched_sort_jobs() - sort the active jobs by the order of job_order_compare()
  */
 void sched_sort_jobs(sched_t *sched);
 
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -3,6 +3,7 @@
 #include "base/events.h"
 #include "sched/candidates.h"
 #include "sched/demand.h"
+#include "sched/job_order.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -67,6 +68,8 @@
 place_task(sched_t *sched, sched_task_t *task, sched_executor_t *executor,
            uint32_t run)
 {
+    sched_job_t *job = sched_task_get_job(task);
+
     task->run = run;
     sched_task_set_phase(task, SCHED_TASK_PLACED);
     task->start_sent = false;
@@ -75,8 +78,8 @@
     task->tail_effect =
         interference_get_effect(sched->interference, executor, task->step);
     sched_executor_attach(executor, task);
-    sched_task_get_job(task)->idle_since_ms = 0;
-    sched_mark_dirty(sched, sched_task_get_job(task));
+    job->idle_since_ms = 0;
+    sched_mark_dirty(sched, job);
     sched_stage_order(sched, task);
 }
 
@@ -152,10 +155,20 @@
     return found;
 }
 
+static void
+count_start(sched_t *sched, sched_job_t *job)
+{
+    if (!job->started_in_time && job->outlook == JOB_OUTLOOK_IN_TIME) {
+        job->started_in_time = true;
+        size_share_add_start(sched->size_share, job->spec->queue,
+                             (size_class_t)job->size_class);
+    }
+}
+
 static void
 place_tasks(pass_t *pass, sched_step_t *step)
 {
-    const sched_job_t *job = step->occurrence->job;
+    sched_job_t *job = step->occurrence->job;
     uint32_t waiting = step->waiting;
 
     if (demand_list_covers(pass->failed, step, is_idle(job, pass->now_ms))) {
@@ -165,6 +178,9 @@
         (step->waiting > 0 && !place_equal_tasks(pass, step))) {
         demand_list_add(pass->failed, step, is_idle(job, pass->now_ms));
     }
+    if (step->waiting == 0) {
+        count_start(pass->sched, job);
+    }
     log_placed(step, waiting - step->waiting, pass->now_ms);
 }
 
--- a/libteasel/sched/sched_sort.c
+++ b/libteasel/sched/sched_sort.c
@@ -1,5 +1,6 @@
 /* Sorts the jobs into the order in which their tasks are placed. */
 
+#include "sched/job_order.h"
 #include "sched/sched_internal.h"
 
 enum {
@@ -36,96 +37,106 @@
                         error);
 }
 
-static double
-get_critical_path_ms(const Teasel__JobSpec *spec)
+static int
+compare_jobs(gconstpointer left, gconstpointer right)
 {
-    double ends[SCHED_MAX_STEPS];
-    double longest = 0;
-
-    for (size_t i = 0; i < spec->n_steps; i++) {
-        const Teasel__StepSpec *step = spec->steps[i];
+    return job_order_compare(*(sched_job_t *const *)left,
+                             *(sched_job_t *const *)right);
+}
 
-        ends[i] = 0;
-        for (size_t j = 0; j < step->n_after; j++) {
-            ends[i] = MAX(ends[i], ends[step->after[j]]);
-        }
-        ends[i] += step->estimated_ms;
-        longest = MAX(longest, ends[i]);
+static void
+check_started_job(sched_t *sched, sched_job_t *job)
+{
+    if (job->started_in_time && job->outlook != JOB_OUTLOOK_IN_TIME) {
+        job->started_in_time = false;
+        size_share_remove_start(sched->size_share, job->spec->queue,
+                                (size_class_t)job->size_class);
     }
-    return longest;
 }
 
-static double
-get_remaining_work(const sched_job_t *job)
+static bool
+has_ready_tasks(const sched_job_t *job)
 {
-    double work = 0;
-
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         for (size_t i = 0; i < job->spec->n_steps; i++) {
             const sched_step_t *step = &occurrence->steps[i];
 
-            work += (double)(step->spec->count - step->done) *
-                    step->spec->estimated_ms * step->spec->cpu_milli / 1000.0;
+            if (step->waiting > 0 && sched_step_is_ready(step)) {
+                return true;
+            }
         }
     }
-    return work;
+    return false;
 }
 
-static void
-update_sort_keys(const sched_t *sched, sched_job_t *job)
+static bool
+may_be_favoured(const sched_t *sched, const sched_job_t *job)
 {
-    const Teasel__JobSpec *spec = job->spec;
-    double critical_path_ms =
-        get_critical_path_ms(spec) * get_estimate_error(sched, job);
-
-    job->deadline_ms =
-        job->known_since_ms + spec->allowance_ms +
-        (int64_t)(critical_path_ms * spec->slack_percent / 100.0);
-    job->remaining_work = get_remaining_work(job);
+    return !job->favoured && !job->started_in_time &&
+           job->outlook == JOB_OUTLOOK_IN_TIME &&
+           job->size_class != SIZE_CLASS_USUAL &&
+           size_share_is_behind(sched->size_share, job->spec->queue,
+                                (size_class_t)job->size_class);
 }
 
-typedef struct sort_context {
-    int64_t now_ms;
-} sort_context_t;
-
 static int
-compare_jobs(gconstpointer left, gconstpointer right, gpointer data)
+compare_ages(gconstpointer left, gconstpointer right)
 {
     const sched_job_t *a = *(sched_job_t *const *)left;
     const sched_job_t *b = *(sched_job_t *const *)right;
-    const sort_context_t *context = data;
-    bool a_late = context->now_ms > a->deadline_ms;
-    bool b_late = context->now_ms > b->deadline_ms;
 
-    if (a->spec->priority != b->spec->priority) {
-        return a->spec->priority < b->spec->priority ? -1 : 1;
-    }
-    if (a_late != b_late) {
-        return a_late ? 1 : -1;
+    return a->known_since_ms < b->known_since_ms
+               ? -1
+               : a->known_since_ms > b->known_since_ms;
+}
+
+/* Favours one job of a queue at a time, until all its tasks are placed. With
+   several, each would hold up the others, and all would be late. The newest
+   job of a class has the most time left. */
+static void
+favour_classes_behind(sched_t *sched, GPtrArray *jobs)
+{
+    g_autoptr(GHashTable) favoured = g_hash_table_new(g_str_hash, g_str_equal);
+
+    for (guint i = 0; i < jobs->len; i++) {
+        sched_job_t *job = g_ptr_array_index(jobs, i);
+
+        check_started_job(sched, job);
+        job->favoured &= job->outlook == JOB_OUTLOOK_IN_TIME;
+        if (job->favoured && has_ready_tasks(job)) {
+            g_hash_table_add(favoured, job->spec->queue);
+        }
     }
-    if (a->remaining_work != b->remaining_work) {
-        return a->remaining_work < b->remaining_work ? -1 : 1;
+    g_ptr_array_sort(jobs, compare_ages);
+    for (guint i = jobs->len; i > 0; i--) {
+        sched_job_t *job = g_ptr_array_index(jobs, i - 1);
+
+        if (may_be_favoured(sched, job) &&
+            g_hash_table_add(favoured, job->spec->queue)) {
+            job->favoured = true;
+        }
     }
-    return a->sequence < b->sequence ? -1 : a->sequence > b->sequence;
 }
 
 void
 sched_sort_jobs(sched_t *sched)
 {
-    sort_context_t context = {.now_ms = sched_now_ms(sched)};
+    int64_t now_ms = sched_now_ms(sched);
     g_autoptr(GPtrArray) jobs = NULL;
 
-    if (context.now_ms - sched->last_sort_ms < SORT_INTERVAL_MS) {
+    if (now_ms - sched->last_sort_ms < SORT_INTERVAL_MS) {
         return;
     }
-    sched->last_sort_ms = context.now_ms;
+    size_share_decay(sched->size_share, now_ms - sched->last_sort_ms);
+    sched->last_sort_ms = now_ms;
     jobs = g_ptr_array_new();
     LIST_FOREACH_SAFE (job, &sched->active_jobs, sched_job_t, link) {
-        update_sort_keys(sched, job);
+        job_order_update(job, get_estimate_error(sched, job), now_ms);
         list_remove(&job->link);
         g_ptr_array_add(jobs, job);
     }
-    g_ptr_array_sort_with_data(jobs, compare_jobs, &context);
+    favour_classes_behind(sched, jobs);
+    g_ptr_array_sort(jobs, compare_jobs);
     for (guint i = 0; i < jobs->len; i++) {
         sched_job_t *job = g_ptr_array_index(jobs, i);
 
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1713,7 +1713,7 @@
   (ProtobufCMessageInit) teasel__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__job_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor teasel__job_record__field_descriptors[8] =
 {
   {
     "spec",
@@ -1799,9 +1799,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepted_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__JobRecord, accepted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__job_record__field_indices_by_name[] = {
   5,   /* field[5] = accepted */
+  7,   /* field[7] = accepted_ms */
   6,   /* field[6] = finished_ms */
   4,   /* field[4] = next_occurrence */
   3,   /* field[3] = occurrences */
@@ -1812,7 +1825,7 @@
 static const ProtobufCIntRange teasel__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor teasel__job_record__descriptor =
 {
@@ -1822,7 +1835,7 @@
   "Teasel__JobRecord",
   "teasel",
   sizeof(Teasel__JobRecord),
-  7,
+  8,
   teasel__job_record__field_descriptors,
   teasel__job_record__field_indices_by_name,
   1,  teasel__job_record__number_ranges,
@@ -2072,7 +2085,7 @@
   (ProtobufCMessageInit) teasel__leader_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__scheduler_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor teasel__scheduler_record__field_descriptors[4] =
 {
   {
     "name",
@@ -2110,16 +2123,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__SchedulerRecord, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__scheduler_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  3,   /* field[3] = cpu_milli */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange teasel__scheduler_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor teasel__scheduler_record__descriptor =
 {
@@ -2129,7 +2155,7 @@
   "Teasel__SchedulerRecord",
   "teasel",
   sizeof(Teasel__SchedulerRecord),
-  3,
+  4,
   teasel__scheduler_record__field_descriptors,
   teasel__scheduler_record__field_indices_by_name,
   1,  teasel__scheduler_record__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -174,10 +174,14 @@
    * wall clock; 0 while the job is not final
    */
   int64_t finished_ms;
+  /*
+   * wall clock; 0 in records of earlier versions
+   */
+  int64_t accepted_ms;
 };
 #define TEASEL__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__job_record__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -244,10 +248,14 @@
   char *name;
   char *address;
   uint64_t incarnation;
+  /*
+   * processor share of its instance
+   */
+  uint32_t cpu_milli;
 };
 #define TEASEL__SCHEDULER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__scheduler_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
