--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -95,6 +95,8 @@
     EVENT(EVENT_RUN_ENDED, 7017, G_LOG_LEVEL_WARNING, "run-ended")            \
     EVENT(EVENT_RUN_STOPPED, 7018, G_LOG_LEVEL_MESSAGE, "run-stopped")        \
     EVENT(EVENT_LOAD, 7019, G_LOG_LEVEL_MESSAGE, "load")                      \
+    EVENT(EVENT_UNREGISTER_FAILED, 7020, G_LOG_LEVEL_MESSAGE,                 \
+          "unregister-failed")                                                \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
@@ -110,6 +112,8 @@
     EVENT(EVENT_START_REJECTED, 8008, G_LOG_LEVEL_WARNING, "start-rejected")  \
     EVENT(EVENT_ANNOUNCEMENT_INVALID, 8009, G_LOG_LEVEL_WARNING,              \
           "announcement-invalid")                                             \
+    EVENT(EVENT_RUN_ROW_INVALID, 8010, G_LOG_LEVEL_WARNING,                   \
+          "run-row-invalid")                                                  \
     EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
--- a/libteasel/entry/peer_server.c
+++ b/libteasel/entry/peer_server.c
@@ -1,6 +1,7 @@
 #include "entry/peer_server.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/events.h"
 #include "entry/forward_message.h"
@@ -122,8 +123,15 @@
         .load = convert_load(hello->load),
     };
     peer_session_t *replaced;
-    member_t *member = member_table_join(opts->members, &description, session,
-                                         (void **)&replaced);
+    member_t *member;
+
+    if (session->member != NULL &&
+        strcmp(session->member->agent_id, hello->agent_id) != 0) {
+        refuse_peer(session, "a second Hello names another agent");
+        return;
+    }
+    member = member_table_join(opts->members, &description, session,
+                               (void **)&replaced);
 
     if (member == NULL) {
         event_log(EVENT_MEMBER_REFUSED, "agent=%s incarnation=%" PRIu64,
