Let the schedulers with the most CPU lead, and connect only candidates

Every scheduler kept connections to all others (65 x 64), five statuses a second each way. Schedulers that had left were dialled for ever.

Now: the record of a scheduler names its CPU share (from its settings); rank is by CPU, then name; while schedulers start together one waits for stronger ones that are not connected yet; before the first election all wait 300 ms to know each other. Each scheduler is connected to the leader, the seven candidates to each other, the leader to all. A scheduler that leaves removes its record, on condition of the end of the topic, so that a late removal cannot hide its successor; others take the removed record of a leader for its resignation.

cluster_test: five cases on real connections and the fake store.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -22,6 +22,11 @@
        partitioned itself. */
     ISOLATED_CLAIM_DELAY_MS = 3500,
     RESIGNED_CLAIM_DELAY_MS = 3000,
+    /* While schedulers start together, one waits for others with more CPU that
+       are not connected yet. */
+    STARTUP_MS = 1000,
+    /* Before the first election the others are not known yet. */
+    FIRST_CLAIM_DELAY_MS = 300,
     /* Older statuses say nothing reliable about the current state. */
     STATUS_MAX_AGE_MS = 700,
     PROBE_INTERVAL_MS = 300,
@@ -187,13 +192,18 @@
     cluster->resigned = true;
     stop_leading(cluster, reason);
     cluster_send_status(cluster);
+    cluster_update_connections(cluster);
 }
 
 void
 cluster_leave(cluster_t *cluster)
 {
+    if (cluster->leaving) {
+        return;
+    }
     cluster->leaving = true;
     cluster_resign(cluster, "planned stop");
+    loop_timer_start(&cluster->register_timer, 0);
 }
 
 static void
@@ -204,6 +214,7 @@
     cluster->resigned = false;
     cluster->claiming = false;
     cluster->leader_lost_ms = 0;
+    cluster->leader_left = false;
     g_free(cluster->leader_name);
     g_free(cluster->leader_address);
     cluster->leader_name = g_strdup(cluster->name);
@@ -211,6 +222,7 @@
     event_log(EVENT_LEADING, "epoch=%" G_GUINT64_FORMAT, epoch);
     cluster->opts.handler->on_elected(epoch, cluster->opts.data);
     cluster_send_status(cluster);
+    cluster_update_connections(cluster);
 }
 
 /* Gives a new leader time to send its status, even if the last connection to
@@ -250,11 +262,13 @@
     cluster->leader_name = g_strdup(record->name);
     cluster->leader_address = g_strdup(record->address);
     cluster->leader_lost_ms = 0;
+    cluster->leader_left = false;
     cluster->leader_was_alive = false;
     event_log(EVENT_LEADER_CHANGED, "epoch=%" G_GUINT64_FORMAT " leader=%s",
               epoch, record->name);
     cluster_update_member(cluster, record->name, record->address,
                           record->incarnation);
+    cluster_update_connections(cluster);
     await_new_leader(cluster);
 }
 
@@ -278,31 +292,59 @@
 {
     Teasel__SchedulerRecord *record =
         teasel__scheduler_record__unpack(NULL, stored->length, stored->value);
+    member_t *member;
 
     if (record == NULL) {
         event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
                   CONTROL_TOPIC, stored->offset);
         return;
     }
-    cluster_update_member(cluster, record->name, record->address,
-                          record->incarnation);
+    member = cluster_update_member(cluster, record->name, record->address,
+                                   record->incarnation);
+    if (member != NULL) {
+        member->cpu_milli = record->cpu_milli;
+    }
+    cluster_update_connections(cluster);
     teasel__scheduler_record__free_unpacked(record, NULL);
 }
 
+static void
+on_scheduler_removed(cluster_t *cluster, const char *name)
+{
+    if (strcmp(name, cluster->name) != 0) {
+        cluster->leader_left |= g_strcmp0(name, cluster->leader_name) == 0;
+        cluster_forget_member(cluster, name);
+        cluster_update_connections(cluster);
+    }
+    else if (cluster->leaving) {
+        loop_timer_stop(&cluster->register_timer);
+    }
+    else {
+        loop_timer_start(&cluster->register_timer, 0);
+    }
+}
+
 static void
 on_record(const store_record_t *record, void *data)
 {
     cluster_t *cluster = data;
 
-    if (record->value == NULL) {
+    if (strcmp(record->key, CONTROL_KEY_LEADER) == 0) {
+        if (record->value != NULL) {
+            on_leader_record(cluster, record);
+        }
         return;
     }
-    if (strcmp(record->key, CONTROL_KEY_LEADER) == 0) {
-        on_leader_record(cluster, record);
+    if (!g_str_has_prefix(record->key, CONTROL_SCHEDULER_PREFIX)) {
+        return;
     }
-    else if (g_str_has_prefix(record->key, CONTROL_SCHEDULER_PREFIX)) {
+    if (record->value != NULL) {
         on_scheduler_record(cluster, record);
     }
+    else {
+        on_scheduler_removed(cluster,
+                             record->key + strlen(CONTROL_SCHEDULER_PREFIX));
+    }
 }
 
 static void
@@ -347,17 +389,16 @@
     store_append(cluster->opts.store, &append, on_claimed, cluster);
 }
 
-/* Returns the position among the connected candidates in order of name. */
 static int64_t
-get_rank(const cluster_t *cluster)
+get_rank_delay_ms(const cluster_t *cluster)
 {
-    int64_t rank = 0;
+    int64_t age_ms = cluster_now_ms(cluster) - cluster->started_ms;
 
-    LIST_FOREACH (member, &cluster->members, member_t, link) {
-        rank += member->open && strcmp(member->name, cluster->name) < 0 &&
-                g_strcmp0(member->name, cluster->leader_name) != 0;
+    if (age_ms < STARTUP_MS) {
+        return MIN(STARTUP_MS, (int64_t)cluster_get_rank(cluster, true) *
+                                   CLAIM_STAGGER_MS);
     }
-    return rank;
+    return (int64_t)cluster_get_rank(cluster, false) * CLAIM_STAGGER_MS;
 }
 
 static bool
@@ -390,7 +431,7 @@
 {
     const member_t *leader =
         cluster_find_member(cluster, cluster->leader_name);
-    int64_t delay_ms = get_rank(cluster) * CLAIM_STAGGER_MS;
+    int64_t delay_ms = get_rank_delay_ms(cluster);
     /* A status of an earlier epoch was sent before the leader was elected and
        is not a resignation. */
     bool resigned = leader != NULL && has_fresh_status(leader) &&
@@ -399,7 +440,10 @@
     if (cluster->resigned) {
         return RESIGNED_CLAIM_DELAY_MS;
     }
-    if (cluster->leader_name == NULL || resigned ||
+    if (cluster->leader_name == NULL) {
+        return delay_ms + FIRST_CLAIM_DELAY_MS;
+    }
+    if (resigned || cluster->leader_left ||
         strcmp(cluster->leader_name, cluster->name) == 0) {
         return delay_ms;
     }
@@ -470,15 +514,44 @@
 {
     cluster_t *cluster = data;
 
-    if (status != STORE_OK) {
+    if (status != STORE_OK && !cluster->leaving) {
         loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
     }
 }
 
 static void
-register_self(loop_timer_t *timer)
+on_unregistered(store_status_t status, uint64_t offset, void *data)
+{
+    if (status != STORE_OK) {
+        event_log(EVENT_UNREGISTER_FAILED, "status=%s",
+                  store_status_to_string(status));
+    }
+}
+
+/* Repeated until the removal is read back. It is conditional on the end of the
+   topic, so that it cannot take effect after the registration of the next
+   process with this name. */
+static void
+unregister_self(cluster_t *cluster)
+{
+    g_autofree char *key =
+        g_strconcat(CONTROL_SCHEDULER_PREFIX, cluster->name, NULL);
+    store_record_t stored = {.key = key};
+    store_append_t append = {
+        .topic = CONTROL_TOPIC,
+        .records = &stored,
+        .count = 1,
+        .check_end = true,
+        .expected_end = follower_get_next_offset(cluster->follower),
+    };
+
+    store_append(cluster->opts.store, &append, on_unregistered, NULL);
+    loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
+}
+
+static void
+register_self(cluster_t *cluster)
 {
-    cluster_t *cluster = timer->data;
     Teasel__SchedulerRecord record = TEASEL__SCHEDULER_RECORD__INIT;
     g_autoptr(GByteArray) value = g_byte_array_new();
     g_autofree char *key =
@@ -490,6 +563,7 @@
     record.name = cluster->name;
     record.address = cluster->address;
     record.incarnation = cluster->opts.incarnation;
+    record.cpu_milli = cluster->opts.cpu_milli;
     g_byte_array_set_size(value,
                           teasel__scheduler_record__get_packed_size(&record));
     teasel__scheduler_record__pack(&record, value->data);
@@ -498,6 +572,19 @@
     store_append(cluster->opts.store, &append, on_registered, cluster);
 }
 
+static void
+update_registration(loop_timer_t *timer)
+{
+    cluster_t *cluster = timer->data;
+
+    if (cluster->leaving) {
+        unregister_self(cluster);
+    }
+    else {
+        register_self(cluster);
+    }
+}
+
 static bool
 start_listening(cluster_t *cluster, GError **error)
 {
@@ -534,9 +621,10 @@
     cluster->opts = *opts;
     cluster->name = g_strdup(opts->name);
     cluster->address = g_strdup(opts->address);
+    cluster->started_ms = cluster_now_ms(cluster);
     list_init(&cluster->members);
     loop_timer_init(&cluster->tick, opts->loop, on_tick, cluster);
-    loop_timer_init(&cluster->register_timer, opts->loop, register_self,
+    loop_timer_init(&cluster->register_timer, opts->loop, update_registration,
                     cluster);
     if (!start_listening(cluster, error)) {
         cluster_free(cluster);
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -18,6 +18,11 @@
  * the writes of earlier leaders. Schedulers keep connections to each other to
  * detect the failure of the leader. The connections also let a leader continue
  * while the store is unavailable to all schedulers.
+ *
+ * The schedulers with the most CPU are the candidates, which succeed a failed
+ * leader. Each scheduler is connected to the leader, and the candidates to
+ * each other, so that the number of connections does not grow with the square
+ * of the number of schedulers.
  */
 
 typedef struct cluster cluster_t;
@@ -49,6 +54,7 @@
  * @name: unique name of this process
  * @address: address to listen on, which is also advertised to other processes
  * @incarnation: distinguishes this process from earlier ones with its name
+ * @cpu_milli: CPU share of the instance; schedulers with more lead first
  * @silence_ms: a connection is closed after this time without a message
  * @status_ms: interval of the status messages between schedulers
  */
@@ -59,6 +65,7 @@
     const char *name;
     const char *address;
     uint64_t incarnation;
+    uint32_t cpu_milli;
     uint64_t silence_ms;
     uint64_t status_ms;
     const cluster_handler_t *handler;
@@ -91,7 +98,8 @@
 void cluster_resign(cluster_t *cluster, const char *reason);
 
 /**
- * cluster_leave() - resign and do not stand for election again
+ * cluster_leave() - resign, do not stand for election again, and remove the
+ * record of this process so that others forget it
  */
 void cluster_leave(cluster_t *cluster);
 
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -7,9 +7,11 @@
 
 /**
  * struct member - another scheduler and the connection to it
+ * @cpu_milli: CPU share of its instance
  * @connection_reset: the last connection was reset or refused, which means
  *     that the process has exited; a connection that times out may only be
  *     partitioned
+ * @first_dialled_ms: when it was first dialled, 0 if no connection is needed
  * @dialled_ms: when the last connection attempt was started
  * @status_ms: when the last status arrived, 0 before the first
  * @acked_ms: send time of the newest status that it has acknowledged
@@ -21,9 +23,11 @@
     char *name;
     char *address;
     uint64_t incarnation;
+    uint32_t cpu_milli;
     peer_t *peer;
     bool open;
     bool connection_reset;
+    int64_t first_dialled_ms;
     int64_t dialled_ms;
     int64_t status_ms;
     int64_t acked_ms;
@@ -52,6 +56,7 @@
     list_t members;
     loop_timer_t tick;
     loop_timer_t register_timer;
+    int64_t started_ms;
     int64_t status_sent_ms;
 
     uint64_t epoch; /* of the newest known leader */
@@ -61,6 +66,7 @@
     bool leaving;
     bool resigned;
     bool leader_was_alive;
+    bool leader_left;       /* it resigned and removed its record */
     int64_t leader_lost_ms; /* when the leader was found missing, or 0 */
     bool claiming;
 
@@ -75,10 +81,30 @@
 member_t *cluster_find_member(cluster_t *cluster, const char *name);
 
 /**
- * cluster_update_member() - add or update another scheduler and connect to it
+ * cluster_update_member() - add or update another scheduler
+ *
+ * Return: the member, or NULL for this process or a malformed address.
  */
-void cluster_update_member(cluster_t *cluster, const char *name,
-                           const char *address, uint64_t incarnation);
+member_t *cluster_update_member(cluster_t *cluster, const char *name,
+                                const char *address, uint64_t incarnation);
+
+/**
+ * cluster_forget_member() - remove a scheduler that has left
+ */
+void cluster_forget_member(cluster_t *cluster, const char *name);
+
+/**
+ * cluster_update_connections() - open and close the connections to other
+ * schedulers, after a change of the leader or of the members
+ */
+void cluster_update_connections(cluster_t *cluster);
+
+/**
+ * cluster_get_rank() - return the number of schedulers that stand for election
+ * before this one
+ * @all: include those without a connection
+ */
+unsigned cluster_get_rank(const cluster_t *cluster, bool all);
 void cluster_free_members(cluster_t *cluster);
 void cluster_send_status(cluster_t *cluster);
 bool cluster_is_leader_alive(const cluster_t *cluster);
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -14,6 +14,8 @@
        reset or refused rather than timed out. */
     RESET_WINDOW_MS = 700,
     MAX_QUEUED_BYTES = 8 * 1024 * 1024,
+    /* Schedulers that are connected to each other. */
+    CANDIDATES = 7,
 };
 
 static void
@@ -157,6 +159,9 @@
     };
 
     member->dialled_ms = cluster_now_ms(member->cluster);
+    if (member->first_dialled_ms == 0) {
+        member->first_dialled_ms = member->dialled_ms;
+    }
     member->peer = peer_connect(&peer_opts, member->address, NULL);
 }
 
@@ -180,7 +185,7 @@
     member->leading = false;
 }
 
-void
+member_t *
 cluster_update_member(cluster_t *cluster, const char *name,
                       const char *address, uint64_t incarnation)
 {
@@ -188,7 +193,7 @@
 
     if (strcmp(name, cluster->name) == 0 ||
         !address_parse(address, NULL, NULL, NULL)) {
-        return;
+        return NULL;
     }
     if (member == NULL) {
         member = g_new0(member_t, 1);
@@ -199,25 +204,117 @@
     }
     else if (g_strcmp0(member->address, address) == 0 &&
              member->incarnation == incarnation) {
-        return;
+        return member;
     }
     g_free(member->address);
     member->address = g_strdup(address);
     member->incarnation = incarnation;
     close_member(member);
-    loop_timer_start(&member->redial, 0);
+    loop_timer_stop(&member->redial);
+    return member;
+}
+
+static bool
+is_unreachable(const member_t *member)
+{
+    return !member->open && member->dialled_ms != 0 &&
+           cluster_now_ms(member->cluster) -
+                   MAX(member->status_ms, member->first_dialled_ms) >
+               UNREACHABLE_AFTER_MS;
+}
+
+static bool
+stands_before(const member_t *member, uint32_t cpu_milli, const char *name)
+{
+    return member->cpu_milli > cpu_milli ||
+           (member->cpu_milli == cpu_milli && strcmp(member->name, name) < 0);
+}
+
+unsigned
+cluster_get_rank(const cluster_t *cluster, bool all)
+{
+    unsigned rank = 0;
+
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        rank +=
+            (all || member->open) &&
+            stands_before(member, cluster->opts.cpu_milli, cluster->name) &&
+            g_strcmp0(member->name, cluster->leader_name) != 0;
+    }
+    return rank;
+}
+
+static bool
+is_candidate(const cluster_t *cluster, uint32_t cpu_milli, const char *name)
+{
+    unsigned before = 0;
+
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        before +=
+            !is_unreachable(member) && stands_before(member, cpu_milli, name);
+    }
+    before += cluster->opts.cpu_milli > cpu_milli ||
+              (cluster->opts.cpu_milli == cpu_milli &&
+               strcmp(cluster->name, name) < 0);
+    return before < CANDIDATES;
+}
+
+static bool
+needs_connection(const member_t *member, bool self_is_candidate)
+{
+    const cluster_t *cluster = member->cluster;
+
+    return cluster->leading ||
+           g_strcmp0(member->name, cluster->leader_name) == 0 ||
+           (self_is_candidate &&
+            is_candidate(cluster, member->cpu_milli, member->name));
+}
+
+void
+cluster_update_connections(cluster_t *cluster)
+{
+    bool self_is_candidate =
+        is_candidate(cluster, cluster->opts.cpu_milli, cluster->name);
+
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (!needs_connection(member, self_is_candidate)) {
+            close_member(member);
+            loop_timer_stop(&member->redial);
+            member->first_dialled_ms = 0;
+        }
+        else if (member->peer == NULL &&
+                 !loop_timer_is_active(&member->redial)) {
+            loop_timer_start(&member->redial, 0);
+        }
+    }
+}
+
+static void
+free_member(member_t *member)
+{
+    close_member(member);
+    loop_timer_stop(&member->redial);
+    list_remove(&member->link);
+    g_free(member->name);
+    g_free(member->address);
+    g_free(member);
+}
+
+void
+cluster_forget_member(cluster_t *cluster, const char *name)
+{
+    member_t *member = cluster_find_member(cluster, name);
+
+    if (member != NULL) {
+        free_member(member);
+    }
 }
 
 void
 cluster_free_members(cluster_t *cluster)
 {
     LIST_FOREACH_SAFE (member, &cluster->members, member_t, link) {
-        close_member(member);
-        loop_timer_stop(&member->redial);
-        list_remove(&member->link);
-        g_free(member->name);
-        g_free(member->address);
-        g_free(member);
+        free_member(member);
     }
 }
 
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -65,6 +65,7 @@
 {
     scheduler_t *scheduler = data;
 
+    event_log(EVENT_WRITE_FAILED, "topic=jobs status=%s", reason);
     /* Deferred, as the leader must not be freed inside its own callback. */
     loop_timer_start(&scheduler->fenced_timer, 0);
 }
@@ -274,6 +275,7 @@
         .address = settings->peer_address,
         .incarnation =
             timespec_to_ms(wall) << 16 | g_random_int_range(0, 65536),
+        .cpu_milli = settings->cpu_milli,
         .silence_ms = (uint64_t)settings->silence_ms,
         .status_ms = (uint64_t)settings->status_ms,
         .handler = &cluster_handler,
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -25,6 +25,9 @@
  * @data_centre: data centre in which it runs
  * @peer_address: address on which other processes reach it
  * @metrics_listen: listen address of the metrics endpoint, or NULL
+ * @cpu_share: share of a core that the instance provides, such as "0.25"; the
+ *     schedulers with the most lead first
+ * @cpu_milli: the same in thousandths
  * @max_lease_ms: longest lease that executors accept; upper limit of @lease_ms
  */
 typedef struct scheduler_settings {
@@ -35,6 +38,8 @@
     char *ready_listen;
     char *metrics_listen;
     char *store_address;
+    char *cpu_share;
+    uint32_t cpu_milli;
     int64_t lease_ms;
     int64_t max_lease_ms;
     int64_t retain_ms;
--- a/libteasel/scheduler/scheduler_settings.c
+++ b/libteasel/scheduler/scheduler_settings.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/error.h"
 #include "base/settings.h"
 #include "scheduler/scheduler.h"
 
@@ -19,6 +20,7 @@
     {FIELD(ready_listen), .type = SETTING_ADDRESS, .required = true},
     {FIELD(metrics_listen), .type = SETTING_ADDRESS},
     {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
+    {FIELD(cpu_share), .type = SETTING_STRING},
     INTEGER(lease_ms, 500, 600000, 6000),
     INTEGER(max_lease_ms, 500, 600000, 600000),
     INTEGER(retain_ms, 1000, 86400000, 600000),
@@ -43,6 +45,29 @@
                                 settings->stop_timeout_ms, error);
 }
 
+static bool
+parse_cpu_share(const char *path, scheduler_settings_t *settings,
+                GError **error)
+{
+    const char *text = settings->cpu_share;
+    char *end = NULL;
+    double share;
+
+    if (text == NULL) {
+        return true;
+    }
+    share = g_ascii_strtod(text, &end);
+    if (end == text || *end != '\0' || !(share > 0 && share <= 1024)) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "%s: cpu_share is \"%s\", expected a number greater "
+                    "than 0 and up to 1024",
+                    path, text);
+        return false;
+    }
+    settings->cpu_milli = (uint32_t)(share * 1000);
+    return true;
+}
+
 bool
 scheduler_settings_load(const char *path, scheduler_settings_t *out,
                         GError **error)
@@ -52,7 +77,7 @@
         return false;
     }
     out->lease_ms = MIN(out->lease_ms, out->max_lease_ms);
-    if (!check(path, out, error)) {
+    if (!parse_cpu_share(path, out, error) || !check(path, out, error)) {
         scheduler_settings_clear(out);
         return false;
     }
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -135,6 +135,13 @@
     return STORE_OK;
 }
 
+void
+FakeStore::remove(const std::string &topic, const std::string &key)
+{
+    topics[topic].records.push_back({key, "", true});
+    wake_readers(this);
+}
+
 static store_status_t
 do_append(FakeStore *store, const store_append_t *append, uint64_t *offset)
 {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -38,6 +38,8 @@
     /* Appends a record of another writer; returns its offset. */
     uint64_t put(const std::string &topic, const std::string &key,
                  const std::string &value);
+    /* Removes a key on behalf of another writer. */
+    void remove(const std::string &topic, const std::string &key);
 };
 
 /* The store as one process reaches it, with faults of its connection. */
--- /dev/null
+++ b/tests/unit/cluster_test.cc
@@ -0,0 +1,269 @@
+/* Membership of schedulers and election of the leader. */
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+#include "test_address.h"
+
+extern "C" {
+#include "base/clock.h"
+#include "cluster/cluster_internal.h"
+#include "cluster/control.h"
+}
+
+namespace {
+
+enum {
+    PORT = 800,
+};
+
+constexpr uint32_t STRONG_MILLI = 500;
+constexpr uint32_t WEAK_MILLI = 120;
+
+void
+ignore_elected(uint64_t, void *)
+{
+}
+
+void
+ignore(void *)
+{
+}
+
+const cluster_handler_t handler = {
+    .on_elected = ignore_elected,
+    .on_deposed = ignore,
+    .on_leader_ready = ignore,
+    .on_answer = [](const Teasel__JobAnswer *, void *) {},
+    .on_call = [](peer_t *, const Teasel__JobCall *, void *) {},
+    .on_report = [](peer_t *, const char *, const Teasel__NodeReport *,
+                    void *) {},
+    .on_peer_closed = [](peer_t *, void *) {},
+};
+
+/* Schedulers in one process that share a store. */
+struct Schedulers {
+    struct Process {
+        std::string name;
+        uint32_t cpu_milli;
+        char address[32];
+        std::unique_ptr<FakeStoreView> view;
+        cluster_t *cluster = nullptr;
+    };
+    loop_t *loop = loop_new();
+    FakeStore store;
+    std::vector<std::unique_ptr<Process>> processes;
+
+    explicit Schedulers(const std::vector<uint32_t> &cpu_milli)
+    {
+        for (size_t i = 0; i < cpu_milli.size(); i++) {
+            auto process = std::make_unique<Process>();
+
+            process->name = "s" + std::to_string(10 + i);
+            process->cpu_milli = cpu_milli[i];
+            test_address(process->address, PORT + (int)i);
+            processes.push_back(std::move(process));
+            start(i);
+        }
+    }
+    Schedulers(const Schedulers &) = delete;
+    ~Schedulers()
+    {
+        for (auto &process : processes) {
+            cluster_free(process->cluster);
+        }
+        processes.clear();
+        loop_free(loop);
+    }
+    void
+    start(size_t i)
+    {
+        Process &process = *processes[i];
+        cluster_opts_t opts = {};
+        g_autoptr(GError) error = nullptr;
+
+        process.view = std::make_unique<FakeStoreView>(&store, loop);
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.store = &process.view->base;
+        opts.name = process.name.c_str();
+        opts.address = process.address;
+        opts.incarnation = 1;
+        opts.cpu_milli = process.cpu_milli;
+        opts.silence_ms = 800;
+        opts.status_ms = 100;
+        opts.handler = &handler;
+        process.cluster = cluster_new(&opts, &error);
+        g_assert_no_error(error);
+    }
+    void
+    kill(size_t i)
+    {
+        cluster_free(processes[i]->cluster);
+        processes[i]->cluster = nullptr;
+        /* The view must outlive its last pending call. */
+        for (int j = 0; j < 10; j++) {
+            loop_run_once(loop, 5);
+        }
+    }
+    bool
+    wait(const std::function<bool()> &done)
+    {
+        bool met = false;
+        auto deadline = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+
+        while (!met && g_get_monotonic_time() < deadline) {
+            loop_run_once(loop, 10);
+            met = done();
+        }
+        return met;
+    }
+    int
+    leader()
+    {
+        for (size_t i = 0; i < processes.size(); i++) {
+            if (processes[i]->cluster != nullptr &&
+                cluster_is_leading(processes[i]->cluster)) {
+                return (int)i;
+            }
+        }
+        return -1;
+    }
+    size_t
+    count_open(size_t i)
+    {
+        size_t open = 0;
+
+        LIST_FOREACH (member, &processes[i]->cluster->members, member_t,
+                      link) {
+            open += member->open;
+        }
+        return open;
+    }
+    bool
+    all_follow(int expected)
+    {
+        for (auto &process : processes) {
+            if (process->cluster != nullptr &&
+                (!cluster_has_leader(process->cluster) ||
+                 process->cluster->leader_name != processes[expected]->name)) {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+// Guards against a leader on a small instance while larger ones are up: it is
+// slow to place tasks and to answer all schedulers and agents.
+TEST(Cluster, ElectsASchedulerWithTheMostCpu)
+{
+    Schedulers schedulers(
+        {WEAK_MILLI, WEAK_MILLI, STRONG_MILLI, WEAK_MILLI, STRONG_MILLI});
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 2; }));
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.all_follow(2); }));
+    schedulers.kill(2);
+    EXPECT_TRUE(schedulers.wait([&] { return schedulers.leader() == 4; }));
+}
+
+// Guards against connections that grow with the square of the number of
+// schedulers.
+TEST(Cluster, ConnectsOnlyTheCandidatesToEachOther)
+{
+    Schedulers schedulers(std::vector<uint32_t>(12, WEAK_MILLI));
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    auto leader = (size_t)schedulers.leader();
+    EXPECT_TRUE(schedulers.wait([&] {
+        for (size_t i = 0; i < 12; i++) {
+            size_t expected = i == leader ? 11 : i < 7 ? 6 : 1;
+
+            /* A leader that is no candidate is one more. */
+            expected += i < 7 && i != leader && leader >= 7;
+            if (schedulers.count_open(i) != expected) {
+                return false;
+            }
+        }
+        return true;
+    }));
+}
+
+// Guards against a failed leader that is not replaced, because all candidates
+// fail with it.
+TEST(Cluster, ReplacesALeaderThatFailsWithAllCandidates)
+{
+    Schedulers schedulers(std::vector<uint32_t>(9, WEAK_MILLI));
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    for (size_t i = 0; i < 7; i++) {
+        schedulers.kill(i);
+    }
+    if (schedulers.leader() >= 0) {
+        schedulers.kill((size_t)schedulers.leader());
+    }
+    EXPECT_TRUE(schedulers.wait([&] { return schedulers.leader() >= 7; }));
+}
+
+// Guards against schedulers that have left but stay members of the others,
+// which dial them for ever.
+TEST(Cluster, ForgetsASchedulerThatHasLeft)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI, WEAK_MILLI});
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    auto left = (size_t)schedulers.leader();
+    size_t other = left == 0 ? 1 : 0;
+    const char *name = schedulers.processes[left]->name.c_str();
+    cluster_leave(schedulers.processes[left]->cluster);
+    EXPECT_TRUE(schedulers.wait([&] {
+        return cluster_find_member(schedulers.processes[other]->cluster,
+                                   name) == nullptr;
+    }));
+    EXPECT_TRUE(schedulers.wait([&] {
+        int leader = schedulers.leader();
+
+        return leader >= 0 && leader != (int)left;
+    }));
+    schedulers.kill(left);
+    schedulers.start(left);
+    EXPECT_TRUE(schedulers.wait([&] {
+        return cluster_find_member(schedulers.processes[other]->cluster,
+                                   name) != nullptr;
+    }));
+}
+
+// Guards against a scheduler that others cannot find, because the removal by
+// its predecessor took effect after its registration.
+TEST(Cluster, RegistersAgainAfterALateRemoval)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI});
+    std::string key = CONTROL_SCHEDULER_PREFIX + schedulers.processes[1]->name;
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    schedulers.store.remove(CONTROL_TOPIC, key);
+    EXPECT_TRUE(schedulers.wait([&] {
+        return !schedulers.store.newest(CONTROL_TOPIC, key).empty() &&
+               cluster_find_member(schedulers.processes[0]->cluster,
+                                   schedulers.processes[1]->name.c_str()) !=
+                   nullptr;
+    }));
+}
+
+} // namespace
