Give the candidates time before other schedulers claim leadership

Cause: since only candidates are connected to each other, a scheduler that is none counted nobody before it and claimed without delay when the leader resigned. No harm came of it (the append decides), but the order by CPU was void.

Now: others wait 1 s.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -22,6 +22,9 @@
        partitioned itself. */
     ISOLATED_CLAIM_DELAY_MS = 3500,
     RESIGNED_CLAIM_DELAY_MS = 3000,
+    /* A scheduler that is no candidate leaves time for all candidates. It is
+       not connected to them. */
+    OTHERS_CLAIM_DELAY_MS = 1000,
     /* While schedulers start together, one waits for others with more CPU that
        are not connected yet. */
     STARTUP_MS = 1000,
@@ -394,6 +397,9 @@
 {
     int64_t age_ms = cluster_now_ms(cluster) - cluster->started_ms;
 
+    if (!cluster_is_candidate(cluster)) {
+        return OTHERS_CLAIM_DELAY_MS;
+    }
     if (age_ms < STARTUP_MS) {
         return MIN(STARTUP_MS, (int64_t)cluster_get_rank(cluster, true) *
                                    CLAIM_STAGGER_MS);
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -99,6 +99,12 @@
  */
 void cluster_update_connections(cluster_t *cluster);
 
+/**
+ * cluster_is_candidate() - return whether this process is one of the
+ * schedulers that succeed a failed leader
+ */
+bool cluster_is_candidate(const cluster_t *cluster);
+
 /**
  * cluster_get_rank() - return the number of schedulers that stand for election
  * before this one
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -245,7 +245,8 @@
 }
 
 static bool
-is_candidate(const cluster_t *cluster, uint32_t cpu_milli, const char *name)
+is_among_candidates(const cluster_t *cluster, uint32_t cpu_milli,
+                    const char *name)
 {
     unsigned before = 0;
 
@@ -259,6 +260,13 @@
     return before < CANDIDATES;
 }
 
+bool
+cluster_is_candidate(const cluster_t *cluster)
+{
+    return is_among_candidates(cluster, cluster->opts.cpu_milli,
+                               cluster->name);
+}
+
 static bool
 needs_connection(const member_t *member, bool self_is_candidate)
 {
@@ -267,14 +275,13 @@
     return cluster->leading ||
            g_strcmp0(member->name, cluster->leader_name) == 0 ||
            (self_is_candidate &&
-            is_candidate(cluster, member->cpu_milli, member->name));
+            is_among_candidates(cluster, member->cpu_milli, member->name));
 }
 
 void
 cluster_update_connections(cluster_t *cluster)
 {
-    bool self_is_candidate =
-        is_candidate(cluster, cluster->opts.cpu_milli, cluster->name);
+    bool self_is_candidate = cluster_is_candidate(cluster);
 
     LIST_FOREACH (member, &cluster->members, member_t, link) {
         if (!needs_connection(member, self_is_candidate)) {
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -196,6 +196,32 @@
     }));
 }
 
+// Guards against schedulers that are not connected to the candidates, and so
+// take themselves for the first in rank, which claim beside them. Found on a
+// deployment with 55 schedulers, of which five claimed at once.
+TEST(Cluster, LeavesTimeForTheCandidatesToSucceed)
+{
+    std::vector<uint32_t> cpu_milli(12, WEAK_MILLI);
+
+    cpu_milli[11] = STRONG_MILLI;
+    Schedulers schedulers(cpu_milli);
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() == 11 && schedulers.all_follow(11);
+    }));
+    /* The candidates cannot claim, which shows how long the others wait. */
+    for (size_t i = 0; i < 6; i++) {
+        schedulers.processes[i]->view->refuse = true;
+    }
+    auto resigned_us = g_get_monotonic_time();
+    cluster_resign(schedulers.processes[11]->cluster, "test");
+    ASSERT_TRUE(schedulers.wait([&] {
+        int leader = schedulers.leader();
+
+        return leader >= 6 && leader != 11;
+    }));
+    EXPECT_GE(g_get_monotonic_time() - resigned_us, G_USEC_PER_SEC);
+}
+
 // Guards against a failed leader that is not replaced, because all candidates
 // fail with it.
 TEST(Cluster, ReplacesALeaderThatFailsWithAllCandidates)
