--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -148,8 +148,8 @@
  * @outlook: a job_outlook_t, as of the last sort of the jobs
  * @size_class: a size_class_t among the jobs of its queue
  * @favoured: goes before smaller jobs, see size_share.h
- * @started_in_time: all tasks of a step were placed while it could be done in
- *     time
+ * @counted_start: all tasks of a step were placed while it was of use, which
+ *     is counted for its size class
  * @remaining_work: core-ms, as of the last sort of the jobs
  * @idle_since_ms: since when the job has no running task, or 0
  * @known_since_ms: when the job was accepted, on the monotonic clock
@@ -174,7 +174,7 @@
     uint8_t outlook;
     uint8_t size_class;
     bool favoured;
-    bool started_in_time;
+    bool counted_start;
     double remaining_work;
     int64_t idle_since_ms;
     int64_t known_since_ms;
--- a/libteasel/sched/job_order.c
+++ b/libteasel/sched/job_order.c
@@ -122,12 +122,12 @@
     if (a->spec->priority != b->spec->priority) {
         return a->spec->priority < b->spec->priority ? -1 : 1;
     }
-    if (a->outlook != b->outlook) {
-        return a->outlook < b->outlook ? -1 : 1;
-    }
     if (a->favoured != b->favoured) {
         return a->favoured ? -1 : 1;
     }
+    if (a->outlook != b->outlook) {
+        return a->outlook < b->outlook ? -1 : 1;
+    }
     if (a->remaining_work != b->remaining_work) {
         return a->remaining_work < b->remaining_work ? -1 : 1;
     }
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -17,7 +17,7 @@
 
 enum {
     /* Share of its CPU reservation that a serving task usually uses. */
-    SERVING_UTILIZATION_PERCENT = 60,
+    SERVING_UTILIZATION_PERCENT = 55,
     /* No slack is left where a best-effort task is throttled more than
        this. */
     MAX_SLOWDOWN_PERCENT = 20,
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -104,14 +104,14 @@
 /**
  * sched_disconnect() - mark the executors of a node as disconnected
  */
-void sched_disconnect(sched_t *sched, const char *node);
+void sched_disconnect(sched_t *sched, const char *name);
 
 /**
  * sched_extend_leases() - record a lease for the executors of a node
  * @until_ms: time by which all runs on them have ended unless the lease is
  *     renewed
  */
-void sched_extend_leases(sched_t *sched, const char *node, int64_t until_ms);
+void sched_extend_leases(sched_t *sched, const char *name, int64_t until_ms);
 
 /**
  * sched_run() - handle expired timers and place waiting tasks
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -126,9 +126,9 @@
 
 /**
  * sched_assign_node() - record which agent reports an executor
- * @node: name of the agent, or NULL for none
+ * @name: name of the agent, or NULL for none
  */
 void sched_assign_node(sched_t *sched, sched_executor_t *executor,
-                       const char *node);
+                       const char *name);
 
 #endif
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -158,8 +158,8 @@
 static void
 count_start(sched_t *sched, sched_job_t *job)
 {
-    if (!job->started_in_time && job->outlook == JOB_OUTLOOK_IN_TIME) {
-        job->started_in_time = true;
+    if (!job->counted_start && job->outlook != JOB_OUTLOOK_TOO_LATE) {
+        job->counted_start = true;
         size_share_add_start(sched->size_share, job->spec->queue,
                              (size_class_t)job->size_class);
     }
--- a/libteasel/sched/sched_sort.c
+++ b/libteasel/sched/sched_sort.c
@@ -47,8 +47,8 @@
 static void
 check_started_job(sched_t *sched, sched_job_t *job)
 {
-    if (job->started_in_time && job->outlook != JOB_OUTLOOK_IN_TIME) {
-        job->started_in_time = false;
+    if (job->counted_start && job->outlook == JOB_OUTLOOK_TOO_LATE) {
+        job->counted_start = false;
         size_share_remove_start(sched->size_share, job->spec->queue,
                                 (size_class_t)job->size_class);
     }
@@ -72,8 +72,8 @@
 static bool
 may_be_favoured(const sched_t *sched, const sched_job_t *job)
 {
-    return !job->favoured && !job->started_in_time &&
-           job->outlook == JOB_OUTLOOK_IN_TIME &&
+    return !job->favoured && !job->counted_start &&
+           job->outlook != JOB_OUTLOOK_TOO_LATE &&
            job->size_class != SIZE_CLASS_USUAL &&
            size_share_is_behind(sched->size_share, job->spec->queue,
                                 (size_class_t)job->size_class);
@@ -102,7 +102,7 @@
         sched_job_t *job = g_ptr_array_index(jobs, i);
 
         check_started_job(sched, job);
-        job->favoured &= job->outlook == JOB_OUTLOOK_IN_TIME;
+        job->favoured &= job->outlook != JOB_OUTLOOK_TOO_LATE;
         if (job->favoured && has_ready_tasks(job)) {
             g_hash_table_add(favoured, job->spec->queue);
         }
--- a/libteasel/sched/size_share.c
+++ b/libteasel/sched/size_share.c
@@ -19,7 +19,7 @@
  * struct queue_share - jobs of a queue
  * @recent: work of the last jobs, a ring buffer
  * @jobs: decayed number of jobs by class
- * @starts: decayed number of jobs by class that were started in time
+ * @starts: decayed number of jobs by class that were started while of use
  */
 typedef struct queue_share {
     double recent[RECENT_JOBS];
@@ -78,9 +78,9 @@
 }
 
 size_class_t
-size_share_add_job(size_share_t *share, const char *name, double work)
+size_share_add_job(size_share_t *share, const char *queue_name, double work)
 {
-    queue_share_t *queue = g_hash_table_lookup(share->queues, name);
+    queue_share_t *queue = g_hash_table_lookup(share->queues, queue_name);
     size_class_t size;
 
     if (queue == NULL) {
@@ -88,7 +88,7 @@
             return SIZE_CLASS_USUAL;
         }
         queue = g_new0(queue_share_t, 1);
-        g_hash_table_insert(share->queues, g_strdup(name), queue);
+        g_hash_table_insert(share->queues, g_strdup(queue_name), queue);
     }
     size = get_class(queue, work);
     add_recent(queue, work);
@@ -97,9 +97,10 @@
 }
 
 void
-size_share_add_start(size_share_t *share, const char *name, size_class_t size)
+size_share_add_start(size_share_t *share, const char *queue_name,
+                     size_class_t size)
 {
-    queue_share_t *queue = g_hash_table_lookup(share->queues, name);
+    queue_share_t *queue = g_hash_table_lookup(share->queues, queue_name);
 
     if (queue != NULL) {
         queue->starts[size]++;
@@ -107,10 +108,10 @@
 }
 
 void
-size_share_remove_start(size_share_t *share, const char *name,
+size_share_remove_start(size_share_t *share, const char *queue_name,
                         size_class_t size)
 {
-    queue_share_t *queue = g_hash_table_lookup(share->queues, name);
+    queue_share_t *queue = g_hash_table_lookup(share->queues, queue_name);
 
     if (queue != NULL) {
         queue->starts[size] = MAX(0, queue->starts[size] - 1);
@@ -118,10 +119,11 @@
 }
 
 bool
-size_share_is_behind(const size_share_t *share, const char *name,
+size_share_is_behind(const size_share_t *share, const char *queue_name,
                      size_class_t size)
 {
-    const queue_share_t *queue = g_hash_table_lookup(share->queues, name);
+    const queue_share_t *queue =
+        g_hash_table_lookup(share->queues, queue_name);
     double jobs = 0;
     double starts = 0;
 
--- a/libteasel/sched/size_share.h
+++ b/libteasel/sched/size_share.h
@@ -35,26 +35,26 @@
  *
  * Return: the size class of the job.
  */
-size_class_t size_share_add_job(size_share_t *share, const char *queue,
+size_class_t size_share_add_job(size_share_t *share, const char *queue_name,
                                 double work);
 
 /**
- * size_share_add_start() - count a job that was started in time
+ * size_share_add_start() - count a job that was started while of use
  */
-void size_share_add_start(size_share_t *share, const char *queue,
+void size_share_add_start(size_share_t *share, const char *queue_name,
                           size_class_t size);
 
 /**
- * size_share_remove_start() - undo size_share_add_start() for a job that will
- * be late after all
+ * size_share_remove_start() - undo size_share_add_start() for a job whose
+ * result will be of no use after all
  */
-void size_share_remove_start(size_share_t *share, const char *queue,
+void size_share_remove_start(size_share_t *share, const char *queue_name,
                              size_class_t size);
 
 /**
  * size_share_is_behind() - check whether a class of a queue has to be favoured
  */
-bool size_share_is_behind(const size_share_t *share, const char *queue,
+bool size_share_is_behind(const size_share_t *share, const char *queue_name,
                           size_class_t size);
 
 /**
