--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -352,6 +352,23 @@
     EXPECT_FALSE(new_agent->closed);
 }
 
+// Guards against a member that keeps a pointer to a connection which names
+// another agent meanwhile: the next request for it used freed memory once the
+// connection was closed.
+TEST_F(EntryTest, RefusesASecondHelloOfAnotherAgent)
+{
+    Agent *agent = connect("agent-1", 1);
+
+    agent->hello("agent-2", 1);
+    wait_for([&] { return agent->closed; });
+    Agent *next = connect("agent-3", 1);
+    Caller *caller = call("plate", "no", 60000);
+    wait_for([&] { return next->deliveries.size() == 1; });
+    next->reply(next->deliveries[0].id, "done");
+    wait_for([&] { return all_answered(); });
+    EXPECT_EQ(caller->status, 200);
+}
+
 // Guards against forwarding hop-by-hop headers to the executor, and against
 // changing the request target.
 TEST_F(EntryTest, ForwardsTargetAndEndToEndHeaders)
