--- a/libteasel/node/throttle.c
+++ b/libteasel/node/throttle.c
@@ -31,7 +31,7 @@
 
 typedef struct tail {
     bool has_target;    /* a serving task with a target runs */
-    bool missed;        /* a target is missed, or about to be */
+    bool missed;        /* a target is missed */
     bool headroom;      /* all tails are below HEADROOM_PERCENT */
     double worst_ratio; /* highest ratio of tail latency to target */
 } tail_t;
