--- a/libteasel/node/throttle.c
+++ b/libteasel/node/throttle.c
@@ -23,7 +23,7 @@
     /* Work below this speed is not worth its memory; the tasks are paused. */
     MIN_USEFUL_PERCENT = 8,
     /* Share of the target below which best-effort tasks may speed up. */
-    HEADROOM_PERCENT = 80,
+    HEADROOM_PERCENT = 85,
 };
 
 /* Ratio of tail latency to target that counts as missed. */
@@ -102,7 +102,7 @@
 /* Typical ratio of tail latency to target without best-effort tasks. */
 static const double BASELINE_RATIO = 0.45;
 /* Ratio of tail latency to target that the throttle aims at. */
-static const double TARGET_RATIO = 0.85;
+static const double TARGET_RATIO = 0.9;
 
 /* Returns the factor for the effects of the best-effort tasks, to which the
    excess over BASELINE_RATIO is assumed to be proportional. */
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -17,7 +17,7 @@
 
 enum {
     /* Share of its CPU reservation that a serving task usually uses. */
-    SERVING_UTILIZATION_PERCENT = 55,
+    SERVING_UTILIZATION_PERCENT = 60,
     /* No slack is left where a best-effort task is throttled more than
        this. */
     MAX_SLOWDOWN_PERCENT = 20,
@@ -25,7 +25,7 @@
 
 /* Best-effort tasks are added up to this predicted ratio of tail latency to
    target. */
-static const double MAX_TAIL_RATIO = 0.75;
+static const double MAX_TAIL_RATIO = 0.8;
 /* A best-effort task with a smaller effect on the ratio is always allowed. */
 static const double NEGLIGIBLE_EFFECT = 0.02;
 
