--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -43,12 +43,14 @@
 
     log: called with the kind of an event and a text for record.txt
     work: returns the seconds of work of a task and how it ends
+    gang_of: returns the gang of a run, or None
     """
 
     HOLD_MAX_MS = 6000
 
     def __init__(self, name, control, log, work, service="work",
-                 heartbeat_s=1.1, cpu=16000, mem=64000):
+                 heartbeat_s=1.1, cpu=16000, mem=64000,
+                 gang_of=lambda task, run: None):
         self.name = name
         self.control = control
         self.log = log
@@ -57,14 +59,19 @@
         self.heartbeat_s = heartbeat_s
         self.cpu = cpu
         self.mem = mem
+        self.gang_of = gang_of
         self.state = "ready"
         self.hangs = False
         self.server = Server("127.0.0.1", 0, self.handle)
         self.life = None
         self.tasks = []
 
-    async def start(self, first_heartbeat_s=0.0):
-        """Start an incarnation, under the same id and address as before."""
+    async def start(self, first_heartbeat_s=0.0, name=None):
+        """Start an incarnation at the same address as before.
+
+        name: its id, if it is another one than before
+        """
+        self.name = name or self.name
         self.life = Incarnation()
         await self.server.start()
         self.log("up", f"{self.name} born={self.life.born_ms}")
@@ -79,9 +86,10 @@
             task.cancel()
         life, self.life = self.life, None
         self.server.abort()
-        for run in life.running.values():
+        runs, life.running = list(life.running.values()), {}
+        for run in runs:
             self.log("gone", f"{run.task} run={run.number} on {self.name}")
-        life.running = {}
+            self.leave_gang(run)
         self.log("crash", self.name)
 
     def hang(self, hangs):
@@ -131,6 +139,12 @@
         life.listed.set()
         life.listed = asyncio.Event()
         self.log(how, f"{run.task} run={run.number} on {self.name}")
+        self.leave_gang(run)
+
+    def leave_gang(self, run):
+        gang = self.gang_of(run.task, run.number)
+        if gang is not None:
+            gang.leave(run)
 
     async def handle(self, request):
         life = self.life
@@ -176,7 +190,11 @@
         life.running[task] = run
         self.log("start", f"{task} run={number} on {self.name} "
                           f"born={life.born_ms}")
-        asyncio.create_task(self.work_on(life, run))
+        gang = self.gang_of(task, number)
+        if gang is not None:
+            gang.join(self, life, run)
+        else:
+            asyncio.create_task(self.work_on(life, run))
         return 200, self.answer(life)
 
     async def work_on(self, life, run):
@@ -204,6 +222,10 @@
         self.extend_lease(life, body)
         cursor = body.get("AckCursor", 0)
         wait_s = min(body.get("WaitMs", 0), 2000) / 1000
+        for end in life.ended:
+            if end[0] <= cursor:
+                self.log("noted", f"{end[1]} run={end[2]} on {self.name} "
+                                  f"how={end[3]}")
         life.ended = [end for end in life.ended if end[0] > cursor]
         if not life.ended and wait_s > 0:
             try:
