--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import os
-import sys
 
 from checks import find_parallel_runs
 from executor import Executor
-from system import System
+from system import run_scenario
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NODES = 7
@@ -68,11 +67,5 @@
     return 1 if found else 0
 
 
-async def main():
-    system = System(os.path.dirname(os.path.abspath(__file__)))
-    try:
-        return await play(system)
-    finally:
-        system.stop()
-
-sys.exit(asyncio.run(main()))
+if __name__ == "__main__":
+    run_scenario(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from wire import Server, call
+from wire import Server, call, free_port
 
 STOP_S = 0.2
 
@@ -62,7 +62,7 @@
         self.gang_of = gang_of
         self.state = "ready"
         self.hangs = False
-        self.server = Server("127.0.0.1", 0, self.handle)
+        self.server = Server("127.0.0.1", free_port(), self.handle)
         self.life = None
         self.tasks = []
 
@@ -190,6 +190,7 @@
         life.running[task] = run
         self.log("start", f"{task} run={number} on {self.name} "
                           f"born={life.born_ms}")
+        self.log("told", f"{task} run={number} to start with {run.spec!r}")
         gang = self.gang_of(task, number)
         if gang is not None:
             gang.join(self, life, run)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -4,7 +4,7 @@
 import base64
 import struct
 
-from wire import Server
+from wire import Server, free_port
 
 
 class Topic:
@@ -53,7 +53,7 @@
 
     def __init__(self):
         self.topics = {}
-        self.server = Server("127.0.0.1", 0, self.handle)
+        self.server = Server("127.0.0.1", free_port(), self.handle)
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -5,13 +5,14 @@
 import os
 import re
 import signal
-import socket
 import subprocess
+import sys
 import tempfile
 import time
+import traceback
 
 from store import Store
-from wire import call
+from wire import call, free_port
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
@@ -20,12 +21,6 @@
 BOUNDS = {"HoldMaxMs": 6000, "StopTimeoutMs": 400}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def render(template, fields):
     """Fill in the placeholders that the templates of deploy/ use."""
     def value(match):
@@ -186,3 +181,20 @@
             subprocess.run(["cp", "-r", self.folder,
                             os.environ["KEEP_LOGS"]], check=False)
         self.temporary.cleanup()
+
+
+def run_scenario(folder, play):
+    """Play a scenario and exit with its result, or with 2 if it failed.
+
+    play: coroutine that returns 1 if the rule was broken, else 0
+    """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    system = System(folder)
+    try:
+        code = asyncio.run(play(system))
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    finally:
+        system.stop()
+    sys.exit(code)
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -1,7 +1,24 @@
 """HTTP/1.1 server and client on asyncio, as small as the stand-ins need."""
 
 import asyncio
+import itertools
 import json
+import os
+import socket
+
+PORTS = itertools.count(20000 + os.getpid() * 37 % 8000)
+
+
+def free_port():
+    """Return a port below the range that outgoing connections use."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    return 0
 
 
 class Request:
