--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -150,14 +150,25 @@
                 await asyncio.sleep(0.1)
         return True
 
-    async def client(self, number, method, path, body=None, log=True):
+    def find_leader(self):
+        """Return the number of the scheduler that was elected last."""
+        elected = [
+            (json.loads(line)["steady_ms"], i)
+            for i, process in enumerate(self.schedulers)
+            for line in process.read_log().splitlines()
+            if '"event":7004,' in line
+        ]
+        return max(elected)[1] if elected else None
+
+    async def client(self, number, method, path, body=None, log=True,
+                     timeout=3.0):
         """Call a scheduler as a client does; return (status, body)."""
         process = self.schedulers[number % len(self.schedulers)]
         if log:
             self.record("send", f"{method} {path} to {process.name}")
         status, answer = await call(
             process.http, method, PREFIX + path, body,
-            {"host": HOST, "x-deadline-ms": "3000"})
+            {"host": HOST, "x-deadline-ms": "3000"}, timeout)
         if log:
             self.record("answer", f"{method} {path} from {process.name}: "
                                   f"{status} {answer.decode(errors='replace')}")
