--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -194,8 +194,15 @@
         self.temporary.cleanup()
 
 
+# Differs from the exit code of an interpreter that fails by itself, which is 1.
+EXIT_BROKEN = 10
+
+
 def run_scenario(folder, play):
-    """Play a scenario and exit with its result, or with 2 if it failed.
+    """Play a scenario and exit.
+
+    The exit code is 0 if the rule held, EXIT_BROKEN if it was broken, and 2 if
+    the scenario could not run.
 
     play: coroutine that returns 1 if the rule was broken, else 0
     """
@@ -208,4 +215,4 @@
         code = 2
     finally:
         system.stop()
-    sys.exit(code)
+    sys.exit(EXIT_BROKEN if code == 1 else code)
