Log unanswered, misdirected and repeated orders, and quote the reason of a rejection

The logs of a double run show a rejected start and the second run, but not that the first start had been sent before by the earlier agent process, and not that the executor had left it unanswered. The agent now logs both results after which an order may have another effect than intended, and the leader logs each order that it repeats. The reason of a rejection was cut at its first space.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -97,6 +97,7 @@
     EVENT(EVENT_LOAD, 7019, G_LOG_LEVEL_MESSAGE, "load")                      \
     EVENT(EVENT_UNREGISTER_FAILED, 7020, G_LOG_LEVEL_MESSAGE,                 \
           "unregister-failed")                                                \
+    EVENT(EVENT_ORDER_REPEATED, 7021, G_LOG_LEVEL_MESSAGE, "order-repeated")  \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
@@ -114,6 +115,10 @@
           "announcement-invalid")                                             \
     EVENT(EVENT_RUN_ROW_INVALID, 8010, G_LOG_LEVEL_WARNING,                   \
           "run-row-invalid")                                                  \
+    EVENT(EVENT_ORDER_UNANSWERED, 8011, G_LOG_LEVEL_WARNING,                  \
+          "order-unanswered")                                                 \
+    EVENT(EVENT_ORDER_MISDIRECTED, 8012, G_LOG_LEVEL_WARNING,                 \
+          "order-misdirected")                                                \
     EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -70,8 +70,9 @@
     g_ptr_array_add(executor->rejected, rejected);
     executor->node->rejections++;
     executor->unreported = true;
-    event_log(EVENT_START_REJECTED, "task=%s run=%u executor=%s reason=%s",
-              run->task, run->run, executor->key, reason);
+    event_log(EVENT_START_REJECTED,
+              "task=%s run=%u executor=%s unanswered=%u reason=\"%s\"",
+              run->task, run->run, executor->key, run->attempts, reason);
     run_free(run);
     node_schedule_report(executor->node);
 }
@@ -148,13 +149,28 @@
     run_check(run);
 }
 
+/* Logs the results after which a call may have had another effect than
+   ordered. */
+static void
+log_result(const run_call_t *call, const char *verb, executor_result_t result)
+{
+    if (result == EXECUTOR_NO_ANSWER || result == EXECUTOR_WRONG_INCARNATION) {
+        event_log(result == EXECUTOR_NO_ANSWER ? EVENT_ORDER_UNANSWERED
+                                               : EVENT_ORDER_MISDIRECTED,
+                  "call=%s task=%s run=%u executor=%s", verb, call->task,
+                  call->run, call->executor->key);
+    }
+}
+
 static void
 on_started(executor_result_t result, const char *reason, void *data)
 {
     run_call_t *call = data;
     node_executor_t *executor = call->executor;
-    run_t *run = end_call(call);
+    run_t *run;
 
+    log_result(call, "start", result);
+    run = end_call(call);
     executor->starting--;
     if (result == EXECUTOR_WRONG_INCARNATION) {
         node_executor_end(executor, "another incarnation answered");
@@ -194,8 +210,10 @@
 {
     run_call_t *call = data;
     node_executor_t *executor = call->executor;
-    run_t *run = end_call(call);
+    run_t *run;
 
+    log_result(call, "stop", result);
+    run = end_call(call);
     if (result == EXECUTOR_WRONG_INCARNATION) {
         node_executor_end(executor, "another incarnation answered");
         return;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -381,6 +381,18 @@
     }
 }
 
+static void
+repeat_order(sched_t *sched, sched_task_t *task)
+{
+    char name[SCHED_TASK_NAME_SIZE];
+
+    sched_task_format_name(task, name);
+    event_log(EVENT_ORDER_REPEATED, "order=%s task=%s run=%u executor=%s",
+              task->phase == SCHED_TASK_STOPPING ? "stop" : "start", name,
+              task->run, task->executor->key);
+    sched_stage_order(sched, task);
+}
+
 /* Sends orders again that may have been lost with a connection. The agent and
    the executor ignore repeated orders. */
 static void
@@ -391,7 +403,7 @@
             interference_get_effect(sched->interference, executor, task->step);
         if (task->start_sent &&
             (!task->reported || task->phase == SCHED_TASK_STOPPING)) {
-            sched_stage_order(sched, task);
+            repeat_order(sched, task);
         }
         task->reported = false;
     }
