Replace an executor only by an incarnation that has answered

An entry of another writer that names the address or id of a real executor, with a later start, ended the executor at its agent: its runs were reported as lost and started a second time elsewhere while they still ran, and the executor's own announcements were refused from then on as those of an older incarnation.

Cause: an announcement alone was taken as proof that the incarnation exists. Now a new incarnation replaces older ones with its id or address when it has answered its first poll, which names the incarnation. One that never answers, or whose address another one holds, is dropped without a report. Only incarnations that have answered make the agent refuse older announcements.

The test of incarnations asserted that an older announcement is refused at once; it is now refused once the later incarnation has answered. In between it is harmless, which the test shows by sending it then too, and by counting the starts.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -180,23 +180,39 @@
            strcmp(executor->address, info->address) == 0;
 }
 
+/* Only one incarnation at a time has an id or an address. */
 static bool
-is_superseded(const node_executor_t *executor, const executor_info_t *info)
+is_older_incarnation(const node_executor_t *executor, int64_t started_ms,
+                     const char *id, const char *address)
 {
-    return executor->started_ms > info->started_ms &&
-           (strcmp(executor->id, info->id) == 0 ||
-            strcmp(executor->address, info->address) == 0);
+    return executor->started_ms < started_ms &&
+           (strcmp(executor->id, id) == 0 ||
+            strcmp(executor->address, address) == 0);
 }
 
-/* Only one incarnation at a time has an id or an address. */
+/* Announcements of an incarnation may be delayed until a later one has
+   answered. */
 static bool
-replaces(const node_executor_t *executor, const executor_info_t *info)
+is_superseded(const node_executor_t *executor, const executor_info_t *info)
 {
-    return executor->started_ms < info->started_ms &&
+    return executor->polled && executor->started_ms > info->started_ms &&
            (strcmp(executor->id, info->id) == 0 ||
             strcmp(executor->address, info->address) == 0);
 }
 
+void
+node_end_older_incarnations(node_executor_t *executor)
+{
+    LIST_FOREACH_SAFE (other, &executor->node->executors, node_executor_t,
+                       link) {
+        if (!other->has_ended &&
+            is_older_incarnation(other, executor->started_ms, executor->id,
+                                 executor->address)) {
+            node_executor_end(other, "replaced by a later incarnation");
+        }
+    }
+}
+
 static bool
 start_executor(node_t *node, const executor_info_t *info)
 {
@@ -230,9 +246,6 @@
             }
             return true;
         }
-        if (replaces(executor, info)) {
-            node_executor_end(executor, "replaced by a later incarnation");
-        }
     }
     return start_executor(node, info);
 }
--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -64,6 +64,9 @@
 /**
  * node_announce_executor() - handle an announcement of an executor
  *
+ * A new incarnation replaces older ones with its id or address as soon as it
+ * has answered a poll: an announcement alone does not prove that it exists.
+ *
  * Return: false if the announcement is invalid or from an older incarnation
  * than the current one.
  */
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -16,6 +16,8 @@
        a list may have been made before the start. */
     UNLISTED_GRACE_MS = 1500,
     SILENT_AFTER_MS = 1500,
+    /* Several times the interval of announcements. */
+    ANNOUNCEMENT_VALID_MS = 10000,
 };
 
 static void
@@ -71,6 +73,7 @@
     executor->draining = info->draining;
     executor->leaves_ms = now_ms + info->remaining_ms;
     executor->sequence = info->sequence;
+    executor->announced_ms = now_ms;
     if (info->clock_ms >= executor->clock_ms) {
         executor->clock_ms = info->clock_ms;
         executor->clock_read_ms = now_ms;
@@ -141,9 +144,15 @@
 {
     node_t *node = executor->node;
 
+    if (executor->has_ended) {
+        return;
+    }
     event_log(EVENT_EXECUTOR_GONE, "executor=%s reason=\"%s\"", executor->key,
               reason);
-    g_ptr_array_add(node->ended_keys, g_strdup(executor->key));
+    /* Only incarnations that have answered were reported. */
+    if (executor->polled) {
+        g_ptr_array_add(node->ended_keys, g_strdup(executor->key));
+    }
     /* Freed later, as this may be called from a callback of the API. */
     executor->has_ended = true;
     node_schedule_report(node);
@@ -262,6 +271,7 @@
     if (!executor->polled) {
         executor->polled = true;
         executor->unreported = true;
+        node_end_older_incarnations(executor);
     }
     throttle_update(executor);
 }
@@ -348,6 +358,11 @@
         node_executor_end(executor, "no answer until its lease expired");
         return;
     }
+    if (!executor->polled &&
+        now_ms - executor->announced_ms > ANNOUNCEMENT_VALID_MS) {
+        node_executor_end(executor, "never answered");
+        return;
+    }
     LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
         run_check(run);
     }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -78,9 +78,10 @@
  * @key: unique name of the incarnation
  * @leaves_ms: earliest time at which a draining executor leaves
  * @sequence: of its newest announcement
+ * @announced_ms: time of its newest announcement
  * @clock_ms: clock of the executor at @clock_read_ms of this process, or -1
  * @deadline_ms: latest end of the lease that was sent to it
- * @polled: at least one poll has succeeded
+ * @polled: at least one poll has succeeded, so the incarnation exists
  * @silent: it has not answered polls for SILENT_AFTER_MS
  * @full_report_due: the next report has to contain all runs and all ends
  * @unreported: the next report has to include the executor
@@ -115,6 +116,7 @@
     bool draining;
     int64_t leaves_ms;
     uint64_t sequence;
+    int64_t announced_ms;
     int64_t clock_ms;
     int64_t clock_read_ms;
     int64_t deadline_ms;
@@ -172,6 +174,12 @@
 void node_schedule_report(node_t *node);
 void node_send_report(node_t *node, bool heartbeat);
 
+/**
+ * node_end_older_incarnations() - end the incarnations that an executor has
+ * replaced, as it has the id or the address of each
+ */
+void node_end_older_incarnations(node_executor_t *executor);
+
 node_executor_t *node_executor_new(node_t *node, const executor_info_t *info,
                                    GError **error);
 void node_executor_free(node_executor_t *executor);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -147,13 +147,14 @@
         announce(i);
     }
     bool
-    announce(int i, bool draining = false, int64_t started_ms = 100)
+    announce(int i, bool draining = false, int64_t started_ms = 100,
+             const char *id = "id")
     {
         Node &node = *nodes[i];
         const char *labels[] = {"a", "r1"};
         executor_info_t info = {};
 
-        info.id = "id";
+        info.id = id;
         info.started_ms = started_ms;
         info.address = node.address;
         info.service = "service";
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -6,6 +6,8 @@
     executor_api_t base;
     FakeExecutor *executor;
     loop_t *loop;
+    std::string id;
+    int64_t started_ms;
 
     struct Call {
         loop_timer_t timer;
@@ -39,6 +41,13 @@
 
 constexpr uint64_t NO_ANSWER_MS = 60;
 
+/* An incarnation under another id refuses all calls. */
+bool
+is_other_id(const Api *api)
+{
+    return api->id != api->executor->id;
+}
+
 void
 start(executor_api_t *base, const executor_start_t *order,
       executor_done_fn done, void *data)
@@ -53,6 +62,11 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
+    if (is_other_id(api)) {
+        api->deliver_after(
+            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+        return;
+    }
     if (executor->busy_starts > 0) {
         executor->busy_starts--;
         api->deliver_after(0, [=] { done(EXECUTOR_BUSY, nullptr, data); });
@@ -93,6 +107,11 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
+    if (is_other_id(api)) {
+        api->deliver_after(
+            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+        return;
+    }
     executor->advance();
     if (executor->running.count(task) != 0) {
         executor->end(task, SCHED_END_STOPPED);
@@ -161,6 +180,11 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
+    if (is_other_id(api)) {
+        api->deliver_after(
+            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+        return;
+    }
     executor->polls++;
     executor->fencing_token =
         std::max(executor->fencing_token, poll->fencing_token);
@@ -207,5 +231,7 @@
     api->base.vtbl = &vtbl;
     api->executor = at().at(address);
     api->loop = loop;
+    api->id = id;
+    api->started_ms = started_ms;
     return &api->base;
 }
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -39,6 +39,8 @@
         uint64_t fencing_token;
     };
     loop_t *loop = nullptr;
+    std::string id = "id";
+    int64_t born_ms = 100;
     int64_t work_ms = 40;      /* duration of a run; < 0: without end */
     bool unresponsive = false; /* calls get no answer and have no effect */
     int lose_starts = 0;       /* next starts to carry out without an answer */
@@ -85,6 +87,19 @@
         last_runs[task] = running[task].run;
         running.erase(task);
     }
+    /* Replaces the incarnation by one that knows nothing of before. */
+    void
+    restart(int64_t later_ms)
+    {
+        born_ms = later_ms;
+        running.clear();
+        ends.clear();
+        last_runs.clear();
+        late.clear();
+        next_end = 1;
+        deadline_ms = 0;
+        fencing_token = 0;
+    }
     void
     check_doubled(const std::string &task)
     {
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -363,15 +363,41 @@
     ASSERT_TRUE(deployment.wait(
         [&] { return deployment.count_starts("j.0.0.0") == 1; }));
     FakeExecutor &executor = deployment.nodes[0]->executor;
-    executor.running.clear();
-    executor.ends.clear();
-    executor.last_runs.clear();
-    executor.next_end = 1;
-    executor.deadline_ms = 0;
+    executor.restart(200);
     executor.work_ms = 30;
     EXPECT_TRUE(deployment.announce(0, false, 200));
+    deployment.announce(0, false, 100); /* delayed */
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
     EXPECT_FALSE(deployment.announce(0, false, 100));
+    EXPECT_EQ(deployment.count_starts("j.0.0.0"), 2);
+}
+
+// Guards against an entry of another writer, with the address of an executor
+// and a later start, that ends the executor: its tasks ran a second time
+// elsewhere, and its own announcements were refused from then on.
+TEST(Deployment, KeepsAnExecutorWhoseAddressAnotherEntryNames)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 800;
+    }
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait([&] {
+        return deployment.count_starts("j.0.0.0") +
+                   deployment.count_starts("j.0.0.1") ==
+               2;
+    }));
+    for (int i = 0; i < 2; i++) {
+        deployment.announce(i, false, INT64_MAX, "odd");
+        deployment.run_ms(50);
+        EXPECT_TRUE(deployment.announce(i));
+    }
     EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+    EXPECT_EQ(deployment.count_starts("j.0.0.0"), 1);
+    EXPECT_EQ(deployment.count_starts("j.0.0.1"), 1);
 }
 
 // Guards against tasks that keep running after their job was cancelled.
