Stop the runs of a restarted executor at its later incarnation

An executor may start again under the id that it had. Calls name the incarnation by that id, so a start that is sent before the agent knows of the restart works on the later incarnation.

The class is that of the rejection without a stop: a run is given up while an order of it may still be, or have been, carried out.

Now an answer of a later incarnation under the same id only suspends the older one at the agent; its end is reported with the later incarnation, or after the longest lease if that never announces itself. The leader moves the runs that were sent to the older incarnation to the later one, as runs to be stopped, and places their tasks after the stop. The record says that a run is being stopped, so that the next leader goes on with it. After a poll without an answer the agent acknowledges no ends until the executor has answered again, as a later incarnation numbers its ends anew.

--- a/libteasel/node/executor_api.h
+++ b/libteasel/node/executor_api.h
@@ -22,7 +22,9 @@
     EXECUTOR_OK,
     EXECUTOR_REJECTED,          /* this call did not start the run */
     EXECUTOR_BUSY,              /* unhealthy; the call had no effect */
-    EXECUTOR_WRONG_INCARNATION, /* another incarnation answered */
+    EXECUTOR_WRONG_INCARNATION, /* another one has the address; no effect */
+    EXECUTOR_RESTARTED,         /* a later incarnation under the same id has
+                                   carried out the call */
     EXECUTOR_NO_ANSWER,         /* may have taken effect, or may do so later */
     EXECUTOR_NOT_SENT,          /* had no effect */
 } executor_result_t;
--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -5,6 +5,7 @@
 #include "base/events.h"
 #include "base/metrics.h"
 #include "node/node_internal.h"
+#include "sched/executor.h"
 
 enum {
     TICK_MS = 50,
@@ -182,12 +183,14 @@
 
 /* Only one incarnation at a time has an id or an address. */
 static bool
-is_older_incarnation(const node_executor_t *executor, int64_t started_ms,
-                     const char *id, const char *address)
+is_older_incarnation(const node_executor_t *other,
+                     const node_executor_t *executor)
 {
-    return executor->started_ms < started_ms &&
-           (strcmp(executor->id, id) == 0 ||
-            strcmp(executor->address, address) == 0);
+    return (other->started_ms < executor->started_ms ||
+            other->restarted_ms != 0) &&
+           other != executor &&
+           (strcmp(other->id, executor->id) == 0 ||
+            strcmp(other->address, executor->address) == 0);
 }
 
 /* Announcements of an incarnation may be delayed until a later one has
@@ -195,7 +198,8 @@
 static bool
 is_superseded(const node_executor_t *executor, const executor_info_t *info)
 {
-    return executor->polled && executor->started_ms > info->started_ms &&
+    return executor->polled && executor->restarted_ms == 0 &&
+           executor->started_ms > info->started_ms &&
            (strcmp(executor->id, info->id) == 0 ||
             strcmp(executor->address, info->address) == 0);
 }
@@ -205,9 +209,13 @@
 {
     LIST_FOREACH_SAFE (other, &executor->node->executors, node_executor_t,
                        link) {
-        if (!other->has_ended &&
-            is_older_incarnation(other, executor->started_ms, executor->id,
-                                 executor->address)) {
+        if (!is_older_incarnation(other, executor)) {
+            continue;
+        }
+        if (sched_executor_key_restarts(executor->key, other->key)) {
+            node_executor_end_restarted(other);
+        }
+        else {
             node_executor_end(other, "replaced by a later incarnation");
         }
     }
--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -22,6 +22,7 @@
 
 /**
  * struct node_settings - settings of teasel-node
+ * @max_lease_ms: longest lease that an executor accepts
  */
 typedef struct node_settings {
     char *name;
@@ -32,6 +33,7 @@
     int64_t report_ms;
     int64_t silence_ms;
     int64_t poll_wait_ms;
+    int64_t max_lease_ms;
 } node_settings_t;
 
 bool node_settings_load(const char *path, node_settings_t *out,
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -139,23 +139,52 @@
     g_free(executor);
 }
 
+/* Freed later, as this may be called from a callback of the API. */
+static void
+mark_ended(node_executor_t *executor, const char *reason)
+{
+    event_log(EVENT_EXECUTOR_GONE, "executor=%s reason=\"%s\"", executor->key,
+              reason);
+    executor->has_ended = true;
+    node_schedule_report(executor->node);
+}
+
 void
 node_executor_end(node_executor_t *executor, const char *reason)
 {
-    node_t *node = executor->node;
-
     if (executor->has_ended) {
         return;
     }
-    event_log(EVENT_EXECUTOR_GONE, "executor=%s reason=\"%s\"", executor->key,
-              reason);
     /* Only incarnations that have answered were reported. */
     if (executor->polled) {
-        g_ptr_array_add(node->ended_keys, g_strdup(executor->key));
+        g_ptr_array_add(executor->node->ended_keys, g_strdup(executor->key));
     }
-    /* Freed later, as this may be called from a callback of the API. */
-    executor->has_ended = true;
-    node_schedule_report(node);
+    mark_ended(executor, reason);
+}
+
+void
+node_executor_end_restarted(node_executor_t *executor)
+{
+    if (!executor->has_ended) {
+        mark_ended(executor, "restarted under its id");
+    }
+}
+
+bool
+node_executor_check_result(node_executor_t *executor, executor_result_t result)
+{
+    if (executor->has_ended) {
+        return false;
+    }
+    if (result == EXECUTOR_WRONG_INCARNATION ||
+        (result == EXECUTOR_RESTARTED && !executor->polled)) {
+        node_executor_end(executor, "another incarnation answered");
+        return false;
+    }
+    if (result == EXECUTOR_RESTARTED && executor->restarted_ms == 0) {
+        executor->restarted_ms = node_now_ms(executor->node);
+    }
+    return executor->restarted_ms == 0;
 }
 
 int64_t
@@ -297,13 +326,10 @@
     int64_t now_ms = node_now_ms(executor->node);
 
     executor->polling = false;
-    if (executor->has_ended) {
-        return;
-    }
-    if (result == EXECUTOR_WRONG_INCARNATION) {
-        node_executor_end(executor, "another incarnation answered");
+    if (!node_executor_check_result(executor, result)) {
         return;
     }
+    executor->poll_failed = result != EXECUTOR_OK;
     if (result != EXECUTOR_OK) {
         executor->node->poll_failures++;
         if (!executor->silent &&
@@ -330,7 +356,9 @@
     executor_poll_t poll = {
         .deadline_ms = node_executor_get_deadline(executor),
         .fencing_token = node->epoch,
-        .cursor = executor->end_cursor,
+        /* An executor may have restarted since a poll without an answer; a
+           later incarnation numbers its ends anew. */
+        .cursor = executor->poll_failed ? 0 : executor->end_cursor,
         .wait_ms =
             executor->polled ? (uint64_t)node->opts.settings->poll_wait_ms : 0,
     };
@@ -342,6 +370,19 @@
     executor->api->vtbl->poll(executor->api, &poll, on_polled, executor);
 }
 
+/* A later incarnation that does not announce itself has ended too, or has lost
+   the lease of what it runs. */
+static void
+check_successor(node_executor_t *executor, int64_t now_ms)
+{
+    int64_t lease_ms = executor->node->opts.settings->max_lease_ms;
+
+    if (now_ms - executor->restarted_ms >
+        lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 + EXPIRY_MARGIN_MS) {
+        node_executor_end(executor, "its successor did not announce itself");
+    }
+}
+
 void
 node_executor_check(node_executor_t *executor)
 {
@@ -350,6 +391,10 @@
     if (executor->has_ended || executor->node->epoch == 0) {
         return;
     }
+    if (executor->restarted_ms != 0) {
+        check_successor(executor, now_ms);
+        return;
+    }
     if (executor->ended_by_ms != 0 && now_ms >= executor->ended_by_ms) {
         node_executor_end(executor, "shut down");
         return;
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -82,9 +82,13 @@
  * @clock_ms: clock of the executor at @clock_read_ms of this process, or -1
  * @deadline_ms: latest end of the lease that was sent to it
  * @polled: at least one poll has succeeded, so the incarnation exists
+ * @poll_failed: the newest poll was not answered
  * @silent: it has not answered polls for SILENT_AFTER_MS
  * @full_report_due: the next report has to contain all runs and all ends
  * @unreported: the next report has to include the executor
+ * @restarted_ms: time at which a later incarnation under the same id answered,
+ *     or 0; the leader is not told before that one is known, as it may have
+ *     carried out calls that were meant for this one
  * @has_ended: the incarnation is over; freed in the next turn of the loop
  * @last_end_read: number of the newest run end that was received
  * @end_cursor: the leader has stored the run ends up to this number
@@ -122,11 +126,13 @@
     int64_t deadline_ms;
     bool polled;
     bool polling;
+    bool poll_failed;
     bool silent;
     int64_t poll_sent_ms;
     int64_t retry_ms;
     bool full_report_due;
     bool unreported;
+    int64_t restarted_ms;
     bool has_ended;
     uint64_t last_end_read;
     uint64_t end_cursor;
@@ -190,10 +196,27 @@
  * node_executor_end() - mark an incarnation as ended and schedule its release
  *
  * Called when the incarnation is over or its last lease has expired. In either
- * case all its runs have ended.
+ * case all its runs have ended, and the leader is told so.
  */
 void node_executor_end(node_executor_t *executor, const char *reason);
 
+/**
+ * node_executor_end_restarted() - mark an incarnation as ended whose successor
+ * under the same id is about to be reported
+ *
+ * The report of the successor tells the leader that this one is over, and that
+ * its runs may exist at the successor.
+ */
+void node_executor_end_restarted(node_executor_t *executor);
+
+/**
+ * node_executor_check_result() - handle the answer of another incarnation
+ *
+ * Return: false if the incarnation is over.
+ */
+bool node_executor_check_result(node_executor_t *executor,
+                                executor_result_t result);
+
 /**
  * node_executor_check() - make the calls to the executor that are due
  */
--- a/libteasel/node/node_settings.c
+++ b/libteasel/node/node_settings.c
@@ -19,6 +19,7 @@
     INTEGER(report_ms, 50, 60000, 500),
     INTEGER(silence_ms, 100, 60000, 1500),
     INTEGER(poll_wait_ms, 0, 2000, 500),
+    INTEGER(max_lease_ms, 100, 3600000, 10000),
     {.key = NULL},
 };
 
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -155,7 +155,7 @@
 static void
 log_result(const run_call_t *call, const char *verb, executor_result_t result)
 {
-    if (result == EXECUTOR_NO_ANSWER || result == EXECUTOR_WRONG_INCARNATION) {
+    if (result == EXECUTOR_NO_ANSWER || result == EXECUTOR_RESTARTED) {
         event_log(result == EXECUTOR_NO_ANSWER ? EVENT_ORDER_UNANSWERED
                                                : EVENT_ORDER_MISDIRECTED,
                   "call=%s task=%s run=%u executor=%s", verb, call->task,
@@ -173,11 +173,7 @@
     log_result(call, "start", result);
     run = end_call(call);
     executor->starting--;
-    if (result == EXECUTOR_WRONG_INCARNATION) {
-        node_executor_end(executor, "another incarnation answered");
-        return;
-    }
-    if (run == NULL) {
+    if (!node_executor_check_result(executor, result) || run == NULL) {
         return;
     }
     switch (result) {
@@ -215,11 +211,7 @@
 
     log_result(call, "stop", result);
     run = end_call(call);
-    if (result == EXECUTOR_WRONG_INCARNATION) {
-        node_executor_end(executor, "another incarnation answered");
-        return;
-    }
-    if (run == NULL) {
+    if (!node_executor_check_result(executor, result) || run == NULL) {
         return;
     }
     if (result == EXECUTOR_OK) {
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -25,6 +25,17 @@
            get_started_ms(later) > get_started_ms(older);
 }
 
+bool
+sched_executor_key_restarts(const char *later, const char *older)
+{
+    const char *last = strrchr(older, '/');
+    size_t length = last != NULL ? (size_t)(last - older) + 1 : 0;
+
+    return strncmp(later, older, length) == 0 &&
+           strchr(later + length, '/') == NULL &&
+           sched_executor_key_replaces(later, older);
+}
+
 sched_node_t *
 sched_node_new(const char *name)
 {
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -129,6 +129,15 @@
  */
 bool sched_executor_key_replaces(const char *later, const char *older);
 
+/**
+ * sched_executor_key_restarts() - check for a later incarnation under the same
+ * id
+ *
+ * Calls name an incarnation by the id of its executor, so those that were sent
+ * to @older may have been carried out by @later.
+ */
+bool sched_executor_key_restarts(const char *later, const char *older);
+
 sched_executor_t *sched_executor_new(const char *key);
 void sched_executor_free(sched_executor_t *executor);
 
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -45,6 +45,7 @@
     record->state = stored_phase(task);
     record->run = task->run;
     record->failures = task->failures;
+    record->stopping = task->phase == SCHED_TASK_STOPPING;
     record->place = add_executor(executors, task->executor);
     if (task->checkpoint != NULL && task->phase != SCHED_TASK_DONE) {
         record->checkpoint = task->checkpoint;
@@ -135,8 +136,9 @@
     return out;
 }
 
-/* A run of a final job is loaded as stopping: its stop order may have been
-   lost when the leader that stored the record ended. */
+/* A run that was being stopped, or whose job is final, is loaded as stopping:
+   its stop order may have been lost when the leader that stored the record
+   ended. */
 static void
 load_task(sched_task_t *task, const Teasel__TaskRecord *record,
           GPtrArray *executors)
@@ -158,7 +160,7 @@
     if (task->phase == SCHED_TASK_PLACED && record->place > 0 &&
         record->place <= executors->len) {
         task->start_sent = true;
-        if (sched_job_is_final(sched_task_get_job(task))) {
+        if (record->stopping || sched_job_is_final(sched_task_get_job(task))) {
             task->phase = SCHED_TASK_STOPPING;
         }
         sched_executor_attach(g_ptr_array_index(executors, record->place - 1),
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -424,22 +424,51 @@
     }
 }
 
-/* An agent that was restarted does not report the end of executors that ended
-   in the meantime. */
+/* A start that was sent to the older incarnation may have been carried out by
+   the later one. The run is stopped there before the task is placed again. */
 static void
-expire_older_incarnations(sched_t *sched, const char *key)
+move_runs(sched_t *sched, sched_executor_t *older, sched_executor_t *later)
 {
-    LIST_FOREACH_SAFE (executor, &sched->executor_list, sched_executor_t,
-                       link) {
-        if (sched_executor_key_replaces(key, executor->key)) {
-            event_log(EVENT_EXECUTOR_LAPSED,
-                      "executor=%s reason=\"replaced by %s\"", executor->key,
-                      key);
-            sched_expire_executor(sched, executor);
+    LIST_FOREACH_SAFE (task, &older->tasks, sched_task_t, executor_link) {
+        if (!task->start_sent) {
+            continue;
         }
+        sched_executor_detach(task);
+        sched_executor_attach(later, task);
+        sched_mark_dirty(sched, sched_task_get_job(task));
+        sched_stop_task(sched, task, "its executor has restarted");
+        sched_stage_order(sched, task);
     }
 }
 
+/* Ends the incarnations that an executor has replaced: an agent that was
+   restarted does not report the end of executors that ended in the
+   meantime. */
+static void
+expire_older_incarnations(sched_t *sched, sched_executor_t *later)
+{
+    LIST_FOREACH_SAFE (older, &sched->executor_list, sched_executor_t, link) {
+        if (!sched_executor_key_replaces(later->key, older->key)) {
+            continue;
+        }
+        event_log(EVENT_EXECUTOR_LAPSED,
+                  "executor=%s reason=\"replaced by %s\"", older->key,
+                  later->key);
+        if (sched_executor_key_restarts(later->key, older->key)) {
+            move_runs(sched, older, later);
+        }
+        sched_expire_executor(sched, older);
+    }
+}
+
+/* The runs that older incarnations left to this one have ended with it. */
+static void
+expire_gone_executor(sched_t *sched, sched_executor_t *executor)
+{
+    expire_older_incarnations(sched, executor);
+    sched_expire_executor(sched, executor);
+}
+
 static bool
 has_changed(const sched_executor_t *executor,
             const Teasel__ExecutorReport *report)
@@ -455,11 +484,11 @@
     bool changed = has_changed(executor, report);
 
     if (report->gone) {
-        sched_expire_executor(sched, executor);
+        expire_gone_executor(sched, executor);
         return;
     }
     if (!executor->connected) {
-        expire_older_incarnations(sched, report->key);
+        expire_older_incarnations(sched, executor);
     }
     if (changed || report->listed) {
         sched_assign_node(sched, executor, node);
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1572,7 +1572,7 @@
   (ProtobufCMessageInit) teasel__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[6] =
 {
   {
     "state",
@@ -1634,6 +1634,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stopping",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__TaskRecord, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -1641,11 +1653,12 @@
   2,   /* field[2] = place */
   1,   /* field[1] = run */
   0,   /* field[0] = state */
+  5,   /* field[5] = stopping */
 };
 static const ProtobufCIntRange teasel__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor teasel__task_record__descriptor =
 {
@@ -1655,7 +1668,7 @@
   "Teasel__TaskRecord",
   "teasel",
   sizeof(Teasel__TaskRecord),
-  5,
+  6,
   teasel__task_record__field_descriptors,
   teasel__task_record__field_indices_by_name,
   1,  teasel__task_record__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -135,10 +135,14 @@
   uint32_t place;
   uint32_t failures;
   char *checkpoint;
+  /*
+   * a stop was ordered
+   */
+  protobuf_c_boolean stopping;
 };
 #define TEASEL__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__task_record__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Teasel__OccurrenceRecord
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -138,6 +138,7 @@
         node.settings.report_ms = 100;
         node.settings.silence_ms = 800;
         node.settings.poll_wait_ms = 500;
+        node.settings.max_lease_ms = 2000;
         opts.loop = loop;
         opts.clock = clock_system();
         opts.store = &node.view->base;
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -48,6 +48,14 @@
     return api->id != api->executor->id;
 }
 
+/* A later incarnation under the same id carries out all calls. */
+executor_result_t
+get_success(const Api *api)
+{
+    return api->started_ms == api->executor->born_ms ? EXECUTOR_OK
+                                                     : EXECUTOR_RESTARTED;
+}
+
 void
 start(executor_api_t *base, const executor_start_t *order,
       executor_done_fn done, void *data)
@@ -90,7 +98,7 @@
         return;
     }
     api->deliver_after(0, [=] {
-        done(reason == nullptr ? EXECUTOR_OK : EXECUTOR_REJECTED, reason,
+        done(reason == nullptr ? get_success(api) : EXECUTOR_REJECTED, reason,
              data);
     });
 }
@@ -117,7 +125,7 @@
         executor->end(task, SCHED_END_STOPPED);
     }
     executor->last_runs[task] = std::max(executor->last_runs[task], run);
-    api->deliver_after(0, [=] { done(EXECUTOR_OK, nullptr, data); });
+    api->deliver_after(0, [=] { done(get_success(api), nullptr, data); });
 }
 
 void
@@ -164,7 +172,7 @@
     reply.running_count = running_list.size();
     reply.ended = ended_list.data();
     reply.ended_count = ended_list.size();
-    done(EXECUTOR_OK, &reply, data);
+    done(get_success(api), &reply, data);
 }
 
 void
@@ -192,7 +200,7 @@
     while (!executor->ends.empty() && executor->ends[0].number <= cursor) {
         executor->ends.erase(executor->ends.begin());
     }
-    api->deliver_after(poll->wait_ms == 0 ? 0 : 15,
+    api->deliver_after(poll->wait_ms == 0 ? 0 : executor->poll_ms,
                        [=] { answer_poll(api, cursor, done, data); });
 }
 
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -45,6 +45,7 @@
     bool unresponsive = false; /* calls get no answer and have no effect */
     int lose_starts = 0;       /* next starts to carry out without an answer */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
+    int64_t poll_ms = 15;      /* time until a poll is answered */
     int late_starts = 0;       /* next starts to carry out late, unanswered */
     int64_t late_ms = 300;     /* delay of a late start */
     std::string reject_reason; /* if set, rejects all starts */
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -372,6 +372,49 @@
     EXPECT_EQ(deployment.count_starts("j.0.0.0"), 2);
 }
 
+// Guards against a second run of a task whose start reaches an executor that
+// has restarted under its id: the run works on the later incarnation while the
+// older one is reported as lost.
+TEST(Deployment, StopsAStartAtARestartedExecutorBeforeTheTaskRunsElsewhere)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 600;
+        node->executor.poll_ms = 400;
+    }
+    deployment.run_ms(100);
+    deployment.nodes[0]->executor.restart(200);
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait(
+        [&] { return !deployment.nodes[0]->executor.starts.empty(); }));
+    deployment.run_ms(200);
+    EXPECT_TRUE(deployment.announce(0, false, 200));
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+}
+
+// Guards against tasks that wait for ever for an executor that has restarted
+// under its id and then ends before it announces itself.
+TEST(Deployment, RunsTasksAgainIfARestartedExecutorEndsUnannounced)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 600;
+    }
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait(
+        [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+    deployment.nodes[0]->executor.restart(200);
+    deployment.run_ms(50);
+    deployment.nodes[0]->executor.unresponsive = true;
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+}
+
 // Guards against an entry of another writer, with the address of an executor
 // and a later start, that ends the executor: its tasks ran a second time
 // elsewhere, and its own announcements were refused from then on.
--- a/tests/unit/sched_model_test.cc
+++ b/tests/unit/sched_model_test.cc
@@ -30,6 +30,7 @@
 struct Executor {
     std::string address;
     int incarnation = 0;
+    int known_incarnation = 0; /* by its agent */
     bool up = true;
     bool connected = false;
     int64_t deadline_ms = 0;
@@ -44,7 +45,7 @@
     std::string
     key() const
     {
-        return address + "/id/" + std::to_string(incarnation);
+        return address + "/id/" + std::to_string(known_incarnation);
     }
 };
 
@@ -77,6 +78,7 @@
 
             executor.address = "10.0.0." + std::to_string(i) + ":80";
             executor.incarnation = 100;
+            executor.known_incarnation = 100;
             executors.push_back(executor);
         }
     }
@@ -169,6 +171,17 @@
         }
     }
 
+    /* A call names the incarnation by an id that a restarted executor keeps,
+       so the later incarnation carries it out. */
+    void
+    misdirect(Executor &executor, const Core::Orders &orders)
+    {
+        for (auto &run : orders.starts) {
+            executor.deadline_ms = now() + LEASE_MS;
+            start(executor, run, executor.deadline_ms);
+        }
+    }
+
     void
     deliver(size_t index)
     {
@@ -179,6 +192,10 @@
             return;
         }
         orders = core.orders(executor.key());
+        if (executor.known_incarnation != executor.incarnation) {
+            misdirect(executor, orders);
+            return;
+        }
         if (chance(8)) {
             /* The messages are lost with the connection. */
             disconnect(executor);
@@ -222,11 +239,16 @@
     void
     report(Executor &executor)
     {
-        Report message(executor.key(), CAPACITY);
-
         if (!executor.up) {
             return;
         }
+        if (executor.known_incarnation != executor.incarnation) {
+            executor.known_incarnation = executor.incarnation;
+            executor.listed = false;
+        }
+
+        Report message(executor.key(), CAPACITY);
+
         message.message.listed = !executor.connected || !executor.listed;
         for (auto &[task, run] : executor.running) {
             message.runs({task, run});
@@ -258,7 +280,11 @@
     void
     crash(Executor &executor)
     {
-        disconnect(executor);
+        bool noticed = chance(50);
+
+        if (noticed) {
+            disconnect(executor);
+        }
         executor.running.clear();
         executor.stopping.clear();
         executor.finished.clear();
@@ -267,6 +293,9 @@
         executor.next_end = 1;
         executor.incarnation++;
         executor.deadline_ms = 0;
+        if (noticed) {
+            executor.known_incarnation = executor.incarnation;
+        }
     }
 
     void
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -202,6 +202,36 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+// Guards against a second run of a task whose start was sent to an incarnation
+// of an executor, and may have reached the next one under the same id.
+TEST(Sched, StopsRunsOfARestartedExecutorBeforeTheyRunAgain)
+{
+    Core core;
+    Report later("10.0.0.1:80/id/200");
+    Report again("10.0.0.1:80/id/200");
+    Report stopped("10.0.0.1:80/id/200");
+
+    connect(core, "10.0.0.1:80/id/100");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/id/100");
+    core.report(later);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders("10.0.0.1:80/id/200").stops,
+              (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    core.restart(); /* the next leader continues the stop */
+    core.report(again);
+    core.run_and_commit();
+    Core::Orders orders = core.orders("10.0.0.1:80/id/200");
+    EXPECT_EQ(orders.stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    EXPECT_TRUE(orders.starts.empty());
+    stopped.rejects({"j.0.0.0", 1});
+    core.report(stopped);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders("10.0.0.1:80/id/200").starts,
+              (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
 // Guards against a new leader that restarts a task that is still running.
 TEST(Sched, TakesOverRunsFromTheStore)
 {
