Give up a task under which three executors in a row have crashed

Cause: a run that ends because its executor is lost counts against nothing; only ends that an executor lists as failed do. That is right for most of the tasks on an executor that crashes, as they ran beside the cause.

The agent knows which runs had just started when an executor ended without notice, and reports them (a run counts as settled when it is listed half a second after its start). The leader counts them per task, in the record of the job, each run once; the agent repeats the report on a new connection. A settled run clears its task. After the second crash in a row a task is placed on an executor without another such task, so that the next crash tells the cause from those beside it; after the third the task is given up and its job fails.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -72,6 +72,7 @@
         executor->unreported = true;
         executor->ends_sent = 0;
     }
+    crash_list_resend(node->crashes);
     node_schedule_report(node);
 }
 
@@ -146,6 +147,7 @@
 
     node->opts = *opts;
     node->ended_keys = g_ptr_array_new_with_free_func(g_free);
+    node->crashes = crash_list_new();
     list_init(&node->executors);
     loop_timer_init(&node->tick, opts->loop, on_tick, node);
     loop_timer_init(&node->flush, opts->loop, on_flush, node);
@@ -169,6 +171,7 @@
         node_executor_free(executor);
     }
     g_ptr_array_unref(node->ended_keys);
+    crash_list_free(node->crashes);
     g_free(node);
 }
 
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -16,6 +16,9 @@
        a list may have been made before the start. */
     UNLISTED_GRACE_MS = 1500,
     SILENT_AFTER_MS = 1500,
+    /* A run that is listed this long after its start has not crashed the
+       executor by being started. */
+    SETTLE_MS = 500,
     /* Several times the interval of announcements. */
     ANNOUNCEMENT_VALID_MS = 10000,
 };
@@ -139,12 +142,30 @@
     g_free(executor);
 }
 
+/* An executor that has said that it ends has not crashed. */
+static void
+note_crashed_runs(node_executor_t *executor)
+{
+    node_t *node = executor->node;
+
+    if (executor->ended_by_ms != 0) {
+        return;
+    }
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        if (run->sent && !run->settled) {
+            crash_list_add(node->crashes, run->task, run->run,
+                           node_now_ms(node));
+        }
+    }
+}
+
 /* Freed later, as this may be called from a callback of the API. */
 static void
 mark_ended(node_executor_t *executor, const char *reason)
 {
     event_log(EVENT_EXECUTOR_GONE, "executor=%s reason=\"%s\"", executor->key,
               reason);
+    note_crashed_runs(executor);
     executor->has_ended = true;
     node_schedule_report(executor->node);
 }
@@ -251,6 +272,8 @@
         run->unreported = true;
         executor->unreported = true;
     }
+    run->settled |=
+        run->phase == RUN_STARTED && now_ms - run->phase_ms >= SETTLE_MS;
     run->listed_ms = now_ms;
     run->percent = status->percent;
     run->measured = status->figure;
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -2,6 +2,7 @@
 #define TEASEL_NODE_NODE_INTERNAL_H
 
 #include "base/list.h"
+#include "node/crash_list.h"
 #include "node/node.h"
 #include "node/node_link.h"
 
@@ -23,6 +24,8 @@
  *     CPU use in milli-CPU of others
  * @outcome_unknown: a start that had no answer, or that an earlier agent
  *     process may have sent, may still take effect
+ * @sent: this agent process has sent a start
+ * @settled: it was listed some time after its start
  * @call_pending: a start or stop call is in progress
  * @unreported: the start has not been reported to the leader
  * @attempts: starts without an answer
@@ -48,6 +51,8 @@
     uint32_t percent;
     uint32_t measured;
     bool outcome_unknown;
+    bool sent;
+    bool settled;
     bool call_pending;
     bool stop_requested;
     bool unreported;
@@ -151,6 +156,7 @@
 /**
  * struct node - the node agent
  * @ended_keys: keys of ended incarnations to be reported
+ * @crashes: runs that had just started when their executor crashed
  * @epoch: highest epoch of a leader that sent orders
  * @lease_until_ms: end of the lease that the leader grants to this node
  * @reported_ms: time of the last heartbeat
@@ -160,6 +166,7 @@
     node_link_t *link;
     list_t executors;
     GPtrArray *ended_keys;
+    crash_list_t *crashes;
     loop_timer_t tick;
     loop_timer_t flush;
     uint64_t epoch;
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -27,6 +27,7 @@
     status->percent = run->percent;
     status->figure = run->measured;
     status->pending = run->phase < RUN_STARTED;
+    status->settled = run->settled;
     status->slowdown = 100 - run->throttle_percent;
     if (run->checkpoint != NULL) {
         status->checkpoint = run->checkpoint;
@@ -112,6 +113,7 @@
         g_ptr_array_set_size(executor->rejected, 0);
     }
     g_ptr_array_set_size(node->ended_keys, 0);
+    crash_list_mark_sent(node->crashes, node_now_ms(node));
 }
 
 void
@@ -131,12 +133,13 @@
             add_executor(&report, executor, heartbeat);
         }
     }
+    message.crashed = crash_list_get_unsent(node->crashes, &message.n_crashed);
     message.n_executors = report.executors->len;
     message.executors = (Teasel__ExecutorReport **)report.executors->pdata;
     if (heartbeat) {
         message.sent_us = (uint64_t)node_now_ms(node) * 1000;
     }
-    if ((heartbeat || message.n_executors > 0) &&
+    if ((heartbeat || message.n_executors > 0 || message.n_crashed > 0) &&
         node_link_send(node->link, &message)) {
         mark_reported(node);
     }
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -244,6 +244,7 @@
     executor->deadline_ms = MAX(executor->deadline_ms, start.deadline_ms);
     executor->starting++;
     executor->node->starts++;
+    run->sent = true;
     set_phase(run, RUN_STARTING);
     executor->api->vtbl->start(executor->api, &start, on_started,
                                begin_call(run));
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -177,6 +177,12 @@
 void sched_executor_add_orphan(sched_executor_t *executor, const char *task,
                                uint32_t run);
 
+/**
+ * sched_task_is_suspect() - check whether a task may be one that crashes each
+ * executor that starts it
+ */
+bool sched_task_is_suspect(const sched_task_t *task);
+
 bool sched_executor_has_label(const sched_executor_t *executor,
                               const char *label);
 
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -59,8 +59,12 @@
  * @order_link: in a list of tasks with an order for their executor
  * @executor_link: in the list of tasks of the executor
  * @executor: assigned executor, which may have the run; NULL if none
+ * @crashes: number of executors that crashed in a row just after they had
+ *     started the task
+ * @crashed_run: newest run that is included in @crashes
  * @start_sent: the start was handed to the executor's agent, perhaps by an
  *     earlier leader
+ * @settled: the run has outlived its start by some time
  * @reported: included in the report that is being processed
  * @percent: reported progress
  * @measurement: last reported value: tail latency in ms of a task with a
@@ -87,9 +91,12 @@
     sched_task_phase_t phase;
     uint32_t run;
     uint32_t failures;
+    uint32_t crashes;
+    uint32_t crashed_run;
     sched_executor_t *executor;
     char *checkpoint;
     bool start_sent;
+    bool settled;
     bool reported;
     uint32_t percent;
     uint32_t measurement;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -45,6 +45,8 @@
     record->state = stored_phase(task);
     record->run = task->run;
     record->failures = task->failures;
+    record->crashes = task->crashes;
+    record->crashed_run = task->crashed_run;
     record->stopping = task->phase == SCHED_TASK_STOPPING;
     record->place = add_executor(executors, task->executor);
     if (task->checkpoint != NULL && task->phase != SCHED_TASK_DONE) {
@@ -148,6 +150,8 @@
     task->phase = (sched_task_phase_t)record->state;
     task->run = record->run;
     task->failures = record->failures;
+    task->crashes = record->crashes;
+    task->crashed_run = record->crashed_run;
     if (record->checkpoint[0] != '\0') {
         task->checkpoint = g_strdup(record->checkpoint);
     }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -101,6 +101,12 @@
 void sched_apply_report(sched_t *sched, const char *node,
                         const Teasel__ExecutorReport *report);
 
+/**
+ * sched_apply_crash() - process an agent's report that an executor crashed
+ * just after it had started a run
+ */
+void sched_apply_crash(sched_t *sched, const Teasel__RunRef *run);
+
 /**
  * sched_disconnect() - mark the executors of a node as disconnected
  */
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -114,6 +114,18 @@
 void sched_end_task(sched_t *sched, sched_task_t *task, sched_end_t how,
                     const char *checkpoint);
 
+/**
+ * sched_find_task() - find a task by its name
+ *
+ * Return: the task, or NULL.
+ */
+sched_task_t *sched_find_task(sched_t *sched, const char *name);
+
+/**
+ * sched_task_settle() - record that a run has outlived its start
+ */
+void sched_task_settle(sched_t *sched, sched_task_t *task);
+
 /**
  * sched_expire_executor() - end all runs on an executor as expired and free it
  */
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -20,8 +20,8 @@
 /* Weight of a new run in the moving average of an executor. */
 static const double RUN_TIME_RATIO_WEIGHT = 0.25;
 
-static sched_task_t *
-find_task(sched_t *sched, const char *name)
+sched_task_t *
+sched_find_task(sched_t *sched, const char *name)
 {
     g_autofree char *id = NULL;
     uint32_t occurrence;
@@ -41,7 +41,7 @@
 find_run(sched_t *sched, const sched_executor_t *executor, const char *name,
          uint32_t run)
 {
-    sched_task_t *task = find_task(sched, name);
+    sched_task_t *task = sched_find_task(sched, name);
 
     if (task == NULL || task->executor != executor || task->run != run) {
         return NULL;
@@ -257,6 +257,7 @@
     sched_executor_detach(task);
     sched_mark_dirty(sched, job);
     task->start_sent = false;
+    task->settled = false;
     task->running_ms = 0;
     task->percent = 0;
     task->measurement = 0;
@@ -341,6 +342,9 @@
         task->percent = status->percent;
         task->progress_ms = sched_now_ms(sched);
     }
+    if (status->settled && !task->settled) {
+        sched_task_settle(sched, task);
+    }
     task->measurement = status->figure;
     if (status->checkpoint[0] != '\0' &&
         g_strcmp0(status->checkpoint, task->checkpoint) != 0) {
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -104,8 +104,8 @@
     return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
 }
 
-/* Tasks that avoid an executor have costs of their own. So has the first task
-   of an idle job, as its placement ends the idle time. */
+/* Tasks that avoid an executor or other tasks have costs of their own. So has
+   the first task of an idle job, as its placement ends the idle time. */
 static bool
 place_special_tasks(pass_t *pass, sched_step_t *step)
 {
@@ -116,10 +116,14 @@
         sched_executor_t *executor;
 
         if (!is_placeable(task, pass->now_ms) ||
-            (task->avoid_executor == NULL && !idle)) {
+            (task->avoid_executor == NULL && !idle &&
+             !sched_task_is_suspect(task))) {
             continue;
         }
         executor = choose_executor(pass->sched, task, NULL);
+        if (executor == NULL && sched_task_is_suspect(task)) {
+            continue;
+        }
         if (executor == NULL) {
             return false;
         }
@@ -141,7 +145,7 @@
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
 
-        if (!is_placeable(task, pass->now_ms)) {
+        if (!is_placeable(task, pass->now_ms) || sched_task_is_suspect(task)) {
             continue;
         }
         executor = sched_candidates_get_best(candidates);
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -66,6 +66,9 @@
     }
     if (session->lists_received || is_complete(report)) {
         session->lists_received = true;
+        for (size_t i = 0; i < report->n_crashed; i++) {
+            sched_apply_crash(leader->sched, report->crashed[i]);
+        }
         for (size_t i = 0; i < report->n_executors; i++) {
             sched_apply_report(leader->sched, node, report->executors[i]);
         }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1572,7 +1572,7 @@
   (ProtobufCMessageInit) teasel__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[8] =
 {
   {
     "state",
@@ -1646,9 +1646,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__TaskRecord, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed_run",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__TaskRecord, crashed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
+  7,   /* field[7] = crashed_run */
+  6,   /* field[6] = crashes */
   3,   /* field[3] = failures */
   2,   /* field[2] = place */
   1,   /* field[1] = run */
@@ -1658,7 +1684,7 @@
 static const ProtobufCIntRange teasel__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor teasel__task_record__descriptor =
 {
@@ -1668,7 +1694,7 @@
   "Teasel__TaskRecord",
   "teasel",
   sizeof(Teasel__TaskRecord),
-  6,
+  8,
   teasel__task_record__field_descriptors,
   teasel__task_record__field_indices_by_name,
   1,  teasel__task_record__number_ranges,
@@ -2626,7 +2652,7 @@
   (ProtobufCMessageInit) teasel__run_ref__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__run_status__field_descriptors[7] =
+static const ProtobufCFieldDescriptor teasel__run_status__field_descriptors[8] =
 {
   {
     "task",
@@ -2712,6 +2738,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__RunStatus, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__run_status__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
@@ -2719,13 +2757,14 @@
   5,   /* field[5] = pending */
   3,   /* field[3] = percent */
   1,   /* field[1] = run */
+  7,   /* field[7] = settled */
   6,   /* field[6] = slowdown */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange teasel__run_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor teasel__run_status__descriptor =
 {
@@ -2735,7 +2774,7 @@
   "Teasel__RunStatus",
   "teasel",
   sizeof(Teasel__RunStatus),
-  7,
+  8,
   teasel__run_status__field_descriptors,
   teasel__run_status__field_indices_by_name,
   1,  teasel__run_status__number_ranges,
@@ -3167,7 +3206,7 @@
   (ProtobufCMessageInit) teasel__capacity__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__node_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor teasel__node_report__field_descriptors[3] =
 {
   {
     "sent_us",
@@ -3193,15 +3232,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Teasel__NodeReport, n_crashed),
+    offsetof(Teasel__NodeReport, crashed),
+    &teasel__run_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__node_report__field_indices_by_name[] = {
+  2,   /* field[2] = crashed */
   1,   /* field[1] = executors */
   0,   /* field[0] = sent_us */
 };
 static const ProtobufCIntRange teasel__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor teasel__node_report__descriptor =
 {
@@ -3211,7 +3263,7 @@
   "Teasel__NodeReport",
   "teasel",
   sizeof(Teasel__NodeReport),
-  2,
+  3,
   teasel__node_report__field_descriptors,
   teasel__node_report__field_indices_by_name,
   1,  teasel__node_report__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -139,10 +139,18 @@
    * a stop was ordered
    */
   protobuf_c_boolean stopping;
+  /*
+   * executors that crashed in a row at its start
+   */
+  uint32_t crashes;
+  /*
+   * newest run that is included in crashes
+   */
+  uint32_t crashed_run;
 };
 #define TEASEL__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__task_record__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Teasel__OccurrenceRecord
@@ -370,10 +378,14 @@
    * the start is not confirmed by the executor yet
    */
   protobuf_c_boolean pending;
+  /*
+   * still listed some time after its start
+   */
+  protobuf_c_boolean settled;
 };
 #define TEASEL__RUN_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__run_status__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Teasel__RunEnd
@@ -456,10 +468,15 @@
   uint64_t sent_us;
   size_t n_executors;
   Teasel__ExecutorReport **executors;
+  /*
+   * runs that began just before a crash
+   */
+  size_t n_crashed;
+  Teasel__RunRef **crashed;
 };
 #define TEASEL__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__node_report__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL }
 
 
 struct  Teasel__StartOrder
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -46,6 +46,7 @@
     int lose_starts = 0;       /* next starts to carry out without an answer */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
     int64_t poll_ms = 15;      /* time until a poll is answered */
+    std::string deadly_task;   /* crashes the executor when it starts */
     int late_starts = 0;       /* next starts to carry out late, unanswered */
     int64_t late_ms = 300;     /* delay of a late start */
     std::string reject_reason; /* if set, rejects all starts */
@@ -132,6 +133,10 @@
             deadline_ms = std::max(deadline_ms, until_ms);
             starts[task]++;
             running[task] = {run, now_ms() + work_ms, 0, 50, 100};
+            if (task == deadly_task) {
+                id = "id" + std::to_string(born_ms + 1);
+                restart(born_ms + 1);
+            }
         }
         return nullptr;
     }
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -415,6 +415,39 @@
     EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
 }
 
+// Guards against a task that crashes executor after executor: it was placed
+// again for ever, and the tasks beside it lost their work each time.
+TEST(Deployment, GivesUpATaskThatCrashesItsExecutors)
+{
+    Deployment deployment(1, 3, PORT);
+    std::vector<int64_t> announced(3, 100);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.deadly_task = "bad.0.0.0";
+        node->executor.work_ms = 700;
+    }
+    deployment.call(0, JOB_VERB_SUBMIT, "good",
+                    make_spec("good", {{.count = 6}}));
+    deployment.call(0, JOB_VERB_SUBMIT, "bad",
+                    make_spec("bad", {{.count = 2}}));
+    for (int i = 0; i < 100; i++) {
+        deployment.run_ms(100);
+        for (int j = 0; j < 3; j++) {
+            FakeExecutor &executor = deployment.nodes[j]->executor;
+
+            if (executor.born_ms != announced[j]) {
+                announced[j] = executor.born_ms;
+                deployment.announce(j, false, executor.born_ms,
+                                    executor.id.c_str());
+            }
+        }
+    }
+    EXPECT_EQ(deployment.count_starts("bad.0.0.0"), 3);
+    EXPECT_TRUE(deployment.wait_state(0, "bad", SCHED_JOB_FAILED));
+    EXPECT_TRUE(deployment.wait_state(0, "good", SCHED_JOB_COMPLETED));
+}
+
 // Guards against an entry of another writer, with the address of an executor
 // and a later start, that ends the executor: its tasks ran a second time
 // elsewhere, and its own announcements were refused from then on.
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -232,6 +232,106 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+/* Crashes the only executor under the current runs and connects the next one;
+   returns the starts there. */
+std::vector<TaskRun>
+crash_and_restart(Core &core, int incarnation,
+                  const std::vector<TaskRun> &crashed)
+{
+    std::string old = "10.0.0.1:80/x" + std::to_string(incarnation) + "/" +
+                      std::to_string(incarnation);
+    std::string key = "10.0.0.1:80/x" + std::to_string(incarnation + 1) + "/" +
+                      std::to_string(incarnation + 1);
+    Report gone(old);
+    Report report(key);
+
+    gone.message.gone = true;
+    for (const TaskRun &run : crashed) {
+        Teasel__RunRef ref = TEASEL__RUN_REF__INIT;
+
+        ref.task = const_cast<char *>(run.first.c_str());
+        ref.run = run.second;
+        sched_apply_crash(core.sched, &ref);
+        sched_apply_crash(core.sched, &ref); /* repeated on a reconnect */
+    }
+    core.report(gone);
+    core.report(report);
+    core.run_and_commit();
+    return core.orders(key).starts;
+}
+
+// Guards against a count of crashes that is lost with the leader, or counts a
+// repeated report twice.
+TEST(Sched, GivesUpATaskAfterThreeCrashesUnderSeveralLeaders)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (int i = 1; i <= 2; i++) {
+        EXPECT_EQ(crash_and_restart(core, i, {{"j.0.0.0", i}}),
+                  (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
+        core.restart();
+    }
+    EXPECT_EQ(crash_and_restart(core, 3, {{"j.0.0.0", 3}}),
+              std::vector<TaskRun>());
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
+}
+
+// Guards against a task that is given up because it ran beside the cause of
+// several crashes, or because executors crashed by themselves: a run that
+// outlives its start clears it.
+TEST(Sched, ClearsATaskWhoseRunOutlivesItsStart)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (int i = 1; i <= 9; i++) {
+        std::string key =
+            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
+        Report settled(key);
+
+        if (i % 3 == 0) {
+            settled.runs({"j.0.0.0", i});
+            settled.running[0].settled = true;
+            core.report(settled);
+            core.run_and_commit();
+            crash_and_restart(core, i, {});
+        }
+        else {
+            crash_and_restart(core, i, {{"j.0.0.0", i}});
+        }
+    }
+    EXPECT_NE(core.visible_state("j"), SCHED_JOB_FAILED);
+}
+
+// Guards against two suspects of crashes that start on one executor, so that
+// its crash cannot tell the harmless one from the other.
+TEST(Sched, StartsSuspectsOfCrashesApart)
+{
+    Core core;
+    Report second("10.0.0.2:80/b/1");
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{.count = 3}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    crash_and_restart(core, 1, {{"j.0.0.0", 1}, {"j.0.0.1", 1}});
+    EXPECT_EQ(
+        crash_and_restart(core, 2, {{"j.0.0.0", 2}, {"j.0.0.1", 2}}).size(),
+        2U);
+    second.message.listed = true;
+    core.report(second, "second");
+    core.run_and_commit();
+    EXPECT_EQ(core.orders("10.0.0.2:80/b/1").starts,
+              (std::vector<TaskRun>{{"j.0.0.1", 3}}));
+}
+
 // Guards against a new leader that restarts a task that is still running.
 TEST(Sched, TakesOverRunsFromTheStore)
 {
