Prove by a start alone that a task crashes its executors

Cause: the third crash proves nothing if other runs are starting on the executor too. Keeping suspects apart from each other is not enough, as the cause may be a task that has not crashed any executor yet.

A task with two crashes in a row is now on trial: the leader places nothing else on its executor until the run has settled, and the agent starts it when no other run is starting, and none beside it until then. The agent says with a crash whether the run was the only one that had just started. Only such a crash proves that the task is the cause; without a proof, which may be lost with an agent, a task is given up after five.

--- a/libteasel/node/crash_list.c
+++ b/libteasel/node/crash_list.c
@@ -6,12 +6,12 @@
 };
 
 typedef struct crash {
-    Teasel__RunRef ref;
+    Teasel__CrashedRun run;
     int64_t added_ms;
 } crash_t;
 
 struct crash_list {
-    GPtrArray *crashes; /* crash_t, oldest first; the reference comes first */
+    GPtrArray *crashes; /* crash_t, oldest first; the message comes first */
     guint sent;
 };
 
@@ -20,7 +20,7 @@
 {
     crash_t *crash = data;
 
-    g_free(crash->ref.task);
+    g_free(crash->run.task);
     g_free(crash);
 }
 
@@ -41,23 +41,24 @@
 }
 
 void
-crash_list_add(crash_list_t *list, const char *task, uint32_t run,
+crash_list_add(crash_list_t *list, const char *task, uint32_t run, bool alone,
                int64_t now_ms)
 {
     crash_t *crash = g_new0(crash_t, 1);
 
-    teasel__run_ref__init(&crash->ref);
-    crash->ref.task = g_strdup(task);
-    crash->ref.run = run;
+    teasel__crashed_run__init(&crash->run);
+    crash->run.task = g_strdup(task);
+    crash->run.run = run;
+    crash->run.alone = alone;
     crash->added_ms = now_ms;
     g_ptr_array_add(list->crashes, crash);
 }
 
-Teasel__RunRef **
+Teasel__CrashedRun **
 crash_list_get_unsent(crash_list_t *list, size_t *count)
 {
     *count = list->crashes->len - list->sent;
-    return (Teasel__RunRef **)list->crashes->pdata + list->sent;
+    return (Teasel__CrashedRun **)list->crashes->pdata + list->sent;
 }
 
 void
--- a/libteasel/node/crash_list.h
+++ b/libteasel/node/crash_list.h
@@ -2,6 +2,7 @@
 #define TEASEL_NODE_CRASH_LIST_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "wire/sched.pb-c.h"
@@ -21,8 +22,13 @@
 
 crash_list_t *crash_list_new(void);
 void crash_list_free(crash_list_t *list);
+
+/**
+ * crash_list_add() - add a run
+ * @alone: no other run had just started on the executor
+ */
 void crash_list_add(crash_list_t *list, const char *task, uint32_t run,
-                    int64_t now_ms);
+                    bool alone, int64_t now_ms);
 
 /**
  * crash_list_get_unsent() - return the entries that were not reported on the
@@ -31,7 +37,7 @@
  *
  * Return: the entries, valid until the list changes.
  */
-Teasel__RunRef **crash_list_get_unsent(crash_list_t *list, size_t *count);
+Teasel__CrashedRun **crash_list_get_unsent(crash_list_t *list, size_t *count);
 
 /**
  * crash_list_mark_sent() - record that all entries were reported, and drop
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -147,13 +147,17 @@
 note_crashed_runs(node_executor_t *executor)
 {
     node_t *node = executor->node;
+    unsigned starting = 0;
 
     if (executor->ended_by_ms != 0) {
         return;
     }
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        if (run->sent && !run->settled) {
-            crash_list_add(node->crashes, run->task, run->run,
+        starting += run_is_starting(run);
+    }
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        if (run_is_starting(run)) {
+            crash_list_add(node->crashes, run->task, run->run, starting == 1,
                            node_now_ms(node));
         }
     }
@@ -272,8 +276,12 @@
         run->unreported = true;
         executor->unreported = true;
     }
-    run->settled |=
-        run->phase == RUN_STARTED && now_ms - run->phase_ms >= SETTLE_MS;
+    if (!run->settled && run->phase == RUN_STARTED &&
+        now_ms - run->phase_ms >= SETTLE_MS) {
+        run->settled = true;
+        run->unreported |= run->alone;
+        executor->unreported |= run->alone;
+    }
     run->listed_ms = now_ms;
     run->percent = status->percent;
     run->measured = status->figure;
@@ -467,6 +475,7 @@
         run->payload = g_strdup(order->payload);
         run->checkpoint = g_strdup(order->checkpoint);
     }
+    run->alone = order->alone;
     run->best_effort = order->filler;
     run_set_tail_effect(run, order->tail_effect_permille);
     run->latency_target_ms = order->latency_target_ms;
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -24,6 +24,8 @@
  *     CPU use in milli-CPU of others
  * @outcome_unknown: a start that had no answer, or that an earlier agent
  *     process may have sent, may still take effect
+ * @alone: its start waits until no other run is starting, and starts of others
+ *     wait until it has settled
  * @sent: this agent process has sent a start
  * @settled: it was listed some time after its start
  * @call_pending: a start or stop call is in progress
@@ -51,6 +53,7 @@
     uint32_t percent;
     uint32_t measured;
     bool outcome_unknown;
+    bool alone;
     bool sent;
     bool settled;
     bool call_pending;
@@ -247,6 +250,12 @@
 run_t *run_new(node_executor_t *executor, const char *task, uint32_t number);
 void run_free(run_t *run);
 
+/**
+ * run_is_starting() - check whether a start was sent that may still turn out
+ * to crash the executor
+ */
+bool run_is_starting(const run_t *run);
+
 /**
  * run_set_tail_effect() - set the effect of a best-effort run on the tail
  * latency
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -77,6 +77,12 @@
     node_schedule_report(executor->node);
 }
 
+bool
+run_is_starting(const run_t *run)
+{
+    return run->sent && !run->settled;
+}
+
 run_call_t *
 run_call_new(const run_t *run)
 {
@@ -221,6 +227,19 @@
     retry_later(run);
 }
 
+/* A run that starts alone is told from others as the cause of a crash. */
+static bool
+must_wait_for_others(const run_t *run)
+{
+    LIST_FOREACH (other, &run->executor->runs, run_t, link) {
+        if (other != run && run_is_starting(other) &&
+            (run->alone || other->alone)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 send_start(run_t *run)
 {
@@ -238,7 +257,8 @@
         reject_or_stop(run, "the executor is leaving");
         return;
     }
-    if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING) {
+    if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING ||
+        must_wait_for_others(run)) {
         return;
     }
     executor->deadline_ms = MAX(executor->deadline_ms, start.deadline_ms);
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -173,6 +173,7 @@
     task->executor = executor;
     list_append(&executor->tasks, &task->executor_link);
     executor->stopping += task->phase == SCHED_TASK_STOPPING;
+    executor->trials += task->on_trial;
     add_reservation(executor, task->step->spec, 1);
 }
 
@@ -184,6 +185,7 @@
     }
     add_reservation(task->executor, task->step->spec, -1);
     task->executor->stopping -= task->phase == SCHED_TASK_STOPPING;
+    task->executor->trials -= task->on_trial;
     list_remove(&task->executor_link);
     task->executor = NULL;
 }
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -57,6 +57,7 @@
  * @serving: number of tasks on it with a latency target
  * @serving_cpu: CPU share that these reserve, in milli-CPU
  * @stopping: number of tasks in phase SCHED_TASK_STOPPING
+ * @trials: number of tasks on it that are on trial
  * @slowdown: highest slowdown of a best-effort task on it, in percent
  * @end_seen: number of the newest run end that was processed
  * @end_pending: value of @end_seen when the pending write was prepared
@@ -93,6 +94,7 @@
     uint32_t serving;
     uint64_t serving_cpu;
     uint32_t stopping;
+    uint32_t trials;
     uint32_t slowdown;
     uint64_t end_seen;
     uint64_t end_pending;
@@ -177,12 +179,6 @@
 void sched_executor_add_orphan(sched_executor_t *executor, const char *task,
                                uint32_t run);
 
-/**
- * sched_task_is_suspect() - check whether a task may be one that crashes each
- * executor that starts it
- */
-bool sched_task_is_suspect(const sched_task_t *task);
-
 bool sched_executor_has_label(const sched_executor_t *executor,
                               const char *label);
 
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -64,6 +64,7 @@
  * @crashed_run: newest run that is included in @crashes
  * @start_sent: the start was handed to the executor's agent, perhaps by an
  *     earlier leader
+ * @on_trial: the run may crash its executor, and starts there alone
  * @settled: the run has outlived its start by some time
  * @reported: included in the report that is being processed
  * @percent: reported progress
@@ -96,6 +97,7 @@
     sched_executor_t *executor;
     char *checkpoint;
     bool start_sent;
+    bool on_trial;
     bool settled;
     bool reported;
     uint32_t percent;
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -34,7 +34,7 @@
               int64_t now_ms)
 {
     return executor->connected && executor->listed && !executor->draining &&
-           now_ms >= executor->probation_ms &&
+           executor->trials == 0 && now_ms >= executor->probation_ms &&
            g_strcmp0(executor->service, job->service) == 0;
 }
 
@@ -173,26 +173,6 @@
     return cost;
 }
 
-static bool
-has_suspect(const sched_executor_t *executor)
-{
-    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
-        if (sched_task_is_suspect(task)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Suspects start on different executors. The members of a gang have to start
-   together, even if they outnumber the executors. */
-static bool
-must_be_apart(const sched_task_t *task, const sched_executor_t *executor)
-{
-    return sched_task_is_suspect(task) && !task->step->spec->gang &&
-           has_suspect(executor);
-}
-
 sched_executor_t *
 sched_placement_choose(const sched_placement_t *placement,
                        const sched_task_t *task)
@@ -207,7 +187,7 @@
         if (task->avoid_executor == executor) {
             cost += COST_FAILED_HERE;
         }
-        if (cost < best_cost && !must_be_apart(task, executor)) {
+        if (cost < best_cost) {
             best = executor;
             best_cost = cost;
         }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -105,7 +105,7 @@
  * sched_apply_crash() - process an agent's report that an executor crashed
  * just after it had started a run
  */
-void sched_apply_crash(sched_t *sched, const Teasel__RunRef *run);
+void sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run);
 
 /**
  * sched_disconnect() - mark the executors of a node as disconnected
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -1,18 +1,21 @@
 /*
  * Finds tasks that crash each executor that starts them. An agent reports the
  * runs that had just started when their executor crashed; most of them only
- * ran beside the cause. A task is given up after several crashes in a row,
- * without a run that outlived its start. Suspected tasks start apart from each
- * other, so that the next crash tells them apart.
+ * ran beside the cause. A run that outlives its start clears its task. After
+ * some crashes in a row a task is put on trial: it starts while no other run
+ * is starting on its executor, so that a crash then proves that it is the
+ * cause.
  */
 
 #include "base/events.h"
 #include "sched/sched_internal.h"
 
 enum {
-    MAX_CRASHES = 3,
-    /* From this number of crashes on, a task is suspected. */
+    /* From this number of crashes in a row on, a task is put on trial. */
     SUSPECT_CRASHES = 2,
+    /* A task is given up after this number of crashes without a proof, as the
+       proof may be lost with its agent. */
+    MAX_CRASHES = 5,
 };
 
 static void
@@ -26,38 +29,52 @@
     sched_finish_job(sched, sched_task_get_job(task), SCHED_JOB_FAILED);
 }
 
+/* Agents repeat their reports on a new connection. */
+static bool
+is_new_crash(const sched_task_t *task, uint32_t run)
+{
+    return task->phase != SCHED_TASK_DONE && run <= task->run &&
+           run > task->crashed_run;
+}
+
 void
-sched_apply_crash(sched_t *sched, const Teasel__RunRef *run)
+sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run)
 {
     sched_task_t *task = sched_find_task(sched, run->task);
+    bool proven;
 
     if (task == NULL || sched_job_is_final(sched_task_get_job(task)) ||
-        task->phase == SCHED_TASK_DONE || run->run > task->run ||
-        run->run <= task->crashed_run) {
+        !is_new_crash(task, run->run)) {
         return;
     }
+    proven = run->alone && sched_task_is_suspect(task);
     task->crashed_run = run->run;
     task->crashes++;
     sched_mark_dirty(sched, sched_task_get_job(task));
-    event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u", run->task,
-              run->run, task->crashes);
-    if (task->crashes >= MAX_CRASHES) {
+    event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u alone=%d",
+              run->task, run->run, task->crashes, run->alone);
+    if (proven || task->crashes >= MAX_CRASHES) {
         give_up(sched, task, run->task);
     }
 }
 
+bool
+sched_task_is_suspect(const sched_task_t *task)
+{
+    return task->crashes >= SUSPECT_CRASHES;
+}
+
 void
 sched_task_settle(sched_t *sched, sched_task_t *task)
 {
     task->settled = true;
+    if (task->on_trial) {
+        task->on_trial = false;
+        task->executor->trials--;
+        sched->placement_needed = true;
+    }
     if (task->crashes > 0) {
         task->crashes = 0;
         sched_mark_dirty(sched, sched_task_get_job(task));
     }
 }
-
-bool
-sched_task_is_suspect(const sched_task_t *task)
-{
-    return task->crashes >= SUSPECT_CRASHES && !task->settled;
-}
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -121,6 +121,12 @@
  */
 sched_task_t *sched_find_task(sched_t *sched, const char *name);
 
+/**
+ * sched_task_is_suspect() - check whether a task may be one that crashes each
+ * executor that starts it
+ */
+bool sched_task_is_suspect(const sched_task_t *task);
+
 /**
  * sched_task_settle() - record that a run has outlived its start
  */
--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -33,6 +33,7 @@
     start->filler = step->filler;
     start->tail_effect_permille = get_effect_permille(task);
     start->resent = task->start_sent;
+    start->alone = task->on_trial;
     return start;
 }
 
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -257,6 +257,7 @@
     sched_executor_detach(task);
     sched_mark_dirty(sched, job);
     task->start_sent = false;
+    task->on_trial = false;
     task->settled = false;
     task->running_ms = 0;
     task->percent = 0;
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -73,6 +73,7 @@
     task->run = run;
     sched_task_set_phase(task, SCHED_TASK_PLACED);
     task->start_sent = false;
+    task->on_trial = sched_task_is_suspect(task);
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
     task->tail_effect =
@@ -104,8 +105,9 @@
     return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
 }
 
-/* Tasks that avoid an executor or other tasks have costs of their own. So has
-   the first task of an idle job, as its placement ends the idle time. */
+/* Tasks that avoid an executor have costs of their own. So has the first task
+   of an idle job, as its placement ends the idle time. A task on trial keeps
+   other tasks away from its executor. */
 static bool
 place_special_tasks(pass_t *pass, sched_step_t *step)
 {
@@ -121,9 +123,6 @@
             continue;
         }
         executor = choose_executor(pass->sched, task, NULL);
-        if (executor == NULL && sched_task_is_suspect(task)) {
-            continue;
-        }
         if (executor == NULL) {
             return false;
         }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &teasel__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__crashed_run__init
+                     (Teasel__CrashedRun         *message)
+{
+  static const Teasel__CrashedRun init_value = TEASEL__CRASHED_RUN__INIT;
+  *message = init_value;
+}
+size_t teasel__crashed_run__get_packed_size
+                     (const Teasel__CrashedRun *message)
+{
+  assert(message->base.descriptor == &teasel__crashed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__crashed_run__pack
+                     (const Teasel__CrashedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__crashed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__crashed_run__pack_to_buffer
+                     (const Teasel__CrashedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__crashed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__CrashedRun *
+       teasel__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__CrashedRun *)
+     protobuf_c_message_unpack (&teasel__crashed_run__descriptor,
+                                allocator, len, data);
+}
+void   teasel__crashed_run__free_unpacked
+                     (Teasel__CrashedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__crashed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__start_order__init
                      (Teasel__StartOrder         *message)
 {
@@ -3239,7 +3284,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Teasel__NodeReport, n_crashed),
     offsetof(Teasel__NodeReport, crashed),
-    &teasel__run_ref__descriptor,
+    &teasel__crashed_run__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -3270,7 +3315,71 @@
   (ProtobufCMessageInit) teasel__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__start_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[3] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CrashedRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CrashedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CrashedRun, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__crashed_run__field_indices_by_name[] = {
+  2,   /* field[2] = alone */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange teasel__crashed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor teasel__crashed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.CrashedRun",
+  "CrashedRun",
+  "Teasel__CrashedRun",
+  "teasel",
+  sizeof(Teasel__CrashedRun),
+  3,
+  teasel__crashed_run__field_descriptors,
+  teasel__crashed_run__field_indices_by_name,
+  1,  teasel__crashed_run__number_ranges,
+  (ProtobufCMessageInit) teasel__crashed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__start_order__field_descriptors[9] =
 {
   {
     "task",
@@ -3368,8 +3477,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__StartOrder, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__start_order__field_indices_by_name[] = {
+  8,   /* field[8] = alone */
   3,   /* field[3] = checkpoint */
   5,   /* field[5] = filler */
   4,   /* field[4] = latency_target_ms */
@@ -3382,7 +3504,7 @@
 static const ProtobufCIntRange teasel__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor teasel__start_order__descriptor =
 {
@@ -3392,7 +3514,7 @@
   "Teasel__StartOrder",
   "teasel",
   sizeof(Teasel__StartOrder),
-  8,
+  9,
   teasel__start_order__field_descriptors,
   teasel__start_order__field_indices_by_name,
   1,  teasel__start_order__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct Teasel__ExecutorReport Teasel__ExecutorReport;
 typedef struct Teasel__Capacity Teasel__Capacity;
 typedef struct Teasel__NodeReport Teasel__NodeReport;
+typedef struct Teasel__CrashedRun Teasel__CrashedRun;
 typedef struct Teasel__StartOrder Teasel__StartOrder;
 typedef struct Teasel__RunTraits Teasel__RunTraits;
 typedef struct Teasel__ExecutorOrders Teasel__ExecutorOrders;
@@ -468,17 +469,32 @@
   uint64_t sent_us;
   size_t n_executors;
   Teasel__ExecutorReport **executors;
-  /*
-   * runs that began just before a crash
-   */
   size_t n_crashed;
-  Teasel__RunRef **crashed;
+  Teasel__CrashedRun **crashed;
 };
 #define TEASEL__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__node_report__descriptor) \
     , 0, 0,NULL, 0,NULL }
 
 
+/*
+ * A run that had just started on an executor when it crashed.
+ */
+struct  Teasel__CrashedRun
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+  /*
+   * no other run had just started there
+   */
+  protobuf_c_boolean alone;
+};
+#define TEASEL__CRASHED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__crashed_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Teasel__StartOrder
 {
   ProtobufCMessage base;
@@ -496,10 +512,14 @@
    * an earlier order of this run may still be carried out
    */
   protobuf_c_boolean resent;
+  /*
+   * start it while no other run is starting
+   */
+  protobuf_c_boolean alone;
 };
 #define TEASEL__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__start_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -963,6 +983,25 @@
 void   teasel__node_report__free_unpacked
                      (Teasel__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__CrashedRun methods */
+void   teasel__crashed_run__init
+                     (Teasel__CrashedRun         *message);
+size_t teasel__crashed_run__get_packed_size
+                     (const Teasel__CrashedRun   *message);
+size_t teasel__crashed_run__pack
+                     (const Teasel__CrashedRun   *message,
+                      uint8_t             *out);
+size_t teasel__crashed_run__pack_to_buffer
+                     (const Teasel__CrashedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__CrashedRun *
+       teasel__crashed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__crashed_run__free_unpacked
+                     (Teasel__CrashedRun *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__StartOrder methods */
 void   teasel__start_order__init
                      (Teasel__StartOrder         *message);
@@ -1104,6 +1143,9 @@
 typedef void (*Teasel__NodeReport_Closure)
                  (const Teasel__NodeReport *message,
                   void *closure_data);
+typedef void (*Teasel__CrashedRun_Closure)
+                 (const Teasel__CrashedRun *message,
+                  void *closure_data);
 typedef void (*Teasel__StartOrder_Closure)
                  (const Teasel__StartOrder *message,
                   void *closure_data);
@@ -1143,6 +1185,7 @@
 extern const ProtobufCMessageDescriptor teasel__executor_report__descriptor;
 extern const ProtobufCMessageDescriptor teasel__capacity__descriptor;
 extern const ProtobufCMessageDescriptor teasel__node_report__descriptor;
+extern const ProtobufCMessageDescriptor teasel__crashed_run__descriptor;
 extern const ProtobufCMessageDescriptor teasel__start_order__descriptor;
 extern const ProtobufCMessageDescriptor teasel__run_traits__descriptor;
 extern const ProtobufCMessageDescriptor teasel__executor_orders__descriptor;
