Refuse announcements with odd fields instead of clamping them

An operator would see an executor that was announced once by another writer with the largest sequence number or start time, and from then on every announcement of the real executor was ignored or refused. Numbers beyond 64 bits were clamped to the largest one, texts were cut off at a zero byte, a label that was not a text was left out so that the next one became the rack, text after the entry was ignored, and an empty id or one with a slash was accepted. Services of 3 MB were repeated in each report to the leader.

A port has one spelling, since addresses are compared as texts.

--- a/libteasel/base/settings.c
+++ b/libteasel/base/settings.c
@@ -335,7 +335,9 @@
     struct in_addr address;
     guint64 number = 0;
 
-    if (colon != NULL && (size_t)(colon - text) < sizeof(buffer)) {
+    /* An address has one spelling, as addresses are compared as texts. */
+    if (colon != NULL && colon[1] != '0' &&
+        (size_t)(colon - text) < sizeof(buffer)) {
         memcpy(buffer, text, (size_t)(colon - text));
         buffer[colon - text] = '\0';
         if (inet_pton(AF_INET, buffer, &address) == 1 &&
--- /dev/null
+++ b/tests/unit/odd_entries_test.cc
@@ -0,0 +1,394 @@
+/* Entries of other writers: fields of another type, out of range, nested too
+   deeply, or bytes that cannot be read. */
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "announcements.h"
+#include "base/http_client.h"
+#include "node/node.h"
+}
+
+#include "fake_executor.h"
+#include "fake_store.h"
+#include "test_address.h"
+
+namespace {
+
+enum {
+    PORT = 900,
+};
+
+/* The log lines of this process, as "event-name details". */
+std::vector<std::string> &
+log_lines()
+{
+    static std::vector<std::string> lines;
+
+    return lines;
+}
+
+GLogWriterOutput
+keep_line(GLogLevelFlags, const GLogField *fields, gsize count, gpointer)
+{
+    std::string name;
+    std::string message;
+
+    for (gsize i = 0; i < count; i++) {
+        if (strcmp(fields[i].key, "EVENT_NAME") == 0) {
+            name = static_cast<const char *>(fields[i].value);
+        }
+        if (strcmp(fields[i].key, "MESSAGE") == 0) {
+            message = static_cast<const char *>(fields[i].value);
+        }
+    }
+    log_lines().push_back(name + " " + message);
+    return G_LOG_WRITER_HANDLED;
+}
+
+std::vector<std::string>
+lines_of(const std::string &event)
+{
+    std::vector<std::string> found;
+
+    for (const std::string &line : log_lines()) {
+        if (line.rfind(event + " ", 0) == 0) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+/* Keeps the log of the tests of this file. */
+struct LoopTest : public ::testing::Test {
+    loop_t *loop = loop_new();
+
+    static void
+    SetUpTestSuite()
+    {
+        static bool is_set = false;
+
+        if (!is_set) {
+            is_set = true;
+            /* The programs do this in loop_on_signals(). */
+            signal(SIGPIPE, SIG_IGN);
+            g_log_set_writer_func(keep_line, nullptr, nullptr);
+        }
+    }
+    void
+    SetUp() override
+    {
+        log_lines().clear();
+    }
+    void
+    TearDown() override
+    {
+        loop_run_once(loop, 10);
+        loop_free(loop);
+    }
+    bool
+    wait(const std::function<bool()> &done, int64_t limit_ms = 3000)
+    {
+        auto deadline = g_get_monotonic_time() + limit_ms * 1000;
+
+        while (!done() && g_get_monotonic_time() < deadline) {
+            loop_run_once(loop, 10);
+        }
+        return done();
+    }
+};
+
+std::string
+nested(size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+const std::vector<std::string> odd_numbers = {
+    "9223372036854775807",
+    "18446744073709551615",
+    "18446744073709551616",
+    "9007199254740992",
+    "1e999",
+    "-1e999",
+    "1e300",
+    "NaN",
+    "Infinity",
+    "-Infinity",
+    "-1",
+    "null",
+    "\"482113\"",
+    "[]",
+    "{}",
+    "true",
+};
+
+/* Sends announcements to a node agent, as executors and other writers do. */
+struct OddAnnouncements : public LoopTest {
+    FakeStore store;
+    FakeStoreView view{&store, loop};
+    FakeExecutor executor;
+    node_settings_t settings = {};
+    node_t *node = nullptr;
+    http_server_t *server = nullptr;
+    http_client_t *client = nullptr;
+    int responses = 0;
+    int status = 0;
+
+    static std::vector<std::string> &
+    connected()
+    {
+        static std::vector<std::string> keys;
+
+        return keys;
+    }
+    static executor_api_t *
+    connect(loop_t *loop, const char *address, const char *id,
+            int64_t started_ms, GError **error)
+    {
+        connected().push_back(std::string(address) + " " + id + " " +
+                              std::to_string(started_ms));
+        return FakeExecutor::connect(loop, "any", id, started_ms, error);
+    }
+    static void
+    on_response(const http_response_t *response, void *data)
+    {
+        auto *self = static_cast<OddAnnouncements *>(data);
+
+        self->responses++;
+        self->status = response->ok ? response->status : 0;
+    }
+    void
+    SetUp() override
+    {
+        node_opts_t opts = {};
+        http_client_opts_t client_opts = {};
+        char address[32];
+        GError *error = nullptr;
+
+        LoopTest::SetUp();
+        connected().clear();
+        FakeExecutor::at()["any"] = &executor;
+        executor.loop = loop;
+        settings.name = const_cast<char *>("n");
+        settings.data_centre = const_cast<char *>("z");
+        settings.report_ms = 100;
+        settings.silence_ms = 800;
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.store = &view.base;
+        opts.settings = &settings;
+        opts.connect = connect;
+        node = node_new(&opts, &error);
+        test_address(address, PORT);
+        server = announcements_new(loop, address, node, &error);
+        ASSERT_NE(server, nullptr) << error->message;
+        client_opts.loop = loop;
+        client_opts.address = address;
+        client_opts.max_connections = 4;
+        client = http_client_new(&client_opts, &error);
+    }
+    void
+    TearDown() override
+    {
+        http_client_free(client);
+        node_free(node);
+        /* The view must outlive its last pending call. */
+        for (int i = 0; i < 10; i++) {
+            loop_run_once(loop, 5);
+        }
+        http_server_free(server);
+        LoopTest::TearDown();
+    }
+    int
+    put(const std::string &id, const std::string &body)
+    {
+        http_call_opts_t opts = {};
+        std::string target = "/api/executors/" + id;
+        int before = responses;
+
+        opts.method = "PUT";
+        opts.target = target.c_str();
+        opts.body = body.data();
+        opts.body_length = body.size();
+        opts.timeout_ms = 2000;
+        opts.max_response = 4096;
+        http_client_send(client, &opts, on_response, this);
+        EXPECT_TRUE(wait([&] { return responses > before; }));
+        return status;
+    }
+    /* An odd entry gets 400 and one line, and starts no executor. */
+    void
+    expect_refused(const std::string &id, const std::string &body)
+    {
+        SCOPED_TRACE(id.substr(0, 40) + " " + body.substr(0, 300));
+        log_lines().clear();
+        connected().clear();
+        EXPECT_EQ(put(id, body), 400);
+        EXPECT_EQ(lines_of("announcement-invalid").size(), 1U);
+        EXPECT_TRUE(connected().empty());
+    }
+};
+
+const char *const entry =
+    R"({"Service":"s","Address":"127.0.0.1:8080","Zone":"z","Version":"v1",)"
+    R"("Slots":8,"State":"ready","ColdRemainingMs":0,)"
+    R"("Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},)"
+    R"("Labels":["a","r1-3"],"ClockMs":482113,"Sequence":4,)"
+    R"("RemainingMs":0,"born":1700000000000})";
+
+/* Returns the entry with another value of a field. */
+std::string
+with(const std::string &key, const std::string &old_value,
+     const std::string &new_value)
+{
+    std::string text = entry;
+    std::string from = "\"" + key + "\":" + old_value;
+    size_t at = text.find(from);
+
+    EXPECT_NE(at, std::string::npos) << key;
+    return text.replace(at, from.size(), "\"" + key + "\":" + new_value);
+}
+
+std::string
+without(const std::string &key, const std::string &value)
+{
+    std::string text = entry;
+    std::string field = "\"" + key + "\":" + value + ",";
+    size_t at = text.find(field);
+
+    EXPECT_NE(at, std::string::npos) << key;
+    return text.replace(at, field.size(), "");
+}
+
+// Guards against an executor that is refused together with the odd entries.
+TEST_F(OddAnnouncements, AcceptsASoundEntry)
+{
+    EXPECT_EQ(put("i-1", entry), 200);
+    EXPECT_EQ(connected(),
+              std::vector<std::string>{"127.0.0.1:8080 i-1 1700000000000"});
+    EXPECT_TRUE(lines_of("announcement-invalid").empty());
+    EXPECT_EQ(put("i-2", without("Address", "\"127.0.0.1:8080\"")), 400);
+}
+
+// Guards against the refusal of an executor that does not say when it started.
+TEST_F(OddAnnouncements, AcceptsAnEntryWithoutItsStart)
+{
+    std::string text = entry;
+    std::string born = ",\"born\":1700000000000";
+
+    EXPECT_EQ(put("i-1", text.replace(text.find(born), born.size(), "")), 200);
+}
+
+// Guards against numbers that are clamped, wrapped or overflow when a lease is
+// added: an entry with the largest sequence number makes the agent ignore all
+// later ones of that executor.
+TEST_F(OddAnnouncements, RefusesNumbersOutOfRange)
+{
+    for (const std::string &number : odd_numbers) {
+        expect_refused("i-1", with("born", "1700000000000", number));
+        expect_refused("i-1", with("ClockMs", "482113", number));
+        expect_refused("i-1", with("Sequence", "4", number));
+        expect_refused("i-1", with("RemainingMs", "0", number));
+        expect_refused("i-1", with("Cpu", "16000", number));
+        expect_refused("i-1", with("MemMb", "32768", number));
+        expect_refused("i-1", with("Gpu", "0", number));
+    }
+    expect_refused("i-1", with("Cpu", "16000", "4294967296"));
+    expect_refused("i-1", with("RemainingMs", "0", "4294967296"));
+    expect_refused("i-1", with("born", "1700000000000", "1700000000000.5"));
+    expect_refused("i-1", with("Sequence", "4", "4.5"));
+}
+
+// Guards against an address that cannot be called, or that another address
+// hides in.
+TEST_F(OddAnnouncements, RefusesAddressesThatCannotBeCalled)
+{
+    for (const char *address :
+         {"127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999",
+          "127.0.0.1:-1", "127.0.0.1:+80", "127.0.0.1:", "127.0.0.1", "",
+          ":8080", "localhost:8080", "127.0.0.1:8080/i-2/7", "127.0.0.1:8080 ",
+          "127.0.0.1:8080\\u0000x", "127.0.0.1:08080"}) {
+        expect_refused("i-1", with("Address", "\"127.0.0.1:8080\"",
+                                   "\"" + std::string(address) + "\""));
+    }
+}
+
+// Guards against nesting that ends the process, and against an executor that
+// is refused for the nesting of a field that nobody reads.
+TEST_F(OddAnnouncements, RefusesDeepNesting)
+{
+    EXPECT_EQ(put("i-1", with("Slots", "8", nested(30))), 200);
+    expect_refused("i-1", with("Slots", "8", nested(32)));
+    expect_refused("i-1", with("Slots", "8", nested(33)));
+    expect_refused("i-1", with("Slots", "8", nested(100000)));
+    expect_refused("i-1", nested(100000));
+    expect_refused("i-1", std::string(100000, '['));
+    expect_refused("i-1", std::string(100000, '{'));
+}
+
+// Guards against entries that are read in part.
+TEST_F(OddAnnouncements, RefusesBytesThatAreNoEntry)
+{
+    std::string half(entry, strlen(entry) / 2);
+
+    for (const std::string &body :
+         {std::string(), std::string("[]"), std::string("\"x\""),
+          std::string("7"), std::string("null"), std::string("\0", 1),
+          std::string("\xff\xfe"), half, entry + std::string("x"),
+          entry + std::string(entry), entry + std::string("\0{", 2)}) {
+        expect_refused("i-1", body);
+    }
+    EXPECT_EQ(put("i-1", entry + std::string(" \r\n")), 200);
+}
+
+// Guards against texts that are cut off at a zero byte, that break the lines
+// of the log, or that fill the reports to the leader.
+TEST_F(OddAnnouncements, RefusesTextsThatCannotBeUsed)
+{
+    for (const std::string &text :
+         {std::string("7"), std::string("null"), std::string("[]"),
+          std::string("\"\""), std::string("\"s\\u0000t\""),
+          std::string("\"\xff\""), std::string("\"s\\n\""),
+          "\"" + std::string(300, 's') + "\"",
+          "\"" + std::string(3000000, 's') + "\""}) {
+        expect_refused("i-1", with("Service", "\"s\"", text));
+        expect_refused("i-1", with("Zone", "\"z\"", text));
+        expect_refused("i-1", with("State", "\"ready\"", text));
+        if (text != "[]") {
+            expect_refused("i-1", with("Labels", "[\"a\",\"r1-3\"]", text));
+        }
+        if (text != "\"\"") {
+            expect_refused("i-1", with("Labels", "[\"a\",\"r1-3\"]",
+                                       "[\"a\"," + text + "]"));
+        }
+    }
+    expect_refused("i-1", with("State", "\"ready\"", "\"vanished\""));
+    expect_refused("i-1", with("Capacity",
+                               "{\"Cpu\":16000,\"MemMb\":32768,\"Gpu\":0}",
+                               "[16000,32768,0]"));
+    expect_refused("i-1", without("Sequence", "4"));
+    expect_refused("i-1", without("ClockMs", "482113"));
+    expect_refused("i-1", without("Service", "\"s\""));
+    expect_refused("i-1", without("Labels", "[\"a\",\"r1-3\"]"));
+}
+
+// Guards against an id that is taken for a part of the key of an executor, or
+// that cannot be sent in a header.
+TEST_F(OddAnnouncements, RefusesIdsThatCannotBeUsed)
+{
+    for (const std::string &id :
+         {std::string(), std::string("a/b"), std::string("i-1/7"),
+          std::string("i%2d1"), std::string("i-\xff"), std::string("i\"1"),
+          std::string(300, 'i')}) {
+        expect_refused(id, entry);
+    }
+}
+
+} // namespace
