Ignore odd answers of executors instead of reading them in part

An operator would see executor-gone with "another incarnation answered" after one answer with an odd start time: a "born" that was clamped to 64 bits, or that was NaN, differed from the known one, so the agent gave up an executor that was still at work, and its tasks ran a second time elsewhere. A row of "Ended" with a number beyond 64 bits was read as the largest number, after which no end of that executor was taken note of. Names and checkpoints were cut off at a zero byte.

An answer whose start time, clock or lists are odd now counts as lost, which the agent handles, and the new event answer-invalid names the executor and the field. A row with an odd number or text is left out as before; an odd measured value is read as "not measured", as leaving out the row would stop the run.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -114,6 +114,7 @@
           "announcement-invalid")                                             \
     EVENT(EVENT_RUN_ROW_INVALID, 8010, G_LOG_LEVEL_WARNING,                   \
           "run-row-invalid")                                                  \
+    EVENT(EVENT_ANSWER_INVALID, 8011, G_LOG_LEVEL_WARNING, "answer-invalid")  \
     EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -12,6 +12,7 @@
 extern "C" {
 #include "announcements.h"
 #include "base/http_client.h"
+#include "executor_http.h"
 #include "node/node.h"
 }
 
@@ -391,4 +392,261 @@
     }
 }
 
+/* Serves one body to all calls. */
+struct Answers : public LoopTest {
+    http_server_t *server = nullptr;
+    char address[32];
+    int status = 200;
+    std::string body;
+    std::vector<std::string> targets;
+
+    static void
+    on_request(http_exchange_t *exchange, void *data)
+    {
+        auto *self = static_cast<Answers *>(data);
+
+        self->targets.push_back(exchange->target);
+        http_exchange_reply(exchange, self->status, nullptr, 0,
+                            self->body.data(), self->body.size());
+    }
+    void
+    SetUp() override
+    {
+        static const http_route_t routes[] = {{"/", on_request},
+                                              {nullptr, nullptr}};
+        http_server_opts_t opts = {};
+        GError *error = nullptr;
+
+        LoopTest::SetUp();
+        test_address(address, PORT + 1);
+        opts.loop = loop;
+        opts.listen = address;
+        opts.max_body = 65536;
+        opts.routes = routes;
+        opts.data = this;
+        server = http_server_new(&opts, &error);
+        ASSERT_NE(server, nullptr) << error->message;
+    }
+    void
+    TearDown() override
+    {
+        loop_run_once(loop, 10);
+        http_server_free(server);
+        LoopTest::TearDown();
+    }
+};
+
+/* Returns the template with each $ replaced by the text. */
+std::string
+fill(const std::string &from, const std::string &text)
+{
+    std::string out;
+
+    for (char c : from) {
+        out += c == '$' ? text : std::string(1, c);
+    }
+    return out;
+}
+
+/* Reads the answers of an executor. */
+struct OddAnswers : public Answers {
+    executor_api_t *executor = nullptr;
+    int results = 0;
+    executor_result_t result = EXECUTOR_OK;
+    int64_t clock_ms = 0;
+    std::vector<std::string> running;
+    std::vector<std::string> ended;
+
+    void
+    SetUp() override
+    {
+        GError *error = nullptr;
+
+        Answers::SetUp();
+        executor =
+            executor_http_new(loop, address, "i-1", 1700000000000, &error);
+    }
+    void
+    TearDown() override
+    {
+        executor->vtbl->free(executor);
+        Answers::TearDown();
+    }
+    static void
+    on_done(executor_result_t result, const char *, void *data)
+    {
+        auto *self = static_cast<OddAnswers *>(data);
+
+        self->results++;
+        self->result = result;
+    }
+    static void
+    on_polled(executor_result_t result, const executor_poll_reply_t *reply,
+              void *data)
+    {
+        auto *self = static_cast<OddAnswers *>(data);
+
+        on_done(result, nullptr, data);
+        if (result != EXECUTOR_OK) {
+            return;
+        }
+        self->clock_ms = reply->clock_ms;
+        for (size_t i = 0; i < reply->running_count; i++) {
+            self->running.push_back(reply->running[i]->task);
+        }
+        for (size_t i = 0; i < reply->ended_count; i++) {
+            self->ended.push_back(reply->ended[i]->task);
+        }
+    }
+    executor_result_t
+    poll(const std::string &text)
+    {
+        executor_poll_t poll = {};
+        int before = results;
+
+        body = text;
+        running.clear();
+        ended.clear();
+        log_lines().clear();
+        executor->vtbl->poll(executor, &poll, on_polled, this);
+        EXPECT_TRUE(wait([&] { return results > before; }));
+        return result;
+    }
+    executor_result_t
+    stop(const std::string &text)
+    {
+        int before = results;
+
+        body = text;
+        log_lines().clear();
+        executor->vtbl->stop(executor, "j.0.0.0", 1, 7, on_done, this);
+        EXPECT_TRUE(wait([&] { return results > before; }));
+        return result;
+    }
+    std::string
+    lists(const std::string &clock, const std::string &born,
+          const std::string &running_rows = "[]",
+          const std::string &ended_rows = "[]")
+    {
+        return "{\"ClockMs\":" + clock + ",\"born\":" + born +
+               ",\"Running\":" + running_rows + ",\"Ended\":" + ended_rows +
+               "}";
+    }
+};
+
+// Guards against an odd start time that is taken for another incarnation: the
+// agent then gives up the executor, and its tasks run a second time elsewhere.
+TEST_F(OddAnswers, AnOddStartTimeIsNoOtherIncarnation)
+{
+    std::vector<std::string> numbers = odd_numbers;
+
+    EXPECT_EQ(poll(lists("7", "1700000000000")), EXECUTOR_OK);
+    EXPECT_EQ(poll(lists("7", "1700000000001")), EXECUTOR_WRONG_INCARNATION);
+    EXPECT_EQ(stop(lists("7", "1700000000001")), EXECUTOR_WRONG_INCARNATION);
+    numbers.push_back("1700000000000.5");
+    for (const std::string &number : numbers) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(poll(lists("7", number)), EXECUTOR_NO_ANSWER);
+        EXPECT_EQ(lines_of("answer-invalid").size(), 1U);
+        EXPECT_EQ(stop(lists("7", number)), EXECUTOR_NO_ANSWER);
+        EXPECT_EQ(lines_of("answer-invalid").size(), 1U);
+    }
+}
+
+// Guards against a clock near the largest number, to which the agent adds the
+// rest of a lease.
+TEST_F(OddAnswers, AnOddClockIsNoAnswer)
+{
+    EXPECT_EQ(poll(lists("482113.5", "1700000000000")), EXECUTOR_OK);
+    EXPECT_EQ(clock_ms, 482113);
+    for (const std::string &number : odd_numbers) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(poll(lists(number, "1700000000000")), EXECUTOR_NO_ANSWER);
+        EXPECT_EQ(lines_of("answer-invalid").size(), 1U);
+    }
+}
+
+// Guards against answers that end the process or that are read in part.
+TEST_F(OddAnswers, TextThatIsNoAnswerIsNoAnswer)
+{
+    std::string sound = lists("7", "1700000000000");
+
+    for (const std::string &text :
+         {std::string(), std::string("[]"), std::string("7"),
+          sound.substr(0, 20), sound + "x", nested(100000),
+          lists("7", "1700000000000", "7"),
+          lists("7", "1700000000000", "[]", "{}"),
+          lists("7", "1700000000000", nested(100000))}) {
+        SCOPED_TRACE(text.substr(0, 100));
+        EXPECT_EQ(poll(text), EXECUTOR_NO_ANSWER);
+        EXPECT_EQ(lines_of("answer-invalid").size(), 1U);
+    }
+}
+
+// Guards against the number of a run that is clamped to the largest one: the
+// agent then stops that run, and the executor refuses all later ones of the
+// task. Guards against the number of an end that is clamped to the largest
+// one, after which no end is taken note of.
+TEST_F(OddAnswers, RowsWithNumbersOutOfRangeAreLeftOut)
+{
+    for (const std::string &number : std::vector<std::string>{
+             "0", "-1", "4294967295", "4294967296", "18446744073709551616",
+             "1e999", "NaN", "2.5", "null", "\"2\""}) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(poll(lists(
+                      "7", "1700000000000",
+                      fill(R"([["odd",$,"",0,0],["good",1,"",0,0]])", number),
+                      fill(R"([[3,"odd",$,"done",""],[4,"good",1,"done",""]])",
+                           number))),
+                  EXECUTOR_OK);
+        EXPECT_EQ(running, std::vector<std::string>{"good"});
+        EXPECT_EQ(ended, std::vector<std::string>{"good"});
+        EXPECT_EQ(lines_of("run-row-invalid").size(), 2U);
+    }
+    for (const std::string &number : odd_numbers) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(poll(lists(
+                      "7", "1700000000000", "[]",
+                      fill(R"([[$,"odd",1,"done",""],[4,"good",1,"done",""]])",
+                           number))),
+                  EXECUTOR_OK);
+        EXPECT_EQ(ended, std::vector<std::string>{"good"});
+        EXPECT_EQ(lines_of("run-row-invalid").size(), 1U);
+    }
+}
+
+// Guards against a name or a checkpoint that is cut off at a zero byte, and
+// against one that no record can hold.
+TEST_F(OddAnswers, RowsWithTextsThatCannotBeUsedAreLeftOut)
+{
+    for (const std::string &text :
+         {std::string("c\\u0000d"), std::string(5000, 'x')}) {
+        SCOPED_TRACE(text.substr(0, 20));
+        EXPECT_EQ(poll(lists("7", "1700000000000",
+                             fill(R"([["odd",1,"$",0,0],["$",1,"",0,0],)"
+                                  R"(["good",1,"c",0,0]])",
+                                  text),
+                             fill(R"([[3,"odd",1,"done","$"],)"
+                                  R"([4,"$",1,"done",""],)"
+                                  R"([5,"good",1,"done","c"]])",
+                                  text))),
+                  EXECUTOR_OK);
+        EXPECT_EQ(running, std::vector<std::string>{"good"});
+        EXPECT_EQ(ended, std::vector<std::string>{"good"});
+    }
+}
+
+// Guards against a run that is left out, and then stopped, for a measured
+// value that cannot be read.
+TEST_F(OddAnswers, RowsWithOddMeasurementsHold)
+{
+    for (const std::string &number : odd_numbers) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(poll(lists("7", "1700000000000",
+                             fill(R"([["good",1,"",$,$]])", number))),
+                  EXECUTOR_OK);
+        EXPECT_EQ(running, std::vector<std::string>{"good"});
+    }
+}
+
 } // namespace
