Keep an agent looking for schedulers after an odd record of a leader

An operator would see an agent without a connection to any scheduler, and so its tasks lost, until the next election: a record of the leader whose address cannot be called, such as 127.0.0.1:65536, made the connection fail before it began, and nothing started another attempt.

A record of a leader or scheduler that cannot be read or called is now left out, with one line record-malformed, and a connection that cannot begin is tried again with the next scheduler.

--- a/libteasel/node/node_link.c
+++ b/libteasel/node/node_link.c
@@ -72,7 +72,7 @@
 static void
 update_leader(node_link_t *link, const char *address, uint64_t epoch)
 {
-    if (epoch <= link->epoch || address[0] == '\0') {
+    if (epoch <= link->epoch || !address_parse(address, NULL, NULL, NULL)) {
         return;
     }
     link->epoch = epoch;
@@ -201,40 +201,70 @@
     if (link->peer != NULL) {
         return;
     }
-    if (address == NULL) {
+    if (address != NULL) {
+        g_free(link->address);
+        link->address = g_strdup(address);
+        link->peer = peer_connect(&opts, address, NULL);
+    }
+    if (link->peer == NULL) {
         loop_timer_start(&link->reconnect, RECONNECT_MS);
-        return;
     }
-    g_free(link->address);
-    link->address = g_strdup(address);
-    link->peer = peer_connect(&opts, address, NULL);
+}
+
+/* Return false if the record cannot be read or has no address that can be
+   called. */
+static bool
+read_leader(node_link_t *link, const store_record_t *record)
+{
+    Teasel__LeaderRecord *leader =
+        teasel__leader_record__unpack(NULL, record->length, record->value);
+    bool valid =
+        leader != NULL && address_parse(leader->address, NULL, NULL, NULL);
+
+    if (valid) {
+        update_leader(link, leader->address, record->offset + 1);
+    }
+    if (leader != NULL) {
+        teasel__leader_record__free_unpacked(leader, NULL);
+    }
+    return valid;
+}
+
+static bool
+read_scheduler(node_link_t *link, const store_record_t *record)
+{
+    Teasel__SchedulerRecord *scheduler =
+        teasel__scheduler_record__unpack(NULL, record->length, record->value);
+    bool valid = scheduler != NULL &&
+                 address_parse(scheduler->address, NULL, NULL, NULL);
+
+    if (valid) {
+        add_scheduler_address(link, scheduler->address);
+    }
+    if (scheduler != NULL) {
+        teasel__scheduler_record__free_unpacked(scheduler, NULL);
+    }
+    return valid;
 }
 
 static void
 on_record(const store_record_t *record, void *data)
 {
     node_link_t *link = data;
-    Teasel__LeaderRecord *leader;
-    Teasel__SchedulerRecord *scheduler;
+    bool valid = true;
 
     if (record->value == NULL) {
         return;
     }
     if (strcmp(record->key, CONTROL_KEY_LEADER) == 0) {
-        leader =
-            teasel__leader_record__unpack(NULL, record->length, record->value);
-        if (leader != NULL) {
-            update_leader(link, leader->address, record->offset + 1);
-            teasel__leader_record__free_unpacked(leader, NULL);
-        }
+        valid = read_leader(link, record);
     }
     else if (g_str_has_prefix(record->key, CONTROL_SCHEDULER_PREFIX)) {
-        scheduler = teasel__scheduler_record__unpack(NULL, record->length,
-                                                     record->value);
-        if (scheduler != NULL) {
-            add_scheduler_address(link, scheduler->address);
-            teasel__scheduler_record__free_unpacked(scheduler, NULL);
-        }
+        valid = read_scheduler(link, record);
+    }
+    if (!valid) {
+        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
+                  CONTROL_TOPIC, record->offset);
     }
 }
 
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -12,8 +12,11 @@
 extern "C" {
 #include "announcements.h"
 #include "base/http_client.h"
+#include "cluster/control.h"
 #include "executor_http.h"
 #include "node/node.h"
+#include "node/node_link.h"
+#include "wire/peer.h"
 }
 
 #include "fake_executor.h"
@@ -649,4 +652,148 @@
     }
 }
 
+std::string
+pack(const Teasel__LeaderRecord &record)
+{
+    std::string out(teasel__leader_record__get_packed_size(&record), 0);
+
+    teasel__leader_record__pack(&record,
+                                reinterpret_cast<uint8_t *>(out.data()));
+    return out;
+}
+
+std::string
+pack(const Teasel__SchedulerRecord &record)
+{
+    std::string out(teasel__scheduler_record__get_packed_size(&record), 0);
+
+    teasel__scheduler_record__pack(&record,
+                                   reinterpret_cast<uint8_t *>(out.data()));
+    return out;
+}
+
+std::string
+leader_record(const char *name, const std::string &address)
+{
+    Teasel__LeaderRecord record = TEASEL__LEADER_RECORD__INIT;
+
+    record.name = const_cast<char *>(name);
+    record.address = const_cast<char *>(address.c_str());
+    record.incarnation = 7;
+    return pack(record);
+}
+
+std::string
+scheduler_record(const char *name, const std::string &address)
+{
+    Teasel__SchedulerRecord record = TEASEL__SCHEDULER_RECORD__INIT;
+
+    record.name = const_cast<char *>(name);
+    record.address = const_cast<char *>(address.c_str());
+    record.incarnation = 7;
+    record.cpu_milli = 100;
+    return pack(record);
+}
+
+const std::vector<std::string> odd_addresses = {
+    "",
+    "x",
+    "127.0.0.1",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999999999",
+    "127.0.0.1:-1",
+    "\xff\xfe",
+    std::string(100000, '9'),
+};
+
+/* An agent that looks for a scheduler that accepts connections. */
+struct OddControlRecords : public LoopTest {
+    FakeStore store;
+    FakeStoreView view{&store, loop};
+    peer_listener_t *listener = nullptr;
+    node_link_t *link = nullptr;
+    char address[32];
+
+    static void
+    on_accept(peer_t *, void *)
+    {
+    }
+    void
+    SetUp() override
+    {
+        static const peer_handler_t handler = {
+            .on_open = nullptr,
+            .on_message = [](peer_t *, const Teasel__Envelope *, void *) {},
+            .on_close = [](peer_t *, const char *, void *) {},
+        };
+        peer_opts_t opts = {};
+        GError *error = nullptr;
+
+        LoopTest::SetUp();
+        test_address(address, PORT + 2);
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.handler = &handler;
+        opts.max_queued_bytes = 65536;
+        opts.silence_ms = 60000;
+        opts.ping_ms = 60000;
+        listener = peer_listen(&opts, address, on_accept, &error);
+        ASSERT_NE(listener, nullptr) << error->message;
+    }
+    void
+    TearDown() override
+    {
+        stop();
+        peer_listener_free(listener);
+        LoopTest::TearDown();
+    }
+    void
+    start()
+    {
+        node_link_opts_t opts = {};
+
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.store = &view.base;
+        opts.name = "n";
+        opts.silence_ms = 800;
+        opts.on_orders = [](const Teasel__NodeOrders *, void *) {};
+        opts.on_connection_changed = [](bool, void *) {};
+        link = node_link_new(&opts);
+    }
+    void
+    stop()
+    {
+        node_link_free(link);
+        link = nullptr;
+        /* The view must outlive its last pending call. */
+        for (int i = 0; i < 10; i++) {
+            loop_run_once(loop, 5);
+        }
+    }
+};
+
+// Guards against an agent that gives up when the address of the leader cannot
+// be called, until another leader is elected.
+TEST_F(OddControlRecords, AnAgentLooksForSchedulersBesideAnOddLeader)
+{
+    for (const std::string &odd : odd_addresses) {
+        SCOPED_TRACE(odd.substr(0, 40));
+        store.topics.clear();
+        log_lines().clear();
+        store.put(CONTROL_TOPIC, "scheduler/odd",
+                  scheduler_record("odd", odd));
+        store.put(CONTROL_TOPIC, "scheduler/s1",
+                  scheduler_record("s1", address));
+        store.put(CONTROL_TOPIC, "scheduler/s2", "\xff\xff\xff");
+        store.put(CONTROL_TOPIC, "other", "x");
+        store.put(CONTROL_TOPIC, "leader", leader_record("odd", odd));
+        start();
+        EXPECT_TRUE(wait([&] { return node_link_is_open(link); }));
+        EXPECT_EQ(lines_of("record-malformed").size(), 3U);
+        stop();
+    }
+}
+
 } // namespace
