Keep schedulers in touch after odd records in the control topic

An operator would see schedulers that answered 503 for good. The newest record of the leader could not be read: the schedulers that ran kept their leader, but those that started later knew none, and did not claim either, as the others told them that a leader was alive. Besides, a record of another scheduler that gave the name of a real one replaced its address, and a record that could not be read hid a scheduler from all that started later.

Evidence: all three new tests failed before (a third scheduler without a leader for 10 s; address 127.0.0.1:1 for a member that listens elsewhere; a record that stayed unreadable for 10 s).

A record of the leader that cannot be read now counts as a leader that nobody reaches, so that a new one is elected, and its record replaces the odd one. A record of a scheduler is left out if its name is not that of its key or its address cannot be called, and a scheduler whose own record is odd writes it again. Each odd record gives one line record-malformed in each process.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/events.h"
+#include "base/settings.h"
 #include "cluster/cluster_internal.h"
 #include "cluster/control.h"
 
@@ -275,40 +276,69 @@
     await_new_leader(cluster);
 }
 
+static void
+log_malformed(const store_record_t *stored)
+{
+    event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
+              CONTROL_TOPIC, stored->offset);
+}
+
+/* A record that cannot be read hides the leader from schedulers that start
+   later, so it stands for a leader that nobody reaches, and a new one is
+   elected. */
 static void
 on_leader_record(cluster_t *cluster, const store_record_t *stored)
 {
+    const Teasel__LeaderRecord unknown = TEASEL__LEADER_RECORD__INIT;
     Teasel__LeaderRecord *record =
         teasel__leader_record__unpack(NULL, stored->length, stored->value);
 
-    if (record == NULL) {
-        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
-                  CONTROL_TOPIC, stored->offset);
-        return;
+    if (record == NULL || !address_parse(record->address, NULL, NULL, NULL)) {
+        log_malformed(stored);
+    }
+    update_leader(cluster, record != NULL ? record : &unknown,
+                  stored->offset + 1);
+    if (record != NULL) {
+        teasel__leader_record__free_unpacked(record, NULL);
     }
-    update_leader(cluster, record, stored->offset + 1);
-    teasel__leader_record__free_unpacked(record, NULL);
 }
 
-static void
-on_scheduler_record(cluster_t *cluster, const store_record_t *stored)
+static bool
+update_scheduler(cluster_t *cluster, const char *name,
+                 const Teasel__SchedulerRecord *record)
 {
-    Teasel__SchedulerRecord *record =
-        teasel__scheduler_record__unpack(NULL, stored->length, stored->value);
     member_t *member;
 
-    if (record == NULL) {
-        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
-                  CONTROL_TOPIC, stored->offset);
-        return;
+    if (record == NULL || name[0] == '\0' || strcmp(record->name, name) != 0 ||
+        !address_parse(record->address, NULL, NULL, NULL)) {
+        return false;
     }
-    member = cluster_update_member(cluster, record->name, record->address,
+    member = cluster_update_member(cluster, name, record->address,
                                    record->incarnation);
     if (member != NULL) {
         member->cpu_milli = record->cpu_milli;
     }
     cluster_update_connections(cluster);
-    teasel__scheduler_record__free_unpacked(record, NULL);
+    return true;
+}
+
+static void
+on_scheduler_record(cluster_t *cluster, const store_record_t *stored)
+{
+    const char *name = stored->key + strlen(CONTROL_SCHEDULER_PREFIX);
+    Teasel__SchedulerRecord *record =
+        teasel__scheduler_record__unpack(NULL, stored->length, stored->value);
+
+    if (!update_scheduler(cluster, name, record)) {
+        log_malformed(stored);
+        /* Replaces the record if it hides this process from others. */
+        if (strcmp(name, cluster->name) == 0 && !cluster->leaving) {
+            loop_timer_start(&cluster->register_timer, 0);
+        }
+    }
+    if (record != NULL) {
+        teasel__scheduler_record__free_unpacked(record, NULL);
+    }
 }
 
 static void
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -292,4 +292,78 @@
     }));
 }
 
+// Guards against a scheduler that finds no leader and claims neither, as the
+// newest record of the leader cannot be read or called.
+TEST(Cluster, ElectsALeaderAfterAnOddRecordOfOne)
+{
+    for (const std::string &odd :
+         {std::string("\xff\xff\xff"), std::string("\x0a\x00", 2),
+          std::string("\x0a\x01x\x12\x0f"
+                      "127.0.0.1:65536"),
+          std::string("\x0a\x03s10\x12\x01x")}) {
+        Schedulers schedulers({WEAK_MILLI, WEAK_MILLI});
+
+        ASSERT_TRUE(schedulers.wait([&] {
+            return schedulers.leader() >= 0 &&
+                   schedulers.all_follow(schedulers.leader());
+        }));
+        schedulers.store.put(CONTROL_TOPIC, CONTROL_KEY_LEADER, odd);
+        auto process = std::make_unique<Schedulers::Process>();
+        process->name = "s30";
+        process->cpu_milli = WEAK_MILLI;
+        test_address(process->address, PORT + 30);
+        schedulers.processes.push_back(std::move(process));
+        schedulers.start(2);
+        EXPECT_TRUE(schedulers.wait([&] {
+            return schedulers.leader() >= 0 &&
+                   schedulers.all_follow(schedulers.leader());
+        })) << odd;
+    }
+}
+
+// Guards against a scheduler that the others take for another one, as a record
+// that is not its own gives its name.
+TEST(Cluster, KeepsTheAddressOfASchedulerWhoseNameIsInAnotherRecord)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI, WEAK_MILLI});
+    cluster_t *cluster = schedulers.processes[0]->cluster;
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    schedulers.store.put(CONTROL_TOPIC, CONTROL_SCHEDULER_PREFIX "x",
+                         "\x0a\x03s11\x12\x0b"
+                         "127.0.0.1:1");
+    schedulers.store.put(CONTROL_TOPIC, CONTROL_SCHEDULER_PREFIX "y",
+                         "\x0a\x01y\x12\x0f"
+                         "127.0.0.1:65536");
+    uint64_t end =
+        schedulers.store.put(CONTROL_TOPIC, CONTROL_SCHEDULER_PREFIX, "") + 1;
+    ASSERT_TRUE(schedulers.wait(
+        [&] { return follower_get_next_offset(cluster->follower) >= end; }));
+    member_t *member = cluster_find_member(cluster, "s11");
+    ASSERT_NE(member, nullptr);
+    EXPECT_STREQ(member->address, schedulers.processes[1]->address);
+    EXPECT_EQ(cluster_find_member(cluster, "y"), nullptr);
+    EXPECT_EQ(cluster_find_member(cluster, ""), nullptr);
+}
+
+// Guards against a scheduler that others that start later cannot find, as its
+// record was replaced by one that cannot be read.
+TEST(Cluster, RegistersAgainAfterAnOddRecord)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI});
+    std::string key = CONTROL_SCHEDULER_PREFIX + schedulers.processes[1]->name;
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    std::string sound = schedulers.store.newest(CONTROL_TOPIC, key);
+    schedulers.store.put(CONTROL_TOPIC, key, "\xff\xff\xff");
+    EXPECT_TRUE(schedulers.wait(
+        [&] { return schedulers.store.newest(CONTROL_TOPIC, key) == sound; }));
+}
+
 } // namespace
