Refuse stored jobs with numbers out of range

An operator would see a job that was neither running nor finished: a stored record that another writer had changed was taken over as it was. A record under another key loaded its job a second time, so that both copies ran. A schedule of times without interval made the leader add occurrences until its memory ended, and the next leader loaded the same record. Ids of 100 characters gave all tasks of a step one name.

The loop that adds occurrences was not run with such a schedule.

A record is now checked as a whole before anything is made from it; one that is odd is skipped with one line job-record-invalid. The schedule and the id are checked with the rest of the specification, so a caller gets 400 also. All occurrences of a job together may have 1048576 tasks.

--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -33,11 +33,43 @@
     return true;
 }
 
+static bool
+check_schedule(const Teasel__JobSpec *spec, uint64_t tasks, GError **error)
+{
+    if (spec->repeat_count == 0) {
+        return true;
+    }
+    if (tasks * spec->repeat_count > SCHED_MAX_REPEATED_TASKS) {
+        g_set_error(error, TEASEL_ERROR, ERROR_TOO_LARGE,
+                    "job \"%s\" has %" G_GUINT64_FORMAT
+                    " tasks %u times, allowed are %d in total",
+                    spec->id, tasks, spec->repeat_count,
+                    SCHED_MAX_REPEATED_TASKS);
+        return false;
+    }
+    if (spec->first_start_ms < 0 || spec->first_start_ms > SCHED_MAX_TIME_MS ||
+        spec->interval_ms < 0 || spec->interval_ms > SCHED_MAX_INTERVAL_MS) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "job \"%s\" starts at %" G_GINT64_FORMAT
+                    " ms every %" G_GINT64_FORMAT " ms, which is out of range",
+                    spec->id, spec->first_start_ms, spec->interval_ms);
+        return false;
+    }
+    return true;
+}
+
 bool
 sched_job_check(const Teasel__JobSpec *spec, GError **error)
 {
     uint64_t tasks = 0;
 
+    if (spec->id[0] == '\0' || strlen(spec->id) > SCHED_MAX_ID_LENGTH) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "job \"%.64s\" has an id of %zu characters, allowed are 1 "
+                    "to %d",
+                    spec->id, strlen(spec->id), SCHED_MAX_ID_LENGTH);
+        return false;
+    }
     if (spec->n_steps == 0 || spec->n_steps > SCHED_MAX_STEPS) {
         g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
                     "job \"%s\" has %zu steps, allowed are 1 to %d", spec->id,
@@ -57,7 +89,7 @@
                     spec->id, tasks, SCHED_MAX_TASKS);
         return false;
     }
-    return true;
+    return check_schedule(spec, tasks, error);
 }
 
 sched_job_t *
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -16,6 +16,9 @@
     SCHED_TASK_NAME_SIZE = 96,
     SCHED_MAX_STEPS = 64,
     SCHED_MAX_TASKS = 4096, /* of one occurrence */
+    /* Of all occurrences, which may be due at the same time. */
+    SCHED_MAX_REPEATED_TASKS = 1024 * 1024,
+    SCHED_MAX_ID_LENGTH = 60, /* so that the names of tasks fit */
     SCHED_NO_IMAGE = 0,
 };
 
@@ -25,6 +28,11 @@
 typedef struct sched_task sched_task_t;
 typedef struct sched_executor sched_executor_t;
 
+/* Latest time on a wall clock, and longest interval, in milliseconds. Sums of
+   times and of all intervals of a job cannot overflow. */
+#define SCHED_MAX_TIME_MS (INT64_C(1) << 53)
+#define SCHED_MAX_INTERVAL_MS (INT64_C(1) << 41)
+
 /* The values are stored; append new states at the end. */
 typedef enum sched_job_state {
     SCHED_JOB_QUEUED = 0, /* no task has started */
@@ -276,12 +284,14 @@
 
 /**
  * sched_job_from_record() - decode a stored job
+ * @key: key of the record, which is the id of the job
  * @lookup: returns the executor of a key
  * @error: describes the fault in the record
  *
  * Return: the job, or NULL if the record is malformed.
  */
-sched_job_t *sched_job_from_record(const void *data, size_t length,
+sched_job_t *sched_job_from_record(const char *key, const void *data,
+                                   size_t length,
                                    sched_executor_lookup_fn lookup,
                                    void *lookup_data, GError **error);
 
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -6,6 +6,11 @@
 #include "sched/executor.h"
 #include "sched/job.h"
 
+enum {
+    /* A higher count cannot be followed by others in 32 bits. */
+    MAX_COUNT = INT32_MAX,
+};
+
 /* Keys of the executors that the tasks of a job are assigned to. */
 typedef struct executor_table {
     GPtrArray *keys;
@@ -135,6 +140,91 @@
     return out;
 }
 
+static bool
+check_task(const Teasel__TaskRecord *task, const Teasel__JobRecord *record)
+{
+    return task->state <= SCHED_TASK_FAILED &&
+           task->place <= record->n_places && task->run <= MAX_COUNT &&
+           task->failures <= MAX_COUNT;
+}
+
+static bool
+check_occurrence(const Teasel__OccurrenceRecord *occurrence,
+                 const Teasel__JobRecord *record, GError **error)
+{
+    uint32_t count = count_tasks(record->spec);
+
+    if (occurrence->n_tasks != count ||
+        occurrence->number >= record->next_occurrence) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "record of job \"%s\": occurrence %u of %u has %zu tasks, "
+                    "its steps have %u",
+                    record->spec->id, occurrence->number,
+                    record->next_occurrence, occurrence->n_tasks, count);
+        return false;
+    }
+    for (size_t i = 0; i < occurrence->n_tasks; i++) {
+        if (!check_task(occurrence->tasks[i], record)) {
+            g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                        "record of job \"%s\": task %zu of occurrence %u has "
+                        "a number out of range",
+                        record->spec->id, i, occurrence->number);
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+check_occurrences(const Teasel__JobRecord *record, GError **error)
+{
+    for (size_t i = 0; i < record->n_occurrences; i++) {
+        const Teasel__OccurrenceRecord *occurrence = record->occurrences[i];
+
+        if (!check_occurrence(occurrence, record, error)) {
+            return false;
+        }
+        if (i > 0 &&
+            occurrence->number <= record->occurrences[i - 1]->number) {
+            g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                        "record of job \"%s\": occurrence %u is out of order",
+                        record->spec->id, occurrence->number);
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_time(int64_t ms)
+{
+    return ms >= 0 && ms <= SCHED_MAX_TIME_MS;
+}
+
+/* Another writer may have changed the record. */
+static bool
+check_record(const Teasel__JobRecord *record, const char *key, GError **error)
+{
+    if (strcmp(record->spec->id, key) != 0) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "record \"%.64s\" is of job \"%.64s\"", key,
+                    record->spec->id);
+        return false;
+    }
+    if (!sched_job_check(record->spec, error)) {
+        return false;
+    }
+    if (record->state > SCHED_JOB_CANCELLED || record->accepted > INT64_MAX ||
+        !is_time(record->finished_ms) || !is_time(record->accepted_ms) ||
+        record->next_occurrence > MAX(1, record->spec->repeat_count)) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "record of job \"%s\": a number is out of range",
+                    record->spec->id);
+        return false;
+    }
+    return check_occurrences(record, error);
+}
+
 /* A run of a final job is loaded as stopping: its stop order may have been
    lost when the leader that stored the record ended. */
 static void
@@ -170,19 +260,13 @@
     }
 }
 
-static bool
+static void
 load_occurrence(sched_job_t *job, const Teasel__OccurrenceRecord *record,
-                GPtrArray *executors, GError **error)
+                GPtrArray *executors)
 {
     sched_occurrence_t *occurrence;
     size_t n = 0;
 
-    if (record->n_tasks != count_tasks(job->spec)) {
-        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
-                    "record of job \"%s\": %zu tasks, its steps have %u",
-                    job->spec->id, record->n_tasks, count_tasks(job->spec));
-        return false;
-    }
     job->next_occurrence = record->number;
     occurrence = sched_job_add_occurrence(job);
     for (size_t i = 0; i < job->spec->n_steps; i++) {
@@ -193,20 +277,6 @@
         }
         occurrence->done_steps += step->done == step->spec->count;
     }
-    return true;
-}
-
-static bool
-load_occurrences(sched_job_t *job, const Teasel__JobRecord *record,
-                 GPtrArray *executors, GError **error)
-{
-    for (size_t i = 0; i < record->n_occurrences; i++) {
-        if (!load_occurrence(job, record->occurrences[i], executors, error)) {
-            return false;
-        }
-    }
-    job->next_occurrence = record->next_occurrence;
-    return true;
 }
 
 static void
@@ -216,7 +286,7 @@
 }
 
 sched_job_t *
-sched_job_from_record(const void *data, size_t length,
+sched_job_from_record(const char *key, const void *data, size_t length,
                       sched_executor_lookup_fn lookup, void *lookup_data,
                       GError **error)
 {
@@ -230,7 +300,7 @@
         g_clear_pointer(&record, free_record);
         return NULL;
     }
-    if (!sched_job_check(record->spec, error)) {
+    if (!check_record(record, key, error)) {
         free_record(record);
         return NULL;
     }
@@ -246,9 +316,10 @@
     for (size_t i = 0; i < record->n_places; i++) {
         g_ptr_array_add(executors, lookup(record->places[i], lookup_data));
     }
-    if (!load_occurrences(job, record, executors, error)) {
-        g_clear_pointer(&job, sched_job_free);
+    for (size_t i = 0; i < record->n_occurrences; i++) {
+        load_occurrence(job, record->occurrences[i], executors);
     }
+    job->next_occurrence = record->next_occurrence;
     free_record(record);
     return job;
 }
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/error.h"
 #include "base/events.h"
 #include "sched/job_order.h"
 #include "sched/sched_internal.h"
@@ -162,11 +163,18 @@
 }
 
 bool
-sched_load(sched_t *sched, const void *record, size_t length, GError **error)
+sched_load(sched_t *sched, const char *key, const void *record, size_t length,
+           GError **error)
 {
-    sched_job_t *job =
-        sched_job_from_record(record, length, lookup_executor, sched, error);
+    sched_job_t *job;
 
+    if (g_hash_table_contains(sched->jobs, key)) {
+        g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
+                    "job \"%s\" is loaded already", key);
+        return false;
+    }
+    job = sched_job_from_record(key, record, length, lookup_executor, sched,
+                                error);
     if (job == NULL) {
         return false;
     }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -50,11 +50,12 @@
 
 /**
  * sched_load() - load a stored job
+ * @key: key of the record, which is the id of the job
  *
- * Return: false if the record is malformed.
+ * Return: false if the record is malformed, or the job is loaded already.
  */
-bool sched_load(sched_t *sched, const void *record, size_t length,
-                GError **error);
+bool sched_load(sched_t *sched, const char *key, const void *record,
+                size_t length, GError **error);
 
 /* Key of the record of learned estimates; no job has such an id. */
 #define SCHED_LEARNED_KEY "@learned"
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -338,7 +338,8 @@
         }
         return;
     }
-    if (!sched_load(leader->sched, record->value, record->length, &error)) {
+    if (!sched_load(leader->sched, record->key, record->value, record->length,
+                    &error)) {
         event_log(EVENT_JOB_RECORD_INVALID,
                   "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
                   record->key, record->offset, error->message);
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -214,7 +214,8 @@
                     sched_load_learned(sched, value.data(), value.size()));
                 continue;
             }
-            g_assert(sched_load(sched, value.data(), value.size(), &error));
+            g_assert(sched_load(sched, key.c_str(), value.data(), value.size(),
+                                &error));
         }
     }
     void
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -608,7 +608,7 @@
     EXPECT_FALSE(sched_job_check(empty, &no_steps));
     EXPECT_FALSE(sched_job_check(own, &cycle));
     EXPECT_NE(std::string(cycle->message).find("step 0"), std::string::npos);
-    EXPECT_FALSE(sched_load(core.sched, "\xff\xff", 2, &bytes));
+    EXPECT_FALSE(sched_load(core.sched, "j", "\xff\xff", 2, &bytes));
     teasel__job_spec__free_unpacked(empty, nullptr);
     teasel__job_spec__free_unpacked(own, nullptr);
 }
