Leave out stored estimates that are no numbers

An operator would see jobs in an order that made no sense and best-effort tasks that stood still, with each leader anew: an estimate that is no number (NAN) passed the limits, which compare false with it, was used, and was stored again.

Evidence: the new test failed before, as NAN was still in the record that the next leader would load. Infinite and huge estimates were limited before, too.

Estimates that are not finite are left out, as if they were not learned yet.

--- a/libteasel/sched/learned.c
+++ b/libteasel/sched/learned.c
@@ -1,5 +1,7 @@
 /* Stores the estimates that a leader has learned, for later leaders. */
 
+#include <math.h>
+
 #include "sched/sched_internal.h"
 
 enum {
@@ -64,6 +66,15 @@
     return out;
 }
 
+static void
+load_queue(sched_t *sched, const Teasel__LearnedQueue *queue)
+{
+    double *error = g_new(double, 1);
+
+    *error = CLAMP(queue->estimate_error, 0.1, 10.0);
+    g_hash_table_insert(sched->estimate_errors, g_strdup(queue->queue), error);
+}
+
 bool
 sched_load_learned(sched_t *sched, const void *data, size_t length)
 {
@@ -73,15 +84,16 @@
     if (record == NULL) {
         return false;
     }
+    /* CLAMP() keeps a value that is no number. */
     for (size_t i = 0; i < record->n_pairs; i++) {
-        interference_add_pair(sched->interference, record->pairs[i]);
+        if (isfinite(record->pairs[i]->weight)) {
+            interference_add_pair(sched->interference, record->pairs[i]);
+        }
     }
     for (size_t i = 0; i < record->n_queues; i++) {
-        double *error = g_new(double, 1);
-
-        *error = CLAMP(record->queues[i]->estimate_error, 0.1, 10.0);
-        g_hash_table_insert(sched->estimate_errors,
-                            g_strdup(record->queues[i]->queue), error);
+        if (isfinite(record->queues[i]->estimate_error)) {
+            load_queue(sched, record->queues[i]);
+        }
     }
     teasel__learned_record__free_unpacked(record, NULL);
     return true;
--- a/tests/unit/odd_records_test.cc
+++ b/tests/unit/odd_records_test.cc
@@ -10,6 +10,10 @@
 
 #include "sched_fixture.h"
 
+extern "C" {
+#include "sched/sched_internal.h"
+}
+
 namespace {
 
 const char *const EXECUTOR = "10.0.0.1:80/x/100";
@@ -177,6 +181,48 @@
     teasel__job_spec__free_unpacked(odd, nullptr);
 }
 
+// Guards against estimates that are no numbers and that spread to the order of
+// jobs and to the throttling of tasks.
+TEST(OddRecords, EstimatesThatAreNoNumbersAreLeftOut)
+{
+    for (double odd :
+         {(double)NAN, (double)INFINITY, -(double)INFINITY, -1e300, 1e300}) {
+        Teasel__LearnedRecord record = TEASEL__LEARNED_RECORD__INIT;
+        Teasel__LearnedPair pair = TEASEL__LEARNED_PAIR__INIT;
+        Teasel__LearnedQueue queue = TEASEL__LEARNED_QUEUE__INIT;
+        Teasel__LearnedPair *pairs[] = {&pair};
+        Teasel__LearnedQueue *queues[] = {&queue};
+        Core core;
+
+        pair.filler = const_cast<char *>("f");
+        pair.serving = const_cast<char *>("s");
+        pair.weight = odd;
+        queue.queue = const_cast<char *>("queue");
+        queue.estimate_error = odd;
+        record.n_pairs = 1;
+        record.pairs = pairs;
+        record.n_queues = 1;
+        record.queues = queues;
+        std::string bytes(teasel__learned_record__get_packed_size(&record), 0);
+        teasel__learned_record__pack(&record,
+                                     reinterpret_cast<uint8_t *>(&bytes[0]));
+        EXPECT_TRUE(
+            sched_load_learned(core.sched, bytes.data(), bytes.size()));
+
+        GByteArray *stored = sched_learned_to_record(core.sched);
+        Teasel__LearnedRecord *kept =
+            teasel__learned_record__unpack(nullptr, stored->len, stored->data);
+        for (size_t i = 0; i < kept->n_pairs; i++) {
+            EXPECT_TRUE(std::isfinite(kept->pairs[i]->weight)) << odd;
+        }
+        for (size_t i = 0; i < kept->n_queues; i++) {
+            EXPECT_TRUE(std::isfinite(kept->queues[i]->estimate_error)) << odd;
+        }
+        teasel__learned_record__free_unpacked(kept, nullptr);
+        g_byte_array_unref(stored);
+    }
+}
+
 // Guards against a changed byte that ends each new leader.
 RC_GTEST_PROP(OddRecords, SurviveDamagedBytes, ())
 {
