Follow a topic past odd keys and answers that cannot be read

An operator would see a process that never catches up and calls the store without a pause: when the last key of a page of a listing contained a zero byte, the next page was asked for with another key, so the same page came again for ever. A record with the key "leader", a zero byte and more was taken for the record of the leader. An end of the topic beyond 64 bits was clamped, so that the reader waited for records behind it and followed nothing. A page that was cut off inside its first record was asked for again at once.

Records without a key were passed over before as well, but without a line in the log.

The store now says itself where a listing continues, with all bytes of the key, and a listing ends where it does not advance. A record without a usable key is passed over with one line record-malformed. An answer with an odd number or a cut record counts as lost, so the call is repeated with the usual pause.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -368,12 +368,12 @@
     for (size_t i = 0; i < page->count; i++) {
         load_record(leader, &page->records[i]);
     }
-    if (!page->more || page->count == 0) {
+    if (!page->more) {
         become_ready(leader);
         return;
     }
-    g_free(leader->load_after_key);
-    leader->load_after_key = g_strdup(page->records[page->count - 1].key);
+    g_free(leader->load_after);
+    leader->load_after = g_strdup(page->after);
     load(leader);
 }
 
@@ -382,8 +382,8 @@
 load(leader_t *leader)
 {
     leader->writing = true;
-    store_list(leader->opts.store, JOBS_TOPIC, leader->load_after_key,
-               on_loaded, leader);
+    store_list(leader->opts.store, JOBS_TOPIC, leader->load_after, on_loaded,
+               leader);
 }
 
 leader_t *
@@ -426,7 +426,7 @@
     leader_free_sessions(leader);
     g_hash_table_unref(leader->sessions_by_node);
     g_clear_pointer(&leader->changes, g_ptr_array_unref);
-    g_free(leader->load_after_key);
+    g_free(leader->load_after);
     sched_free(leader->sched);
     if (leader->writing) {
         /* Freed by the callback of the pending store call. */
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -57,7 +57,7 @@
     loop_timer_t tick;
     loop_timer_t flush;
     loop_timer_t retry;
-    char *load_after_key;
+    char *load_after;
 
     GPtrArray *changes; /* of the pending write, or NULL */
     bool writing;       /* waits for an answer of the store */
--- a/libteasel/store/follower.c
+++ b/libteasel/store/follower.c
@@ -19,7 +19,7 @@
     bool freed; /* free when the call in progress returns */
     bool calling;
     bool listing_started;
-    char *after; /* last key of the listing in progress */
+    char *after; /* where the listing in progress continues */
 };
 
 static void request_next(follower_t *follower);
@@ -94,9 +94,9 @@
         follower->next = page->next;
     }
     deliver(follower, page);
-    if (page->more && page->count > 0) {
+    if (page->more) {
         g_free(follower->after);
-        follower->after = g_strdup(page->records[page->count - 1].key);
+        follower->after = g_strdup(page->after);
         return;
     }
     finish_listing(follower);
--- a/libteasel/store/store.h
+++ b/libteasel/store/store.h
@@ -66,12 +66,15 @@
  * struct store_page - records of one read or listing
  * @next: offset at which the next read starts
  * @more: in a listing, whether there are keys after the last one
+ * @after: if @more, the argument for the listing of the next page; only the
+ *     store interprets it, as a key of another writer may be any bytes
  */
 typedef struct store_page {
     const store_record_t *records;
     size_t count;
     uint64_t next;
     bool more;
+    const char *after;
 } store_page_t;
 
 typedef void (*store_append_cb)(store_status_t status, uint64_t offset,
@@ -83,8 +86,8 @@
  * struct store_vtbl - operations of a store
  * @append: append records; @cb gets the offset of the first one
  * @read: read records from offset @from; waits up to @wait_ms for the first
- * @list: list the newest records of the keys after @after, or of all keys if
- *     it is NULL
+ * @list: list the newest records of the keys after @after, which is from the
+ *     last page, or of all keys if it is NULL
  *
  * Each callback runs exactly once, never from inside the operation.
  */
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -16,6 +16,8 @@
 #include "executor_http.h"
 #include "node/node.h"
 #include "node/node_link.h"
+#include "store/follower.h"
+#include "store_http.h"
 #include "wire/peer.h"
 }
 
@@ -796,4 +798,190 @@
     }
 }
 
+/* Reads answers of the store. */
+struct OddStoreAnswers : public Answers {
+    store_t *store = nullptr;
+    int results = 0;
+    store_status_t status_read = STORE_OK;
+    std::vector<std::string> keys;
+    uint64_t offset = 0;
+
+    void
+    SetUp() override
+    {
+        GError *error = nullptr;
+
+        Answers::SetUp();
+        store = store_http_new(loop, address, &error);
+    }
+    void
+    TearDown() override
+    {
+        store_http_free(store);
+        Answers::TearDown();
+    }
+    static void
+    on_page(store_status_t status, const store_page_t *page, void *data)
+    {
+        auto *self = static_cast<OddStoreAnswers *>(data);
+
+        self->results++;
+        self->status_read = status;
+        self->keys.clear();
+        for (size_t i = 0; i < page->count; i++) {
+            self->keys.emplace_back(page->records[i].key);
+        }
+    }
+    static void
+    on_appended(store_status_t status, uint64_t offset, void *data)
+    {
+        auto *self = static_cast<OddStoreAnswers *>(data);
+
+        self->results++;
+        self->status_read = status;
+        self->offset = offset;
+    }
+    store_status_t
+    list(const std::string &text)
+    {
+        int before = results;
+
+        body = text;
+        store_list(store, "control", nullptr, on_page, this);
+        EXPECT_TRUE(wait([&] { return results > before; }));
+        return status_read;
+    }
+    store_status_t
+    read(const std::string &text)
+    {
+        int before = results;
+
+        body = text;
+        store_read(store, "control", 5, 0, on_page, this);
+        EXPECT_TRUE(wait([&] { return results > before; }));
+        return status_read;
+    }
+    store_status_t
+    append(const std::string &text)
+    {
+        store_append_t append = {};
+        int before = results;
+
+        body = text;
+        append.topic = "control";
+        store_append(store, &append, on_appended, this);
+        EXPECT_TRUE(wait([&] { return results > before; }));
+        return status_read;
+    }
+};
+
+std::string
+big_endian(uint64_t value, int bytes)
+{
+    std::string out;
+
+    for (int i = bytes - 1; i >= 0; i--) {
+        out += static_cast<char>(value >> (8 * i));
+    }
+    return out;
+}
+
+std::string
+keyed(const std::string &key, const std::string &value)
+{
+    std::string content =
+        std::string(1, static_cast<char>(key.size())) + key + value;
+
+    return big_endian(content.size(), 4) + content;
+}
+
+// Guards against a key that is cut off at a zero byte and so is taken for the
+// record of the leader.
+TEST_F(OddStoreAnswers, AKeyWithAZeroByteIsNoOtherKey)
+{
+    std::string odd("leader\0x", 8);
+
+    EXPECT_EQ(list(R"({"items":[{"Key":"leader\u0000x","Value":"eA==",)"
+                   R"("Offset":3},{"Key":"leader","Value":"eA==",)"
+                   R"("Offset":4}],"HasMore":false,"End":9})"),
+              STORE_OK);
+    EXPECT_EQ(keys, (std::vector<std::string>{"", "leader"}));
+    EXPECT_EQ(read(big_endian(7, 8) + big_endian(0, 8) + keyed(odd, "v") +
+                   keyed("leader", "v")),
+              STORE_OK);
+    EXPECT_EQ(keys, (std::vector<std::string>{"", "leader"}));
+    EXPECT_EQ(lines_of("record-malformed").size(), 2U);
+}
+
+// Guards against records that are no keyed records, behind which a reader
+// would stop.
+TEST_F(OddStoreAnswers, ReadsPastRecordsThatHaveNoKey)
+{
+    EXPECT_EQ(read(big_endian(9, 8) + big_endian(0, 8) + big_endian(0, 4) +
+                   big_endian(1, 4) + "\xff" + big_endian(3, 4) + "\xffxy" +
+                   keyed(std::string(255, 'k'), "") + keyed("\xff\xfe", "v") +
+                   keyed("good", "v")),
+              STORE_OK);
+    EXPECT_EQ(keys,
+              (std::vector<std::string>{"", "", "", std::string(255, 'k'),
+                                        "\xff\xfe", "good"}));
+    EXPECT_EQ(lines_of("record-malformed").size(), 3U);
+}
+
+// Guards against an answer that is read as the end of a topic, from which the
+// reader then follows nothing, or asks again at once for ever.
+TEST_F(OddStoreAnswers, AnswersThatCannotBeReadAreNoPages)
+{
+    for (const std::string &number : odd_numbers) {
+        SCOPED_TRACE(number);
+        EXPECT_EQ(
+            list(fill(R"({"items":[],"HasMore":false,"End":$})", number)),
+            STORE_UNKNOWN);
+        EXPECT_EQ(append(fill(R"({"Offset":$,"End":7})", number)),
+                  STORE_UNKNOWN);
+    }
+    EXPECT_EQ(list(R"({"items":null,"HasMore":false,"End":0})"), STORE_OK);
+    EXPECT_EQ(list(R"({"items":[],"HasMore":true,"End":1})"), STORE_UNKNOWN);
+    EXPECT_EQ(list(nested(100000)), STORE_UNKNOWN);
+    EXPECT_EQ(list(fill(R"({"items":[],"HasMore":false,"End":1,"x":$})",
+                        nested(100000))),
+              STORE_UNKNOWN);
+    EXPECT_EQ(read(""), STORE_UNKNOWN);
+    EXPECT_EQ(read(big_endian(7, 8)), STORE_UNKNOWN);
+    EXPECT_EQ(read(big_endian(7, 8) + big_endian(0, 8) + big_endian(99, 4) +
+                   "short"),
+              STORE_UNKNOWN);
+}
+
+// Guards against a listing that starts again at the same key for ever, so that
+// the reader never catches up and calls the store without a pause.
+TEST_F(OddStoreAnswers, AListingContinuesBehindAnOddKey)
+{
+    for (const char *key : {"k\\u0000x", "k", "\xff"}) {
+        follower_opts_t opts = {};
+        SCOPED_TRACE(key);
+
+        targets.clear();
+        body = fill(R"({"items":[{"Key":"$","Value":"eA==","Offset":3}],)"
+                    R"("HasMore":true,"End":9})",
+                    key);
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.store = store;
+        opts.topic = "control";
+        opts.wait_ms = 100;
+        opts.on_record = [](const store_record_t *, void *) {};
+        follower_t *follower = follower_new(&opts);
+        EXPECT_TRUE(wait([&] { return follower_is_caught_up(follower); }));
+        ASSERT_GE(targets.size(), 2U);
+        EXPECT_NE(targets[1].find(key[1] == '\\'  ? "After=k%00x"
+                                  : key[0] == 'k' ? "After=k"
+                                                  : "After=%FF"),
+                  std::string::npos)
+            << targets[1];
+        follower_free(follower);
+        loop_run_once(loop, 20);
+    }
+}
+
 } // namespace
