--- a/tests/unit/odd_records_test.cc
+++ b/tests/unit/odd_records_test.cc
@@ -95,7 +95,12 @@
         [](Record *record) { record->accepted_ms = INT64_MAX; },
         [](Record *record) { record->accepted_ms = INT64_MIN; },
         [](Record *record) { record->occurrences[0]->number = UINT32_MAX; },
-        [](Record *record) { record->occurrences[0]->n_tasks = 1; },
+        [](Record *record) {
+            Teasel__OccurrenceRecord *occurrence = record->occurrences[0];
+
+            teasel__task_record__free_unpacked(
+                occurrence->tasks[--occurrence->n_tasks], nullptr);
+        },
         [](Record *record) { record->occurrences[0]->tasks[0]->state = 4; },
         [](Record *record) {
             record->occurrences[0]->tasks[0]->state = UINT32_MAX;
--- a/tests/unit/platform_decoders_test.cc
+++ b/tests/unit/platform_decoders_test.cc
@@ -126,4 +126,124 @@
     json_object_put(body);
 }
 
+bool
+is_job(const std::string &phase, const std::string &rest = "")
+{
+    std::string text =
+        "{\"Spec\":\"t\"" + rest + ",\"Phases\":[" + phase + "]}";
+    queue_t queue = {};
+    Teasel__JobSpec *job;
+
+    queue.name = const_cast<char *>("q");
+    queue.service = const_cast<char *>("s");
+    job = job_decode(text.data(), text.size(), "0123456789abcdef", &queue);
+    if (job == nullptr) {
+        return false;
+    }
+    teasel__job_spec__free_unpacked(job, nullptr);
+    return true;
+}
+
+// Guards against a job that is accepted and then run in another way than its
+// caller asked for: a step that waits for no other, one that needs nothing, or
+// another text.
+TEST(PlatformDecoders, RefusesJobsWithOddFields)
+{
+    EXPECT_TRUE(is_job(R"({"Count":1,"After":null,"Image":null})"));
+    EXPECT_TRUE(is_job(R"({"Count":1,"EstimatedMs":900.5})"));
+    for (const char *value : {"-1", "4294967296", "18446744073709551616",
+                              "1e999", "NaN", "\"0\"", "true", "{}", "[]"}) {
+        std::string text = value;
+
+        for (const char *key :
+             {"Count", "Cpu", "MemMb", "Gpu", "EstimatedMs", "AntiAffinity",
+              "TargetMs", "MaxUnavailable"}) {
+            EXPECT_FALSE(is_job("{\"" + std::string(key) + "\":" + text + "}"))
+                << key << " " << text;
+        }
+        EXPECT_FALSE(is_job("{\"Count\":1,\"After\":[" + text + "]}")) << text;
+        EXPECT_FALSE(is_job(R"({"Count":1})", ",\"RepeatCount\":" + text))
+            << text;
+    }
+    for (const char *value :
+         {"-1", "9223372036854775807", "1e999", "NaN", "\"0\""}) {
+        std::string text = value;
+
+        EXPECT_FALSE(is_job(R"({"Count":1})", ",\"StartMs\":" + text)) << text;
+        EXPECT_FALSE(is_job(R"({"Count":1})", ",\"IntervalMs\":" + text))
+            << text;
+    }
+    for (const char *value : {"\"a\\u0000b\"", "7", "[]", "{}", "true"}) {
+        std::string text = value;
+
+        for (const char *key : {"Requirements", "Affinity", "Image"}) {
+            EXPECT_FALSE(is_job("{\"Count\":1,\"" + std::string(key) +
+                                "\":" + text + "}"))
+                << key << " " << text;
+        }
+        EXPECT_FALSE(is_job(R"({"Count":1})", ",\"Spec\":" + text)) << text;
+    }
+    for (const char *key : {"Checkpointing", "Gang", "SameRack",
+                            "AllowDuplicates", "LongRunning", "Fills"}) {
+        EXPECT_FALSE(is_job("{\"Count\":1,\"" + std::string(key) + "\":1}"))
+            << key;
+    }
+    EXPECT_FALSE(is_job(R"({"Count":1,"After":0})"));
+    EXPECT_FALSE(is_job("7"));
+    EXPECT_FALSE(is_job("null"));
+    EXPECT_FALSE(is_job("[]"));
+}
+
+// Guards against a job whose record the store refuses, behind which no other
+// job is stored.
+TEST(PlatformDecoders, RefusesJobsThatNoRecordCanHold)
+{
+    std::string after = "0";
+
+    for (int i = 0; i < 100000; i++) {
+        after += ",0";
+    }
+    EXPECT_TRUE(is_job(R"({"Count":1})",
+                       ",\"Spec\":\"" + std::string(4000, 'x') + "\""));
+    EXPECT_FALSE(is_job(R"({"Count":1})",
+                        ",\"Spec\":\"" + std::string(1000000, 'x') + "\""));
+    EXPECT_FALSE(is_job("{\"Count\":1,\"Image\":\"" +
+                        std::string(1000000, 'x') + "\"}"));
+    EXPECT_FALSE(
+        is_job("{\"Count\":1},{\"Count\":1,\"After\":[" + after + "]}"));
+}
+
+// Guards against nesting that ends the process.
+TEST(PlatformDecoders, RefusesDeepNesting)
+{
+    for (size_t levels : {20, 31, 32, 33, 100000}) {
+        std::string nested =
+            std::string(levels, '[') + std::string(levels, ']');
+
+        EXPECT_EQ(is_job("{\"Count\":1,\"x\":" + nested + "}"), levels == 20)
+            << levels;
+        read_config("{\"Version\":1,\"Routes\":" + nested + "}");
+    }
+}
+
+// Guards against a share of the slack that is no number.
+TEST(PlatformDecoders, ReadsConfigurationsWithOddNumbers)
+{
+    for (const char *value : {"NaN", "Infinity", "-1e999", "1e300", "null"}) {
+        std::string text =
+            R"({"Version":1,"Routes":[{"Host":"h","PathPrefix":"/",)"
+            R"("Service":"s","SlackFactor":)" +
+            std::string(value) + "}]}";
+        queue_table_t *table = config_feed_decode(text.data(), text.size());
+
+        ASSERT_NE(table, nullptr);
+        const queue_t *queue = queue_table_find(table, "h", "/");
+        ASSERT_NE(queue, nullptr);
+        EXPECT_TRUE(queue->slack_percent == 100 ||
+                    queue->slack_percent == 100000000)
+            << value;
+        queue_table_free(table);
+    }
+}
+
 } // namespace
