--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -292,6 +292,13 @@
     EXPECT_EQ(put("i-1", text.replace(text.find(born), born.size(), "")), 200);
 }
 
+// Guards against an executor whose end is not confirmed, as it is late.
+TEST_F(OddAnnouncements, AcceptsAnEntryWhoseRemainingTimeIsOver)
+{
+    EXPECT_EQ(put("i-1", with("RemainingMs", "0", "-1")), 200);
+    EXPECT_EQ(put("i-1", with("RemainingMs", "0", "-70000.5")), 200);
+}
+
 // Guards against numbers that are clamped, wrapped or overflow when a lease is
 // added: an entry with the largest sequence number makes the agent ignore all
 // later ones of that executor.
@@ -301,7 +308,9 @@
         expect_refused("i-1", with("born", "1700000000000", number));
         expect_refused("i-1", with("ClockMs", "482113", number));
         expect_refused("i-1", with("Sequence", "4", number));
-        expect_refused("i-1", with("RemainingMs", "0", number));
+        if (number != "-1") {
+            expect_refused("i-1", with("RemainingMs", "0", number));
+        }
         expect_refused("i-1", with("Cpu", "16000", number));
         expect_refused("i-1", with("MemMb", "32768", number));
         expect_refused("i-1", with("Gpu", "0", number));
