Follow a capacity that changes while an executor runs

An executor's capacity may shrink and grow again while it runs. The leader took over the capacity only with the first report of an executor or a complete list, so it went on to start tasks up to the old one (LIMIT), and left room unused that had grown again. The agent reported a change only by chance.

The agent now reports a changed capacity at once, and the leader takes it over from any report. Running tasks are left alone: until they fit, nothing is started beside them.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -52,6 +52,14 @@
     }
 }
 
+static bool
+has_capacity(const node_executor_t *executor, const executor_info_t *info)
+{
+    return executor->capacity.cpu_milli == info->cpu_milli &&
+           executor->capacity.memory_mb == info->memory_mb &&
+           executor->capacity.accelerators == info->accelerators;
+}
+
 void
 node_executor_update(node_executor_t *executor, const executor_info_t *info)
 {
@@ -61,7 +69,8 @@
         event_log(EVENT_EXECUTOR_DRAINING, "executor=%s remaining_ms=%u",
                   executor->key, info->remaining_ms);
     }
-    executor->unreported |= info->draining != executor->draining;
+    executor->unreported |=
+        info->draining != executor->draining || !has_capacity(executor, info);
     replace_string(&executor->service, info->service);
     replace_string(&executor->data_centre, info->data_centre);
     replace_string(&executor->rack, info->rack);
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -474,11 +474,18 @@
     sched_expire_executor(sched, executor);
 }
 
+/* An executor may change its capacity while it runs. */
 static bool
 has_changed(const sched_executor_t *executor,
             const Teasel__ExecutorReport *report)
 {
-    return !executor->connected || executor->draining != report->draining;
+    const Teasel__Capacity *capacity = report->capacity;
+
+    return !executor->connected || executor->draining != report->draining ||
+           (capacity != NULL &&
+            (executor->capacity.cpu_milli != capacity->cpu_milli ||
+             executor->capacity.memory_mb != capacity->memory_mb ||
+             executor->capacity.accelerators != capacity->accelerators));
 }
 
 void
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -34,6 +34,7 @@
         node_t *node = nullptr;
         FakeExecutor executor;
         char address[32];
+        uint32_t cpu_milli = 8000;
         uint64_t sequence = 0;
     };
     loop_t *loop = loop_new();
@@ -163,7 +164,7 @@
         info.rack = "r1";
         info.labels = labels;
         info.label_count = 2;
-        info.cpu_milli = 8000;
+        info.cpu_milli = node.cpu_milli;
         info.memory_mb = 8000;
         info.draining = draining;
         info.remaining_ms = draining ? 3000 : 0;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -448,6 +448,26 @@
     EXPECT_TRUE(deployment.wait_state(0, "good", SCHED_JOB_COMPLETED));
 }
 
+// Guards against a start that brings an executor over a capacity that shrank
+// while it ran, and against room that is not used after it grew again.
+TEST(Deployment, FollowsTheCapacityThatAnExecutorAnnounces)
+{
+    Deployment deployment(1, 1, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    deployment.call(0, JOB_VERB_SUBMIT, "first", make_spec("first", {{}}));
+    EXPECT_TRUE(deployment.wait_state(0, "first", SCHED_JOB_COMPLETED));
+    deployment.nodes[0]->cpu_milli = 500;
+    EXPECT_TRUE(deployment.announce(0));
+    deployment.run_ms(150);
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}));
+    deployment.run_ms(500);
+    EXPECT_EQ(deployment.count_starts("j.0.0.0"), 0);
+    deployment.nodes[0]->cpu_milli = 8000;
+    EXPECT_TRUE(deployment.announce(0));
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+}
+
 // Guards against an entry of another writer, with the address of an executor
 // and a later start, that ends the executor: its tasks ran a second time
 // elsewhere, and its own announcements were refused from then on.
