Give a leaving executor up only when it can no longer be reached

An executor that announces its end may stay for some seconds, for instance if it gets no answer. The agent took the notice as proof that it is gone after 300 ms, reported its runs as ended, and the leader placed their tasks again while they still ran (TWICE). Any writer could cause that by a notice with the id of a sound executor.

Now the notice shortens the wait only if the executor cannot be connected to any more; otherwise its runs end as they are listed, or with its lease.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -370,6 +370,7 @@
         return;
     }
     executor->poll_failed = result != EXECUTOR_OK;
+    executor->unreachable = result == EXECUTOR_NOT_SENT;
     if (result != EXECUTOR_OK) {
         executor->node->poll_failures++;
         if (!executor->silent &&
@@ -410,6 +411,14 @@
     executor->api->vtbl->poll(executor->api, &poll, on_polled, executor);
 }
 
+/* An executor may stay for some time after it has said that it ends. */
+static bool
+has_shut_down(const node_executor_t *executor, int64_t now_ms)
+{
+    return executor->ended_by_ms != 0 && now_ms >= executor->ended_by_ms &&
+           executor->unreachable;
+}
+
 /* A later incarnation that does not announce itself has ended too, or has lost
    the lease of what it runs. */
 static void
@@ -435,7 +444,7 @@
         check_successor(executor, now_ms);
         return;
     }
-    if (executor->ended_by_ms != 0 && now_ms >= executor->ended_by_ms) {
+    if (has_shut_down(executor, now_ms)) {
         node_executor_end(executor, "shut down");
         return;
     }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -91,6 +91,7 @@
  * @deadline_ms: latest end of the lease that was sent to it
  * @polled: at least one poll has succeeded, so the incarnation exists
  * @poll_failed: the newest poll was not answered
+ * @unreachable: the newest poll could not be sent
  * @silent: it has not answered polls for SILENT_AFTER_MS
  * @full_report_due: the next report has to contain all runs and all ends
  * @unreported: the next report has to include the executor
@@ -105,7 +106,8 @@
  * @rejected: Teasel__RejectedStart to be reported
  * @calls: run_call_t in progress
  * @starting: number of start calls in progress
- * @ended_by_ms: time by which a retiring executor has exited, otherwise 0
+ * @ended_by_ms: time from which a retiring executor that cannot be reached
+ *     has exited, otherwise 0
  * @effect_limit: limit of the sum of the effects of its best-effort tasks on
  *     the tail latency, in units of the latency target; INFINITY if none
  * @throttle_updated_ms: time of the last choice of @effect_limit
@@ -135,6 +137,7 @@
     bool polled;
     bool polling;
     bool poll_failed;
+    bool unreachable;
     bool silent;
     int64_t poll_sent_ms;
     int64_t retry_ms;
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -41,11 +41,16 @@
 
 constexpr uint64_t NO_ANSWER_MS = 60;
 
-/* An incarnation under another id refuses all calls. */
-bool
-is_other_id(const Api *api)
+/* Returns the result of a call that has no effect, or EXECUTOR_OK. An
+   incarnation under another id refuses all calls. */
+executor_result_t
+get_failure(const Api *api)
 {
-    return api->id != api->executor->id;
+    if (api->executor->gone) {
+        return EXECUTOR_NOT_SENT;
+    }
+    return api->id != api->executor->id ? EXECUTOR_WRONG_INCARNATION
+                                        : EXECUTOR_OK;
 }
 
 /* A later incarnation under the same id carries out all calls. */
@@ -70,9 +75,8 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
-    if (is_other_id(api)) {
-        api->deliver_after(
-            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+    if (get_failure(api) != EXECUTOR_OK) {
+        api->deliver_after(0, [=] { done(get_failure(api), nullptr, data); });
         return;
     }
     if (executor->busy_starts > 0) {
@@ -115,9 +119,8 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
-    if (is_other_id(api)) {
-        api->deliver_after(
-            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+    if (get_failure(api) != EXECUTOR_OK) {
+        api->deliver_after(0, [=] { done(get_failure(api), nullptr, data); });
         return;
     }
     executor->advance();
@@ -188,9 +191,8 @@
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
-    if (is_other_id(api)) {
-        api->deliver_after(
-            0, [=] { done(EXECUTOR_WRONG_INCARNATION, nullptr, data); });
+    if (get_failure(api) != EXECUTOR_OK) {
+        api->deliver_after(0, [=] { done(get_failure(api), nullptr, data); });
         return;
     }
     executor->polls++;
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -43,6 +43,7 @@
     int64_t born_ms = 100;
     int64_t work_ms = 40;      /* duration of a run; < 0: without end */
     bool unresponsive = false; /* calls get no answer and have no effect */
+    bool gone = false;         /* calls cannot be sent */
     int lose_starts = 0;       /* next starts to carry out without an answer */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
     int64_t poll_ms = 15;      /* time until a poll is answered */
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -448,6 +448,46 @@
     EXPECT_TRUE(deployment.wait_state(0, "good", SCHED_JOB_COMPLETED));
 }
 
+// Guards against a second run of a task on an executor that has said that it
+// ends, but stays for a while.
+TEST(Deployment, KeepsTheRunsOfAnExecutorThatStaysAfterItsNotice)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 900;
+    }
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait(
+        [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+    node_retire_executor(deployment.nodes[0]->node, "id");
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+}
+
+// Guards against tasks that wait for the lease of an executor that has ended
+// as announced.
+TEST(Deployment, RunsTasksOfAnExecutorThatHasLeftAtOnce)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 200;
+    }
+    deployment.nodes[0]->executor.work_ms = -1;
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait(
+        [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+    int64_t left_ms = FakeExecutor::now_ms();
+    node_retire_executor(deployment.nodes[0]->node, "id");
+    deployment.nodes[0]->executor.running.clear();
+    deployment.nodes[0]->executor.gone = true;
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_LT(FakeExecutor::now_ms() - left_ms, 1500);
+}
+
 // Guards against a start that brings an executor over a capacity that shrank
 // while it ran, and against room that is not used after it grew again.
 TEST(Deployment, FollowsTheCapacityThatAnExecutorAnnounces)
