Believe no announced clock that runs ahead of the executor's answers

An announcement of another writer with the id, address and start of a real executor and a clock far ahead was taken over until the next poll was answered. A start sent meanwhile carried a deadline on that clock, and the agent kept it as the end of the lease: when the executor fell silent later, the lease never seemed to expire, and its tasks waited for ever (LOST). Until then the executor could also hold a longer lease than the leader counts with.

An announced clock is now taken over only if it is not ahead of the last answer by more than the time since then and the allowed drift; and no lease is taken to be longer than the longest that an executor accepts.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -60,6 +60,21 @@
            executor->capacity.accelerators == info->accelerators;
 }
 
+/* An announcement may be delayed, or come from another writer. Only the first
+   one is taken as it is. */
+static bool
+is_plausible_clock(const node_executor_t *executor, int64_t clock_ms,
+                   int64_t now_ms)
+{
+    int64_t passed_ms = now_ms - executor->clock_read_ms;
+
+    return executor->clock_ms < 0 ||
+           (clock_ms >= executor->clock_ms &&
+            clock_ms <= executor->clock_ms + passed_ms +
+                            passed_ms * CLOCK_DRIFT_PERCENT / 100 +
+                            EXPIRY_MARGIN_MS);
+}
+
 void
 node_executor_update(node_executor_t *executor, const executor_info_t *info)
 {
@@ -86,7 +101,7 @@
     executor->leaves_ms = now_ms + info->remaining_ms;
     executor->sequence = info->sequence;
     executor->announced_ms = now_ms;
-    if (info->clock_ms >= executor->clock_ms) {
+    if (is_plausible_clock(executor, info->clock_ms, now_ms)) {
         executor->clock_ms = info->clock_ms;
         executor->clock_read_ms = now_ms;
     }
@@ -325,6 +340,10 @@
 
     executor->clock_ms = reply->clock_ms;
     executor->clock_read_ms = now_ms;
+    /* The executor has shortened a longer lease. */
+    executor->deadline_ms =
+        MIN(executor->deadline_ms,
+            reply->clock_ms + executor->node->opts.settings->max_lease_ms);
     if (executor->silent) {
         event_log(EVENT_EXECUTOR_JOINED, "executor=%s answers again",
                   executor->key);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -35,6 +35,7 @@
         FakeExecutor executor;
         char address[32];
         uint32_t cpu_milli = 8000;
+        int64_t clock_ahead_ms = 0;
         uint64_t sequence = 0;
     };
     loop_t *loop = loop_new();
@@ -168,7 +169,7 @@
         info.memory_mb = 8000;
         info.draining = draining;
         info.remaining_ms = draining ? 3000 : 0;
-        info.clock_ms = FakeExecutor::now_ms();
+        info.clock_ms = FakeExecutor::now_ms() + node.clock_ahead_ms;
         info.sequence = ++node.sequence;
         return node_announce_executor(node.node, &info);
     }
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -488,6 +488,29 @@
     EXPECT_LT(FakeExecutor::now_ms() - left_ms, 1500);
 }
 
+// Guards against an announcement of another writer with a clock far ahead, by
+// which the lease of the executor seems never to expire: the tasks of an
+// executor that fell silent waited for ever.
+TEST(Deployment, RunsTasksAgainAfterAnAnnouncementWithAnOddClock)
+{
+    Deployment deployment(1, 2, PORT);
+    FakeExecutor &executor = deployment.nodes[0]->executor;
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.poll_ms = 400;
+    }
+    executor.work_ms = -1;
+    deployment.run_ms(100);
+    deployment.nodes[0]->clock_ahead_ms = INT64_C(1) << 50;
+    deployment.announce(0);
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait([&] { return !executor.running.empty(); }));
+    deployment.run_ms(500);
+    executor.unresponsive = true;
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+}
+
 // Guards against a start that brings an executor over a capacity that shrank
 // while it ran, and against room that is not used after it grew again.
 TEST(Deployment, FollowsTheCapacityThatAnExecutorAnnounces)
