Count a crash only for runs that the executor has confirmed

The other crashes that were counted were of executors that had left the starts of the task unanswered: the runs had never begun there. A reviewer showed the same with executors that fall silent: a harmless task was given up without one start carried out.

The agent now counts only runs whose start was confirmed or that were listed. An executor that is given up because its lease expired may not have crashed, so that this is no proof for a run that started alone. A start that an earlier agent process may have sent also counts as starting, so that it cannot be the unseen cause of a crash that seems to be proven.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -166,7 +166,22 @@
     g_free(executor);
 }
 
-/* An executor that has said that it ends has not crashed. */
+/* All runs have ended once the last lease has expired on the executor's
+   clock. */
+static bool
+has_lease_expired(const node_executor_t *executor)
+{
+    int64_t lease_ms = executor->deadline_ms - executor->clock_ms;
+    int64_t passed_ms = node_now_ms(executor->node) - executor->clock_read_ms;
+
+    return executor->polled && executor->silent &&
+           passed_ms > lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 +
+                           EXPIRY_MARGIN_MS;
+}
+
+/* An executor that has said that it ends has not crashed. A run that was not
+   confirmed may not have begun. An executor that only fell silent may not have
+   crashed, so that this proves nothing of a run that started alone. */
 static void
 note_crashed_runs(node_executor_t *executor)
 {
@@ -180,8 +195,9 @@
         starting += run_is_starting(run);
     }
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        if (run_is_starting(run)) {
-            crash_list_add(node->crashes, run->task, run->run, starting == 1,
+        if (run_is_starting(run) && run->confirmed) {
+            crash_list_add(node->crashes, run->task, run->run,
+                           starting == 1 && !has_lease_expired(executor),
                            node_now_ms(node));
         }
     }
@@ -300,6 +316,7 @@
         run->unreported = true;
         executor->unreported = true;
     }
+    run->confirmed = true;
     if (!run->settled && run->phase == RUN_STARTED &&
         now_ms - run->phase_ms >= SETTLE_MS) {
         run->settled = true;
@@ -364,19 +381,6 @@
     throttle_update(executor);
 }
 
-/* All runs have ended once the last lease has expired on the executor's
-   clock. */
-static bool
-has_lease_expired(const node_executor_t *executor)
-{
-    int64_t lease_ms = executor->deadline_ms - executor->clock_ms;
-    int64_t passed_ms = node_now_ms(executor->node) - executor->clock_read_ms;
-
-    return executor->polled && executor->silent &&
-           passed_ms > lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 +
-                           EXPIRY_MARGIN_MS;
-}
-
 static void
 on_polled(executor_result_t result, const executor_poll_reply_t *reply,
           void *data)
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -27,6 +27,7 @@
  * @alone: its start waits until no other run is starting, and starts of others
  *     wait until it has settled
  * @sent: this agent process has sent a start
+ * @confirmed: the executor has confirmed the start, or listed the run
  * @settled: it was listed some time after its start
  * @call_pending: a start or stop call is in progress
  * @unreported: the start has not been reported to the leader
@@ -55,6 +56,7 @@
     bool outcome_unknown;
     bool alone;
     bool sent;
+    bool confirmed;
     bool settled;
     bool call_pending;
     bool stop_requested;
@@ -254,8 +256,8 @@
 void run_free(run_t *run);
 
 /**
- * run_is_starting() - check whether a start was sent that may still turn out
- * to crash the executor
+ * run_is_starting() - check whether a start was sent, perhaps by an earlier
+ * agent process, that may still turn out to crash the executor
  */
 bool run_is_starting(const run_t *run);
 
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -80,7 +80,7 @@
 bool
 run_is_starting(const run_t *run)
 {
-    return run->sent && !run->settled;
+    return (run->sent || run->outcome_unknown) && !run->settled;
 }
 
 run_call_t *
@@ -184,6 +184,7 @@
     }
     switch (result) {
     case EXECUTOR_OK:
+        run->confirmed = true;
         if (run->phase == RUN_STARTING) {
             set_phase(run, RUN_STARTED);
             run->unreported = true;
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -47,7 +47,9 @@
     int lose_starts = 0;       /* next starts to carry out without an answer */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
     int64_t poll_ms = 15;      /* time until a poll is answered */
-    std::string deadly_task;   /* crashes the executor when it starts */
+    std::string deadly_task;   /* crashes the executor just after its start */
+    int deadly_starts = 1000;  /* next starts of it that do so */
+    int64_t crash_ms = 0;      /* time of the next crash, or 0 */
     int late_starts = 0;       /* next starts to carry out late, unanswered */
     int64_t late_ms = 300;     /* delay of a late start */
     std::string reject_reason; /* if set, rejects all starts */
@@ -134,9 +136,9 @@
             deadline_ms = std::max(deadline_ms, until_ms);
             starts[task]++;
             running[task] = {run, now_ms() + work_ms, 0, 50, 100};
-            if (task == deadly_task) {
-                id = "id" + std::to_string(born_ms + 1);
-                restart(born_ms + 1);
+            if (task == deadly_task && deadly_starts > 0) {
+                deadly_starts--;
+                crash_ms = now_ms() + 10;
             }
         }
         return nullptr;
@@ -162,6 +164,11 @@
     {
         std::vector<std::string> names;
 
+        if (crash_ms != 0 && now_ms() >= crash_ms) {
+            crash_ms = 0;
+            id = "id" + std::to_string(born_ms + 1);
+            restart(born_ms + 1);
+        }
         begin_late();
 
         for (auto &[task, entry] : running) {
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -488,6 +488,30 @@
     EXPECT_LT(FakeExecutor::now_ms() - left_ms, 1500);
 }
 
+// Guards against a job that fails as executors crashed that had not answered
+// the starts of its task, and may never have begun them; seen on teddy, day
+// deadly-late-orders (seed 2).
+TEST(Deployment, CountsNoCrashOfAnExecutorThatDidNotConfirmTheStart)
+{
+    Deployment deployment(1, 1, PORT);
+    FakeExecutor &executor = deployment.nodes[0]->executor;
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    executor.late_ms = 60000;
+    executor.late_starts = 1;
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}));
+    for (int i = 0; i < 6; i++) {
+        ASSERT_TRUE(
+            deployment.wait([&] { return executor.late_starts == 0; }));
+        executor.late_starts = 1;
+        executor.id = "id" + std::to_string(i);
+        executor.restart(200 + i);
+        deployment.announce(0, false, 200 + i, executor.id.c_str());
+    }
+    executor.late_starts = 0;
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+}
+
 // Guards against an announcement of another writer with a clock far ahead, by
 // which the lease of the executor seems never to expire: the tasks of an
 // executor that fell silent waited for ever.
