Keep trials under a new leader, and end them in time

A reviewer showed four faults of the trials of suspected tasks:

- A new leader forgot which placed tasks were on trial and placed others beside them; at the agent the suspect then waited for each of these starts, perhaps for ever.
Loaded tasks are now put on trial again, and starts that come later wait behind a run that is to start alone.
- A trial ended only when the agent reported the run as settled, which agents of earlier versions never do; a long-running suspect closed its executor.
It now also ends five seconds after the run was reported as running.
- A long-running task was given up after five crashes without proof, though such tasks have no limit on their runs.
It now needs the proof.
- The members of a gang were put on trial, so that they would wait for each other to settle and end as alone.
They are not put on trial any more.

--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -228,13 +228,25 @@
     retry_later(run);
 }
 
-/* A run that starts alone is told from others as the cause of a crash. */
+/* A run that starts alone is told from others as the cause of a crash. It goes
+   before others that wait. */
+static bool
+must_wait_for(const run_t *run, const run_t *other)
+{
+    if (run == other) {
+        return false;
+    }
+    if (run->alone) {
+        return other->phase != RUN_QUEUED && run_is_starting(other);
+    }
+    return other->alone && !other->settled;
+}
+
 static bool
 must_wait_for_others(const run_t *run)
 {
     LIST_FOREACH (other, &run->executor->runs, run_t, link) {
-        if (other != run && run_is_starting(other) &&
-            (run->alone || other->alone)) {
+        if (must_wait_for(run, other)) {
             return true;
         }
     }
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -283,6 +283,19 @@
                            uint32_t *occurrence, uint32_t *step,
                            uint32_t *index);
 
+/**
+ * sched_task_is_suspect() - check whether a task may be one that crashes each
+ * executor that starts it
+ */
+bool sched_task_is_suspect(const sched_task_t *task);
+
+/**
+ * sched_task_needs_trial() - check whether a task has to start alone
+ *
+ * The members of a gang start together, so they are not put on trial.
+ */
+bool sched_task_needs_trial(const sched_task_t *task);
+
 /**
  * sched_job_to_record() - encode a job for the store
  */
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -255,6 +255,7 @@
     if (task->phase == SCHED_TASK_PLACED && record->place > 0 &&
         record->place <= executors->len) {
         task->start_sent = true;
+        task->on_trial = sched_task_needs_trial(task);
         if (record->stopping || sched_job_is_final(sched_task_get_job(task))) {
             task->phase = SCHED_TASK_STOPPING;
         }
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -11,13 +11,23 @@
 #include "sched/sched_internal.h"
 
 enum {
+    /* A trial also ends this long after the run was reported as running, as
+       agents of earlier versions do not report settled runs. */
+    TRIAL_TIMEOUT_MS = 5000,
     /* From this number of crashes in a row on, a task is put on trial. */
     SUSPECT_CRASHES = 2,
     /* A task is given up after this number of crashes without a proof, as the
-       proof may be lost with its agent. */
+       proof may be lost with its agent. Long-running tasks have no limit on
+       their runs, and need the proof. */
     MAX_CRASHES = 5,
 };
 
+static bool
+has_crashed_too_often(const sched_task_t *task)
+{
+    return task->crashes >= MAX_CRASHES && !task->step->spec->long_running;
+}
+
 static void
 give_up(sched_t *sched, sched_task_t *task, const char *name)
 {
@@ -53,7 +63,7 @@
     sched_mark_dirty(sched, sched_task_get_job(task));
     event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u alone=%d",
               run->task, run->run, task->crashes, run->alone);
-    if (proven || task->crashes >= MAX_CRASHES) {
+    if (proven || has_crashed_too_often(task)) {
         give_up(sched, task, run->task);
     }
 }
@@ -64,6 +74,21 @@
     return task->crashes >= SUSPECT_CRASHES;
 }
 
+bool
+sched_task_needs_trial(const sched_task_t *task)
+{
+    return sched_task_is_suspect(task) && !task->step->spec->gang;
+}
+
+void
+sched_check_trial(sched_t *sched, sched_task_t *task, int64_t now_ms)
+{
+    if (task->on_trial && task->phase == SCHED_TASK_RUNNING &&
+        now_ms - task->running_ms > TRIAL_TIMEOUT_MS) {
+        sched_task_settle(sched, task);
+    }
+}
+
 void
 sched_task_settle(sched_t *sched, sched_task_t *task)
 {
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -122,10 +122,9 @@
 sched_task_t *sched_find_task(sched_t *sched, const char *name);
 
 /**
- * sched_task_is_suspect() - check whether a task may be one that crashes each
- * executor that starts it
+ * sched_check_trial() - end a trial that has lasted long enough
  */
-bool sched_task_is_suspect(const sched_task_t *task);
+void sched_check_trial(sched_t *sched, sched_task_t *task, int64_t now_ms);
 
 /**
  * sched_task_settle() - record that a run has outlived its start
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -73,7 +73,7 @@
     task->run = run;
     sched_task_set_phase(task, SCHED_TASK_PLACED);
     task->start_sent = false;
-    task->on_trial = sched_task_is_suspect(task);
+    task->on_trial = sched_task_needs_trial(task);
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
     task->tail_effect =
@@ -377,6 +377,7 @@
         evacuate(sched, executor, now_ms);
     }
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, executor_link) {
+        sched_check_trial(sched, task, now_ms);
         if (is_stalled(task, now_ms)) {
             task->avoid_executor = executor;
             sched_stop_task(sched, task, "no progress");
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -281,6 +281,7 @@
     struct Orders {
         std::vector<TaskRun> starts;
         std::vector<TaskRun> stops;
+        std::set<TaskRun> alone; /* starts on trial */
         std::map<TaskRun, std::string> checkpoints;
         std::map<TaskRun, uint32_t> targets; /* from traits */
         std::set<TaskRun> best_effort;       /* from traits */
@@ -307,6 +308,9 @@
 
                 out.starts.push_back(run);
                 out.checkpoints[run] = orders->starts[i]->checkpoint;
+                if (orders->starts[i]->alone) {
+                    out.alone.insert(run);
+                }
             }
             for (size_t i = 0; i < orders->n_stops; i++) {
                 out.stops.emplace_back(orders->stops[i]->task,
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -233,9 +233,9 @@
 }
 
 /* Crashes the only executor under the current runs and connects the next one;
-   returns the starts there. */
-std::vector<TaskRun>
-crash_and_restart(Core &core, int incarnation,
+   returns the orders there. */
+Core::Orders
+crash_and_reorder(Core &core, int incarnation,
                   const std::vector<TaskRun> &crashed, bool alone = false)
 {
     std::string old = "10.0.0.1:80/x" + std::to_string(incarnation) + "/" +
@@ -258,7 +258,14 @@
     core.report(gone);
     core.report(report);
     core.run_and_commit();
-    return core.orders(key).starts;
+    return core.orders(key);
+}
+
+std::vector<TaskRun>
+crash_and_restart(Core &core, int incarnation,
+                  const std::vector<TaskRun> &crashed, bool alone = false)
+{
+    return crash_and_reorder(core, incarnation, crashed, alone).starts;
 }
 
 // Guards against a count of crashes that is lost with the leader, or counts a
@@ -352,6 +359,88 @@
               (std::vector<TaskRun>{{"j.0.0.1", 3}}));
 }
 
+// Guards against a new leader that forgets that a task is on trial, and places
+// others beside it.
+TEST(Sched, KeepsATrialUnderTheNextLeader)
+{
+    Core core;
+    Report report("10.0.0.1:80/x3/3");
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
+    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    core.restart();
+    report.runs({"j.0.0.0", 3});
+    core.report(report);
+    sched_submit(core.sched, make_spec("k", {{}}));
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders("10.0.0.1:80/x3/3").starts.empty());
+}
+
+// Guards against an executor that is closed for ever by a trial, as its agent
+// does not report settled runs.
+TEST(Sched, EndsATrialAfterSomeTime)
+{
+    Core core;
+    Report report("10.0.0.1:80/x3/3");
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
+    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    report.message.listed = false;
+    report.runs({"j.0.0.0", 3});
+    core.report(report);
+    sched_submit(core.sched, make_spec("k", {{}}));
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders("10.0.0.1:80/x3/3").starts.empty());
+    fake_clock_advance_ms(&core.clock, 5100);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders("10.0.0.1:80/x3/3").starts,
+              (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against a long-running job that fails without proof that it crashed
+// its executors; such tasks have no limit on their runs.
+TEST(Sched, GivesALongRunningTaskUpOnlyWithProof)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (uint32_t i = 1; i <= 9; i++) {
+        crash_and_restart(core, (int)i, {{"j.0.0.0", i}});
+    }
+    EXPECT_NE(core.visible_state("j"), SCHED_JOB_FAILED);
+    crash_and_restart(core, 10, {{"j.0.0.0", 10}}, true);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
+}
+
+// Guards against members of a gang that wait for each other to settle, and end
+// as the others have not started.
+TEST(Sched, StartsAGangTogetherThoughItsMembersAreSuspected)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{.count = 2, .gang = true}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (uint32_t i = 1; i <= 3; i++) {
+        EXPECT_EQ(
+            crash_and_restart(core, (int)i, {{"j.0.0.0", i}, {"j.0.0.1", i}})
+                .size(),
+            2U);
+    }
+}
+
 // Guards against a new leader that restarts a task that is still running.
 TEST(Sched, TakesOverRunsFromTheStore)
 {
