Grant a lease only to an incarnation that has answered

A reviewer showed that an entry of another writer with the id and address of a real executor, and a clock far ahead, extended the executor's lease: the first poll of the new incarnation carried a deadline on the announced clock, and the real executor accepted it up to its maximum, which the leader does not know. If the executor fell silent then, its tasks could run again while their first runs still held a lease (TWICE).

The first poll now carries no deadline; the lease follows with the next one, right after the first answer. As an earlier agent process may have renewed the lease, an executor that answers for the first time is taken to hold the longest one.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -349,6 +349,18 @@
     }
 }
 
+/* The executor has shortened a longer lease. An earlier agent process may have
+   renewed the lease of one that answers for the first time. */
+static void
+update_lease(node_executor_t *executor)
+{
+    int64_t longest_ms =
+        executor->clock_ms + executor->node->opts.settings->max_lease_ms;
+
+    executor->deadline_ms =
+        executor->polled ? MIN(executor->deadline_ms, longest_ms) : longest_ms;
+}
+
 static void
 handle_poll_reply(node_executor_t *executor,
                   const executor_poll_reply_t *reply)
@@ -357,10 +369,7 @@
 
     executor->clock_ms = reply->clock_ms;
     executor->clock_read_ms = now_ms;
-    /* The executor has shortened a longer lease. */
-    executor->deadline_ms =
-        MIN(executor->deadline_ms,
-            reply->clock_ms + executor->node->opts.settings->max_lease_ms);
+    update_lease(executor);
     if (executor->silent) {
         event_log(EVENT_EXECUTOR_JOINED, "executor=%s answers again",
                   executor->key);
@@ -418,7 +427,9 @@
 {
     node_t *node = executor->node;
     executor_poll_t poll = {
-        .deadline_ms = node_executor_get_deadline(executor),
+        /* Only an answer proves that the incarnation exists. */
+        .deadline_ms =
+            executor->polled ? node_executor_get_deadline(executor) : 0,
         .fencing_token = node->epoch,
         /* An executor may have restarted since a poll without an answer; a
            later incarnation numbers its ends anew. */
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -535,6 +535,21 @@
     EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
 }
 
+// Guards against an announcement of another writer, with the id and address of
+// an executor, by which its lease is extended beyond what the leader knows.
+TEST(Deployment, GrantsNoLeaseToAnIncarnationThatHasNotAnswered)
+{
+    Deployment deployment(1, 1, PORT);
+    FakeExecutor &executor = deployment.nodes[0]->executor;
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    ASSERT_TRUE(deployment.wait([&] { return executor.deadline_ms > 0; }));
+    deployment.nodes[0]->clock_ahead_ms = INT64_C(1) << 40;
+    deployment.announce(0, false, 500);
+    deployment.run_ms(300);
+    EXPECT_LE(executor.deadline_ms, FakeExecutor::now_ms() + 2000);
+}
+
 // Guards against a start that brings an executor over a capacity that shrank
 // while it ran, and against room that is not used after it grew again.
 TEST(Deployment, FollowsTheCapacityThatAnExecutorAnnounces)
