Name the predecessor of a restarted executor to the leader

A reviewer showed a second run of a task whose start reached an executor that had restarted under its id after the wall clock was set back: the leader knows incarnations by their start time, so it took the later one for an older one, and the agent reported the end of the first, on which the task was placed again at once.

The report of an executor now names the incarnation that it has replaced under the same id, and the leader moves the runs by that name. Start times are still compared for agents that were restarted in between. A suspended incarnation is reported as draining, so that nothing more is placed on it, and one that has ended is not reported as present in the same turn any more.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -5,7 +5,6 @@
 #include "base/events.h"
 #include "base/metrics.h"
 #include "node/node_internal.h"
-#include "sched/executor.h"
 
 enum {
     TICK_MS = 50,
@@ -215,8 +214,9 @@
         if (!is_older_incarnation(other, executor)) {
             continue;
         }
-        if (sched_executor_key_restarts(executor->key, other->key)) {
-            node_executor_end_restarted(other);
+        if (strcmp(other->id, executor->id) == 0 &&
+            strcmp(other->address, executor->address) == 0) {
+            node_executor_replace(executor, other);
         }
         else {
             node_executor_end(other, "replaced by a later incarnation");
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -158,6 +158,7 @@
     g_ptr_array_unref(executor->rejected);
     g_strfreev(executor->labels);
     g_free(executor->key);
+    g_free(executor->predecessor);
     g_free(executor->id);
     g_free(executor->address);
     g_free(executor->service);
@@ -228,11 +229,14 @@
 }
 
 void
-node_executor_end_restarted(node_executor_t *executor)
+node_executor_replace(node_executor_t *executor, node_executor_t *older)
 {
-    if (!executor->has_ended) {
-        mark_ended(executor, "restarted under its id");
+    if (older->has_ended) {
+        return;
     }
+    g_free(executor->predecessor);
+    executor->predecessor = g_strdup(older->key);
+    mark_ended(older, "restarted under its id");
 }
 
 bool
@@ -248,6 +252,8 @@
     }
     if (result == EXECUTOR_RESTARTED && executor->restarted_ms == 0) {
         executor->restarted_ms = node_now_ms(executor->node);
+        executor->unreported = true;
+        node_schedule_report(executor->node);
     }
     return executor->restarted_ms == 0;
 }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -86,6 +86,8 @@
 /**
  * struct node_executor - one incarnation of an executor
  * @key: unique name of the incarnation
+ * @predecessor: key of the incarnation that it has replaced under the same id,
+ *     or NULL
  * @leaves_ms: earliest time at which a draining executor leaves
  * @sequence: of its newest announcement
  * @announced_ms: time of its newest announcement
@@ -121,6 +123,7 @@
     node_t *node;
     executor_api_t *api;
     char *key;
+    char *predecessor;
     char *id;
     int64_t started_ms;
     char *address;
@@ -216,13 +219,12 @@
 void node_executor_end(node_executor_t *executor, const char *reason);
 
 /**
- * node_executor_end_restarted() - mark an incarnation as ended whose successor
- * under the same id is about to be reported
- *
- * The report of the successor tells the leader that this one is over, and that
- * its runs may exist at the successor.
+ * node_executor_replace() - mark an incarnation as ended that has restarted
+ * under its id
+ * @executor: its successor, with whose report the leader is told that the
+ * older one is over, and that its runs may exist at the successor
  */
-void node_executor_end_restarted(node_executor_t *executor);
+void node_executor_replace(node_executor_t *executor, node_executor_t *older);
 
 /**
  * node_executor_check_result() - handle the answer of another incarnation
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -66,7 +66,11 @@
     message->labels = executor->labels;
     message->n_labels = g_strv_length(executor->labels);
     message->capacity = &executor->capacity;
-    message->draining = executor->draining;
+    if (executor->predecessor != NULL) {
+        message->predecessor = executor->predecessor;
+    }
+    /* Nothing can be started until the later incarnation is known. */
+    message->draining = executor->draining || executor->restarted_ms != 0;
     message->remaining_ms = (uint32_t)MAX(0, left_ms);
 }
 
@@ -129,7 +133,8 @@
         add_ended_executor(&report, g_ptr_array_index(node->ended_keys, i));
     }
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
-        if (executor->polled && (heartbeat || executor->unreported)) {
+        if (executor->polled && !executor->has_ended &&
+            (heartbeat || executor->unreported)) {
             add_executor(&report, executor, heartbeat);
         }
     }
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -446,6 +446,18 @@
     }
 }
 
+static void
+replace_executor(sched_t *sched, sched_executor_t *older,
+                 sched_executor_t *later, bool same_id)
+{
+    event_log(EVENT_EXECUTOR_LAPSED, "executor=%s reason=\"replaced by %s\"",
+              older->key, later->key);
+    if (same_id) {
+        move_runs(sched, older, later);
+    }
+    sched_expire_executor(sched, older);
+}
+
 /* Ends the incarnations that an executor has replaced: an agent that was
    restarted does not report the end of executors that ended in the
    meantime. */
@@ -453,16 +465,23 @@
 expire_older_incarnations(sched_t *sched, sched_executor_t *later)
 {
     LIST_FOREACH_SAFE (older, &sched->executor_list, sched_executor_t, link) {
-        if (!sched_executor_key_replaces(later->key, older->key)) {
-            continue;
-        }
-        event_log(EVENT_EXECUTOR_LAPSED,
-                  "executor=%s reason=\"replaced by %s\"", older->key,
-                  later->key);
-        if (sched_executor_key_restarts(later->key, older->key)) {
-            move_runs(sched, older, later);
+        if (sched_executor_key_replaces(later->key, older->key)) {
+            replace_executor(
+                sched, older, later,
+                sched_executor_key_restarts(later->key, older->key));
         }
-        sched_expire_executor(sched, older);
+    }
+}
+
+/* An agent names the predecessor, whose start time may be later if the wall
+   clock was set back in between. */
+static void
+replace_predecessor(sched_t *sched, sched_executor_t *later, const char *key)
+{
+    sched_executor_t *older = g_hash_table_lookup(sched->executors, key);
+
+    if (older != NULL && older != later) {
+        replace_executor(sched, older, later, true);
     }
 }
 
@@ -500,6 +519,7 @@
         return;
     }
     if (!executor->connected) {
+        replace_predecessor(sched, executor, report->predecessor);
         expire_older_incarnations(sched, executor);
     }
     if (changed || report->listed) {
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -2980,7 +2980,7 @@
   (ProtobufCMessageInit) teasel__rejected_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[15] =
 {
   {
     "key",
@@ -3150,6 +3150,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "predecessor",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ExecutorReport, predecessor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__executor_report__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -3161,6 +3173,7 @@
   0,   /* field[0] = key */
   3,   /* field[3] = labels */
   8,   /* field[8] = listed */
+  14,   /* field[14] = predecessor */
   12,   /* field[12] = rack */
   11,   /* field[11] = rejected */
   6,   /* field[6] = remaining_ms */
@@ -3170,7 +3183,7 @@
 static const ProtobufCIntRange teasel__executor_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor teasel__executor_report__descriptor =
 {
@@ -3180,7 +3193,7 @@
   "Teasel__ExecutorReport",
   "teasel",
   sizeof(Teasel__ExecutorReport),
-  14,
+  15,
   teasel__executor_report__field_descriptors,
   teasel__executor_report__field_indices_by_name,
   1,  teasel__executor_report__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -445,10 +445,14 @@
    * all running tasks are listed with new figures
    */
   protobuf_c_boolean has_figures;
+  /*
+   * key of the life before, under the same id
+   */
+  char *predecessor;
 };
 #define TEASEL__EXECUTOR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__executor_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Teasel__Capacity
