Count a job as begun only when a run has begun

Cause: each end of a placed run marked the job as started, also the rejection of a start, and the loss of an executor that had not confirmed it. Only a run that is reported as running, or an end that an executor lists, now does.

--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -274,7 +274,6 @@
         sched->placement_needed = true;
         return;
     }
-    job->started = true;
     if (how == SCHED_END_DONE || gang_has_finished(task)) {
         finish_task(sched, task);
     }
@@ -368,6 +367,7 @@
     sched->cursors_dirty = true;
     task = find_run(sched, executor, end->task, end->run);
     if (task != NULL) {
+        sched_task_get_job(task)->started = true;
         sched_end_task(sched, task, (sched_end_t)end->how, end->checkpoint);
     }
 }
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -441,6 +441,39 @@
     }
 }
 
+// Guards against jobs that are counted as begun, though executors have refused
+// their starts or ended without confirming them; seen on teddy, day
+// deadly-late-orders (seeds 1 to 3).
+TEST(Sched, CountsAJobWithoutAConfirmedStartAsPending)
+{
+    Core core;
+    Report report(A);
+    Report gone(A);
+    Report begun(B);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    report.message.listed = false;
+    report.rejects({"j.0.0.0", 1});
+    core.report(report);
+    EXPECT_EQ(sched_count_pending(core.sched, "queue"), 1U);
+    core.run_and_commit();
+    core.orders(A);
+    gone.message.gone = true;
+    core.report(gone);
+    EXPECT_EQ(sched_count_pending(core.sched, "queue"), 1U);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_QUEUED);
+    connect(core, B);
+    core.run_and_commit();
+    core.orders(B);
+    begun.message.listed = false;
+    begun.ends(1, {"j.0.0.0", 3}, SCHED_END_FAILED);
+    core.report(begun);
+    EXPECT_EQ(sched_count_pending(core.sched, "queue"), 0U);
+}
+
 // Guards against a new leader that restarts a task that is still running.
 TEST(Sched, TakesOverRunsFromTheStore)
 {
