--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -136,6 +136,21 @@
  */
 void sched_expire_executor(sched_t *sched, sched_executor_t *executor);
 
+/**
+ * sched_replace_incarnations() - end the incarnations that an executor has
+ * replaced
+ * @predecessor: key of the one under the same id, or empty; its runs are moved
+ *     to @executor and stopped there
+ */
+void sched_replace_incarnations(sched_t *sched, sched_executor_t *executor,
+                                const char *predecessor);
+
+/**
+ * sched_end_incarnation() - end an executor that is gone, and the ones that it
+ * has replaced
+ */
+void sched_end_incarnation(sched_t *sched, sched_executor_t *executor);
+
 /**
  * sched_get_executor() - find an executor by key, or add it
  */
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -429,70 +429,6 @@
     }
 }
 
-/* A start that was sent to the older incarnation may have been carried out by
-   the later one. The run is stopped there before the task is placed again. */
-static void
-move_runs(sched_t *sched, sched_executor_t *older, sched_executor_t *later)
-{
-    LIST_FOREACH_SAFE (task, &older->tasks, sched_task_t, executor_link) {
-        if (!task->start_sent) {
-            continue;
-        }
-        sched_executor_detach(task);
-        sched_executor_attach(later, task);
-        sched_mark_dirty(sched, sched_task_get_job(task));
-        sched_stop_task(sched, task, "its executor has restarted");
-        sched_stage_order(sched, task);
-    }
-}
-
-static void
-replace_executor(sched_t *sched, sched_executor_t *older,
-                 sched_executor_t *later, bool same_id)
-{
-    event_log(EVENT_EXECUTOR_LAPSED, "executor=%s reason=\"replaced by %s\"",
-              older->key, later->key);
-    if (same_id) {
-        move_runs(sched, older, later);
-    }
-    sched_expire_executor(sched, older);
-}
-
-/* Ends the incarnations that an executor has replaced: an agent that was
-   restarted does not report the end of executors that ended in the
-   meantime. */
-static void
-expire_older_incarnations(sched_t *sched, sched_executor_t *later)
-{
-    LIST_FOREACH_SAFE (older, &sched->executor_list, sched_executor_t, link) {
-        if (sched_executor_key_replaces(later->key, older->key)) {
-            replace_executor(
-                sched, older, later,
-                sched_executor_key_restarts(later->key, older->key));
-        }
-    }
-}
-
-/* An agent names the predecessor, whose start time may be later if the wall
-   clock was set back in between. */
-static void
-replace_predecessor(sched_t *sched, sched_executor_t *later, const char *key)
-{
-    sched_executor_t *older = g_hash_table_lookup(sched->executors, key);
-
-    if (older != NULL && older != later) {
-        replace_executor(sched, older, later, true);
-    }
-}
-
-/* The runs that older incarnations left to this one have ended with it. */
-static void
-expire_gone_executor(sched_t *sched, sched_executor_t *executor)
-{
-    expire_older_incarnations(sched, executor);
-    sched_expire_executor(sched, executor);
-}
-
 /* An executor may change its capacity while it runs. */
 static bool
 has_changed(const sched_executor_t *executor,
@@ -515,12 +451,11 @@
     bool changed = has_changed(executor, report);
 
     if (report->gone) {
-        expire_gone_executor(sched, executor);
+        sched_end_incarnation(sched, executor);
         return;
     }
     if (!executor->connected) {
-        replace_predecessor(sched, executor, report->predecessor);
-        expire_older_incarnations(sched, executor);
+        sched_replace_incarnations(sched, executor, report->predecessor);
     }
     if (changed || report->listed) {
         sched_assign_node(sched, executor, node);
