Repeat a start without answer even while a trial waits

Only the first start of a run waits now. No unit test shows the fault: two tries to bring both starts together in the stand-in deployment passed without the change too.

--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -229,7 +229,8 @@
 }
 
 /* A run that starts alone is told from others as the cause of a crash. It goes
-   before others that wait. */
+   before others that wait, but not before the repeat of a start that was sent
+   already. */
 static bool
 must_wait_for(const run_t *run, const run_t *other)
 {
@@ -271,7 +272,7 @@
         return;
     }
     if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING ||
-        must_wait_for_others(run)) {
+        (run->phase == RUN_QUEUED && must_wait_for_others(run))) {
         return;
     }
     executor->deadline_ms = MAX(executor->deadline_ms, start.deadline_ms);
