Repeat a start that the complete list of an agent does not contain

Cause: task->reported, "included in the report that is being processed", was set by each report and cleared only after a complete list. After an earlier report of the run, or of an earlier run of its task, a list without the run looked as if it contained it, and a start that was lost with the connection was not repeated. Nothing else times out a placed task whose executor is connected.

Ruled out: a repeated start that is refused (the leader gives no order at all), and a task that counts as running (its run was only pending).

Change: reports on executors are numbered; a task keeps the number of the newest report that contained its run. No flag has to be cleared any more.

--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -74,7 +74,7 @@
  *     earlier leader
  * @on_trial: the run may crash its executor, and starts there alone
  * @settled: the run has outlived its start by some time
- * @reported: included in the report that is being processed
+ * @report: number of the newest report that contained the run
  * @percent: reported progress
  * @measurement: last reported value: tail latency in ms of a task with a
  *     latency target, else CPU use in milli-CPU; 0 if none
@@ -107,7 +107,7 @@
     bool start_sent;
     bool on_trial;
     bool settled;
-    bool reported;
+    uint64_t report;
     uint32_t percent;
     uint32_t measurement;
     uint32_t slowdown;
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -30,6 +30,7 @@
  * @learned_written_ms: when that record was made
  * @last_sort_ms: when the active jobs were last sorted
  * @last_sequence: sequence number of the newest job
+ * @last_report: number of the newest report on an executor
  */
 struct sched {
     sched_opts_t opts;
@@ -57,6 +58,7 @@
     int64_t learned_written_ms;
     int64_t last_sort_ms;
     uint64_t last_sequence;
+    uint64_t last_report;
 };
 
 /**
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -322,7 +322,7 @@
         sched_executor_add_orphan(executor, status->task, status->run);
         return;
     }
-    task->reported = true;
+    task->report = sched->last_report;
     if (status->pending) {
         return;
     }
@@ -398,19 +398,19 @@
     sched_stage_order(sched, task);
 }
 
-/* Sends orders again that may have been lost with a connection. The agent and
-   the executor ignore repeated orders. */
+/* Sends orders again that may have been lost with a connection: stops, and the
+   starts of runs that the present complete list does not contain. The agent
+   and the executor ignore repeated orders. */
 static void
 repeat_orders(sched_t *sched, sched_executor_t *executor)
 {
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
         task->tail_effect =
             interference_get_effect(sched->interference, executor, task->step);
-        if (task->start_sent &&
-            (!task->reported || task->phase == SCHED_TASK_STOPPING)) {
+        if (task->start_sent && (task->report != sched->last_report ||
+                                 task->phase == SCHED_TASK_STOPPING)) {
             repeat_order(sched, task);
         }
-        task->reported = false;
     }
 }
 
@@ -450,6 +450,7 @@
     sched_executor_t *executor = sched_get_executor(sched, report->key);
     bool changed = has_changed(executor, report);
 
+    sched->last_report++;
     if (report->gone) {
         sched_end_incarnation(sched, executor);
         return;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -351,6 +351,25 @@
     EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
 }
 
+// Guards against a task that never runs: its executor left the start
+// unanswered, and the order was lost when the agent was killed.
+TEST(Deployment, RepeatsAStartThatWasLostWithItsAgent)
+{
+    Deployment deployment(1, 1, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    FakeExecutor &executor = deployment.nodes[0]->executor;
+    deployment.run_ms(300);
+    executor.unresponsive = true;
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}));
+    /* Long enough for a report that names the pending run. */
+    deployment.run_ms(200);
+    executor.unresponsive = false;
+    deployment.restart_node(0);
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.count_starts("j.0.0.0"), 1);
+}
+
 // Guards against a new incarnation of an executor that is mistaken for the one
 // that crashed.
 TEST(Deployment, DistinguishesIncarnationsOfAnExecutor)
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -493,6 +493,40 @@
     EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.1", 1}}));
 }
 
+// Guards against a start order that is lost with a connection and never
+// repeated, because a report had named the run, or an earlier run of its task,
+// before.
+TEST(Sched, RepeatsAStartThatIsMissingInTheListOfItsAgent)
+{
+    Core core;
+    Report pending(A);
+    Report lost(A);
+    Report ended(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    pending.message.listed = false;
+    pending.runs({"j.0.0.0", 1});
+    pending.running[0].pending = true;
+    core.report(pending);
+    sched_disconnect(core.sched, "node");
+    core.report(lost);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    ended.message.listed = false;
+    ended.runs({"j.0.0.0", 1}).ends(1, {"j.0.0.0", 1}, SCHED_END_LAPSED);
+    core.report(pending);
+    core.report(ended);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+    sched_disconnect(core.sched, "node");
+    core.report(lost);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
 // Guards against runs of a cancelled job that are never stopped if the leader
 // is replaced after the record is stored and before the stop is sent. Reported
 // as UNASKED in scenario leader-killed-slow-store with seed 1076480171339.
