Count a lease only for the executors that its heartbeat contained

What callers saw: tasks that never ran again after their executor was lost for good (LOST), if its agent was restarted before it had noticed.

Cause: leader and agent disagreed on which executors a lease covers. The leader extended the lease of each executor of an agent, also of one that the restarted agent did not know, for ever. The agent extended the lease of each executor that had answered, also before the leader knew of it; so to change the leader alone would have let a task run twice.

Ruled out: a complete list as proof that an executor is gone, as a restarted agent does not know a sound executor before its next announcement.

Change: a lease covers the executors in the heartbeat from which it is counted. The leader extends it for connected executors, from reports that it has applied; the agent keeps a lease for each executor. A report with a complete list is a heartbeat, so that a new executor gets its lease at once.

Before: Sched.EndsTheLeaseOfAnExecutorThatItsAgentDoesNotKnow places no task, Deployment.RunsTasksOfALostExecutorAgainAfterARestartOfItsAgent waits in vain, Node.ExtendsNoLeaseBeforeTheLeaderKnowsTheExecutor sees a lease of 60 s from an older heartbeat.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -93,10 +93,8 @@
     bool is_first_epoch = node->epoch == 0;
 
     node->epoch = MAX(node->epoch, orders->epoch);
-    if (orders->echo_us != 0) {
-        node->lease_until_ms =
-            MAX(node->lease_until_ms,
-                (int64_t)(orders->echo_us / 1000) + orders->lease_ms);
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        node_executor_renew_lease(executor, orders->echo_us, orders->lease_ms);
     }
     if (orders->send_lists) {
         request_full_report(node);
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -258,20 +258,30 @@
     return executor->restarted_ms == 0;
 }
 
+void
+node_executor_renew_lease(node_executor_t *executor, uint64_t echo_us,
+                          uint32_t lease_ms)
+{
+    if (executor->heartbeat_us == 0 || echo_us < executor->heartbeat_us) {
+        return;
+    }
+    executor->lease_until_ms =
+        MAX(executor->lease_until_ms, (int64_t)(echo_us / 1000) + lease_ms);
+}
+
 int64_t
 node_executor_get_deadline(const node_executor_t *executor)
 {
-    const node_t *node = executor->node;
 
     /* The executor read its clock before its answer arrived here, so the
        result is never too late. A silent executor gets no further lease, as it
        may still receive calls that it does not answer. */
     if (executor->clock_ms < 0 || executor->silent ||
-        node_now_ms(node) >= node->lease_until_ms) {
+        node_now_ms(executor->node) >= executor->lease_until_ms) {
         return 0;
     }
     return executor->clock_ms +
-           (node->lease_until_ms - executor->clock_read_ms);
+           (executor->lease_until_ms - executor->clock_read_ms);
 }
 
 static Teasel__RunEnd *
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -92,6 +92,9 @@
  * @sequence: of its newest announcement
  * @announced_ms: time of its newest announcement
  * @clock_ms: clock of the executor at @clock_read_ms of this process, or -1
+ * @heartbeat_us: heartbeat_us of the node for the first heartbeat that
+ *     contained it, or 0
+ * @lease_until_ms: end of the lease that the leader grants for it
  * @deadline_ms: latest end of the lease that was sent to it
  * @polled: at least one poll has succeeded, so the incarnation exists
  * @poll_failed: the newest poll was not answered
@@ -138,6 +141,8 @@
     int64_t announced_ms;
     int64_t clock_ms;
     int64_t clock_read_ms;
+    uint64_t heartbeat_us;
+    int64_t lease_until_ms;
     int64_t deadline_ms;
     bool polled;
     bool polling;
@@ -169,7 +174,8 @@
  * @ended_keys: keys of ended incarnations to be reported
  * @crashes: runs that had just started when their executor crashed
  * @epoch: highest epoch of a leader that sent orders
- * @lease_until_ms: end of the lease that the leader grants to this node
+ * @heartbeat_us: time of the last heartbeat, which differs from that of every
+ *     other one
  * @reported_ms: time of the last heartbeat
  */
 struct node {
@@ -181,7 +187,7 @@
     loop_timer_t tick;
     loop_timer_t flush;
     uint64_t epoch;
-    int64_t lease_until_ms;
+    uint64_t heartbeat_us;
     int64_t reported_ms;
     uint64_t starts;
     uint64_t rejections;
@@ -245,6 +251,14 @@
 void node_executor_order(node_executor_t *executor,
                          const Teasel__ExecutorOrders *orders);
 
+/**
+ * node_executor_renew_lease() - extend the lease of an executor
+ * @echo_us: heartbeat from which the lease is counted; one that did not
+ * contain the executor has no effect, as the leader does not know of it then
+ */
+void node_executor_renew_lease(node_executor_t *executor, uint64_t echo_us,
+                               uint32_t lease_ms);
+
 /**
  * node_executor_get_deadline() - return the end of the lease on the executor's
  * clock
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -104,6 +104,39 @@
     g_ptr_array_add(report->executors, message);
 }
 
+/* Only incarnations that have answered are known to exist. */
+static bool
+is_reportable(const node_executor_t *executor)
+{
+    return executor->polled && !executor->has_ended;
+}
+
+/* A heartbeat contains all executors that can be reported. The leader counts
+   leases from it, so that no lease is older than the report of its executor.
+ */
+static void
+begin_heartbeat(node_t *node)
+{
+    node->heartbeat_us =
+        MAX((uint64_t)node_now_ms(node) * 1000, node->heartbeat_us + 1);
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (is_reportable(executor) && executor->heartbeat_us == 0) {
+            executor->heartbeat_us = node->heartbeat_us;
+        }
+    }
+}
+
+static bool
+is_full_report_due(const node_t *node)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (is_reportable(executor) && executor->full_report_due) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 mark_reported(node_t *node)
 {
@@ -129,12 +162,12 @@
         .allocated = g_ptr_array_new_with_free_func(g_free),
     };
 
+    heartbeat |= is_full_report_due(node);
     for (guint i = 0; i < node->ended_keys->len; i++) {
         add_ended_executor(&report, g_ptr_array_index(node->ended_keys, i));
     }
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
-        if (executor->polled && !executor->has_ended &&
-            (heartbeat || executor->unreported)) {
+        if (is_reportable(executor) && (heartbeat || executor->unreported)) {
             add_executor(&report, executor, heartbeat);
         }
     }
@@ -142,7 +175,8 @@
     message.n_executors = report.executors->len;
     message.executors = (Teasel__ExecutorReport **)report.executors->pdata;
     if (heartbeat) {
-        message.sent_us = (uint64_t)node_now_ms(node) * 1000;
+        begin_heartbeat(node);
+        message.sent_us = node->heartbeat_us;
     }
     if ((heartbeat || message.n_executors > 0 || message.n_crashed > 0) &&
         node_link_send(node->link, &message)) {
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -347,7 +347,10 @@
         return;
     }
     LIST_FOREACH (executor, &node->executors, sched_executor_t, node_link) {
-        executor->expiry_ms = MAX(executor->expiry_ms, until_ms);
+        /* An agent renews only what it has reported on its connection. */
+        if (executor->connected) {
+            executor->expiry_ms = MAX(executor->expiry_ms, until_ms);
+        }
     }
 }
 
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -114,7 +114,7 @@
 void sched_disconnect(sched_t *sched, const char *name);
 
 /**
- * sched_extend_leases() - record a lease for the executors of a node
+ * sched_extend_leases() - record a lease for the connected executors of a node
  * @until_ms: time by which all runs on them have ended unless the lease is
  *     renewed
  */
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -10,7 +10,8 @@
 
 /**
  * struct session - connection of a node agent
- * @echo_us: sent_us of the newest report of the agent
+ * @echo_us: sent_us of the newest report that was applied; leases are counted
+ *     from it, and cover the executors that it contained
  * @lease_due: a lease must be sent even if there are no orders
  * @lists_received: the agent has sent complete run lists of its executors
  *     since this leader became ready
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -59,13 +59,13 @@
     if (session == NULL || session->peer != peer) {
         session = open_session(leader, peer, node);
     }
-    session->echo_us = MAX(session->echo_us, report->sent_us);
     session->lease_due |= report->sent_us != 0;
     if (leader->stage != LEADER_READY) {
         return;
     }
     if (session->lists_received || is_complete(report)) {
         session->lists_received = true;
+        session->echo_us = MAX(session->echo_us, report->sent_us);
         for (size_t i = 0; i < report->n_crashed; i++) {
             sched_apply_crash(leader->sched, report->crashed[i]);
         }
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -573,7 +573,7 @@
   uint64_t epoch;
   uint64_t echo_us;
   /*
-   * from the time of echo_us
+   * from the time of echo_us, for what that report named
    */
   uint32_t lease_ms;
   size_t n_executors;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -283,6 +283,26 @@
     EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
 }
 
+// Guards against tasks that never run again, as their executor was lost for
+// good while its agent was restarted.
+TEST(Deployment, RunsTasksOfALostExecutorAgainAfterARestartOfItsAgent)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    for (auto &node : deployment.nodes) {
+        node->executor.work_ms = 600;
+    }
+    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
+    ASSERT_TRUE(deployment.wait(
+        [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+    deployment.nodes[0]->executor.gone = true;
+    deployment.nodes[0]->executor.running.clear();
+    deployment.restart_node(0);
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+}
+
 // Guards against an agent that loses track of running tasks when it restarts.
 TEST(Deployment, KeepsRunsAcrossARestartOfTheAgent)
 {
--- /dev/null
+++ b/tests/unit/node_test.cc
@@ -0,0 +1,196 @@
+/* A node agent with an executor in memory; the test acts as its leader. */
+
+#include <gtest/gtest.h>
+
+#include "fake_executor.h"
+#include "fake_store.h"
+#include "test_address.h"
+
+extern "C" {
+#include "cluster/control.h"
+#include "node/node.h"
+#include "wire/peer.h"
+}
+
+namespace {
+
+enum {
+    PORT = 780,
+};
+
+struct Node : public testing::Test {
+    loop_t *loop = loop_new();
+    FakeStore store;
+    FakeStoreView view{&store, loop};
+    FakeExecutor executor;
+    node_settings_t settings = {};
+    node_t *node = nullptr;
+    peer_listener_t *listener = nullptr;
+    peer_t *peer = nullptr;
+    uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
+    std::vector<std::string> heartbeat; /* executors that it contains */
+    char leader_address[32];
+    char executor_address[32];
+
+    void
+    SetUp() override
+    {
+        static const peer_handler_t handler = {
+            .on_open = nullptr,
+            .on_message = on_message,
+            .on_close = on_close,
+        };
+        peer_opts_t peer_opts = {};
+        node_opts_t opts = {};
+        g_autoptr(GError) error = nullptr;
+
+        test_address(leader_address, PORT);
+        test_address(executor_address, PORT + 1);
+        executor.loop = loop;
+        FakeExecutor::at()[executor_address] = &executor;
+        peer_opts.loop = loop;
+        peer_opts.clock = clock_system();
+        peer_opts.handler = &handler;
+        peer_opts.data = this;
+        peer_opts.max_queued_bytes = 1024 * 1024;
+        peer_opts.silence_ms = 60000;
+        peer_opts.ping_ms = 100;
+        listener = peer_listen(&peer_opts, leader_address, on_accept, &error);
+        ASSERT_NE(listener, nullptr) << error->message;
+        store.put(CONTROL_TOPIC, CONTROL_KEY_LEADER, leader_record());
+        settings.name = const_cast<char *>("n");
+        settings.data_centre = const_cast<char *>("dc");
+        settings.report_ms = 100;
+        settings.silence_ms = 800;
+        settings.poll_wait_ms = 50;
+        settings.max_lease_ms = 2000;
+        opts.loop = loop;
+        opts.clock = clock_system();
+        opts.store = &view.base;
+        opts.settings = &settings;
+        opts.connect = FakeExecutor::connect;
+        node = node_new(&opts, nullptr);
+    }
+    void
+    TearDown() override
+    {
+        node_free(node);
+        run_ms(50); /* the view must outlive its last pending call */
+        peer_listener_free(listener);
+        FakeExecutor::at().erase(executor_address);
+        loop_free(loop);
+    }
+    std::string
+    leader_record()
+    {
+        Teasel__LeaderRecord record = TEASEL__LEADER_RECORD__INIT;
+        std::string out;
+
+        record.name = const_cast<char *>("leader");
+        record.address = leader_address;
+        out.resize(teasel__leader_record__get_packed_size(&record));
+        teasel__leader_record__pack(&record,
+                                    reinterpret_cast<uint8_t *>(out.data()));
+        return out;
+    }
+    static void
+    on_accept(peer_t *peer, void *data)
+    {
+        static_cast<Node *>(data)->peer = peer;
+    }
+    static void
+    on_message(peer_t *, const Teasel__Envelope *message, void *data)
+    {
+        auto *self = static_cast<Node *>(data);
+
+        if (message->body_case != TEASEL__ENVELOPE__BODY_NODE_REPORT ||
+            message->node_report->sent_us == 0) {
+            return;
+        }
+        self->heartbeat_us = message->node_report->sent_us;
+        self->heartbeat.clear();
+        for (size_t i = 0; i < message->node_report->n_executors; i++) {
+            self->heartbeat.push_back(message->node_report->executors[i]->key);
+        }
+    }
+    static void
+    on_close(peer_t *, const char *, void *data)
+    {
+        static_cast<Node *>(data)->peer = nullptr;
+    }
+    void
+    run_ms(int64_t ms)
+    {
+        int64_t end_ms = FakeExecutor::now_ms() + ms;
+
+        while (FakeExecutor::now_ms() < end_ms) {
+            loop_run_once(loop, 10);
+        }
+    }
+    /* Runs the loop until the condition holds; returns false after 10 s. */
+    bool
+    wait(const std::function<bool()> &condition)
+    {
+        int64_t end_ms = FakeExecutor::now_ms() + 10000;
+
+        while (!condition() && FakeExecutor::now_ms() < end_ms) {
+            loop_run_once(loop, 10);
+        }
+        return condition();
+    }
+    void
+    announce()
+    {
+        executor_info_t info = {};
+
+        info.id = "id";
+        info.started_ms = executor.born_ms;
+        info.address = executor_address;
+        info.service = "service";
+        info.data_centre = "dc";
+        info.rack = "r1";
+        info.cpu_milli = 4000;
+        info.memory_mb = 4000;
+        info.clock_ms = FakeExecutor::now_ms();
+        info.sequence = 1;
+        ASSERT_TRUE(node_announce_executor(node, &info));
+    }
+    /* Grants a lease that is counted from a heartbeat. */
+    void
+    grant(uint64_t echo_us, uint32_t lease_ms)
+    {
+        Teasel__NodeOrders orders = TEASEL__NODE_ORDERS__INIT;
+        Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+
+        orders.epoch = 1000;
+        orders.echo_us = echo_us;
+        orders.lease_ms = lease_ms;
+        envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
+        envelope.node_orders = &orders;
+        peer_send(peer, &envelope);
+    }
+};
+
+// Guards against an executor that runs its tasks on after the leader has given
+// them to others: its agent extended its lease before the leader knew that it
+// was still there.
+TEST_F(Node, ExtendsNoLeaseBeforeTheLeaderKnowsTheExecutor)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    EXPECT_TRUE(heartbeat.empty());
+    uint64_t before_us = heartbeat_us;
+    grant(before_us, 60000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    for (int i = 0; i < 5; i++) {
+        grant(before_us, 60000);
+        run_ms(50);
+    }
+    EXPECT_GT(executor.polls, 2);
+    EXPECT_EQ(executor.deadline_ms, 0);
+    grant(heartbeat_us, 1500);
+    EXPECT_TRUE(wait([&] { return executor.deadline_ms != 0; }));
+    EXPECT_LE(executor.deadline_ms, (int64_t)(heartbeat_us / 1000) + 1500);
+}
+
+} // namespace
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -182,6 +182,32 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+// Guards against a lease that is extended for ever for an executor that was
+// lost while its agent was restarted: the agent does not know it, so its tasks
+// never ran again.
+TEST(Sched, EndsTheLeaseOfAnExecutorThatItsAgentDoesNotKnow)
+{
+    Core core;
+    int64_t granted_ms;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    granted_ms = (int64_t)timespec_to_ms(core.clock.now);
+    sched_extend_leases(core.sched, "node", granted_ms + 8000);
+    sched_disconnect(core.sched, "node");
+    connect(core, B);
+    for (int i = 0; i < 20; i++) {
+        int64_t now_ms = (int64_t)timespec_to_ms(core.clock.now);
+
+        sched_extend_leases(core.sched, "node", now_ms + 8000);
+        core.run_and_commit();
+        EXPECT_EQ(core.orders(B).starts.size(), now_ms == granted_ms + 8000);
+        fake_clock_advance_ms(&core.clock, 500);
+    }
+}
+
 // Guards against waiting for the lease to expire after a power loss: the
 // restarted agent has no record of the old incarnation, so the report of a
 // later one at the same address has to end it. Seen in scenario scale-2 of the
