Complete a gang whose other member was lost before its end

Cause: a gang member that ends as done represents all members, but only those whose loss was processed later. A member that was lost before waited for a new run; the step then had neither all members done nor all waiting, and the record kept it so for later leaders.

Ruled out: an end that is not processed, and a fault of the takeover, as the tests show the fault with the end noted and with one leader.

Change: the end completes the members that wait. A record that an earlier version left in between is completed when it is loaded.

Before: Sched.CompletesAGangWhoseOtherMemberWasLostBefore, its twin under an earlier leader, and Sched.CompletesAGangThatWasStoredWithAWaitingMember fail.

--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -287,6 +287,33 @@
     task->phase = phase;
 }
 
+void
+sched_task_mark_done(sched_task_t *task)
+{
+    if (task->phase == SCHED_TASK_DONE) {
+        return;
+    }
+    if (task->phase == SCHED_TASK_WAITING) {
+        task->step->waiting--;
+    }
+    sched_task_set_phase(task, SCHED_TASK_DONE);
+    task->step->done++;
+    g_clear_pointer(&task->checkpoint, g_free);
+}
+
+void
+sched_step_finish_gang(sched_step_t *step)
+{
+    if (!step->spec->gang || step->done == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        if (step->tasks[i].phase == SCHED_TASK_WAITING) {
+            sched_task_mark_done(&step->tasks[i]);
+        }
+    }
+}
+
 uint16_t
 sched_step_get_image_id(const sched_step_t *step)
 {
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -259,6 +259,20 @@
  */
 void sched_task_set_phase(sched_task_t *task, sched_task_phase_t phase);
 
+/**
+ * sched_task_mark_done() - end a task that is waiting, or whose run has ended
+ */
+void sched_task_mark_done(sched_task_t *task);
+
+/**
+ * sched_step_finish_gang() - mark the waiting members of a gang as done if any
+ * member is done
+ *
+ * The members of a gang end as done together, so one such end represents all
+ * of them, also those whose own end was lost with their executor.
+ */
+void sched_step_finish_gang(sched_step_t *step);
+
 uint16_t sched_step_get_image_id(const sched_step_t *step);
 
 /**
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -283,6 +283,9 @@
         for (uint32_t j = 0; j < step->spec->count; j++) {
             load_task(&step->tasks[j], record->tasks[n++], executors);
         }
+        /* Earlier versions stored gangs that had ended with a waiting
+           member. */
+        sched_step_finish_gang(step);
         occurrence->done_steps += step->done == step->spec->count;
     }
 }
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -162,6 +162,18 @@
                  sched->opts.retain_ms);
 }
 
+static void
+complete_occurrences(sched_t *sched, sched_job_t *job)
+{
+    LIST_FOREACH_SAFE (occurrence, &job->occurrences, sched_occurrence_t,
+                       link) {
+        if (occurrence->done_steps == job->spec->n_steps) {
+            sched_complete_occurrence(sched, occurrence);
+            sched_mark_dirty(sched, job);
+        }
+    }
+}
+
 bool
 sched_load(sched_t *sched, const char *key, const void *record, size_t length,
            GError **error)
@@ -181,6 +193,9 @@
     sched->last_sequence = MAX(sched->last_sequence, job->sequence);
     job->known_since_ms = sched_now_ms(sched) - get_stored_age_ms(sched, job);
     insert_job(sched, job);
+    if (!sched_job_is_final(job)) {
+        complete_occurrences(sched, job);
+    }
     sched->placement_needed = true;
     return true;
 }
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -90,6 +90,12 @@
 void sched_finish_job(sched_t *sched, sched_job_t *job,
                       sched_job_state_t state);
 
+/**
+ * sched_complete_occurrence() - remove an occurrence whose steps are all done,
+ * and complete its job if it was the last one
+ */
+void sched_complete_occurrence(sched_t *sched, sched_occurrence_t *occurrence);
+
 /**
  * sched_add_due_occurrences() - create the occurrences whose start time has
  * come
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -81,8 +81,8 @@
     sched_stage_order(sched, task);
 }
 
-static void
-complete_occurrence(sched_t *sched, sched_occurrence_t *occurrence)
+void
+sched_complete_occurrence(sched_t *sched, sched_occurrence_t *occurrence)
 {
     sched_job_t *job = occurrence->job;
 
@@ -93,16 +93,6 @@
     }
 }
 
-static void
-mark_done(sched_task_t *task)
-{
-    if (task->phase != SCHED_TASK_DONE) {
-        sched_task_set_phase(task, SCHED_TASK_DONE);
-        task->step->done++;
-        g_clear_pointer(&task->checkpoint, g_free);
-    }
-}
-
 /* May free the occurrence of the task. */
 static void
 finish_task(sched_t *sched, sched_task_t *task)
@@ -110,14 +100,15 @@
     sched_step_t *step = task->step;
     sched_occurrence_t *occurrence = step->occurrence;
 
-    mark_done(task);
+    sched_task_mark_done(task);
+    sched_step_finish_gang(step);
     sched->placement_needed = true;
     if (step->done < step->spec->count) {
         return;
     }
     occurrence->done_steps++;
     if (occurrence->done_steps == occurrence->job->spec->n_steps) {
-        complete_occurrence(sched, occurrence);
+        sched_complete_occurrence(sched, occurrence);
     }
 }
 
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -691,6 +691,93 @@
     EXPECT_TRUE(core.orders(A).starts.empty());
 }
 
+/* Places a gang of two, one member each on A and B, with a step after it, and
+   loses the executor of the second member. */
+void
+lose_member_of_gang(Core &core)
+{
+    Report gone(B);
+
+    connect(core, A);
+    connect(core, B, 4000, "other");
+    sched_submit(
+        core.sched,
+        make_spec("j", {{.count = 2, .gang = true, .max_per_executor = 1},
+                        {.after = {0}}}));
+    core.run_and_commit();
+    ASSERT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    ASSERT_EQ(core.orders(B).starts, (std::vector<TaskRun>{{"j.0.0.1", 1}}));
+    gone.message.gone = true;
+    core.report(gone, "other");
+    core.run_and_commit();
+}
+
+// Guards against a gang that has ended but waits for ever for a member whose
+// loss was processed before the end of another one, so that the step after it
+// never starts.
+TEST(Sched, CompletesAGangWhoseOtherMemberWasLostBefore)
+{
+    Core core;
+    Report done(A);
+
+    lose_member_of_gang(core);
+    done.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(done);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+}
+
+// Guards against the same if the leader is replaced between the two.
+TEST(Sched, CompletesAGangWhoseOtherMemberWasLostUnderAnEarlierLeader)
+{
+    Core core;
+    Report done(A);
+
+    lose_member_of_gang(core);
+    core.restart();
+    done.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(done);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+}
+
+// Guards against a job that stays as an earlier version left it: with one
+// member of its gang done, and another one waiting.
+TEST(Sched, CompletesAGangThatWasStoredWithAWaitingMember)
+{
+    for (bool last_step : {false, true}) {
+        Core core;
+        Report report(A);
+
+        sched_submit(
+            core.sched,
+            make_spec("j", last_step
+                               ? std::vector<Step>{{.count = 2, .gang = true}}
+                               : std::vector<Step>{{.count = 2, .gang = true},
+                                                   {.after = {0}}}));
+        core.run_and_commit();
+        std::string &stored = core.stored["j"];
+        Teasel__JobRecord *record = teasel__job_record__unpack(
+            nullptr, stored.size(),
+            reinterpret_cast<const uint8_t *>(stored.data()));
+        record->occurrences[0]->tasks[0]->state = SCHED_TASK_DONE;
+        stored.resize(teasel__job_record__get_packed_size(record));
+        teasel__job_record__pack(record,
+                                 reinterpret_cast<uint8_t *>(stored.data()));
+        teasel__job_record__free_unpacked(record, nullptr);
+        core.restart();
+        core.report(report);
+        core.run_and_commit();
+        if (last_step) {
+            EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+        }
+        else {
+            EXPECT_EQ(core.orders(A).starts,
+                      (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+        }
+    }
+}
+
 // Guards against new runs on a draining executor, and against long-running
 // tasks that are not moved before it leaves.
 TEST(Sched, EvacuatesALeavingExecutor)
