Keep the crashes of a task on trial while its executor cannot be seen

Evidence: the third run crashed its executor 10 ms after its start, half a second before its agent was killed. The restarted agent did not know the executor. After 5 s the leader took the trial as survived (7018 "no progress" for a run that counted as running) and cleared the two crashes counted before; 7022 then counts from 1 again, and the task is given up after six starts.

Cause: the limit on the time of a trial asked for time since the first report of the run only, not for an executor that is still reported.

Ruled out: a count lost with the leader (7022 reads 1, 2 under two leaders).

Before: Sched.KeepsTheCrashesOfATaskWhoseTrialIsNotSeenToLast fails, as the next run does not start on trial. After: it passes.

--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -83,7 +83,9 @@
 void
 sched_check_trial(sched_t *sched, sched_task_t *task, int64_t now_ms)
 {
+    /* Nothing is known of a run whose executor is not connected. */
     if (task->on_trial && task->phase == SCHED_TASK_RUNNING &&
+        task->executor->connected &&
         now_ms - task->running_ms > TRIAL_TIMEOUT_MS) {
         sched_task_settle(sched, task);
     }
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -449,6 +449,30 @@
     EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
 }
 
+// Guards against a trial that clears its task because nothing was heard of its
+// executor for some time; seen on grown teddy, day deadly-late-orders (seed
+// 2).
+TEST(Sched, KeepsTheCrashesOfATaskWhoseTrialIsNotSeenToLast)
+{
+    Core core;
+    Report begun("10.0.0.1:80/x3/3");
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
+    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    begun.message.listed = false;
+    begun.runs({"j.0.0.0", 3});
+    core.report(begun);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 5100);
+    core.run_and_commit();
+    EXPECT_EQ(crash_and_reorder(core, 3, {}).alone,
+              (std::set<TaskRun>{{"j.0.0.0", 4}}));
+}
+
 // Guards against members of a gang that wait for each other to settle, and end
 // as the others have not started.
 TEST(Sched, StartsAGangTogetherThoughItsMembersAreSuspected)
