Count crashes that an agent cannot report, as it was killed

Cause: only the agent counted the runs that had just started when their executor crashed, and what it hadn't reported was lost with it.

Change: if a later incarnation takes the place of one whose end its agent did not report, the leader counts a crash for the runs that it knows to have begun and not to have outlived their start. It is no proof, as the leader can't tell what else had started there.

Before: Sched.CountsCrashesThatAKilledAgentDidNotReport fails, as the third run is not on trial. After: it passes, and a run that has outlived its start is not counted.

--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -43,28 +43,65 @@
 static bool
 is_new_crash(const sched_task_t *task, uint32_t run)
 {
-    return task->phase != SCHED_TASK_DONE && run <= task->run &&
+    return !sched_job_is_final(sched_task_get_job(task)) &&
+           task->phase != SCHED_TASK_DONE && run <= task->run &&
            run > task->crashed_run;
 }
 
-void
-sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run)
+static void
+count_crash(sched_t *sched, sched_task_t *task, uint32_t run, bool alone)
 {
-    sched_task_t *task = sched_find_task(sched, run->task);
-    bool proven;
+    bool proven = alone && sched_task_is_suspect(task);
+    char name[SCHED_TASK_NAME_SIZE];
 
-    if (task == NULL || sched_job_is_final(sched_task_get_job(task)) ||
-        !is_new_crash(task, run->run)) {
+    if (!is_new_crash(task, run)) {
         return;
     }
-    proven = run->alone && sched_task_is_suspect(task);
-    task->crashed_run = run->run;
+    sched_task_format_name(task, name);
+    task->crashed_run = run;
     task->crashes++;
     sched_mark_dirty(sched, sched_task_get_job(task));
-    event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u alone=%d",
-              run->task, run->run, task->crashes, run->alone);
+    event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u alone=%d", name,
+              run, task->crashes, alone);
     if (proven || has_crashed_too_often(task)) {
-        give_up(sched, task, run->task);
+        give_up(sched, task, name);
+    }
+}
+
+void
+sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run)
+{
+    sched_task_t *task = sched_find_task(sched, run->task);
+
+    if (task != NULL) {
+        count_crash(sched, task, run->run, run->alone);
+    }
+}
+
+static bool
+has_just_started(const sched_task_t *task)
+{
+    return task->phase == SCHED_TASK_RUNNING && !task->settled;
+}
+
+void
+sched_infer_crashes(sched_t *sched, const sched_executor_t *executor)
+{
+    g_autoptr(GPtrArray) started = g_ptr_array_new();
+
+    if (executor->draining) {
+        return;
+    }
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
+        if (has_just_started(task)) {
+            g_ptr_array_add(started, task);
+        }
+    }
+    /* To give a task up may end others on the same executor. */
+    for (guint i = 0; i < started->len; i++) {
+        sched_task_t *task = g_ptr_array_index(started, i);
+
+        count_crash(sched, task, task->run, false);
     }
 }
 
--- a/libteasel/sched/sched_incarnation.c
+++ b/libteasel/sched/sched_incarnation.c
@@ -40,6 +40,7 @@
 {
     LIST_FOREACH_SAFE (older, &sched->executor_list, sched_executor_t, link) {
         if (sched_executor_key_replaces(later->key, older->key)) {
+            sched_infer_crashes(sched, older);
             replace_executor(
                 sched, older, later,
                 sched_executor_key_restarts(later->key, older->key));
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -129,6 +129,12 @@
  */
 sched_task_t *sched_find_task(sched_t *sched, const char *name);
 
+/**
+ * sched_infer_crashes() - count a crash for the runs that had just started on
+ * an executor whose end its agent did not report
+ */
+void sched_infer_crashes(sched_t *sched, const sched_executor_t *executor);
+
 /**
  * sched_check_trial() - end a trial that has lasted long enough
  */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -473,6 +473,37 @@
               (std::set<TaskRun>{{"j.0.0.0", 4}}));
 }
 
+// Guards against crashes that are not counted, as the agent was killed before
+// it could report them; seen on grown teddy, day deadly-late-orders.
+TEST(Sched, CountsCrashesThatAKilledAgentDidNotReport)
+{
+    Core core;
+    Core::Orders orders;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    sched_submit(core.sched, make_spec("settled", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (uint32_t i = 1; i <= 2; i++) {
+        std::string key =
+            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
+        std::string later = "10.0.0.1:80/x" + std::to_string(i + 1) + "/" +
+                            std::to_string(i + 1);
+        Report begun(key);
+
+        begun.message.listed = false;
+        begun.runs({"j.0.0.0", i}).runs({"settled.0.0.0", i});
+        begun.running[1].settled = true;
+        core.report(begun);
+        sched_disconnect(core.sched, "node");
+        connect(core, later);
+        core.run_and_commit();
+        orders = core.orders(later);
+    }
+    EXPECT_EQ(orders.alone, (std::set<TaskRun>{{"j.0.0.0", 3}}));
+}
+
 // Guards against members of a gang that wait for each other to settle, and end
 // as the others have not started.
 TEST(Sched, StartsAGangTogetherThoughItsMembersAreSuspected)
