Suspect a task also after crashes that follow unanswered starts

Cause: a crash was counted only for confirmed starts. That is right for giving a task up, as a start without answer may not have begun, but the task wasn't even put on trial, and so had no chance of a proof.

Change: the agent reports these runs as unconfirmed. They bring a task on trial, but count no further.

Before: Node.ReportsACrashAfterAStartWithoutAnswer fails, the agent reports only the confirmed run; Sched.SuspectsATaskAfterCrashesWithoutConfirmedStarts is new with the field. After: both pass.

--- a/libteasel/node/crash_list.c
+++ b/libteasel/node/crash_list.c
@@ -41,15 +41,13 @@
 }
 
 void
-crash_list_add(crash_list_t *list, const char *task, uint32_t run, bool alone,
+crash_list_add(crash_list_t *list, const Teasel__CrashedRun *run,
                int64_t now_ms)
 {
     crash_t *crash = g_new0(crash_t, 1);
 
-    teasel__crashed_run__init(&crash->run);
-    crash->run.task = g_strdup(task);
-    crash->run.run = run;
-    crash->run.alone = alone;
+    crash->run = *run;
+    crash->run.task = g_strdup(run->task);
     crash->added_ms = now_ms;
     g_ptr_array_add(list->crashes, crash);
 }
--- a/libteasel/node/crash_list.h
+++ b/libteasel/node/crash_list.h
@@ -24,11 +24,10 @@
 void crash_list_free(crash_list_t *list);
 
 /**
- * crash_list_add() - add a run
- * @alone: no other run had just started on the executor
+ * crash_list_add() - add a copy of a run
  */
-void crash_list_add(crash_list_t *list, const char *task, uint32_t run,
-                    bool alone, int64_t now_ms);
+void crash_list_add(crash_list_t *list, const Teasel__CrashedRun *run,
+                    int64_t now_ms);
 
 /**
  * crash_list_get_unsent() - return the entries that were not reported on the
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -180,6 +180,17 @@
                            EXPIRY_MARGIN_MS;
 }
 
+static unsigned
+count_starting(const node_executor_t *executor)
+{
+    unsigned starting = 0;
+
+    LIST_FOREACH (run, &executor->runs, run_t, link) {
+        starting += run_is_starting(run);
+    }
+    return starting;
+}
+
 /* An executor that has said that it ends has not crashed. A run that was not
    confirmed may not have begun. An executor that only fell silent may not have
    crashed, so that this proves nothing of a run that started alone. */
@@ -187,20 +198,22 @@
 note_crashed_runs(node_executor_t *executor)
 {
     node_t *node = executor->node;
-    unsigned starting = 0;
+    bool alone = count_starting(executor) == 1 && !has_lease_expired(executor);
 
     if (executor->ended_by_ms != 0) {
         return;
     }
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        starting += run_is_starting(run);
-    }
-    LIST_FOREACH (run, &executor->runs, run_t, link) {
-        if (run_is_starting(run) && run->confirmed) {
-            crash_list_add(node->crashes, run->task, run->run,
-                           starting == 1 && !has_lease_expired(executor),
-                           node_now_ms(node));
+        Teasel__CrashedRun crashed = TEASEL__CRASHED_RUN__INIT;
+
+        if (!run_is_starting(run)) {
+            continue;
         }
+        crashed.task = run->task;
+        crashed.run = run->run;
+        crashed.alone = alone;
+        crashed.unconfirmed = !run->confirmed;
+        crash_list_add(node->crashes, &crashed, node_now_ms(node));
     }
 }
 
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -4,7 +4,9 @@
  * ran beside the cause. A run that outlives its start clears its task. After
  * some crashes in a row a task is put on trial: it starts while no other run
  * is starting on its executor, so that a crash then proves that it is the
- * cause.
+ * cause. A start without answer may not have begun: a crash after it leads to
+ * a trial, but never to the end of the job. The leader itself counts the
+ * crashes that an agent cannot report, as it was killed.
  */
 
 #include "base/events.h"
@@ -49,22 +51,22 @@
 }
 
 static void
-count_crash(sched_t *sched, sched_task_t *task, uint32_t run, bool alone)
+count_crash(sched_t *sched, sched_task_t *task, const Teasel__CrashedRun *run)
 {
-    bool proven = alone && sched_task_is_suspect(task);
-    char name[SCHED_TASK_NAME_SIZE];
+    bool proven =
+        run->alone && !run->unconfirmed && sched_task_is_suspect(task);
 
-    if (!is_new_crash(task, run)) {
+    if (!is_new_crash(task, run->run)) {
         return;
     }
-    sched_task_format_name(task, name);
-    task->crashed_run = run;
-    task->crashes++;
+    task->crashed_run = run->run;
+    task->crashes += !run->unconfirmed || !sched_task_is_suspect(task);
     sched_mark_dirty(sched, sched_task_get_job(task));
-    event_log(EVENT_CRASH_COUNTED, "task=%s run=%u crashes=%u alone=%d", name,
-              run, task->crashes, alone);
+    event_log(EVENT_CRASH_COUNTED,
+              "task=%s run=%u crashes=%u alone=%d unconfirmed=%d", run->task,
+              run->run, task->crashes, run->alone, run->unconfirmed);
     if (proven || has_crashed_too_often(task)) {
-        give_up(sched, task, name);
+        give_up(sched, task, run->task);
     }
 }
 
@@ -74,10 +76,22 @@
     sched_task_t *task = sched_find_task(sched, run->task);
 
     if (task != NULL) {
-        count_crash(sched, task, run->run, run->alone);
+        count_crash(sched, task, run);
     }
 }
 
+static void
+infer_crash(sched_t *sched, sched_task_t *task)
+{
+    Teasel__CrashedRun run = TEASEL__CRASHED_RUN__INIT;
+    char name[SCHED_TASK_NAME_SIZE];
+
+    sched_task_format_name(task, name);
+    run.task = name;
+    run.run = task->run;
+    count_crash(sched, task, &run);
+}
+
 static bool
 has_just_started(const sched_task_t *task)
 {
@@ -99,9 +113,7 @@
     }
     /* To give a task up may end others on the same executor. */
     for (guint i = 0; i < started->len; i++) {
-        sched_task_t *task = g_ptr_array_index(started, i);
-
-        count_crash(sched, task, task->run, false);
+        infer_crash(sched, g_ptr_array_index(started, i));
     }
 }
 
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -3328,7 +3328,7 @@
   (ProtobufCMessageInit) teasel__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[3] =
+static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[4] =
 {
   {
     "task",
@@ -3366,16 +3366,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unconfirmed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CrashedRun, unconfirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__crashed_run__field_indices_by_name[] = {
   2,   /* field[2] = alone */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
+  3,   /* field[3] = unconfirmed */
 };
 static const ProtobufCIntRange teasel__crashed_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor teasel__crashed_run__descriptor =
 {
@@ -3385,7 +3398,7 @@
   "Teasel__CrashedRun",
   "teasel",
   sizeof(Teasel__CrashedRun),
-  3,
+  4,
   teasel__crashed_run__field_descriptors,
   teasel__crashed_run__field_indices_by_name,
   1,  teasel__crashed_run__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -493,10 +493,14 @@
    * no other run had just started there
    */
   protobuf_c_boolean alone;
+  /*
+   * its start had no answer, so it may not have begun
+   */
+  protobuf_c_boolean unconfirmed;
 };
 #define TEASEL__CRASHED_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__crashed_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Teasel__StartOrder
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -4,6 +4,7 @@
 
 #include "fake_executor.h"
 #include "fake_store.h"
+#include "sched_fixture.h"
 #include "test_address.h"
 
 extern "C" {
@@ -29,6 +30,7 @@
     peer_t *peer = nullptr;
     uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
     std::vector<std::string> heartbeat; /* executors that it contains */
+    std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
     char leader_address[32];
     char executor_address[32];
 
@@ -103,8 +105,15 @@
     {
         auto *self = static_cast<Node *>(data);
 
-        if (message->body_case != TEASEL__ENVELOPE__BODY_NODE_REPORT ||
-            message->node_report->sent_us == 0) {
+        if (message->body_case != TEASEL__ENVELOPE__BODY_NODE_REPORT) {
+            return;
+        }
+        for (size_t i = 0; i < message->node_report->n_crashed; i++) {
+            const Teasel__CrashedRun *run = message->node_report->crashed[i];
+
+            self->crashed[{run->task, run->run}] = !run->unconfirmed;
+        }
+        if (message->node_report->sent_us == 0) {
             return;
         }
         self->heartbeat_us = message->node_report->sent_us;
@@ -143,7 +152,7 @@
     {
         executor_info_t info = {};
 
-        info.id = "id";
+        info.id = executor.id.c_str();
         info.started_ms = executor.born_ms;
         info.address = executor_address;
         info.service = "service";
@@ -155,13 +164,32 @@
         info.sequence = 1;
         ASSERT_TRUE(node_announce_executor(node, &info));
     }
-    /* Grants a lease that is counted from a heartbeat. */
+    /* Grants a lease that is counted from a heartbeat, and orders starts at
+       the first executor that it contained. */
     void
-    grant(uint64_t echo_us, uint32_t lease_ms)
+    grant(uint64_t echo_us, uint32_t lease_ms,
+          std::vector<TaskRun> starts = {})
     {
         Teasel__NodeOrders orders = TEASEL__NODE_ORDERS__INIT;
+        Teasel__ExecutorOrders executor_orders = TEASEL__EXECUTOR_ORDERS__INIT;
+        Teasel__ExecutorOrders *executors[] = {&executor_orders};
         Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
-
+        std::vector<Teasel__StartOrder> messages(starts.size());
+        std::vector<Teasel__StartOrder *> pointers;
+
+        for (size_t i = 0; i < starts.size(); i++) {
+            teasel__start_order__init(&messages[i]);
+            messages[i].task = starts[i].first.data();
+            messages[i].run = starts[i].second;
+            pointers.push_back(&messages[i]);
+        }
+        if (!starts.empty()) {
+            executor_orders.key = heartbeat[0].data();
+            executor_orders.n_starts = pointers.size();
+            executor_orders.starts = pointers.data();
+            orders.n_executors = 1;
+            orders.executors = executors;
+        }
         orders.epoch = 1000;
         orders.echo_us = echo_us;
         orders.lease_ms = lease_ms;
@@ -193,4 +221,27 @@
     EXPECT_LE(executor.deadline_ms, (int64_t)(heartbeat_us / 1000) + 1500);
 }
 
+// Guards against a task that is never suspected of crashes, as its executors
+// crash after starts that they leave unanswered; seen on grown teddy, day
+// deadly-late-orders.
+TEST_F(Node, ReportsACrashAfterAStartWithoutAnswer)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.late_starts = 1;
+    executor.late_ms = 60000;
+    executor.work_ms = 60000;
+    grant(heartbeat_us, 5000, {{"late.0.0.0", 1}, {"begun.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return !executor.running.empty(); }));
+    run_ms(20);
+    executor.id = "later";
+    executor.restart(200);
+    announce();
+    ASSERT_TRUE(wait([&] { return !crashed.empty(); }));
+    EXPECT_EQ(crashed, (std::map<TaskRun, bool>{{{"begun.0.0.0", 1}, true},
+                                                {{"late.0.0.0", 1}, false}}));
+}
+
 } // namespace
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -262,7 +262,8 @@
    returns the orders there. */
 Core::Orders
 crash_and_reorder(Core &core, int incarnation,
-                  const std::vector<TaskRun> &crashed, bool alone = false)
+                  const std::vector<TaskRun> &crashed, bool alone = false,
+                  bool unconfirmed = false)
 {
     std::string old = "10.0.0.1:80/x" + std::to_string(incarnation) + "/" +
                       std::to_string(incarnation);
@@ -278,6 +279,7 @@
         message.task = const_cast<char *>(run.first.c_str());
         message.run = run.second;
         message.alone = alone;
+        message.unconfirmed = unconfirmed;
         sched_apply_crash(core.sched, &message);
         sched_apply_crash(core.sched, &message); /* repeated on a reconnect */
     }
@@ -504,6 +506,28 @@
     EXPECT_EQ(orders.alone, (std::set<TaskRun>{{"j.0.0.0", 3}}));
 }
 
+// Guards against a task that is not suspected of crashes, however often its
+// executors crash after starts that they did not confirm, and against one that
+// is given up for these, as it may never have begun.
+TEST(Sched, SuspectsATaskAfterCrashesWithoutConfirmedStarts)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (uint32_t i = 1; i <= 9; i++) {
+        Core::Orders orders =
+            crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, i > 2, true);
+
+        EXPECT_EQ(orders.starts, (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
+        EXPECT_EQ(orders.alone.size(), i >= 2 ? 1U : 0U);
+    }
+    crash_and_restart(core, 10, {{"j.0.0.0", 10}}, true);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
+}
+
 // Guards against members of a gang that wait for each other to settle, and end
 // as the others have not started.
 TEST(Sched, StartsAGangTogetherThoughItsMembersAreSuspected)
