Refuse the submission of a job that was cancelled before it arrived

Cause: a scheduler keeps a submission while there is no leader, and resends it. If the cancelling, sent through another scheduler, reached the new leader first, it was answered as not found and forgotten.

Ruled out: to drop the submission when its client leaves; the call may be on its way already, and a client that waits has the same claim.

The number of ids is bounded; beyond it the cancelling is refused.

Before: Deployment.RefusesAKeptSubmissionOfACancelledJob sees the job accepted and its task started. After: it passes.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -405,6 +405,7 @@
     list_init(&leader->sessions);
     leader->sessions_by_node = g_hash_table_new(g_str_hash, g_str_equal);
     list_init(&leader->waiting);
+    leader->cancelled_ids = cancelled_ids_new();
     loop_timer_init(&leader->tick, opts->loop, on_tick, leader);
     loop_timer_init(&leader->flush, opts->loop, on_flush, leader);
     loop_timer_init(&leader->retry, opts->loop, on_retry, leader);
@@ -425,6 +426,7 @@
     leader_free_calls(leader);
     leader_free_sessions(leader);
     g_hash_table_unref(leader->sessions_by_node);
+    cancelled_ids_free(leader->cancelled_ids);
     g_clear_pointer(&leader->changes, g_ptr_array_unref);
     g_free(leader->load_after);
     sched_free(leader->sched);
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -104,6 +104,14 @@
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
         return;
     }
+    if (job == NULL && cancelled_ids_contains(leader->cancelled_ids, call->id,
+                                              leader_now_ms(leader))) {
+        leader->refused++;
+        event_log(EVENT_JOB_REFUSED, "job=%s reason=\"cancelled before\"",
+                  call->id);
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
+        return;
+    }
     if (job == NULL) {
         sched_submit(leader->sched, copy_spec(call->spec));
         leader->accepted++;
@@ -112,6 +120,23 @@
     leader_schedule_flush(leader);
 }
 
+/* A scheduler may still keep the submission of the job. */
+static void
+cancel_unknown(leader_t *leader, const Teasel__JobCall *call,
+               job_answer_fn answer, void *owner)
+{
+    if (cancelled_ids_add(leader->cancelled_ids, call->id,
+                          leader_now_ms(leader))) {
+        answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0, 0);
+        return;
+    }
+    event_log(EVENT_CALL_UNANSWERED,
+              "job=%s verb=%u waited_ms=0 outcome=refused "
+              "reason=\"too many cancelled jobs\"",
+              call->id, call->verb);
+    answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
+}
+
 static void
 cancel(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
        void *owner)
@@ -119,7 +144,7 @@
     sched_job_t *job = sched_find(leader->sched, call->id);
 
     if (job == NULL) {
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0, 0);
+        cancel_unknown(leader, call, answer, owner);
         return;
     }
     sched_cancel(leader->sched, job);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -3,6 +3,7 @@
 
 #include "base/histogram.h"
 #include "base/list.h"
+#include "scheduler/cancelled_ids.h"
 #include "scheduler/leader.h"
 
 #define JOBS_TOPIC "jobs"
@@ -55,6 +56,7 @@
     list_t sessions;
     GHashTable *sessions_by_node; /* name -> session_t */
     list_t waiting;               /* waiting_call_t */
+    cancelled_ids_t *cancelled_ids;
     loop_timer_t tick;
     loop_timer_t flush;
     loop_timer_t retry;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -39,6 +39,24 @@
               (uint32_t)JOB_OUTCOME_NOT_FOUND);
 }
 
+// Guards against a job that runs although its cancelling was answered: its
+// submission was kept while there was no leader, and arrived afterwards.
+TEST(Deployment, RefusesAKeptSubmissionOfACancelledJob)
+{
+    Deployment deployment(2, 1, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    EXPECT_EQ(deployment.call(0, JOB_VERB_CANCEL, "j").outcome,
+              (uint32_t)JOB_OUTCOME_NOT_FOUND);
+    auto answer =
+        deployment.call(1, JOB_VERB_SUBMIT, "j", make_spec("j", {{}}));
+    EXPECT_EQ(answer.outcome, (uint32_t)JOB_OUTCOME_REFUSED);
+    EXPECT_EQ(deployment.call(0, JOB_VERB_GET, "j").outcome,
+              (uint32_t)JOB_OUTCOME_NOT_FOUND);
+    deployment.run_ms(200);
+    EXPECT_EQ(deployment.count_starts("j.0.0.0"), 0);
+}
+
 // Guards against jobs that are lost or run twice when the leader is killed.
 TEST(Deployment, CompletesJobsAfterTheLeaderIsKilled)
 {
