Give a task up only after two confirmed crashes

Cause: crashes after unanswered starts were added to the count of crashes, so that they could stand for the crash that goes before a proof.

Change: crashes without a confirmed start have a count of their own. Both bring a task on trial; a proof needs a confirmed crash before it, and the limit without a proof counts confirmed ones only.

Before: Sched.GivesUpATaskOnlyAfterTwoConfirmedCrashes fails. After: it passes.

--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -69,7 +69,9 @@
  * @executor: assigned executor, which may have the run; NULL if none
  * @crashes: number of executors that crashed in a row just after they had
  *     started the task
- * @crashed_run: newest run that is included in @crashes
+ * @unconfirmed_crashes: the same for runs whose start was not confirmed, and
+ *     which may not have begun
+ * @crashed_run: newest run that is included in one of the two
  * @start_sent: the start was handed to the executor's agent, perhaps by an
  *     earlier leader
  * @on_trial: the run may crash its executor, and starts there alone
@@ -101,6 +103,7 @@
     uint32_t run;
     uint32_t failures;
     uint32_t crashes;
+    uint32_t unconfirmed_crashes;
     uint32_t crashed_run;
     sched_executor_t *executor;
     char *checkpoint;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -51,6 +51,7 @@
     record->run = task->run;
     record->failures = task->failures;
     record->crashes = task->crashes;
+    record->unconfirmed_crashes = task->unconfirmed_crashes;
     record->crashed_run = task->crashed_run;
     record->stopping = task->phase == SCHED_TASK_STOPPING;
     record->place = add_executor(executors, task->executor);
@@ -149,6 +150,7 @@
     return task->state <= SCHED_TASK_FAILED &&
            task->place <= record->n_places && task->run <= MAX_COUNT &&
            task->failures <= MAX_COUNT && task->crashes <= MAX_COUNT &&
+           task->unconfirmed_crashes <= MAX_COUNT &&
            task->crashed_run <= task->run;
 }
 
@@ -242,6 +244,7 @@
     task->run = record->run;
     task->failures = record->failures;
     task->crashes = record->crashes;
+    task->unconfirmed_crashes = record->unconfirmed_crashes;
     task->crashed_run = record->crashed_run;
     if (record->checkpoint[0] != '\0') {
         task->checkpoint = g_strdup(record->checkpoint);
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -18,6 +18,9 @@
     TRIAL_TIMEOUT_MS = 5000,
     /* From this number of crashes in a row on, a task is put on trial. */
     SUSPECT_CRASHES = 2,
+    /* A crash in a trial is a proof only if it is not the first one that is
+       confirmed, as an executor may also crash by itself. */
+    MIN_CRASHES_BEFORE_PROOF = 1,
     /* A task is given up after this number of crashes without a proof, as the
        proof may be lost with its agent. Long-running tasks have no limit on
        their runs, and need the proof. */
@@ -50,21 +53,28 @@
            run > task->crashed_run;
 }
 
+static bool
+is_proof(const sched_task_t *task, const Teasel__CrashedRun *run)
+{
+    return run->alone && !run->unconfirmed && sched_task_is_suspect(task) &&
+           task->crashes >= MIN_CRASHES_BEFORE_PROOF;
+}
+
 static void
 count_crash(sched_t *sched, sched_task_t *task, const Teasel__CrashedRun *run)
 {
-    bool proven =
-        run->alone && !run->unconfirmed && sched_task_is_suspect(task);
+    bool proven = is_proof(task, run);
 
     if (!is_new_crash(task, run->run)) {
         return;
     }
     task->crashed_run = run->run;
-    task->crashes += !run->unconfirmed || !sched_task_is_suspect(task);
+    task->crashes += !run->unconfirmed;
+    task->unconfirmed_crashes += run->unconfirmed;
     sched_mark_dirty(sched, sched_task_get_job(task));
     event_log(EVENT_CRASH_COUNTED,
-              "task=%s run=%u crashes=%u alone=%d unconfirmed=%d", run->task,
-              run->run, task->crashes, run->alone, run->unconfirmed);
+              "task=%s run=%u crashes=%u alone=%d unconfirmed=%u", run->task,
+              run->run, task->crashes, run->alone, task->unconfirmed_crashes);
     if (proven || has_crashed_too_often(task)) {
         give_up(sched, task, run->task);
     }
@@ -120,7 +130,7 @@
 bool
 sched_task_is_suspect(const sched_task_t *task)
 {
-    return task->crashes >= SUSPECT_CRASHES;
+    return task->crashes + task->unconfirmed_crashes >= SUSPECT_CRASHES;
 }
 
 bool
@@ -149,8 +159,9 @@
         task->executor->trials--;
         sched->placement_needed = true;
     }
-    if (task->crashes > 0) {
+    if (task->crashes > 0 || task->unconfirmed_crashes > 0) {
         task->crashes = 0;
+        task->unconfirmed_crashes = 0;
         sched_mark_dirty(sched, sched_task_get_job(task));
     }
 }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1617,7 +1617,7 @@
   (ProtobufCMessageInit) teasel__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[9] =
 {
   {
     "state",
@@ -1715,6 +1715,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unconfirmed_crashes",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__TaskRecord, unconfirmed_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
@@ -1725,11 +1737,12 @@
   1,   /* field[1] = run */
   0,   /* field[0] = state */
   5,   /* field[5] = stopping */
+  8,   /* field[8] = unconfirmed_crashes */
 };
 static const ProtobufCIntRange teasel__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor teasel__task_record__descriptor =
 {
@@ -1739,7 +1752,7 @@
   "Teasel__TaskRecord",
   "teasel",
   sizeof(Teasel__TaskRecord),
-  8,
+  9,
   teasel__task_record__field_descriptors,
   teasel__task_record__field_indices_by_name,
   1,  teasel__task_record__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -145,13 +145,17 @@
    */
   uint32_t crashes;
   /*
-   * newest run that is included in crashes
+   * newest run that is included in one of the counts
    */
   uint32_t crashed_run;
+  /*
+   * the same without a confirmed start
+   */
+  uint32_t unconfirmed_crashes;
 };
 #define TEASEL__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__task_record__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Teasel__OccurrenceRecord
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -451,6 +451,26 @@
     EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
 }
 
+// Guards against a job that fails though only one executor is known to have
+// crashed under its task; seen on teddy, day deadly-late-orders (seed 3).
+TEST(Sched, GivesUpATaskOnlyAfterTwoConfirmedCrashes)
+{
+    Core core;
+
+    connect(core, "10.0.0.1:80/x1/1");
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders("10.0.0.1:80/x1/1");
+    for (uint32_t i = 1; i <= 2; i++) {
+        crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, true, true);
+        core.restart();
+    }
+    EXPECT_EQ(crash_and_reorder(core, 3, {{"j.0.0.0", 3}}, true).alone,
+              (std::set<TaskRun>{{"j.0.0.0", 4}}));
+    crash_and_restart(core, 4, {{"j.0.0.0", 4}}, true);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
+}
+
 // Guards against a trial that clears its task because nothing was heard of its
 // executor for some time; seen on grown teddy, day deadly-late-orders (seed
 // 2).
@@ -524,7 +544,10 @@
         EXPECT_EQ(orders.starts, (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
         EXPECT_EQ(orders.alone.size(), i >= 2 ? 1U : 0U);
     }
+    EXPECT_NE(core.visible_state("j"), SCHED_JOB_FAILED);
     crash_and_restart(core, 10, {{"j.0.0.0", 10}}, true);
+    EXPECT_NE(core.visible_state("j"), SCHED_JOB_FAILED);
+    crash_and_restart(core, 11, {{"j.0.0.0", 11}}, true);
     EXPECT_EQ(core.visible_state("j"), SCHED_JOB_FAILED);
 }
 
