--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -19,7 +19,29 @@
     PORT = 780,
 };
 
+/* The system's clock, which leaps if the process was paused. */
+struct LeapingClock {
+    clock_source_t base;
+    int64_t leap_ms = 0;
+
+    LeapingClock()
+    {
+        static const clock_vtbl_t vtbl = {get, get};
+
+        base.vtbl = &vtbl;
+    }
+    static void
+    get(const clock_source_t *clock, struct timespec *now)
+    {
+        auto *self = reinterpret_cast<const LeapingClock *>(clock);
+
+        *now = timespec_add_ms(clock_get_monotonic(clock_system()),
+                               self->leap_ms);
+    }
+};
+
 struct Node : public testing::Test {
+    LeapingClock clock;
     loop_t *loop = loop_new();
     FakeStore store;
     FakeStoreView view{&store, loop};
@@ -28,6 +50,7 @@
     node_t *node = nullptr;
     peer_listener_t *listener = nullptr;
     peer_t *peer = nullptr;
+    uint64_t epoch = 1000;              /* of the leader */
     uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
     std::vector<std::string> heartbeat; /* executors that it contains */
     std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
@@ -63,11 +86,11 @@
         settings.name = const_cast<char *>("n");
         settings.data_centre = const_cast<char *>("dc");
         settings.report_ms = 100;
-        settings.silence_ms = 800;
+        settings.silence_ms = 60000;
         settings.poll_wait_ms = 50;
         settings.max_lease_ms = 2000;
         opts.loop = loop;
-        opts.clock = clock_system();
+        opts.clock = &clock.base;
         opts.store = &view.base;
         opts.settings = &settings;
         opts.connect = FakeExecutor::connect;
@@ -190,7 +213,7 @@
             orders.n_executors = 1;
             orders.executors = executors;
         }
-        orders.epoch = 1000;
+        orders.epoch = epoch;
         orders.echo_us = echo_us;
         orders.lease_ms = lease_ms;
         envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
@@ -221,6 +244,44 @@
     EXPECT_LE(executor.deadline_ms, (int64_t)(heartbeat_us / 1000) + 1500);
 }
 
+// Guards against an agent that was paused until its lease had ended, and then
+// carries out an order that had waited for it.
+TEST_F(Node, SendsNoStartAfterAPauseBeyondItsLease)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 1000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.work_ms = -1;
+    grant(heartbeat_us, 1000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return executor.starts.size() == 1; }));
+    uint64_t before_us = heartbeat_us;
+    grant(before_us, 1000, {{"j.0.0.1", 1}});
+    clock.leap_ms = 3000;
+    run_ms(300);
+    EXPECT_EQ(executor.starts.count("j.0.0.1"), 0U);
+    EXPECT_GT(heartbeat_us, before_us);
+    grant(heartbeat_us, 1000);
+    EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
+}
+
+// Guards against an agent that carries out orders of a leader after it has
+// heard from the next one.
+TEST_F(Node, IgnoresOrdersOfAnEarlierLeader)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    epoch = 1001;
+    grant(heartbeat_us, 5000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return executor.starts.size() == 1; }));
+    epoch = 1000;
+    grant(heartbeat_us, 5000, {{"j.0.0.1", 1}});
+    run_ms(300);
+    EXPECT_EQ(executor.starts.count("j.0.0.1"), 0U);
+}
+
 // Guards against a task that is never suspected of crashes, as its executors
 // crash after starts that they leave unanswered; seen on grown teddy, day
 // deadly-late-orders.
