--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -7,6 +7,7 @@
 
 #include "fake_executor.h"
 #include "fake_store.h"
+#include "loop_wait.h"
 #include "sched_fixture.h"
 #include "test_address.h"
 
@@ -184,25 +185,13 @@
     void
     run_ms(int64_t ms)
     {
-        int64_t end_ms = FakeExecutor::now_ms() + ms;
-
-        while (FakeExecutor::now_ms() < end_ms) {
-            loop_run_once(loop, 10);
-        }
+        loop_run_ms(loop, ms);
     }
     /* Runs the loop until the condition holds; returns false after 30 s. */
     bool
     wait(const std::function<bool()> &condition)
     {
-        int64_t end_ms = FakeExecutor::now_ms() + 30000;
-
-        while (!condition()) {
-            if (FakeExecutor::now_ms() > end_ms) {
-                return false;
-            }
-            loop_run_once(loop, 10);
-        }
-        return true;
+        return loop_wait(loop, 30000, condition);
     }
     /* Name in the newest leader record. */
     std::string
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -301,19 +301,27 @@
     EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
 }
 
-// Guards against tasks that never run again, as their executor was lost for
-// good while its agent was restarted.
-TEST(Deployment, RunsTasksOfALostExecutorAgainAfterARestartOfItsAgent)
+/* Submits job "j" with two tasks of 600 ms, and waits until one runs on the
+   executor of the first agent. */
+void
+run_on_first_executor(Deployment &deployment)
 {
-    Deployment deployment(1, 2, PORT);
-
-    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
     for (auto &node : deployment.nodes) {
         node->executor.work_ms = 600;
     }
     deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
     ASSERT_TRUE(deployment.wait(
         [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+}
+
+// Guards against tasks that never run again, as their executor was lost for
+// good while its agent was restarted.
+TEST(Deployment, RunsTasksOfALostExecutorAgainAfterARestartOfItsAgent)
+{
+    Deployment deployment(1, 2, PORT);
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    run_on_first_executor(deployment);
     deployment.nodes[0]->executor.gone = true;
     deployment.nodes[0]->executor.running.clear();
     deployment.restart_node(0);
@@ -472,12 +480,7 @@
     Deployment deployment(1, 2, PORT);
 
     ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
-    for (auto &node : deployment.nodes) {
-        node->executor.work_ms = 600;
-    }
-    deployment.call(0, JOB_VERB_SUBMIT, "j", make_spec("j", {{.count = 2}}));
-    ASSERT_TRUE(deployment.wait(
-        [&] { return !deployment.nodes[0]->executor.running.empty(); }));
+    run_on_first_executor(deployment);
     deployment.nodes[0]->executor.restart(200);
     deployment.run_ms(50);
     deployment.nodes[0]->executor.unresponsive = true;
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -4,6 +4,7 @@
 
 #include "fake_executor.h"
 #include "fake_store.h"
+#include "loop_wait.h"
 #include "sched_fixture.h"
 #include "test_address.h"
 
@@ -153,22 +154,13 @@
     void
     run_ms(int64_t ms)
     {
-        int64_t end_ms = FakeExecutor::now_ms() + ms;
-
-        while (FakeExecutor::now_ms() < end_ms) {
-            loop_run_once(loop, 10);
-        }
+        loop_run_ms(loop, ms);
     }
     /* Runs the loop until the condition holds; returns false after 10 s. */
     bool
     wait(const std::function<bool()> &condition)
     {
-        int64_t end_ms = FakeExecutor::now_ms() + 10000;
-
-        while (!condition() && FakeExecutor::now_ms() < end_ms) {
-            loop_run_once(loop, 10);
-        }
-        return condition();
+        return loop_wait(loop, 10000, condition);
     }
     void
     announce()
