--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -285,7 +285,6 @@
 int64_t
 node_executor_get_deadline(const node_executor_t *executor)
 {
-
     /* The executor read its clock before its answer arrived here, so the
        result is never too late. A silent executor gets no further lease, as it
        may still receive calls that it does not answer. */
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -253,8 +253,8 @@
 
 /**
  * node_executor_renew_lease() - extend the lease of an executor
- * @echo_us: heartbeat from which the lease is counted; one that did not
- * contain the executor has no effect, as the leader does not know of it then
+ * @echo_us: heartbeat from which the lease is counted; without effect if it
+ *     did not contain the executor, as the leader does not know of it then
  */
 void node_executor_renew_lease(node_executor_t *executor, uint64_t echo_us,
                                uint32_t lease_ms);
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -112,8 +112,7 @@
 }
 
 /* A heartbeat contains all executors that can be reported. The leader counts
-   leases from it, so that no lease is older than the report of its executor.
- */
+   leases from it, so no lease is older than the report on its executor. */
 static void
 begin_heartbeat(node_t *node)
 {
