Log long-running tasks that have no run, and what the leader waits for

The leader now logs task-idle (7024) every 2 s, for at most four tasks, once a long-running task has had no run for 4 s: with the executor, its connection, the age of its last report and the rest of its lease, or with the executors counted by why they refuse.

Placement gives the reason of a refusal in one function, which also decides. The log capture of odd_entries_test moves to tests/support.

--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -50,6 +50,7 @@
  * @leaves_ms: when a draining executor may leave
  * @expiry_ms: when the lease expires, by which time all its runs have ended;
  *     a renewal extends it
+ * @heard_ms: time of the last report on it, or 0
  * @capacity: resources that it offers
  * @reserved: resources of the tasks that may run on it, without the CPU share
  *     of best-effort tasks
@@ -88,6 +89,7 @@
     bool draining;
     int64_t leaves_ms;
     int64_t expiry_ms;
+    int64_t heard_ms;
     sched_resources_t capacity;
     sched_resources_t reserved;
     uint64_t best_effort_cpu;
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -91,6 +91,7 @@
  * @progress_ms: when the run last reported progress, a checkpoint or a
  *     slowdown
  * @not_before_ms: no new run is placed before this time
+ * @ended_ms: when the last run ended, or 0
  * @avoid_executor: executor that last failed, rejected or stalled a run of
  *     this task; it may be freed already, so it is only compared
  */
@@ -121,6 +122,7 @@
     int64_t running_ms;
     int64_t progress_ms;
     int64_t not_before_ms;
+    int64_t ended_ms;
     const sched_executor_t *avoid_executor;
 };
 
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -29,13 +29,21 @@
 /* A best-effort task with a smaller effect on the ratio is always allowed. */
 static const double NEGLIGIBLE_EFFECT = 0.02;
 
-static bool
-accepts_tasks(const sched_executor_t *executor, const Teasel__JobSpec *job,
-              int64_t now_ms)
+static const char *const refusal_names[] = {
+    [SCHED_REFUSAL_NONE] = "none",
+    [SCHED_REFUSAL_SERVICE] = "service",
+    [SCHED_REFUSAL_DISCONNECTED] = "disconnected",
+    [SCHED_REFUSAL_DRAINING] = "draining",
+    [SCHED_REFUSAL_TRIAL] = "trial",
+    [SCHED_REFUSAL_PROBATION] = "probation",
+    [SCHED_REFUSAL_RESOURCES] = "resources",
+    [SCHED_REFUSAL_CONSTRAINTS] = "constraints",
+};
+
+const char *
+sched_refusal_to_string(sched_refusal_t refusal)
 {
-    return executor->connected && executor->listed && !executor->draining &&
-           executor->trials == 0 && now_ms >= executor->probation_ms &&
-           g_strcmp0(executor->service, job->service) == 0;
+    return refusal_names[refusal];
 }
 
 static bool
@@ -81,6 +89,39 @@
     return siblings < spec->max_per_executor;
 }
 
+sched_refusal_t
+sched_placement_check(const sched_placement_t *placement,
+                      const sched_executor_t *executor,
+                      const sched_step_t *step)
+{
+    const Teasel__JobSpec *job = step->occurrence->job->spec;
+
+    if (!executor->connected || !executor->listed) {
+        return SCHED_REFUSAL_DISCONNECTED;
+    }
+    if (g_strcmp0(executor->service, job->service) != 0) {
+        return SCHED_REFUSAL_SERVICE;
+    }
+    if (executor->draining) {
+        return SCHED_REFUSAL_DRAINING;
+    }
+    if (executor->trials > 0) {
+        return SCHED_REFUSAL_TRIAL;
+    }
+    if (placement->now_ms < executor->probation_ms) {
+        return SCHED_REFUSAL_PROBATION;
+    }
+    if (!has_resources(placement, executor, step->spec)) {
+        return SCHED_REFUSAL_RESOURCES;
+    }
+    if (!meets_constraints(executor, step) ||
+        (placement->rack != NULL &&
+         g_strcmp0(executor->rack, placement->rack) != 0)) {
+        return SCHED_REFUSAL_CONSTRAINTS;
+    }
+    return SCHED_REFUSAL_NONE;
+}
+
 static double
 get_load(const sched_executor_t *executor, const Teasel__StepSpec *step)
 {
@@ -149,12 +190,8 @@
     const Teasel__StepSpec *spec = step->spec;
     double cost;
 
-    if (!accepts_tasks(executor, step->occurrence->job->spec,
-                       placement->now_ms) ||
-        !has_resources(placement, executor, spec) ||
-        !meets_constraints(executor, step) ||
-        (placement->rack != NULL &&
-         g_strcmp0(executor->rack, placement->rack) != 0)) {
+    if (sched_placement_check(placement, executor, step) !=
+        SCHED_REFUSAL_NONE) {
         return INFINITY;
     }
     cost = get_base_cost(executor, spec);
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -28,6 +28,28 @@
     int64_t now_ms;
 } sched_placement_t;
 
+/* Why an executor takes no task of a step. */
+typedef enum sched_refusal {
+    SCHED_REFUSAL_NONE = 0,
+    SCHED_REFUSAL_SERVICE,      /* it serves another service */
+    SCHED_REFUSAL_DISCONNECTED, /* its agent has not listed its runs */
+    SCHED_REFUSAL_DRAINING,
+    SCHED_REFUSAL_TRIAL, /* a task on trial there has to start alone */
+    SCHED_REFUSAL_PROBATION,
+    SCHED_REFUSAL_RESOURCES,
+    SCHED_REFUSAL_CONSTRAINTS, /* label, rack, or siblings of the task */
+    SCHED_REFUSAL_COUNT,
+} sched_refusal_t;
+
+const char *sched_refusal_to_string(sched_refusal_t refusal);
+
+/**
+ * sched_placement_check() - check whether an executor takes a task of a step
+ */
+sched_refusal_t sched_placement_check(const sched_placement_t *placement,
+                                      const sched_executor_t *executor,
+                                      const sched_step_t *step);
+
 /**
  * sched_placement_get_cost() - return the cost of an executor for a task of a
  * step
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -155,6 +155,12 @@
  */
 void sched_log_load(const sched_t *sched);
 
+/**
+ * sched_log_idle() - log long-running tasks that have had no run for some
+ * time, and why
+ */
+void sched_log_idle(const sched_t *sched);
+
 const list_t *sched_get_executors(const sched_t *sched);
 
 /**
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -31,6 +31,7 @@
  * @last_sort_ms: when the active jobs were last sorted
  * @last_sequence: sequence number of the newest job
  * @last_report: number of the newest report on an executor
+ * @created_ms: when this leader began
  */
 struct sched {
     sched_opts_t opts;
@@ -59,6 +60,7 @@
     int64_t last_sort_ms;
     uint64_t last_sequence;
     uint64_t last_report;
+    int64_t created_ms;
 };
 
 /**
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -256,6 +256,7 @@
     task->baseline_ratio = 0;
     task->slowdown = 0;
     task->slowed_since_ms = 0;
+    task->ended_ms = sched_now_ms(sched);
     if (checkpoint != NULL && checkpoint[0] != '\0') {
         g_free(task->checkpoint);
         task->checkpoint = g_strdup(checkpoint);
@@ -456,6 +457,7 @@
     sched->placement_needed |= changed || report->listed;
     sched->check_needed |= changed;
     executor->connected = true;
+    executor->heard_ms = sched_now_ms(sched);
     apply_lists(sched, executor, report);
     if (report->has_figures) {
         sched_executor_update_slowdown(executor);
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -280,6 +280,7 @@
         LOAD_LOG_INTERVAL_MS) {
         leader->load_logged_ms = leader_now_ms(leader);
         sched_log_load(leader->sched);
+        sched_log_idle(leader->sched);
     }
 }
 
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -23,6 +23,7 @@
 
 #include "fake_executor.h"
 #include "fake_store.h"
+#include "log_lines.h"
 #include "test_address.h"
 
 namespace {
@@ -31,46 +32,6 @@
     PORT = 900,
 };
 
-/* The log lines of this process, as "event-name details". */
-std::vector<std::string> &
-log_lines()
-{
-    static std::vector<std::string> lines;
-
-    return lines;
-}
-
-GLogWriterOutput
-keep_line(GLogLevelFlags, const GLogField *fields, gsize count, gpointer)
-{
-    std::string name;
-    std::string message;
-
-    for (gsize i = 0; i < count; i++) {
-        if (strcmp(fields[i].key, "EVENT_NAME") == 0) {
-            name = static_cast<const char *>(fields[i].value);
-        }
-        if (strcmp(fields[i].key, "MESSAGE") == 0) {
-            message = static_cast<const char *>(fields[i].value);
-        }
-    }
-    log_lines().push_back(name + " " + message);
-    return G_LOG_WRITER_HANDLED;
-}
-
-std::vector<std::string>
-lines_of(const std::string &event)
-{
-    std::vector<std::string> found;
-
-    for (const std::string &line : log_lines()) {
-        if (line.rfind(event + " ", 0) == 0) {
-            found.push_back(line);
-        }
-    }
-    return found;
-}
-
 /* Keeps the log of the tests of this file. */
 struct LoopTest : public ::testing::Test {
     loop_t *loop = loop_new();
@@ -78,19 +39,13 @@
     static void
     SetUpTestSuite()
     {
-        static bool is_set = false;
-
-        if (!is_set) {
-            is_set = true;
-            /* The programs do this in loop_on_signals(). */
-            signal(SIGPIPE, SIG_IGN);
-            g_log_set_writer_func(keep_line, nullptr, nullptr);
-        }
+        /* The programs do this in loop_on_signals(). */
+        signal(SIGPIPE, SIG_IGN);
     }
     void
     SetUp() override
     {
-        log_lines().clear();
+        keep_log_lines();
     }
     void
     TearDown() override
