Show two ways in which a lasting task goes without a run

- A long-running task whose run ends as done is done for good, and its job is shown as completed: Expected: core.orders(A).starts Which is: {} {{"j.0.0.0", 2}} done
- An executor is lost just after its agent has restarted: the tasks wait for max_lease_ms (20 s in the test) in place of the 2 s that the leader grants: Value of: deployment.wait_state(0, "j", SCHED_JOB_COMPLETED) Actual: false (10273 ms)

--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -36,6 +36,7 @@
         FakeExecutor executor;
         char address[32];
         uint32_t cpu_milli = 8000;
+        int64_t max_lease_ms = 2000;
         int64_t clock_ahead_ms = 0;
         uint64_t sequence = 0;
     };
@@ -141,7 +142,7 @@
         node.settings.report_ms = 100;
         node.settings.silence_ms = 800;
         node.settings.poll_wait_ms = 500;
-        node.settings.max_lease_ms = 2000;
+        node.settings.max_lease_ms = node.max_lease_ms;
         opts.loop = loop;
         opts.clock = clock_system();
         opts.store = &node.view->base;
--- a/tests/unit/deployment_test.cc
+++ b/tests/unit/deployment_test.cc
@@ -329,6 +329,30 @@
     EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
 }
 
+// Guards against tasks that wait for the longest lease that an executor
+// accepts, as their executor was lost just after a restart of its agent, which
+// does not know what its predecessor passed on.
+TEST(Deployment, WaitsNoLongerThanTheLeaderGrantedBehindARestartedAgent)
+{
+    constexpr int64_t MAX_LEASE_MS = 20000;
+    Deployment deployment(1, 2, PORT);
+    FakeExecutor &lost = deployment.nodes[0]->executor;
+
+    ASSERT_TRUE(deployment.wait([&] { return deployment.all_ready(); }));
+    run_on_first_executor(deployment);
+    lost.work_ms = -1;
+    deployment.nodes[0]->max_lease_ms = MAX_LEASE_MS;
+    deployment.restart_node(0);
+    int polls = lost.polls;
+    ASSERT_TRUE(deployment.wait([&] { return lost.polls > polls + 2; }));
+    lost.gone = true;
+    lost.running.clear();
+    int64_t lost_ms = FakeExecutor::now_ms();
+    EXPECT_TRUE(deployment.wait_state(0, "j", SCHED_JOB_COMPLETED));
+    EXPECT_LT(FakeExecutor::now_ms() - lost_ms, MAX_LEASE_MS / 2);
+    EXPECT_EQ(deployment.get_doubled(), std::vector<std::string>());
+}
+
 // Guards against an agent that loses track of running tasks when it restarts.
 TEST(Deployment, KeepsRunsAcrossARestartOfTheAgent)
 {
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -156,6 +156,39 @@
     }
 }
 
+// Guards against a long-running task that never runs again, as the leader has
+// stored the end of a run as the end of the task: it lasts until its job is
+// cancelled.
+TEST(Sched, RunsALongRunningTaskAgainUnderALaterLeader)
+{
+    constexpr int64_t RESTART_MS = 2500; /* more than the longest delay */
+
+    for (sched_end_t how :
+         {SCHED_END_DONE, SCHED_END_FAILED, SCHED_END_STOPPED,
+          SCHED_END_LAPSED, SCHED_END_BROKEN, SCHED_END_ALONE}) {
+        Core core;
+
+        connect(core, A);
+        sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
+        core.run_and_commit();
+        ASSERT_EQ(core.orders(A).starts,
+                  (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+        Report ended(A);
+        ended.ends(1, {"j.0.0.0", 1}, how);
+        core.report(ended);
+        core.run_and_commit();
+        core.restart();
+        connect(core, A);
+        fake_clock_advance_ms(&core.clock, RESTART_MS);
+        core.run_and_commit();
+        EXPECT_EQ(core.orders(A).starts,
+                  (std::vector<TaskRun>{{"j.0.0.0", 2}}))
+            << sched_end_to_string(how);
+        EXPECT_NE(core.visible_state("j"), SCHED_JOB_COMPLETED)
+            << sched_end_to_string(how);
+    }
+}
+
 // Guards against a run that starts on another executor while the first run may
 // still be active, and against a task that is never restarted.
 TEST(Sched, WaitsForTheLeaseOfALostExecutor)
