Start a long-running task again after a run that ended as done

Cause: the end of a run was taken for the end of its task, whatever the task. Ruled out: failed, stopped, lapsed, broken and alone, which the test goes through too. Change: only a task that isn't long-running ends with its run; another one is started again with the delay of a failure, which keeps one that ends at once from going round. Its run time says nothing of the executor, and is not compared. Records of earlier versions that hold such a task as done are read as waiting.

--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -231,6 +231,18 @@
     return check_occurrences(record, error);
 }
 
+/* Earlier versions stored a long-running task as done after a run that had
+   ended so. */
+static sched_task_phase_t
+get_stored_phase(const Teasel__StepSpec *spec,
+                 const Teasel__TaskRecord *record)
+{
+    sched_task_phase_t phase = (sched_task_phase_t)record->state;
+
+    return spec->long_running && phase == SCHED_TASK_DONE ? SCHED_TASK_WAITING
+                                                          : phase;
+}
+
 /* A run that was being stopped, or whose job is final, is loaded as stopping:
    its stop order may have been lost when the leader that stored the record
    ended. */
@@ -240,7 +252,7 @@
 {
     sched_step_t *step = task->step;
 
-    task->phase = (sched_task_phase_t)record->state;
+    task->phase = get_stored_phase(step->spec, record);
     task->run = record->run;
     task->failures = record->failures;
     task->crashes = record->crashes;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -118,6 +118,14 @@
     return task->step->spec->gang && task->step->done > 0;
 }
 
+/* A long-running task lasts until its job is cancelled. */
+static bool
+ends_task(const sched_task_t *task, sched_end_t how)
+{
+    return !task->step->spec->long_running &&
+           (how == SCHED_END_DONE || gang_has_finished(task));
+}
+
 static uint32_t
 count_failures(const sched_task_t *task)
 {
@@ -141,8 +149,9 @@
     sched->placement_needed = true;
 }
 
+/* Handles a run that has ended by itself and whose task has to run again. */
 static void
-fail_task(sched_t *sched, sched_task_t *task)
+restart_task(sched_t *sched, sched_task_t *task)
 {
     sched_job_t *job = sched_task_get_job(task);
     uint32_t attempts = job->spec->max_attempts;
@@ -172,7 +181,8 @@
     sched_executor_t *executor = task->executor;
     double ran_ms = (double)(sched_now_ms(sched) - task->running_ms);
 
-    if (task->running_ms == 0 || task->checkpoint != NULL) {
+    if (task->running_ms == 0 || task->checkpoint != NULL ||
+        step->spec->long_running) {
         return;
     }
     sched_update_estimate_error(sched, task, ran_ms);
@@ -240,7 +250,7 @@
 {
     sched_job_t *job = sched_task_get_job(task);
 
-    if (how != SCHED_END_DONE) {
+    if (how != SCHED_END_DONE || task->step->spec->long_running) {
         log_end(sched, task, how);
     }
     update_executor_health(sched, task, how);
@@ -266,11 +276,11 @@
         sched->placement_needed = true;
         return;
     }
-    if (how == SCHED_END_DONE || gang_has_finished(task)) {
+    if (ends_task(task, how)) {
         finish_task(sched, task);
     }
-    else if (how == SCHED_END_FAILED) {
-        fail_task(sched, task);
+    else if (how == SCHED_END_FAILED || how == SCHED_END_DONE) {
+        restart_task(sched, task);
     }
     else {
         release_task(sched, task);
