Take the leader's longest lease for what an earlier agent passed on

Cause: a restarted agent doesn't know which lease its predecessor passed on, and took the longest one that an executor accepts (max_lease_ms, 10 s there) for it, though no leader grants more than lease_ms (6 s). The leader extends the lease as long as the agent reports the executor.

Change: the leader tells its longest lease with each message, and the agent counts that. An executor that has restarted under its id has a new clock and may have taken a time on its predecessor's clock for the end of its lease, which it shortens to max_lease_ms: for a young executor, and for a successor that doesn't announce itself, the longest accepted lease stands. Leaders of earlier versions send 0, and max_lease_ms stands too.

Ruled out: to let the leader stop extending leases of a silent executor. It would have to hold runs for an executor that may answer again.

Two tests of the agent guard both sides of the bound.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -86,6 +86,17 @@
     return NULL;
 }
 
+/* An executor does not accept a lease of more than max_lease_ms. */
+static void
+learn_longest_lease(node_t *node, const Teasel__NodeOrders *orders)
+{
+    int64_t max_lease_ms = node->opts.settings->max_lease_ms;
+
+    node->longest_lease_ms = orders->longest_lease_ms > 0
+                                 ? MIN(orders->longest_lease_ms, max_lease_ms)
+                                 : max_lease_ms;
+}
+
 static void
 on_orders(const Teasel__NodeOrders *orders, void *data)
 {
@@ -93,6 +104,7 @@
     bool is_first_epoch = node->epoch == 0;
 
     node->epoch = MAX(node->epoch, orders->epoch);
+    learn_longest_lease(node, orders);
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
         node_executor_renew_lease(executor, orders->echo_us, orders->lease_ms);
     }
@@ -143,6 +155,7 @@
     };
 
     node->opts = *opts;
+    node->longest_lease_ms = opts->settings->max_lease_ms;
     node->ended_keys = g_ptr_array_new_with_free_func(g_free);
     node->crashes = crash_list_new();
     list_init(&node->executors);
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -19,6 +19,8 @@
     /* A run that is listed this long after its start has not crashed the
        executor by being started. */
     SETTLE_MS = 500,
+    /* Number of longest leases for which an executor is young. */
+    YOUNG_LEASES = 2,
     /* Several times the interval of announcements. */
     ANNOUNCEMENT_VALID_MS = 10000,
 };
@@ -377,16 +379,35 @@
     }
 }
 
-/* The executor has shortened a longer lease. An earlier agent process may have
-   renewed the lease of one that answers for the first time. */
+/* Returns the longest lease that an earlier agent process may have passed on.
+   An executor that has restarted under its id has a new clock: it may have
+   taken a time on the clock of its predecessor for the end of its lease, which
+   it shortens to max_lease_ms. Such calls arrive only for some time after its
+   start. */
+static int64_t
+get_inherited_lease_ms(const node_executor_t *executor)
+{
+    const node_t *node = executor->node;
+    int64_t max_lease_ms = node->opts.settings->max_lease_ms;
+
+    return executor->clock_ms < YOUNG_LEASES * max_lease_ms
+               ? max_lease_ms
+               : node->longest_lease_ms;
+}
+
 static void
 update_lease(node_executor_t *executor)
 {
-    int64_t longest_ms =
-        executor->clock_ms + executor->node->opts.settings->max_lease_ms;
+    int64_t max_lease_ms = executor->node->opts.settings->max_lease_ms;
 
+    if (!executor->polled) {
+        executor->deadline_ms =
+            executor->clock_ms + get_inherited_lease_ms(executor);
+        return;
+    }
+    /* The executor has shortened a longer lease. */
     executor->deadline_ms =
-        executor->polled ? MIN(executor->deadline_ms, longest_ms) : longest_ms;
+        MIN(executor->deadline_ms, executor->clock_ms + max_lease_ms);
 }
 
 static void
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -174,6 +174,8 @@
  * @ended_keys: keys of ended incarnations to be reported
  * @crashes: runs that had just started when their executor crashed
  * @epoch: highest epoch of a leader that sent orders
+ * @longest_lease_ms: no leader grants a longer lease, also not to an earlier
+ *     agent process
  * @heartbeat_us: time of the last heartbeat, which differs from that of every
  *     other one
  * @reported_ms: time of the last heartbeat
@@ -187,6 +189,7 @@
     loop_timer_t tick;
     loop_timer_t flush;
     uint64_t epoch;
+    int64_t longest_lease_ms;
     uint64_t heartbeat_us;
     int64_t reported_ms;
     uint64_t starts;
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -109,6 +109,7 @@
     int64_t lease_ms = get_lease_ms(leader);
 
     orders->lease_ms = (uint32_t)lease_ms;
+    orders->longest_lease_ms = (uint32_t)leader->opts.lease_ms;
     orders->echo_us = session->echo_us;
     sched_extend_leases(leader->sched, session->node,
                         leader_now_ms(leader) + lease_ms +
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -3740,7 +3740,7 @@
   (ProtobufCMessageInit) teasel__executor_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__node_orders__field_descriptors[5] =
+static const ProtobufCFieldDescriptor teasel__node_orders__field_descriptors[6] =
 {
   {
     "epoch",
@@ -3802,18 +3802,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "longest_lease_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__NodeOrders, longest_lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__node_orders__field_indices_by_name[] = {
   1,   /* field[1] = echo_us */
   0,   /* field[0] = epoch */
   3,   /* field[3] = executors */
   2,   /* field[2] = lease_ms */
+  5,   /* field[5] = longest_lease_ms */
   4,   /* field[4] = send_lists */
 };
 static const ProtobufCIntRange teasel__node_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor teasel__node_orders__descriptor =
 {
@@ -3823,7 +3836,7 @@
   "Teasel__NodeOrders",
   "teasel",
   sizeof(Teasel__NodeOrders),
-  5,
+  6,
   teasel__node_orders__field_descriptors,
   teasel__node_orders__field_indices_by_name,
   1,  teasel__node_orders__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -590,10 +590,14 @@
    * the next report must be complete
    */
   protobuf_c_boolean send_lists;
+  /*
+   * No leader grants a longer lease; 0 from earlier versions.
+   */
+  uint32_t longest_lease_ms;
 };
 #define TEASEL__NODE_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__node_orders__descriptor) \
-    , 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /* Teasel__StepSpec methods */
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -67,6 +67,7 @@
 {
     auto *api = reinterpret_cast<Api *>(base);
     FakeExecutor *executor = api->executor;
+    int64_t until_ms = order->deadline_ms - executor->clock_offset_ms;
     const char *reason = nullptr;
     executor_result_t failure;
 
@@ -89,13 +90,13 @@
     if (executor->late_starts > 0) {
         executor->late_starts--;
         executor->late.push_back({FakeExecutor::now_ms() + executor->late_ms,
-                                  order->task, order->run, order->deadline_ms,
+                                  order->task, order->run, until_ms,
                                   order->fencing_token});
         api->deliver_after(NO_ANSWER_MS,
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
         return;
     }
-    reason = executor->begin(order->task, order->run, order->deadline_ms,
+    reason = executor->begin(order->task, order->run, until_ms,
                              order->fencing_token);
     if (executor->lose_starts > 0) {
         executor->lose_starts--;
@@ -173,7 +174,7 @@
     for (auto &entry : ended) {
         ended_list.push_back(&entry);
     }
-    reply.clock_ms = FakeExecutor::now_ms();
+    reply.clock_ms = FakeExecutor::now_ms() + executor->clock_offset_ms;
     reply.running = running_list.data();
     reply.running_count = running_list.size();
     reply.ended = ended_list.data();
@@ -202,7 +203,8 @@
     executor->polls++;
     executor->fencing_token =
         std::max(executor->fencing_token, poll->fencing_token);
-    executor->deadline_ms = std::max(executor->deadline_ms, poll->deadline_ms);
+    executor->deadline_ms = std::max(
+        executor->deadline_ms, poll->deadline_ms - executor->clock_offset_ms);
     while (!executor->ends.empty() && executor->ends[0].number <= cursor) {
         if (executor->ends[0].how == SCHED_END_DONE) {
             executor->noted.insert(executor->ends[0].task);
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -41,9 +41,10 @@
     loop_t *loop = nullptr;
     std::string id = "id";
     int64_t born_ms = 100;
-    int64_t work_ms = 40;      /* duration of a run; < 0: without end */
-    bool unresponsive = false; /* calls get no answer and have no effect */
-    bool gone = false;         /* calls cannot be sent */
+    int64_t clock_offset_ms = 0; /* of its clock from that of the test */
+    int64_t work_ms = 40;        /* duration of a run; < 0: without end */
+    bool unresponsive = false;   /* calls get no answer and have no effect */
+    bool gone = false;           /* calls cannot be sent */
     int lose_starts = 0;       /* next starts to carry out without an answer */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
     int64_t poll_ms = 15;      /* time until a poll is answered */
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "fake_executor.h"
 #include "fake_store.h"
 #include "loop_wait.h"
@@ -55,6 +57,8 @@
     uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
     std::vector<std::string> heartbeat; /* executors that it contains */
     std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
+    std::set<std::string> gone;         /* executors reported as such */
+    uint32_t longest_lease_ms = 0;      /* that any leader grants */
     char leader_address[32];
     char executor_address[32];
 
@@ -137,6 +141,11 @@
 
             self->crashed[{run->task, run->run}] = !run->unconfirmed;
         }
+        for (size_t i = 0; i < message->node_report->n_executors; i++) {
+            if (message->node_report->executors[i]->gone) {
+                self->gone.insert(message->node_report->executors[i]->key);
+            }
+        }
         if (message->node_report->sent_us == 0) {
             return;
         }
@@ -175,7 +184,7 @@
         info.rack = "r1";
         info.cpu_milli = 4000;
         info.memory_mb = 4000;
-        info.clock_ms = FakeExecutor::now_ms();
+        info.clock_ms = FakeExecutor::now_ms() + executor.clock_offset_ms;
         info.sequence = 1;
         ASSERT_TRUE(node_announce_executor(node, &info));
     }
@@ -208,6 +217,7 @@
         orders.epoch = epoch;
         orders.echo_us = echo_us;
         orders.lease_ms = lease_ms;
+        orders.longest_lease_ms = longest_lease_ms;
         envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
         envelope.node_orders = &orders;
         peer_send(peer, &envelope);
@@ -257,6 +267,42 @@
     EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
 }
 
+/* Loses an executor just after the agent has found it, as an agent does that
+   has restarted, and returns whether it is reported as gone once the longest
+   lease that a leader grants has passed. */
+bool
+is_gone_after_longest_lease(Node &test, int64_t age_ms)
+{
+    test.longest_lease_ms = 1000;
+    test.executor.clock_offset_ms = age_ms - FakeExecutor::now_ms();
+    g_assert(test.wait([&] { return test.heartbeat_us != 0; }));
+    test.grant(test.heartbeat_us, 1000);
+    test.announce();
+    g_assert(test.wait([&] { return !test.heartbeat.empty(); }));
+    test.executor.gone = true;
+    test.clock.leap_ms = 1900;
+    test.run_ms(2500);
+    return !test.gone.empty();
+}
+
+// Guards against tasks that wait for a lease that no leader has granted, after
+// their executor was lost behind a restarted agent.
+TEST_F(Node, WaitsForTheLongestLeaseOfALeaderAfterARestart)
+{
+    settings.max_lease_ms = 30000;
+    EXPECT_TRUE(is_gone_after_longest_lease(*this, 3600 * 1000));
+}
+
+// Guards against a second run beside a lease that a young executor has taken
+// from a call that was meant for its predecessor, whose clock was ahead.
+TEST_F(Node, WaitsForTheLongestAcceptedLeaseOfAYoungExecutor)
+{
+    settings.max_lease_ms = 30000;
+    EXPECT_FALSE(is_gone_after_longest_lease(*this, 3000));
+    clock.leap_ms = 32000;
+    EXPECT_TRUE(wait([&] { return !gone.empty(); }));
+}
+
 // Guards against an agent that carries out orders of a leader after it has
 // heard from the next one.
 TEST_F(Node, IgnoresOrdersOfAnEarlierLeader)
