Decide what an event means for a run in one place of the agent

What callers saw: nothing. The decision on one run (start, ask again, stop, reject, report) was spread over run.c, node_executor.c and node_orders.c, so that the table in section 14 of docs/design.md could not be compared with the code, and no test could go through all its cases.

Change: run_state_decide() takes what the agent knows of a run and an event, and returns the next state and the action, without I/O and clock. run.c, node_executor.c and node_orders.c turn answers, lists, ends and orders into events, and carry the actions out.

Behaviour, messages, log events and times are the same.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -212,7 +212,7 @@
         crashed.task = run->task;
         crashed.run = run->run;
         crashed.alone = alone;
-        crashed.unconfirmed = !run->confirmed;
+        crashed.unconfirmed = !run->state.confirmed;
         crash_list_add(node->crashes, &crashed, node_now_ms(node));
     }
 }
@@ -321,7 +321,8 @@
     executor->last_end_read = end->number;
     executor->unreported = true;
     run = run_find(executor, end->task, end->run);
-    if (run != NULL) {
+    if (run != NULL &&
+        run_apply(run, RUN_EVENT_ENDED).action == RUN_ACTION_FORGET) {
         run_free(run);
     }
     g_ptr_array_add(executor->ends, copy_end(end));
@@ -335,17 +336,12 @@
 
     if (run == NULL) {
         run = run_new(executor, status->task, status->run);
-        run->phase = RUN_STARTED;
-        run->unreported = true;
-        executor->unreported = true;
     }
-    else if (run->phase == RUN_STARTING || run->phase == RUN_QUEUED) {
-        run->phase = RUN_STARTED;
+    if (run_apply(run, RUN_EVENT_LISTED).action == RUN_ACTION_REPORT) {
         run->unreported = true;
         executor->unreported = true;
     }
-    run->confirmed = true;
-    if (!run->settled && run->phase == RUN_STARTED &&
+    if (!run->settled && run->state.phase == RUN_STARTED &&
         now_ms - run->phase_ms >= SETTLE_MS) {
         run->settled = true;
         run->unreported |= run->alone;
@@ -363,16 +359,16 @@
 check_unlisted_runs(node_executor_t *executor, int64_t sent_ms, int64_t now_ms)
 {
     LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
+        bool is_late = now_ms - run->phase_ms > UNLISTED_GRACE_MS;
+        run_decision_t decision;
+
         if (run->listed_ms == now_ms || run->phase_ms >= sent_ms) {
             continue;
         }
-        if (run->phase == RUN_STOPPED) {
-            run_reject(run, "stopped");
-        }
-        else if (run->phase == RUN_STARTED &&
-                 now_ms - run->phase_ms > UNLISTED_GRACE_MS) {
-            run->outcome_unknown = true;
-            run->stop_requested = true;
+        decision = run_apply(run, is_late ? RUN_EVENT_UNLISTED_LATER
+                                          : RUN_EVENT_UNLISTED);
+        if (decision.action == RUN_ACTION_REJECT) {
+            run_reject(run, decision.reason);
         }
     }
 }
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -5,14 +5,7 @@
 #include "node/crash_list.h"
 #include "node/node.h"
 #include "node/node_link.h"
-
-typedef enum run_phase {
-    RUN_QUEUED,   /* the start has not been sent */
-    RUN_STARTING, /* a start was sent and is not confirmed */
-    RUN_STARTED,
-    RUN_STOPPING, /* a stop was sent and is not confirmed */
-    RUN_STOPPED,  /* the stop is confirmed; a poll will return the run end */
-} run_phase_t;
+#include "node/run_state.h"
 
 /**
  * struct run - a run that this agent was ordered to start or stop, or that an
@@ -22,17 +15,13 @@
  * @percent: progress
  * @measured: measured value of the task: tail latency in ms of a serving task,
  *     CPU use in milli-CPU of others
- * @outcome_unknown: a start that had no answer, or that an earlier agent
- *     process may have sent, may still take effect
  * @alone: its start waits until no other run is starting, and starts of others
  *     wait until it has settled
- * @sent: this agent process has sent a start
- * @confirmed: the executor has confirmed the start, or listed the run
  * @settled: it was listed some time after its start
  * @call_pending: a start or stop call is in progress
  * @unreported: the start has not been reported to the leader
- * @attempts: starts without an answer
- * @phase_ms: time at which the phase began
+ * @phase_ms: time of the newest call, or confirmation of a call, that began a
+ *     phase; 0 if the phase is only known from an order or a list
  * @retry_ms: earliest time of the next call
  * @listed_ms: time at which it was last listed as running
  * @throttle_percent: share of full speed that is in effect
@@ -45,7 +34,7 @@
     struct node_executor *executor;
     char *task;
     uint32_t run;
-    run_phase_t phase;
+    run_state_t state;
     char *payload;
     char *checkpoint;
     uint32_t latency_target_ms;
@@ -53,15 +42,10 @@
     double tail_effect;
     uint32_t percent;
     uint32_t measured;
-    bool outcome_unknown;
     bool alone;
-    bool sent;
-    bool confirmed;
     bool settled;
     bool call_pending;
-    bool stop_requested;
     bool unreported;
-    unsigned attempts;
     int64_t phase_ms;
     int64_t retry_ms;
     int64_t listed_ms;
@@ -267,6 +251,13 @@
  */
 int64_t node_executor_get_deadline(const node_executor_t *executor);
 
+/**
+ * run_apply() - change what is known of a run by an event
+ *
+ * Return: what the caller has to do.
+ */
+run_decision_t run_apply(run_t *run, run_event_t event);
+
 run_t *run_find(node_executor_t *executor, const char *task, uint32_t number);
 run_t *run_new(node_executor_t *executor, const char *task, uint32_t number);
 void run_free(run_t *run);
--- a/libteasel/node/node_orders.c
+++ b/libteasel/node/node_orders.c
@@ -26,10 +26,11 @@
     if (run == NULL) {
         run = run_new(executor, order->task, order->run);
         run->throttle_known = true;
-        run->outcome_unknown = order->resent;
         run->payload = g_strdup(order->payload);
         run->checkpoint = g_strdup(order->checkpoint);
     }
+    run_apply(run, order->resent ? RUN_EVENT_START_ORDER_REPEATED
+                                 : RUN_EVENT_START_ORDER);
     run->alone = order->alone;
     run->best_effort = order->filler;
     run_set_tail_effect(run, order->tail_effect_permille);
@@ -54,13 +55,9 @@
     run_t *run = run_find(executor, order->task, order->run);
 
     if (run == NULL) {
-        /* The executor must receive the stop, so that it refuses a later start
-           of this run. */
         run = run_new(executor, order->task, order->run);
-        run->phase = RUN_STARTING;
-        run->outcome_unknown = true;
     }
-    run->stop_requested = true;
+    run_apply(run, RUN_EVENT_STOP_ORDER);
 }
 
 void
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -9,8 +9,6 @@
     /* Start calls in progress per executor; further ones wait in order. */
     MAX_STARTING = 8,
     RETRY_MS = 200,
-    /* Unanswered start calls after which the run is rejected or stopped. */
-    MAX_START_ATTEMPTS = 2,
 };
 
 /* Effect of a best-effort run that the leader does not know. */
@@ -22,6 +20,15 @@
     run->tail_effect = permille > 0 ? permille / 1000.0 : DEFAULT_TAIL_EFFECT;
 }
 
+run_decision_t
+run_apply(run_t *run, run_event_t event)
+{
+    run_decision_t decision = run_state_decide(run->state, event);
+
+    run->state = decision.state;
+    return decision;
+}
+
 run_t *
 run_find(node_executor_t *executor, const char *task, uint32_t number)
 {
@@ -72,7 +79,7 @@
     executor->unreported = true;
     event_log(EVENT_START_REJECTED,
               "task=%s run=%u executor=%s unanswered=%u reason=\"%s\"",
-              run->task, run->run, executor->key, run->attempts, reason);
+              run->task, run->run, executor->key, run->state.attempts, reason);
     run_free(run);
     node_schedule_report(executor->node);
 }
@@ -80,7 +87,7 @@
 bool
 run_is_starting(const run_t *run)
 {
-    return (run->sent || run->outcome_unknown) && !run->settled;
+    return (run->state.sent || run->state.outcome_unknown) && !run->settled;
 }
 
 run_call_t *
@@ -131,9 +138,8 @@
 }
 
 static void
-set_phase(run_t *run, run_phase_t phase)
+mark_phase_begun(run_t *run)
 {
-    run->phase = phase;
     run->phase_ms = node_now_ms(run->executor->node);
 }
 
@@ -143,19 +149,6 @@
     run->retry_ms = node_now_ms(run->executor->node) + RETRY_MS;
 }
 
-/* The leader may place the task elsewhere as soon as the run is rejected. */
-static void
-reject_or_stop(run_t *run, const char *reason)
-{
-    if (!run->outcome_unknown) {
-        run_reject(run, reason);
-        return;
-    }
-    /* An earlier start may still take effect; a stop prevents that. */
-    run->stop_requested = true;
-    run_check(run);
-}
-
 /* Logs the results after which a call may have had another effect than
    ordered. */
 static void
@@ -169,11 +162,61 @@
     }
 }
 
+static run_event_t
+get_start_event(executor_result_t result)
+{
+    switch (result) {
+    case EXECUTOR_OK:
+        return RUN_EVENT_START_CONFIRMED;
+    case EXECUTOR_REJECTED:
+    case EXECUTOR_BUSY:
+        return RUN_EVENT_START_REFUSED;
+    case EXECUTOR_NO_ANSWER:
+        return RUN_EVENT_START_UNANSWERED;
+    default:
+        return RUN_EVENT_START_NOT_SENT;
+    }
+}
+
+static void
+report_start(run_t *run)
+{
+    node_executor_t *executor = run->executor;
+
+    mark_phase_begun(run);
+    run->unreported = true;
+    executor->unreported = true;
+    throttle_update(executor);
+    node_schedule_report(executor->node);
+}
+
+/* Returns false if the run is over, or is to be stopped. */
+static bool
+apply_start_event(run_t *run, run_event_t event, const char *reason)
+{
+    run_decision_t decision = run_apply(run, event);
+
+    switch (decision.action) {
+    case RUN_ACTION_REJECT:
+        run_reject(run, decision.reason ? decision.reason : reason);
+        return false;
+    case RUN_ACTION_SEND_STOP:
+        run_check(run);
+        return false;
+    case RUN_ACTION_REPORT:
+        report_start(run);
+        return true;
+    default:
+        return true;
+    }
+}
+
 static void
 on_started(executor_result_t result, const char *reason, void *data)
 {
     run_call_t *call = data;
     node_executor_t *executor = call->executor;
+    run_event_t event = get_start_event(result);
     run_t *run;
 
     log_result(call, "start", result);
@@ -182,31 +225,13 @@
     if (!node_executor_check_result(executor, result) || run == NULL) {
         return;
     }
-    switch (result) {
-    case EXECUTOR_OK:
-        run->confirmed = true;
-        if (run->phase == RUN_STARTING) {
-            set_phase(run, RUN_STARTED);
-            run->unreported = true;
-            executor->unreported = true;
-            throttle_update(executor);
-            node_schedule_report(executor->node);
-        }
-        break;
-    case EXECUTOR_REJECTED:
-    case EXECUTOR_BUSY:
-        reject_or_stop(run, reason ? reason : "busy");
-        return;
-    default:
-        run->outcome_unknown |= result == EXECUTOR_NO_ANSWER;
+    if (event == RUN_EVENT_START_UNANSWERED ||
+        event == RUN_EVENT_START_NOT_SENT) {
         retry_later(run);
-        if (++run->attempts >= MAX_START_ATTEMPTS) {
-            reject_or_stop(run, "no answer");
-            return;
-        }
-        break;
     }
-    node_executor_check(executor);
+    if (apply_start_event(run, event, reason ? reason : "busy")) {
+        node_executor_check(executor);
+    }
 }
 
 static void
@@ -222,9 +247,11 @@
         return;
     }
     if (result == EXECUTOR_OK) {
-        set_phase(run, RUN_STOPPED);
+        run_apply(run, RUN_EVENT_STOP_CONFIRMED);
+        mark_phase_begun(run);
         return;
     }
+    run_apply(run, RUN_EVENT_STOP_FAILED);
     retry_later(run);
 }
 
@@ -238,7 +265,7 @@
         return false;
     }
     if (run->alone) {
-        return other->phase != RUN_QUEUED && run_is_starting(other);
+        return other->state.phase != RUN_QUEUED && run_is_starting(other);
     }
     return other->alone && !other->settled;
 }
@@ -267,19 +294,15 @@
         .fencing_token = executor->node->epoch,
     };
 
-    if (executor->draining) {
-        reject_or_stop(run, "the executor is leaving");
-        return;
-    }
     if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING ||
-        (run->phase == RUN_QUEUED && must_wait_for_others(run))) {
+        (run->state.phase == RUN_QUEUED && must_wait_for_others(run))) {
         return;
     }
     executor->deadline_ms = MAX(executor->deadline_ms, start.deadline_ms);
     executor->starting++;
     executor->node->starts++;
-    run->sent = true;
-    set_phase(run, RUN_STARTING);
+    run_apply(run, RUN_EVENT_START_SENT);
+    mark_phase_begun(run);
     executor->api->vtbl->start(executor->api, &start, on_started,
                                begin_call(run));
 }
@@ -289,11 +312,8 @@
 {
     node_executor_t *executor = run->executor;
 
-    if (run->phase == RUN_QUEUED && !run->outcome_unknown) {
-        run_reject(run, "stopped before the start");
-        return;
-    }
-    set_phase(run, RUN_STOPPING);
+    run_apply(run, RUN_EVENT_STOP_SENT);
+    mark_phase_begun(run);
     executor->api->vtbl->stop(executor->api, run->task, run->run,
                               executor->node->epoch, on_stopped,
                               begin_call(run));
@@ -302,15 +322,25 @@
 void
 run_check(run_t *run)
 {
-    if (run->call_pending ||
-        node_now_ms(run->executor->node) < run->retry_ms) {
-        return;
-    }
-    if (run->stop_requested && run->phase != RUN_STOPPED) {
-        send_stop(run);
+    node_executor_t *executor = run->executor;
+    run_decision_t decision;
+
+    if (run->call_pending || node_now_ms(executor->node) < run->retry_ms) {
         return;
     }
-    if (run->phase == RUN_QUEUED || run->phase == RUN_STARTING) {
+    decision = run_apply(run, executor->draining ? RUN_EVENT_CALL_DUE_LEAVING
+                                                 : RUN_EVENT_CALL_DUE);
+    switch (decision.action) {
+    case RUN_ACTION_SEND_START:
         send_start(run);
+        break;
+    case RUN_ACTION_SEND_STOP:
+        send_stop(run);
+        break;
+    case RUN_ACTION_REJECT:
+        run_reject(run, decision.reason);
+        break;
+    default:
+        break;
     }
 }
--- a/libteasel/node/throttle.c
+++ b/libteasel/node/throttle.c
@@ -44,7 +44,7 @@
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         double ratio;
 
-        if (run->latency_target_ms == 0 || run->phase != RUN_STARTED) {
+        if (run->latency_target_ms == 0 || run->state.phase != RUN_STARTED) {
             continue;
         }
         ratio = (double)run->measured / run->latency_target_ms;
@@ -208,7 +208,7 @@
 
     update_miss(executor, &tail, now_ms);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        if (run->best_effort && run->phase == RUN_STARTED) {
+        if (run->best_effort && run->state.phase == RUN_STARTED) {
             add_effect(&effects, run);
         }
     }
