--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -60,6 +60,15 @@
            executor->capacity.accelerators == info->accelerators;
 }
 
+/* Longest time that an interval on one of the two clocks takes on the
+   other. */
+static int64_t
+add_clock_error(int64_t interval_ms)
+{
+    return interval_ms + interval_ms * CLOCK_DRIFT_PERCENT / 100 +
+           EXPIRY_MARGIN_MS;
+}
+
 /* An announcement may be delayed, or come from another writer. Only the first
    one is taken as it is. */
 static bool
@@ -70,9 +79,7 @@
 
     return executor->clock_ms < 0 ||
            (clock_ms >= executor->clock_ms &&
-            clock_ms <= executor->clock_ms + passed_ms +
-                            passed_ms * CLOCK_DRIFT_PERCENT / 100 +
-                            EXPIRY_MARGIN_MS);
+            clock_ms <= executor->clock_ms + add_clock_error(passed_ms));
 }
 
 void
@@ -176,8 +183,7 @@
     int64_t passed_ms = node_now_ms(executor->node) - executor->clock_read_ms;
 
     return executor->polled && executor->silent &&
-           passed_ms > lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 +
-                           EXPIRY_MARGIN_MS;
+           passed_ms > add_clock_error(lease_ms);
 }
 
 static unsigned
@@ -484,8 +490,7 @@
 {
     int64_t lease_ms = executor->node->opts.settings->max_lease_ms;
 
-    if (now_ms - executor->restarted_ms >
-        lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 + EXPIRY_MARGIN_MS) {
+    if (now_ms - executor->restarted_ms > add_clock_error(lease_ms)) {
         node_executor_end(executor, "its successor did not announce itself");
     }
 }
