--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -204,11 +204,12 @@
 note_crashed_runs(node_executor_t *executor)
 {
     node_t *node = executor->node;
-    bool alone = count_starting(executor) == 1 && !has_lease_expired(executor);
+    bool alone;
 
     if (executor->ended_by_ms != 0) {
         return;
     }
+    alone = count_starting(executor) == 1 && !has_lease_expired(executor);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         Teasel__CrashedRun crashed = TEASEL__CRASHED_RUN__INIT;
 
