--- a/libteasel/node/node_orders.c
+++ b/libteasel/node/node_orders.c
@@ -18,6 +18,15 @@
     }
 }
 
+static void
+set_traits(run_t *run, bool best_effort, uint32_t tail_effect_permille,
+           uint32_t latency_target_ms)
+{
+    run->best_effort = best_effort;
+    run_set_tail_effect(run, tail_effect_permille);
+    run->latency_target_ms = latency_target_ms;
+}
+
 static void
 apply_start(node_executor_t *executor, const Teasel__StartOrder *order)
 {
@@ -32,9 +41,8 @@
     run_apply(run, order->resent ? RUN_EVENT_START_ORDER_REPEATED
                                  : RUN_EVENT_START_ORDER);
     run->alone = order->alone;
-    run->best_effort = order->filler;
-    run_set_tail_effect(run, order->tail_effect_permille);
-    run->latency_target_ms = order->latency_target_ms;
+    set_traits(run, order->filler, order->tail_effect_permille,
+               order->latency_target_ms);
 }
 
 static void
@@ -43,9 +51,8 @@
     run_t *run = run_find(executor, traits->task, traits->run);
 
     if (run != NULL) {
-        run->best_effort = traits->filler;
-        run_set_tail_effect(run, traits->tail_effect_permille);
-        run->latency_target_ms = traits->latency_target_ms;
+        set_traits(run, traits->filler, traits->tail_effect_permille,
+                   traits->latency_target_ms);
     }
 }
 
