--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -229,6 +229,14 @@
  */
 void node_executor_check(node_executor_t *executor);
 
+/**
+ * node_executor_apply_lists() - compare the runs with the lists of an executor
+ * @now_ms: time of the answer to the poll
+ */
+void node_executor_apply_lists(node_executor_t *executor,
+                               const executor_poll_reply_t *reply,
+                               int64_t now_ms);
+
 /**
  * node_executor_order() - carry out orders of the leader for an executor
  */
