--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -389,17 +389,25 @@
     sched_stage_order(sched, task);
 }
 
-/* Sends orders again that may have been lost with a connection: stops, and the
-   starts of runs that the present complete list does not contain. The agent
-   and the executor ignore repeated orders. */
+/* Stops, and the starts of runs that the present complete list does not
+   contain, may have been lost with a connection. */
+static bool
+may_be_lost(const sched_t *sched, const sched_task_t *task)
+{
+    bool is_listed = task->report == sched->last_report;
+
+    return task->start_sent &&
+           (!is_listed || task->phase == SCHED_TASK_STOPPING);
+}
+
+/* The agent and the executor ignore repeated orders. */
 static void
 repeat_orders(sched_t *sched, sched_executor_t *executor)
 {
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
         task->tail_effect =
             interference_get_effect(sched->interference, executor, task->step);
-        if (task->start_sent && (task->report != sched->last_report ||
-                                 task->phase == SCHED_TASK_STOPPING)) {
+        if (may_be_lost(sched, task)) {
             repeat_order(sched, task);
         }
     }
