--- a/tests/unit/run_state_test.cc
+++ b/tests/unit/run_state_test.cc
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstring>
 #include <functional>
 #include <map>
 #include <optional>
