--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -1,4 +1,5 @@
-/* One incarnation of an executor: its lease, its polls and its runs. */
+/* One incarnation of an executor: its beginning, its lease, its polls and its
+   end. */
 
 #include <math.h>
 #include <string.h>
@@ -12,13 +13,7 @@
     /* The clock of an executor may be slow by 2%. */
     CLOCK_DRIFT_PERCENT = 3,
     EXPIRY_MARGIN_MS = 200,
-    /* A confirmed run that is still not listed after this time does not exist;
-       a list may have been made before the start. */
-    UNLISTED_GRACE_MS = 1500,
     SILENT_AFTER_MS = 1500,
-    /* A run that is listed this long after its start has not crashed the
-       executor by being started. */
-    SETTLE_MS = 500,
     /* Number of longest leases for which an executor is young. */
     YOUNG_LEASES = 2,
     /* Several times the interval of announcements. */
@@ -62,6 +57,15 @@
            executor->capacity.accelerators == info->accelerators;
 }
 
+/* Longest time that an interval on one of the two clocks takes on the
+   other. */
+static int64_t
+add_clock_error(int64_t interval_ms)
+{
+    return interval_ms + interval_ms * CLOCK_DRIFT_PERCENT / 100 +
+           EXPIRY_MARGIN_MS;
+}
+
 /* An announcement may be delayed, or come from another writer. Only the first
    one is taken as it is. */
 static bool
@@ -72,9 +76,7 @@
 
     return executor->clock_ms < 0 ||
            (clock_ms >= executor->clock_ms &&
-            clock_ms <= executor->clock_ms + passed_ms +
-                            passed_ms * CLOCK_DRIFT_PERCENT / 100 +
-                            EXPIRY_MARGIN_MS);
+            clock_ms <= executor->clock_ms + add_clock_error(passed_ms));
 }
 
 void
@@ -178,8 +180,7 @@
     int64_t passed_ms = node_now_ms(executor->node) - executor->clock_read_ms;
 
     return executor->polled && executor->silent &&
-           passed_ms > lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 +
-                           EXPIRY_MARGIN_MS;
+           passed_ms > add_clock_error(lease_ms);
 }
 
 static unsigned
@@ -200,11 +201,12 @@
 note_crashed_runs(node_executor_t *executor)
 {
     node_t *node = executor->node;
-    bool alone = count_starting(executor) == 1 && !has_lease_expired(executor);
+    bool alone;
 
     if (executor->ended_by_ms != 0) {
         return;
     }
+    alone = count_starting(executor) == 1 && !has_lease_expired(executor);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         Teasel__CrashedRun crashed = TEASEL__CRASHED_RUN__INIT;
 
@@ -214,7 +216,7 @@
         crashed.task = run->task;
         crashed.run = run->run;
         crashed.alone = alone;
-        crashed.unconfirmed = !run->confirmed;
+        crashed.unconfirmed = !run->state.confirmed;
         crash_list_add(node->crashes, &crashed, node_now_ms(node));
     }
 }
@@ -298,87 +300,6 @@
            (executor->lease_until_ms - executor->clock_read_ms);
 }
 
-static Teasel__RunEnd *
-copy_end(const Teasel__RunEnd *end)
-{
-    Teasel__RunEnd *copy = g_new(Teasel__RunEnd, 1);
-
-    teasel__run_end__init(copy);
-    copy->number = end->number;
-    copy->task = g_strdup(end->task);
-    copy->run = end->run;
-    copy->how = end->how;
-    copy->checkpoint = g_strdup(end->checkpoint);
-    return copy;
-}
-
-static void
-handle_run_end(node_executor_t *executor, const Teasel__RunEnd *end)
-{
-    run_t *run;
-
-    if (end->number <= executor->last_end_read) {
-        return;
-    }
-    executor->last_end_read = end->number;
-    executor->unreported = true;
-    run = run_find(executor, end->task, end->run);
-    if (run != NULL) {
-        run_free(run);
-    }
-    g_ptr_array_add(executor->ends, copy_end(end));
-}
-
-static void
-handle_running(node_executor_t *executor, const Teasel__RunStatus *status,
-               int64_t now_ms)
-{
-    run_t *run = run_find(executor, status->task, status->run);
-
-    if (run == NULL) {
-        run = run_new(executor, status->task, status->run);
-        run->phase = RUN_STARTED;
-        run->unreported = true;
-        executor->unreported = true;
-    }
-    else if (run->phase == RUN_STARTING || run->phase == RUN_QUEUED) {
-        run->phase = RUN_STARTED;
-        run->unreported = true;
-        executor->unreported = true;
-    }
-    run->confirmed = true;
-    if (!run->settled && run->phase == RUN_STARTED &&
-        now_ms - run->phase_ms >= SETTLE_MS) {
-        run->settled = true;
-        run->unreported |= run->alone;
-        executor->unreported |= run->alone;
-    }
-    run->listed_ms = now_ms;
-    run->percent = status->percent;
-    run->measured = status->figure;
-    replace_string(&run->checkpoint, status->checkpoint);
-}
-
-/* A run that existed when the poll was sent, and is listed neither as running
-   nor as ended, does not exist. */
-static void
-check_unlisted_runs(node_executor_t *executor, int64_t sent_ms, int64_t now_ms)
-{
-    LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
-        if (run->listed_ms == now_ms || run->phase_ms >= sent_ms) {
-            continue;
-        }
-        if (run->phase == RUN_STOPPED) {
-            run_reject(run, "stopped");
-        }
-        else if (run->phase == RUN_STARTED &&
-                 now_ms - run->phase_ms > UNLISTED_GRACE_MS) {
-            run->outcome_unknown = true;
-            run->stop_requested = true;
-        }
-    }
-}
-
 /* Returns the longest lease that an earlier agent process may have passed on.
    An executor that has restarted under its id has a new clock: it may have
    taken a time on the clock of its predecessor for the end of its lease, which
@@ -424,13 +345,7 @@
                   executor->key);
     }
     executor->silent = false;
-    for (size_t i = 0; i < reply->ended_count; i++) {
-        handle_run_end(executor, reply->ended[i]);
-    }
-    for (size_t i = 0; i < reply->running_count; i++) {
-        handle_running(executor, reply->running[i], now_ms);
-    }
-    check_unlisted_runs(executor, executor->poll_sent_ms, now_ms);
+    node_executor_apply_lists(executor, reply, now_ms);
     if (!executor->polled) {
         executor->polled = true;
         executor->unreported = true;
@@ -509,8 +424,7 @@
 {
     int64_t lease_ms = executor->node->opts.settings->max_lease_ms;
 
-    if (now_ms - executor->restarted_ms >
-        lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100 + EXPIRY_MARGIN_MS) {
+    if (now_ms - executor->restarted_ms > add_clock_error(lease_ms)) {
         node_executor_end(executor, "its successor did not announce itself");
     }
 }
