Count a lease from the last answer of its executor at most

Cause: until an executor counts as silent (1.5 s) its agent went on to extend its lease with each poll, though nothing had answered. Such polls may arrive, so the agent has to wait for what it asked for. Change: the end that it asks for is at most the longest lease after the last answer; an executor that answers is asked again several times a second, so its lease is not shorter in effect.

Before: Node.CountsALeaseFromTheLastAnswerAtMost failed (the end asked for went on beyond the last answer and a lease); now it passes.

--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -291,13 +291,15 @@
 {
     /* The executor read its clock before its answer arrived here, so the
        result is never too late. A silent executor gets no further lease, as it
-       may still receive calls that it does not answer. */
+       may still receive calls that it does not answer; before it counts as
+       silent, the lease is counted from its last answer at most. */
     if (executor->clock_ms < 0 || executor->silent ||
         node_now_ms(executor->node) >= executor->lease_until_ms) {
         return 0;
     }
     return executor->clock_ms +
-           (executor->lease_until_ms - executor->clock_read_ms);
+           MIN(executor->lease_until_ms - executor->clock_read_ms,
+               executor->node->longest_lease_ms);
 }
 
 /* Returns the longest lease that an earlier agent process may have passed on.
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -191,6 +191,10 @@
     executor_result_t failure = get_failure(api);
     uint64_t cursor = poll->cursor;
 
+    if (poll->deadline_ms != 0) {
+        executor->asked_deadline_ms =
+            poll->deadline_ms - executor->clock_offset_ms;
+    }
     if (executor->unresponsive) {
         api->deliver_after(NO_ANSWER_MS,
                            [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -74,6 +74,8 @@
     /* Throttle calls: task and percent. */
     std::vector<std::pair<std::string, uint32_t>> throttles;
     int polls = 0;
+    /* End of the lease in the newest poll, also if it was lost. */
+    int64_t asked_deadline_ms = 0;
 
     static std::map<std::string, FakeExecutor *> &
     at()
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -267,6 +267,32 @@
     EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
 }
 
+// Guards against tasks that wait longer for an executor that was lost, as its
+// agent has extended the lease while it did not answer any more.
+TEST_F(Node, CountsALeaseFromTheLastAnswerAtMost)
+{
+    constexpr uint32_t LEASE_MS = 1000;
+
+    settings.max_lease_ms = 30000;
+    longest_lease_ms = LEASE_MS;
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, LEASE_MS);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    grant(heartbeat_us, LEASE_MS);
+    ASSERT_TRUE(wait([&] { return executor.asked_deadline_ms != 0; }));
+    executor.unresponsive = true;
+    int64_t answered_ms = FakeExecutor::now_ms();
+    int64_t before_ms = executor.asked_deadline_ms;
+    for (int i = 0; i < 10; i++) {
+        grant(heartbeat_us, LEASE_MS);
+        run_ms(100);
+    }
+    EXPECT_GT(executor.asked_deadline_ms, before_ms);
+    EXPECT_LE(executor.asked_deadline_ms,
+              answered_ms + executor.poll_ms + LEASE_MS);
+}
+
 /* Loses an executor just after the agent has found it, as an agent does that
    has restarted, and returns whether it is reported as gone once the longest
    lease that a leader grants has passed. */
