Split the cluster by its jobs

The leader's record, its loss and the claim to succeed it are now in election.c; the record of this process and those of the others are in registration.c. cluster.c keeps construction, status and the dispatch of records.

Ruled out: a file of its own for the store probes, which share the age limit of a status with the rest of cluster.c.

Behaviour is equal: the functions are moved, and the six that are called from another file now are renamed with the prefix.

--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -78,6 +78,39 @@
 };
 
 int64_t cluster_now_ms(const cluster_t *cluster);
+
+/**
+ * cluster_log_malformed() - log a record of the control topic that cannot be
+ * read
+ */
+void cluster_log_malformed(const store_record_t *stored);
+
+/**
+ * cluster_apply_leader_record() - follow the leader that a record names
+ */
+void cluster_apply_leader_record(cluster_t *cluster,
+                                 const store_record_t *stored);
+
+/**
+ * cluster_apply_scheduler_record() - add or update the scheduler that a record
+ * names
+ */
+void cluster_apply_scheduler_record(cluster_t *cluster,
+                                    const store_record_t *stored);
+
+/**
+ * cluster_apply_scheduler_removal() - forget a scheduler whose record was
+ * removed
+ */
+void cluster_apply_scheduler_removal(cluster_t *cluster, const char *name);
+
+/**
+ * cluster_update_registration() - write the record of this process, or remove
+ * it if the process is leaving
+ * @timer: register_timer
+ */
+void cluster_update_registration(loop_timer_t *timer);
+
 member_t *cluster_find_member(cluster_t *cluster, const char *name);
 
 /**
@@ -113,6 +146,12 @@
 unsigned cluster_get_rank(const cluster_t *cluster, bool all);
 void cluster_free_members(cluster_t *cluster);
 void cluster_send_status(cluster_t *cluster);
+
+/**
+ * cluster_has_fresh_status() - return whether the last status of a member says
+ * something reliable about its present state
+ */
+bool cluster_has_fresh_status(const member_t *member);
 bool cluster_is_leader_alive(const cluster_t *cluster);
 
 /**
