Build keys and starts of the crash tests in one place

Eleven tests of crashes repeated the four calls that start a job on the first incarnation of an executor, and three built the keys of incarnations by hand. incarnation_key() and start_on_first_incarnation() do so now.

The test with two jobs keeps its own start, as both must be placed at once.

--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -258,6 +258,27 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+/* Returns the key of an incarnation of the executor of a crash test; they are
+   numbered from 1. */
+std::string
+incarnation_key(int number)
+{
+    std::string text = std::to_string(number);
+
+    return "10.0.0.1:80/x" + text + "/" + text;
+}
+
+/* Starts the job "j" on the first incarnation of the executor. */
+void
+start_on_first_incarnation(Core &core,
+                           const std::vector<Step> &steps = {Step()})
+{
+    connect(core, incarnation_key(1));
+    sched_submit(core.sched, make_spec("j", steps));
+    core.run_and_commit();
+    core.orders(incarnation_key(1));
+}
+
 /* Crashes the only executor under the current runs and connects the next one;
    returns the orders there. */
 Core::Orders
@@ -265,11 +286,8 @@
                   const std::vector<TaskRun> &crashed, bool alone = false,
                   bool unconfirmed = false)
 {
-    std::string old = "10.0.0.1:80/x" + std::to_string(incarnation) + "/" +
-                      std::to_string(incarnation);
-    std::string key = "10.0.0.1:80/x" + std::to_string(incarnation + 1) + "/" +
-                      std::to_string(incarnation + 1);
-    Report gone(old);
+    std::string key = incarnation_key(incarnation + 1);
+    Report gone(incarnation_key(incarnation));
     Report report(key);
 
     gone.message.gone = true;
@@ -302,10 +320,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 2; i++) {
         EXPECT_EQ(crash_and_restart(core, (int)i, {{"j.0.0.0", i}}),
                   (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
@@ -323,14 +338,9 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (int i = 1; i <= 9; i++) {
-        std::string key =
-            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
-        Report settled(key);
+        Report settled(incarnation_key(i));
 
         if (i % 3 == 0) {
             settled.runs({"j.0.0.0", i});
@@ -352,10 +362,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 4; i++) {
         EXPECT_EQ(crash_and_restart(core, (int)i, {{"j.0.0.0", i}}),
                   (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
@@ -369,12 +376,9 @@
 TEST(Sched, KeepsOtherTasksAwayFromATaskOnTrial)
 {
     Core core;
-    Report settled("10.0.0.1:80/x3/3");
+    Report settled(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.count = 3}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.count = 3}});
     crash_and_restart(core, 1, {{"j.0.0.0", 1}, {"j.0.0.1", 1}});
     EXPECT_EQ(crash_and_restart(core, 2, {{"j.0.0.0", 2}, {"j.0.0.1", 2}}),
               (std::vector<TaskRun>{{"j.0.0.0", 3}}));
@@ -392,12 +396,9 @@
 TEST(Sched, KeepsATrialUnderTheNextLeader)
 {
     Core core;
-    Report report("10.0.0.1:80/x3/3");
+    Report report(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     core.restart();
@@ -413,12 +414,9 @@
 TEST(Sched, EndsATrialAfterSomeTime)
 {
     Core core;
-    Report report("10.0.0.1:80/x3/3");
+    Report report(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.long_running = true}});
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     report.message.listed = false;
@@ -439,10 +437,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.long_running = true}});
     for (uint32_t i = 1; i <= 9; i++) {
         crash_and_restart(core, (int)i, {{"j.0.0.0", i}});
     }
@@ -457,10 +452,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 2; i++) {
         crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, true, true);
         core.restart();
@@ -477,12 +469,9 @@
 TEST(Sched, KeepsTheCrashesOfATaskWhoseTrialIsNotSeenToLast)
 {
     Core core;
-    Report begun("10.0.0.1:80/x3/3");
+    Report begun(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     begun.message.listed = false;
@@ -502,17 +491,14 @@
     Core core;
     Core::Orders orders;
 
-    connect(core, "10.0.0.1:80/x1/1");
+    connect(core, incarnation_key(1));
     sched_submit(core.sched, make_spec("j", {{}}));
     sched_submit(core.sched, make_spec("settled", {{}}));
     core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    core.orders(incarnation_key(1));
     for (uint32_t i = 1; i <= 2; i++) {
-        std::string key =
-            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
-        std::string later = "10.0.0.1:80/x" + std::to_string(i + 1) + "/" +
-                            std::to_string(i + 1);
-        Report begun(key);
+        std::string later = incarnation_key((int)i + 1);
+        Report begun(incarnation_key((int)i));
 
         begun.message.listed = false;
         begun.runs({"j.0.0.0", i}).runs({"settled.0.0.0", i});
@@ -533,10 +519,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 9; i++) {
         Core::Orders orders =
             crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, i > 2, true);
@@ -557,10 +540,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.count = 2, .gang = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.count = 2, .gang = true}});
     for (uint32_t i = 1; i <= 3; i++) {
         EXPECT_EQ(
             crash_and_restart(core, (int)i, {{"j.0.0.0", i}, {"j.0.0.1", i}})
