Compare the id and address of incarnations in one place

is_older_incarnation() and is_superseded() both tested for the same id or the same address. Both use has_id_or_address() now. Behaviour is equal.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -182,6 +182,14 @@
 }
 
 /* Only one incarnation at a time has an id or an address. */
+static bool
+has_id_or_address(const node_executor_t *executor, const char *id,
+                  const char *address)
+{
+    return strcmp(executor->id, id) == 0 ||
+           strcmp(executor->address, address) == 0;
+}
+
 static bool
 is_older_incarnation(const node_executor_t *other,
                      const node_executor_t *executor)
@@ -189,8 +197,7 @@
     return (other->started_ms < executor->started_ms ||
             other->restarted_ms != 0) &&
            other != executor &&
-           (strcmp(other->id, executor->id) == 0 ||
-            strcmp(other->address, executor->address) == 0);
+           has_id_or_address(other, executor->id, executor->address);
 }
 
 /* Announcements of an incarnation may be delayed until a later one has
@@ -200,8 +207,7 @@
 {
     return executor->polled && executor->restarted_ms == 0 &&
            executor->started_ms > info->started_ms &&
-           (strcmp(executor->id, info->id) == 0 ||
-            strcmp(executor->address, info->address) == 0);
+           has_id_or_address(executor, info->id, info->address);
 }
 
 void
