Mark the same executors as reported that a report contains

mark_reported() skipped executors that have not answered, but not those that have ended, though a report contains neither. It uses is_reportable() now, as the rest of the file.

Behaviour is equal: of an executor that has ended, nothing reads the marks, ends and rejections again. Reports leave it out, orders don't find it, answers to its calls are dropped, has_ended is never reset, and the next turn frees it.

--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -140,7 +140,7 @@
 mark_reported(node_t *node)
 {
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
-        if (!executor->polled) {
+        if (!is_reportable(executor)) {
             continue;
         }
         executor->full_report_due = false;
