Check in one place whether a gang has finished

gang_has_finished() in sched_report.c and sched_step_finish_gang() tested the same condition. sched_step_is_finished_gang() is the one predicate now. Behaviour is equal.

--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -301,10 +301,16 @@
     g_clear_pointer(&task->checkpoint, g_free);
 }
 
+bool
+sched_step_is_finished_gang(const sched_step_t *step)
+{
+    return step->spec->gang && step->done > 0;
+}
+
 void
 sched_step_finish_gang(sched_step_t *step)
 {
-    if (!step->spec->gang || step->done == 0) {
+    if (!sched_step_is_finished_gang(step)) {
         return;
     }
     for (uint32_t i = 0; i < step->spec->count; i++) {
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -267,6 +267,12 @@
  */
 void sched_task_mark_done(sched_task_t *task);
 
+/**
+ * sched_step_is_finished_gang() - check whether a step is a gang of which a
+ * member is done
+ */
+bool sched_step_is_finished_gang(const sched_step_t *step);
+
 /**
  * sched_step_finish_gang() - mark the waiting members of a gang as done if any
  * member is done
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -112,12 +112,6 @@
     }
 }
 
-static bool
-gang_has_finished(const sched_task_t *task)
-{
-    return task->step->spec->gang && task->step->done > 0;
-}
-
 static uint32_t
 count_failures(const sched_task_t *task)
 {
@@ -265,7 +259,7 @@
         sched->placement_needed = true;
         return;
     }
-    if (how == SCHED_END_DONE || gang_has_finished(task)) {
+    if (how == SCHED_END_DONE || sched_step_is_finished_gang(task->step)) {
         finish_task(sched, task);
     }
     else if (how == SCHED_END_FAILED) {
