Copy protobuf messages in one place

Six places packed a message and unpacked it again to copy it: idem.c, key_results.c, leader_calls.c (twice), gateway.c and coordinator_messages.c. message_copy() in wire/ does so now. Behaviour is equal.

Found while looking for what the modules around one hash table repeat (cancelled_ids.c, size_share.c, learn.c, quota.c, quarantine.c, idem.c, retry_budget.c). What else those share is left: each creates, frees and looks up its own GHashTable in a few lines, with its own limit, initial value, owner of the key and rule for expiry. A table type over GHashTable would need a parameter for each of these, and a cast at each use.

--- a/libteasel/batch/coordinator_messages.c
+++ b/libteasel/batch/coordinator_messages.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "batch/coordinator_internal.h"
+#include "wire/message.h"
 
 void
 coordinator_send_start(coordinator_t *coordinator, const cell_job_t *job)
@@ -90,8 +91,6 @@
                       const Teasel__TaskReport *report)
 {
     const cell_job_t *job = cell_find_job(coordinator->cell, report->job_id);
-    g_autofree uint8_t *packed = NULL;
-    size_t length;
 
     if (!coordinator->active) {
         return;
@@ -104,11 +103,8 @@
     if (g_hash_table_contains(coordinator->reports, report->job_id)) {
         return;
     }
-    length = teasel__task_report__get_packed_size(report);
-    packed = g_malloc(length);
-    teasel__task_report__pack(report, packed);
     g_hash_table_insert(coordinator->reports, job->id,
-                        teasel__task_report__unpack(NULL, length, packed));
+                        message_copy(&report->base));
 }
 
 static void
--- a/libteasel/entry/key_results.c
+++ b/libteasel/entry/key_results.c
@@ -2,6 +2,7 @@
 
 #include "base/events.h"
 #include "base/list.h"
+#include "wire/message.h"
 
 enum {
     APPEND_TIMEOUT_MS = 5000,
@@ -108,16 +109,6 @@
     out->body.len = result->body_length;
 }
 
-static Teasel__LogRecord *
-copy_record(const Teasel__LogRecord *record)
-{
-    size_t length = teasel__log_record__get_packed_size(record);
-    g_autofree uint8_t *packed = g_malloc(length);
-
-    teasel__log_record__pack(record, packed);
-    return teasel__log_record__unpack(NULL, length, packed);
-}
-
 void
 key_results_write(key_results_t *results, const char *service, const char *key,
                   const uint8_t claim_id[KEY_CLAIM_ID_SIZE],
@@ -135,7 +126,7 @@
     record.body_case = TEASEL__LOG_RECORD__BODY_KEY_RESULT;
     record.key_result = &body;
     pending->owner = results;
-    pending->record = copy_record(&record);
+    pending->record = message_copy(&record.base);
     loop_timer_init(&pending->timer, results->loop, on_retry, pending);
     list_append(&results->pending, &pending->link);
     results->count++;
--- a/libteasel/request/idem.c
+++ b/libteasel/request/idem.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "wire/message.h"
+
 /* A claim that was applied, whether it got the key or not. It is kept so that
    a repeated record does not claim the key again after the key was freed. */
 typedef struct seen_claim {
@@ -107,16 +109,6 @@
     return true;
 }
 
-static Teasel__LogRecord *
-copy_record(const Teasel__LogRecord *record)
-{
-    size_t length = teasel__log_record__get_packed_size(record);
-    g_autofree uint8_t *packed = g_malloc(length);
-
-    teasel__log_record__pack(record, packed);
-    return teasel__log_record__unpack(NULL, length, packed);
-}
-
 static bool
 apply_result(idem_t *idem, const Teasel__LogRecord *record)
 {
@@ -133,7 +125,7 @@
         g_hash_table_remove(idem->keys, name);
         return true;
     }
-    key->result = copy_record(record);
+    key->result = message_copy(&record->base);
     key->state = IDEM_DONE;
     return true;
 }
--- a/libteasel/scheduler/gateway.c
+++ b/libteasel/scheduler/gateway.c
@@ -2,6 +2,7 @@
 
 #include "base/events.h"
 #include "base/list.h"
+#include "wire/message.h"
 
 enum {
     TICK_MS = 20,
@@ -153,13 +154,10 @@
 gateway_call(gateway_t *gateway, const Teasel__JobCall *call,
              job_answer_fn answer, void *data)
 {
-    size_t size = teasel__job_call__get_packed_size(call);
-    g_autofree uint8_t *bytes = g_malloc(size);
     pending_t *pending = g_new0(pending_t, 1);
 
-    teasel__job_call__pack(call, bytes);
     pending->gateway = gateway;
-    pending->call = teasel__job_call__unpack(NULL, size, bytes);
+    pending->call = message_copy(&call->base);
     pending->call->call_id = ++gateway->next_id;
     pending->answer = answer;
     pending->data = data;
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -4,6 +4,7 @@
 
 #include "base/events.h"
 #include "scheduler/leader_internal.h"
+#include "wire/message.h"
 
 enum {
     /* Loading takes tens of milliseconds. A longer wait is answered before the
@@ -58,26 +59,6 @@
     return waiting;
 }
 
-static Teasel__JobSpec *
-copy_spec(const Teasel__JobSpec *spec)
-{
-    size_t size = teasel__job_spec__get_packed_size(spec);
-    g_autofree uint8_t *bytes = g_malloc(size);
-
-    teasel__job_spec__pack(spec, bytes);
-    return teasel__job_spec__unpack(NULL, size, bytes);
-}
-
-static Teasel__JobCall *
-copy_call(const Teasel__JobCall *call)
-{
-    size_t size = teasel__job_call__get_packed_size(call);
-    g_autofree uint8_t *bytes = g_malloc(size);
-
-    teasel__job_call__pack(call, bytes);
-    return teasel__job_call__unpack(NULL, size, bytes);
-}
-
 static void
 submit(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
        void *owner)
@@ -113,7 +94,7 @@
         return;
     }
     if (job == NULL) {
-        sched_submit(leader->sched, copy_spec(call->spec));
+        sched_submit(leader->sched, message_copy(&call->spec->base));
         leader->accepted++;
     }
     add_waiting(leader, call, answer, owner);
@@ -198,7 +179,7 @@
         handle_call(leader, call, answer, owner);
         return;
     }
-    add_waiting(leader, call, answer, owner)->call = copy_call(call);
+    add_waiting(leader, call, answer, owner)->call = message_copy(&call->base);
 }
 
 void
