Test four rules of the agent whose mutants survived

No test failed when one of these was taken out of the agent:

- send_poll(): the cursor 0 after a poll without answer
- new_status(): settled
- request_full_report(): crash_list_resend()
- is_superseded(): polled

Callers would have seen a task that runs again after its end was discarded unread, a trial that keeps its executor closed, crashes that the next leader doesn't count, and an executor that is refused while another entry names its address.

Each has a test now. With the mutant, only its test fails of the eight of node_test:

- AcknowledgesNoEndsToAnExecutorThatMayHaveRestarted: noted.count("late.0.0.0") is 1 instead of 0
- ReportsARunThatHasOutlivedItsStart: no settled run within 10 s
- ReportsCrashesAgainOnANewConnection: no crash within 10 s
- AcceptsAnExecutorBesideALaterOneThatHasNotAnswered: announce_as() is false

Without, all eight pass. The earlier four are unchanged.

--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -55,6 +55,9 @@
     uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
     std::vector<std::string> heartbeat; /* executors that it contains */
     std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
+    std::map<TaskRun, bool> running;    /* reported; whether settled */
+    std::set<TaskRun> ended;            /* reported */
+    uint64_t end_cursor = 0;            /* sent with orders */
     char leader_address[32];
     char executor_address[32];
 
@@ -124,6 +127,18 @@
     {
         static_cast<Node *>(data)->peer = peer;
     }
+    void
+    note_runs(const Teasel__ExecutorReport *report)
+    {
+        for (size_t i = 0; i < report->n_running; i++) {
+            const Teasel__RunStatus *run = report->running[i];
+
+            running[{run->task, run->run}] = run->settled;
+        }
+        for (size_t i = 0; i < report->n_ended; i++) {
+            ended.insert({report->ended[i]->task, report->ended[i]->run});
+        }
+    }
     static void
     on_message(peer_t *, const Teasel__Envelope *message, void *data)
     {
@@ -137,6 +152,9 @@
 
             self->crashed[{run->task, run->run}] = !run->unconfirmed;
         }
+        for (size_t i = 0; i < message->node_report->n_executors; i++) {
+            self->note_runs(message->node_report->executors[i]);
+        }
         if (message->node_report->sent_us == 0) {
             return;
         }
@@ -164,11 +182,17 @@
     }
     void
     announce()
+    {
+        ASSERT_TRUE(announce_as(executor.id, executor.born_ms));
+    }
+    /* Announces an incarnation at the address of the executor. */
+    bool
+    announce_as(const std::string &id, int64_t started_ms)
     {
         executor_info_t info = {};
 
-        info.id = executor.id.c_str();
-        info.started_ms = executor.born_ms;
+        info.id = id.c_str();
+        info.started_ms = started_ms;
         info.address = executor_address;
         info.service = "service";
         info.data_centre = "dc";
@@ -177,7 +201,16 @@
         info.memory_mb = 4000;
         info.clock_ms = FakeExecutor::now_ms();
         info.sequence = 1;
-        ASSERT_TRUE(node_announce_executor(node, &info));
+        return node_announce_executor(node, &info);
+    }
+    bool
+    has_failed_polls()
+    {
+        g_autoptr(GString) metrics = g_string_new(nullptr);
+
+        node_write_metrics(node, metrics);
+        return strstr(metrics->str, "teasel_poll_failures_total 0\n") ==
+               nullptr;
     }
     /* Grants a lease that is counted from a heartbeat, and orders starts at
        the first executor that it contained. */
@@ -198,8 +231,9 @@
             messages[i].run = starts[i].second;
             pointers.push_back(&messages[i]);
         }
-        if (!starts.empty()) {
+        if (!starts.empty() || end_cursor != 0) {
             executor_orders.key = heartbeat[0].data();
+            executor_orders.end_cursor = end_cursor;
             executor_orders.n_starts = pointers.size();
             executor_orders.starts = pointers.data();
             orders.n_executors = 1;
@@ -297,4 +331,85 @@
                                                 {{"late.0.0.0", 1}, false}}));
 }
 
+// Guards against crashes that the next leader never counts, as they were sent
+// to the one before.
+TEST_F(Node, ReportsCrashesAgainOnANewConnection)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.work_ms = 60000;
+    grant(heartbeat_us, 5000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return !executor.running.empty(); }));
+    executor.id = "later";
+    executor.restart(200);
+    announce();
+    ASSERT_TRUE(wait([&] { return !crashed.empty(); }));
+    run_ms(50);
+    crashed.clear();
+    peer_close(peer);
+    peer = nullptr;
+    EXPECT_TRUE(wait([&] { return crashed.count({"j.0.0.0", 1}) == 1; }));
+}
+
+// Guards against a task that stays on trial, and its executor closed, though
+// the run has outlived its start.
+TEST_F(Node, ReportsARunThatHasOutlivedItsStart)
+{
+    const TaskRun run = {"j.0.0.0", 1};
+
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.work_ms = 60000;
+    grant(heartbeat_us, 5000, {run});
+    ASSERT_TRUE(wait([&] { return running.count(run) == 1; }));
+    EXPECT_FALSE(running[run]);
+    EXPECT_TRUE(wait([&] { return running[run]; }));
+}
+
+// Guards against an end that is discarded unread, so that its task runs again:
+// the executor has restarted since a poll without answer, and is told that the
+// ends of its earlier incarnation are stored.
+TEST_F(Node, AcknowledgesNoEndsToAnExecutorThatMayHaveRestarted)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    grant(heartbeat_us, 5000, {{"early.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return ended.count({"early.0.0.0", 1}) == 1; }));
+    end_cursor = 1;
+    grant(heartbeat_us, 5000);
+    ASSERT_TRUE(wait([&] { return executor.noted.count("early.0.0.0"); }));
+    executor.unresponsive = true;
+    ASSERT_TRUE(wait([&] { return has_failed_polls(); }));
+    executor.restart(200);
+    executor.running["late.0.0.0"].run = 1;
+    executor.end("late.0.0.0", SCHED_END_DONE);
+    int polls = executor.polls;
+    executor.unresponsive = false;
+    ASSERT_TRUE(wait([&] { return executor.polls > polls; }));
+    EXPECT_EQ(executor.noted.count("late.0.0.0"), 0U);
+    announce();
+    EXPECT_TRUE(wait([&] { return ended.count({"late.0.0.0", 1}) == 1; }));
+}
+
+// Guards against an executor that is refused for as long as another entry
+// names its address with a later start, though nothing has answered as that
+// incarnation.
+TEST_F(Node, AcceptsAnExecutorBesideALaterOneThatHasNotAnswered)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    executor.unresponsive = true;
+    EXPECT_TRUE(announce_as("odd", 500));
+    ASSERT_TRUE(wait([&] { return has_failed_polls(); }));
+    EXPECT_TRUE(announce_as(executor.id, executor.born_ms));
+    executor.unresponsive = false;
+    EXPECT_TRUE(wait([&] { return !heartbeat.empty(); }));
+}
+
 } // namespace
