Count runs without a task against the capacity until they are gone

Callers saw an executor with more work than its capacity: after its lease had ended and its task ran elsewhere, it came back with the earlier run, and the leader started another task beside that run while it was still to be stopped.

Cause: a reported run that belongs to no task was remembered only until its stop was sent, and reserved nothing.

Ruled out: to place nothing on the executor while it has such runs. One that can't be stopped would close it for ever, and the size is known in most cases. Also ruled out: to reserve by the measured use, which is no reservation and is missing in reports of starts.

Change: such a run is kept, with the resources of its step, until the agent reports its end or its rejection, or a complete list lacks it. The stop is repeated with each report that contains the run, as before. The step is taken from the job's specification, so that it is also known when the job has ended.

Not covered: a run of a job that the leader doesn't know at all. No report tells its size; it reserves nothing, as before.

--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -149,18 +149,35 @@
     }
 }
 
+static sched_resources_t
+get_size(const Teasel__StepSpec *spec)
+{
+    return (sched_resources_t){.cpu_milli = spec->cpu_milli,
+                               .memory_mb = spec->memory_mb,
+                               .accelerators = spec->accelerators};
+}
+
 static void
-add_reservation(sched_executor_t *executor, const Teasel__StepSpec *spec,
-                int sign)
+add_size(sched_executor_t *executor, const sched_resources_t *size,
+         bool best_effort, int sign)
 {
-    if (spec->filler) {
-        executor->best_effort_cpu += (uint64_t)sign * spec->cpu_milli;
+    if (best_effort) {
+        executor->best_effort_cpu += (uint64_t)sign * size->cpu_milli;
     }
     else {
-        executor->reserved.cpu_milli += (uint64_t)sign * spec->cpu_milli;
+        executor->reserved.cpu_milli += (uint64_t)sign * size->cpu_milli;
     }
-    executor->reserved.memory_mb += (uint64_t)sign * spec->memory_mb;
-    executor->reserved.accelerators += (uint64_t)sign * spec->accelerators;
+    executor->reserved.memory_mb += (uint64_t)sign * size->memory_mb;
+    executor->reserved.accelerators += (uint64_t)sign * size->accelerators;
+}
+
+static void
+add_reservation(sched_executor_t *executor, const Teasel__StepSpec *spec,
+                int sign)
+{
+    sched_resources_t size = get_size(spec);
+
+    add_size(executor, &size, spec->filler, sign);
     if (spec->latency_target_ms > 0) {
         executor->serving += (uint32_t)sign;
         executor->serving_cpu += (uint64_t)sign * spec->cpu_milli;
@@ -199,15 +216,91 @@
     }
 }
 
-void
-sched_executor_add_orphan(sched_executor_t *executor, const char *task,
-                          uint32_t run)
+static sched_orphan_t *
+find_orphan(const sched_executor_t *executor, const char *task, uint32_t run,
+            guint *index)
 {
-    sched_orphan_t *orphan = g_new(sched_orphan_t, 1);
+    for (guint i = 0; i < executor->orphans->len; i++) {
+        sched_orphan_t *orphan = g_ptr_array_index(executor->orphans, i);
+
+        if (orphan->run == run && strcmp(orphan->task, task) == 0) {
+            *index = i;
+            return orphan;
+        }
+    }
+    return NULL;
+}
 
-    orphan->task = g_strdup(task);
-    orphan->run = run;
+static sched_orphan_t *
+add_orphan(sched_executor_t *executor, const Teasel__RunStatus *status,
+           const Teasel__StepSpec *spec)
+{
+    sched_orphan_t *orphan = g_new0(sched_orphan_t, 1);
+
+    orphan->task = g_strdup(status->task);
+    orphan->run = status->run;
+    if (spec != NULL) {
+        orphan->size = get_size(spec);
+        orphan->best_effort = spec->filler;
+    }
+    add_size(executor, &orphan->size, orphan->best_effort, 1);
     g_ptr_array_add(executor->orphans, orphan);
+    return orphan;
+}
+
+void
+sched_executor_note_orphan(sched_executor_t *executor,
+                           const Teasel__RunStatus *status,
+                           const Teasel__StepSpec *spec, uint64_t report)
+{
+    guint index;
+    sched_orphan_t *orphan =
+        find_orphan(executor, status->task, status->run, &index);
+
+    if (orphan == NULL) {
+        orphan = add_orphan(executor, status, spec);
+    }
+    orphan->report = report;
+    orphan->stop_due = true;
+}
+
+static void
+remove_orphan_at(sched_executor_t *executor, guint index)
+{
+    const sched_orphan_t *orphan = g_ptr_array_index(executor->orphans, index);
+
+    add_size(executor, &orphan->size, orphan->best_effort, -1);
+    g_ptr_array_remove_index(executor->orphans, index);
+}
+
+bool
+sched_executor_remove_orphan(sched_executor_t *executor, const char *task,
+                             uint32_t run)
+{
+    guint index;
+
+    if (find_orphan(executor, task, run, &index) == NULL) {
+        return false;
+    }
+    remove_orphan_at(executor, index);
+    return true;
+}
+
+bool
+sched_executor_remove_unlisted_orphans(sched_executor_t *executor,
+                                       uint64_t report)
+{
+    guint before = executor->orphans->len;
+
+    for (guint i = before; i > 0; i--) {
+        const sched_orphan_t *orphan =
+            g_ptr_array_index(executor->orphans, i - 1);
+
+        if (orphan->report != report) {
+            remove_orphan_at(executor, i - 1);
+        }
+    }
+    return executor->orphans->len < before;
 }
 
 bool
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -23,10 +23,18 @@
 
 /**
  * struct sched_orphan - a reported run that belongs to no task
+ * @size: what it reserves on its executor; zero if its job is not known
+ * @best_effort: it is a best-effort run
+ * @report: number of the newest report that contained it
+ * @stop_due: a stop has to be sent
  */
 typedef struct sched_orphan {
     char *task;
     uint32_t run;
+    sched_resources_t size;
+    bool best_effort;
+    uint64_t report;
+    bool stop_due;
 } sched_orphan_t;
 
 /**
@@ -51,9 +59,9 @@
  * @expiry_ms: when the lease expires, by which time all its runs have ended;
  *     a renewal extends it
  * @capacity: resources that it offers
- * @reserved: resources of the tasks that may run on it, without the CPU share
- *     of best-effort tasks
- * @best_effort_cpu: CPU share that its best-effort tasks request, in milli-CPU
+ * @reserved: resources of the tasks that may run on it, and of the orphans,
+ *     without the CPU share of best-effort ones
+ * @best_effort_cpu: CPU share that the best-effort ones request, in milli-CPU
  * @serving: number of tasks on it with a latency target
  * @serving_cpu: CPU share that these reserve, in milli-CPU
  * @stopping: number of tasks in phase SCHED_TASK_STOPPING
@@ -67,7 +75,7 @@
  * @traits_unsent: the agent may have restarted and needs the traits of the
  *     runs on this executor
  * @orders: tasks with a start or stop to be sent
- * @orphans: runs to be stopped
+ * @orphans: runs without a task that have not ended
  * @run_time_ratio: moving average of run times relative to those on other
  *     executors; 1.0 is normal
  * @consecutive_failures: number of different jobs that failed in a row
@@ -174,10 +182,33 @@
 void sched_executor_update_slowdown(sched_executor_t *executor);
 
 /**
- * sched_executor_add_orphan() - record a run that has to be stopped
+ * sched_executor_note_orphan() - record a reported run that has to be stopped,
+ * and reserve its resources until it is gone
+ * @spec: its step, or NULL if its job is not known
+ * @report: number of the report
  */
-void sched_executor_add_orphan(sched_executor_t *executor, const char *task,
-                               uint32_t run);
+void sched_executor_note_orphan(sched_executor_t *executor,
+                                const Teasel__RunStatus *status,
+                                const Teasel__StepSpec *spec, uint64_t report);
+
+/**
+ * sched_executor_remove_orphan() - release the resources of a run that has
+ * ended
+ *
+ * Return: true if it was an orphan.
+ */
+bool sched_executor_remove_orphan(sched_executor_t *executor, const char *task,
+                                  uint32_t run);
+
+/**
+ * sched_executor_remove_unlisted_orphans() - release the resources of the runs
+ * that a complete list lacks
+ * @report: number of the report with the list
+ *
+ * Return: true if there were any.
+ */
+bool sched_executor_remove_unlisted_orphans(sched_executor_t *executor,
+                                            uint64_t report);
 
 bool sched_executor_has_label(const sched_executor_t *executor,
                               const char *label);
--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -95,15 +95,31 @@
     }
 }
 
+static bool
+has_orphan_stops(const sched_executor_t *executor)
+{
+    for (guint i = 0; i < executor->orphans->len; i++) {
+        const sched_orphan_t *orphan = g_ptr_array_index(executor->orphans, i);
+
+        if (orphan->stop_due) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 add_orphan_stops(sched_executor_t *executor, GPtrArray *stops)
 {
     for (guint i = 0; i < executor->orphans->len; i++) {
         sched_orphan_t *orphan = g_ptr_array_index(executor->orphans, i);
 
-        g_ptr_array_add(stops, new_stop(g_strdup(orphan->task), orphan->run));
+        if (orphan->stop_due) {
+            orphan->stop_due = false;
+            g_ptr_array_add(stops,
+                            new_stop(g_strdup(orphan->task), orphan->run));
+        }
     }
-    g_ptr_array_set_size(executor->orphans, 0);
 }
 
 Teasel__ExecutorOrders *
@@ -114,7 +130,7 @@
     GPtrArray *traits;
     Teasel__ExecutorOrders *orders;
 
-    if (list_is_empty(&executor->orders) && executor->orphans->len == 0 &&
+    if (list_is_empty(&executor->orders) && !has_orphan_stops(executor) &&
         !executor->traits_unsent &&
         executor->end_sent == executor->end_stored) {
         return NULL;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -36,6 +36,25 @@
     return job ? sched_job_find_task(job, occurrence, step, index) : NULL;
 }
 
+/* Returns the step of a task whose job is known, though the task itself may
+   have been freed with its occurrence; or NULL. */
+static const Teasel__StepSpec *
+find_step(sched_t *sched, const char *name)
+{
+    g_autofree char *id = NULL;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+    const sched_job_t *job;
+
+    if (!sched_task_parse_name(name, &id, &occurrence, &step, &index)) {
+        return NULL;
+    }
+    job = g_hash_table_lookup(sched->jobs, id);
+    return job != NULL && step < job->spec->n_steps ? job->spec->steps[step]
+                                                    : NULL;
+}
+
 /* Returns the task whose current run this is, or NULL. */
 static sched_task_t *
 find_run(sched_t *sched, const sched_executor_t *executor, const char *name,
@@ -304,7 +323,9 @@
     sched_job_t *job;
 
     if (task == NULL) {
-        sched_executor_add_orphan(executor, status->task, status->run);
+        sched_executor_note_orphan(executor, status,
+                                   find_step(sched, status->task),
+                                   sched->last_report);
         return;
     }
     task->report = sched->last_report;
@@ -339,6 +360,14 @@
     }
 }
 
+static void
+release_orphan(sched_t *sched, sched_executor_t *executor, const char *name,
+               uint32_t run)
+{
+    sched->placement_needed |=
+        sched_executor_remove_orphan(executor, name, run);
+}
+
 static void
 apply_end(sched_t *sched, sched_executor_t *executor,
           const Teasel__RunEnd *end)
@@ -350,6 +379,7 @@
     }
     executor->end_seen = end->number;
     sched->cursors_dirty = true;
+    release_orphan(sched, executor, end->task, end->run);
     task = find_run(sched, executor, end->task, end->run);
     if (task != NULL) {
         sched_task_get_job(task)->started = true;
@@ -365,6 +395,7 @@
     sched_task_t *task =
         find_run(sched, executor, rejected->task, rejected->run);
 
+    release_orphan(sched, executor, rejected->task, rejected->run);
     if (task != NULL) {
         task->avoid_executor = executor;
         sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
@@ -412,6 +443,10 @@
     for (size_t i = 0; i < report->n_running; i++) {
         apply_running(sched, executor, report->running[i]);
     }
+    if (report->listed || report->has_figures) {
+        sched->placement_needed |= sched_executor_remove_unlisted_orphans(
+            executor, sched->last_report);
+    }
 }
 
 /* An executor may change its capacity while it runs. */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -672,6 +672,114 @@
     EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"gone.0.0.0", 3}}));
 }
 
+/* Loses executor A during a run of "j", which runs again on B, and connects A
+   again while the first run is still there. Submits "k", which fits on A only
+   without that run, and checks that it waits. */
+void
+start_beside_orphan(Core &core)
+{
+    Report returned(A);
+    Core::Orders orders;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.cpu = 3000}}));
+    core.run_and_commit();
+    core.orders(A);
+    connect(core, B, 4000, "other");
+    sched_extend_leases(core.sched, "node",
+                        (int64_t)timespec_to_ms(core.clock.now) + 8000);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 8100);
+    core.run_and_commit();
+    ASSERT_EQ(core.orders(B).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+    returned.runs({"j.0.0.0", 1});
+    core.report(returned);
+    sched_submit(core.sched, make_spec("k", {{.cpu = 3000}}));
+    core.run_and_commit();
+    orders = core.orders(A);
+    EXPECT_EQ(orders.stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    EXPECT_EQ(orders.starts, std::vector<TaskRun>());
+}
+
+// Guards against an executor that is loaded beyond its capacity by a start
+// beside a run that belongs to no task and has not stopped yet.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityUntilTheyEnd)
+{
+    Core core;
+    Report ended(A);
+
+    start_beside_orphan(core);
+    ended.message.listed = false;
+    ended.ends(1, {"j.0.0.0", 1}, SCHED_END_STOPPED);
+    core.report(ended);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against room that a run without a task keeps after its agent has
+// stopped it.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityUntilTheyAreRejected)
+{
+    Core core;
+    Report stopped(A);
+
+    start_beside_orphan(core);
+    stopped.message.listed = false;
+    stopped.rejects({"j.0.0.0", 1});
+    core.report(stopped);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against room that a run without a task keeps for ever, as the report
+// of its end was lost with a connection; and against room that is given away
+// or taken twice, as the run is reported again before that.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityWhileTheyAreListed)
+{
+    Core core;
+    Report again(A);
+    Report other(A);
+
+    start_beside_orphan(core);
+    again.runs({"j.0.0.0", 1});
+    core.report(again);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    other.message.listed = false;
+    core.report(other);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, std::vector<TaskRun>());
+    connect(core, A);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against the same overload by a run whose job has ended since.
+TEST(Sched, CountsOrphanRunsOfACompletedJobAgainstTheCapacity)
+{
+    Core core;
+    Report returned(A);
+    Report done(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.cpu = 3000}}));
+    core.run_and_commit();
+    core.orders(A);
+    done.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(done);
+    core.run_and_commit();
+    ASSERT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+    core.restart();
+    returned.runs({"j.0.0.0", 1});
+    core.report(returned);
+    sched_submit(core.sched, make_spec("k", {{.cpu = 3000}}));
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, std::vector<TaskRun>());
+    connect(core, A);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
 // Guards against a job that is run twice because its id is submitted again
 // after its end.
 TEST(Sched, AcceptsAJobIdOnlyOnce)
