Withdraw a notice of an end that the executor has disproved

Callers saw tasks run a second time: an executor was given up when a single call couldn't be sent, though its lease had not ended. Until then its crashes were not counted either.

Cause: a notice names the executor by id only. A late one of an earlier incarnation sets the grace of the present one, and nothing ever cleared it.

Ruled out: to accept notices of draining executors only, as one may end without draining (RunsTasksOfAnExecutorThatHasLeftAtOnce); to take an answered poll as proof, as an executor may stay for a while after its notice (KeepsTheRunsOfAnExecutorThatStaysAfterItsNotice).

Change: the agent withdraws the notice if the executor announces itself after it and is not draining. Assumed: an executor that ends announces itself, if at all, as draining. If one doesn't, its tasks wait for its lease, as if it had given no notice. Between a stale notice and the next announcement the fault remains.

Before, the first new test failed with "heartbeat.size() Which is: 0" instead of 1. The second new test passed before too; it fails if a draining executor's notice is withdrawn.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -45,6 +45,19 @@
     node_send_report(node, false);
 }
 
+/* A notice of an end names no incarnation, so a late one may be of an earlier
+   incarnation under the id. One that leaves announces itself as draining. */
+static void
+withdraw_stale_notice(node_executor_t *executor)
+{
+    int64_t noticed_ms = executor->ended_by_ms - LEAVE_GRACE_MS;
+
+    if (executor->ended_by_ms != 0 && !executor->draining &&
+        executor->announced_ms > noticed_ms) {
+        executor->ended_by_ms = 0;
+    }
+}
+
 static void
 on_tick(loop_timer_t *timer)
 {
@@ -53,6 +66,7 @@
 
     loop_timer_start(timer, TICK_MS);
     LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        withdraw_stale_notice(executor);
         node_executor_check(executor);
     }
     free_ended_executors(node);
--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -76,6 +76,9 @@
 
 /**
  * node_retire_executor() - handle the notice that an executor is shutting down
+ *
+ * The notice has no effect if the executor announces itself after it and is
+ * not draining: it may be a late one of an earlier incarnation.
  */
 void node_retire_executor(node_t *node, const char *id);
 
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -58,6 +58,8 @@
     std::map<TaskRun, bool> running;    /* reported; whether settled */
     std::set<TaskRun> ended;            /* reported */
     uint64_t end_cursor = 0;            /* sent with orders */
+    uint64_t sequence = 0;              /* of the newest announcement */
+    bool draining = false;              /* announced */
     char leader_address[32];
     char executor_address[32];
 
@@ -200,7 +202,8 @@
         info.cpu_milli = 4000;
         info.memory_mb = 4000;
         info.clock_ms = FakeExecutor::now_ms();
-        info.sequence = 1;
+        info.sequence = ++sequence;
+        info.draining = draining;
         return node_announce_executor(node, &info);
     }
     bool
@@ -412,4 +415,46 @@
     EXPECT_TRUE(wait([&] { return !heartbeat.empty(); }));
 }
 
+// Guards against an executor that is given up, and its tasks run again, when
+// it can't be reached for a moment: a late notice of an earlier incarnation
+// under its id was taken for its own.
+TEST_F(Node, KeepsAnExecutorThatAnnouncesItselfAfterANotice)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    node_retire_executor(node, executor.id.c_str());
+    run_ms(20);
+    announce();
+    run_ms(400);
+    executor.gone = true;
+    ASSERT_TRUE(wait([&] { return has_failed_polls(); }));
+    run_ms(200);
+    executor.gone = false;
+    run_ms(300);
+    EXPECT_EQ(heartbeat.size(), 1U);
+}
+
+// Guards against tasks that wait for the lease of an executor that has ended
+// as announced, and against a crash that is counted for it.
+TEST_F(Node, GivesUpALeavingExecutorThatAnnouncesItselfAfterItsNotice)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 60000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.work_ms = 60000;
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return !executor.running.empty(); }));
+    draining = true;
+    announce();
+    node_retire_executor(node, executor.id.c_str());
+    run_ms(20);
+    announce();
+    executor.gone = true;
+    EXPECT_TRUE(wait([&] { return heartbeat.empty(); }));
+    EXPECT_EQ(crashed.size(), 0U);
+}
+
 } // namespace
