--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -45,6 +45,19 @@
     node_send_report(node, false);
 }
 
+/* A notice of an end names no incarnation, so a late one may be of an earlier
+   incarnation under the id. One that leaves announces itself as draining. */
+static void
+withdraw_stale_notice(node_executor_t *executor)
+{
+    int64_t noticed_ms = executor->ended_by_ms - LEAVE_GRACE_MS;
+
+    if (executor->ended_by_ms != 0 && !executor->draining &&
+        executor->announced_ms > noticed_ms) {
+        executor->ended_by_ms = 0;
+    }
+}
+
 static void
 on_tick(loop_timer_t *timer)
 {
@@ -53,6 +66,7 @@
 
     loop_timer_start(timer, TICK_MS);
     LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
+        withdraw_stale_notice(executor);
         node_executor_check(executor);
     }
     free_ended_executors(node);
@@ -195,6 +209,14 @@
 }
 
 /* Only one incarnation at a time has an id or an address. */
+static bool
+has_id_or_address(const node_executor_t *executor, const char *id,
+                  const char *address)
+{
+    return strcmp(executor->id, id) == 0 ||
+           strcmp(executor->address, address) == 0;
+}
+
 static bool
 is_older_incarnation(const node_executor_t *other,
                      const node_executor_t *executor)
@@ -202,8 +224,7 @@
     return (other->started_ms < executor->started_ms ||
             other->restarted_ms != 0) &&
            other != executor &&
-           (strcmp(other->id, executor->id) == 0 ||
-            strcmp(other->address, executor->address) == 0);
+           has_id_or_address(other, executor->id, executor->address);
 }
 
 /* Announcements of an incarnation may be delayed until a later one has
@@ -213,8 +234,7 @@
 {
     return executor->polled && executor->restarted_ms == 0 &&
            executor->started_ms > info->started_ms &&
-           (strcmp(executor->id, info->id) == 0 ||
-            strcmp(executor->address, info->address) == 0);
+           has_id_or_address(executor, info->id, info->address);
 }
 
 void
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -291,6 +291,27 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+/* Returns the key of an incarnation of the executor of a crash test; they are
+   numbered from 1. */
+std::string
+incarnation_key(int number)
+{
+    std::string text = std::to_string(number);
+
+    return "10.0.0.1:80/x" + text + "/" + text;
+}
+
+/* Starts the job "j" on the first incarnation of the executor. */
+void
+start_on_first_incarnation(Core &core,
+                           const std::vector<Step> &steps = {Step()})
+{
+    connect(core, incarnation_key(1));
+    sched_submit(core.sched, make_spec("j", steps));
+    core.run_and_commit();
+    core.orders(incarnation_key(1));
+}
+
 /* Crashes the only executor under the current runs and connects the next one;
    returns the orders there. */
 Core::Orders
@@ -298,11 +319,8 @@
                   const std::vector<TaskRun> &crashed, bool alone = false,
                   bool unconfirmed = false)
 {
-    std::string old = "10.0.0.1:80/x" + std::to_string(incarnation) + "/" +
-                      std::to_string(incarnation);
-    std::string key = "10.0.0.1:80/x" + std::to_string(incarnation + 1) + "/" +
-                      std::to_string(incarnation + 1);
-    Report gone(old);
+    std::string key = incarnation_key(incarnation + 1);
+    Report gone(incarnation_key(incarnation));
     Report report(key);
 
     gone.message.gone = true;
@@ -335,10 +353,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 2; i++) {
         EXPECT_EQ(crash_and_restart(core, (int)i, {{"j.0.0.0", i}}),
                   (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
@@ -356,14 +371,9 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (int i = 1; i <= 9; i++) {
-        std::string key =
-            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
-        Report settled(key);
+        Report settled(incarnation_key(i));
 
         if (i % 3 == 0) {
             settled.runs({"j.0.0.0", i});
@@ -385,10 +395,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 4; i++) {
         EXPECT_EQ(crash_and_restart(core, (int)i, {{"j.0.0.0", i}}),
                   (std::vector<TaskRun>{{"j.0.0.0", i + 1}}));
@@ -402,12 +409,9 @@
 TEST(Sched, KeepsOtherTasksAwayFromATaskOnTrial)
 {
     Core core;
-    Report settled("10.0.0.1:80/x3/3");
+    Report settled(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.count = 3}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.count = 3}});
     crash_and_restart(core, 1, {{"j.0.0.0", 1}, {"j.0.0.1", 1}});
     EXPECT_EQ(crash_and_restart(core, 2, {{"j.0.0.0", 2}, {"j.0.0.1", 2}}),
               (std::vector<TaskRun>{{"j.0.0.0", 3}}));
@@ -425,12 +429,9 @@
 TEST(Sched, KeepsATrialUnderTheNextLeader)
 {
     Core core;
-    Report report("10.0.0.1:80/x3/3");
+    Report report(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     core.restart();
@@ -446,12 +447,9 @@
 TEST(Sched, EndsATrialAfterSomeTime)
 {
     Core core;
-    Report report("10.0.0.1:80/x3/3");
+    Report report(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.long_running = true}});
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     report.message.listed = false;
@@ -472,10 +470,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.long_running = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.long_running = true}});
     for (uint32_t i = 1; i <= 9; i++) {
         crash_and_restart(core, (int)i, {{"j.0.0.0", i}});
     }
@@ -490,10 +485,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 2; i++) {
         crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, true, true);
         core.restart();
@@ -510,12 +502,9 @@
 TEST(Sched, KeepsTheCrashesOfATaskWhoseTrialIsNotSeenToLast)
 {
     Core core;
-    Report begun("10.0.0.1:80/x3/3");
+    Report begun(incarnation_key(3));
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     crash_and_restart(core, 1, {{"j.0.0.0", 1}});
     crash_and_restart(core, 2, {{"j.0.0.0", 2}});
     begun.message.listed = false;
@@ -535,17 +524,14 @@
     Core core;
     Core::Orders orders;
 
-    connect(core, "10.0.0.1:80/x1/1");
+    connect(core, incarnation_key(1));
     sched_submit(core.sched, make_spec("j", {{}}));
     sched_submit(core.sched, make_spec("settled", {{}}));
     core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    core.orders(incarnation_key(1));
     for (uint32_t i = 1; i <= 2; i++) {
-        std::string key =
-            "10.0.0.1:80/x" + std::to_string(i) + "/" + std::to_string(i);
-        std::string later = "10.0.0.1:80/x" + std::to_string(i + 1) + "/" +
-                            std::to_string(i + 1);
-        Report begun(key);
+        std::string later = incarnation_key((int)i + 1);
+        Report begun(incarnation_key((int)i));
 
         begun.message.listed = false;
         begun.runs({"j.0.0.0", i}).runs({"settled.0.0.0", i});
@@ -566,10 +552,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core);
     for (uint32_t i = 1; i <= 9; i++) {
         Core::Orders orders =
             crash_and_reorder(core, (int)i, {{"j.0.0.0", i}}, i > 2, true);
@@ -590,10 +573,7 @@
 {
     Core core;
 
-    connect(core, "10.0.0.1:80/x1/1");
-    sched_submit(core.sched, make_spec("j", {{.count = 2, .gang = true}}));
-    core.run_and_commit();
-    core.orders("10.0.0.1:80/x1/1");
+    start_on_first_incarnation(core, {{.count = 2, .gang = true}});
     for (uint32_t i = 1; i <= 3; i++) {
         EXPECT_EQ(
             crash_and_restart(core, (int)i, {{"j.0.0.0", i}, {"j.0.0.1", i}})
@@ -725,6 +705,114 @@
     EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"gone.0.0.0", 3}}));
 }
 
+/* Loses executor A during a run of "j", which runs again on B, and connects A
+   again while the first run is still there. Submits "k", which fits on A only
+   without that run, and checks that it waits. */
+void
+start_beside_orphan(Core &core)
+{
+    Report returned(A);
+    Core::Orders orders;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.cpu = 3000}}));
+    core.run_and_commit();
+    core.orders(A);
+    connect(core, B, 4000, "other");
+    sched_extend_leases(core.sched, "node",
+                        (int64_t)timespec_to_ms(core.clock.now) + 8000);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 8100);
+    core.run_and_commit();
+    ASSERT_EQ(core.orders(B).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+    returned.runs({"j.0.0.0", 1});
+    core.report(returned);
+    sched_submit(core.sched, make_spec("k", {{.cpu = 3000}}));
+    core.run_and_commit();
+    orders = core.orders(A);
+    EXPECT_EQ(orders.stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    EXPECT_EQ(orders.starts, std::vector<TaskRun>());
+}
+
+// Guards against an executor that is loaded beyond its capacity by a start
+// beside a run that belongs to no task and has not stopped yet.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityUntilTheyEnd)
+{
+    Core core;
+    Report ended(A);
+
+    start_beside_orphan(core);
+    ended.message.listed = false;
+    ended.ends(1, {"j.0.0.0", 1}, SCHED_END_STOPPED);
+    core.report(ended);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against room that a run without a task keeps after its agent has
+// stopped it.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityUntilTheyAreRejected)
+{
+    Core core;
+    Report stopped(A);
+
+    start_beside_orphan(core);
+    stopped.message.listed = false;
+    stopped.rejects({"j.0.0.0", 1});
+    core.report(stopped);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against room that a run without a task keeps for ever, as the report
+// of its end was lost with a connection; and against room that is given away
+// or taken twice, as the run is reported again before that.
+TEST(Sched, CountsOrphanRunsAgainstTheCapacityWhileTheyAreListed)
+{
+    Core core;
+    Report again(A);
+    Report other(A);
+
+    start_beside_orphan(core);
+    again.runs({"j.0.0.0", 1});
+    core.report(again);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).stops, (std::vector<TaskRun>{{"j.0.0.0", 1}}));
+    other.message.listed = false;
+    core.report(other);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, std::vector<TaskRun>());
+    connect(core, A);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
+// Guards against the same overload by a run whose job has ended since.
+TEST(Sched, CountsOrphanRunsOfACompletedJobAgainstTheCapacity)
+{
+    Core core;
+    Report returned(A);
+    Report done(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{.cpu = 3000}}));
+    core.run_and_commit();
+    core.orders(A);
+    done.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(done);
+    core.run_and_commit();
+    ASSERT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+    core.restart();
+    returned.runs({"j.0.0.0", 1});
+    core.report(returned);
+    sched_submit(core.sched, make_spec("k", {{.cpu = 3000}}));
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, std::vector<TaskRun>());
+    connect(core, A);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts, (std::vector<TaskRun>{{"k.0.0.0", 1}}));
+}
+
 // Guards against a job that is run twice because its id is submitted again
 // after its end.
 TEST(Sched, AcceptsAJobIdOnlyOnce)
