Let the stand-in executor lose the answers of stops and polls

Tests could not lose these answers, and a poll that was pending while its executor restarted under another id, or went away, was answered as if a later incarnation under the same id had carried it out (EXECUTOR_RESTARTED). Now such a poll gets no answer, as its connection ends with the executor.

Tasks can be named whose runs do not end by themselves, and a test can observe when runs begin and end. The checks of double runs are unchanged.

--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -131,6 +131,12 @@
         executor->end(task, SCHED_END_STOPPED);
     }
     executor->last_runs[task] = std::max(executor->last_runs[task], run);
+    if (executor->lose_stops > 0) {
+        executor->lose_stops--;
+        api->deliver_after(NO_ANSWER_MS,
+                           [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
     api->deliver_after(0, [=] { done(get_success(api), nullptr, data); });
 }
 
@@ -144,6 +150,11 @@
     std::vector<Teasel__RunEnd *> ended_list;
     executor_poll_reply_t reply = {};
 
+    /* The connection of the poll ends with the incarnation. */
+    if (get_failure(api) != EXECUTOR_OK) {
+        done(EXECUTOR_NO_ANSWER, nullptr, data);
+        return;
+    }
     executor->advance();
     for (auto &[task, entry] : executor->running) {
         Teasel__RunStatus status = TEASEL__RUN_STATUS__INIT;
@@ -209,6 +220,12 @@
         }
         executor->ends.erase(executor->ends.begin());
     }
+    if (executor->lose_polls > 0) {
+        executor->lose_polls--;
+        api->deliver_after(NO_ANSWER_MS,
+                           [=] { done(EXECUTOR_NO_ANSWER, nullptr, data); });
+        return;
+    }
     api->deliver_after(poll->wait_ms == 0 ? 0 : executor->poll_ms,
                        [=] { answer_poll(api, cursor, done, data); });
 }
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -45,6 +45,8 @@
     bool unresponsive = false; /* calls get no answer and have no effect */
     bool gone = false;         /* calls cannot be sent */
     int lose_starts = 0;       /* next starts to carry out without an answer */
+    int lose_stops = 0;        /* the same of stops */
+    int lose_polls = 0;        /* the same of polls */
     int busy_starts = 0;       /* next starts to refuse with EXECUTOR_BUSY */
     int64_t poll_ms = 15;      /* time until a poll is answered */
     std::string deadly_task;   /* crashes the executor just after its start */
@@ -53,6 +55,7 @@
     int late_starts = 0;       /* next starts to carry out late, unanswered */
     int64_t late_ms = 300;     /* delay of a late start */
     std::string reject_reason; /* if set, rejects all starts */
+    std::set<std::string> lasting; /* tasks whose runs are without end */
     std::map<std::string, Running> running;
     /* Last run that ended or was stopped, by task. */
     std::map<std::string, uint32_t> last_runs;
@@ -73,6 +76,10 @@
     /* Throttle calls: task and percent. */
     std::vector<std::pair<std::string, uint32_t>> throttles;
     int polls = 0;
+    /* Called when a run begins or ends. */
+    std::function<void(const char *what, const std::string &task,
+                       uint32_t run)>
+        on_run;
 
     static std::map<std::string, FakeExecutor *> &
     at()
@@ -89,6 +96,10 @@
     void
     end(const std::string &task, uint32_t how)
     {
+        if (on_run) {
+            on_run(sched_end_to_string((sched_end_t)how), task,
+                   running[task].run);
+        }
         ends.push_back({next_end++, task, running[task].run, how, "saved"});
         if (how == SCHED_END_DONE) {
             done.insert(task);
@@ -150,6 +161,9 @@
             deadline_ms = std::max(deadline_ms, until_ms);
             starts[task]++;
             running[task] = {run, now_ms() + work_ms, 0, 50, 100};
+            if (on_run) {
+                on_run("begins", task, run);
+            }
             if (task == deadly_task && deadly_starts > 0) {
                 deadly_starts--;
                 crash_ms = now_ms() + 10;
@@ -192,7 +206,8 @@
             if (now_ms() > deadline_ms) {
                 end(task, SCHED_END_LAPSED);
             }
-            else if (work_ms >= 0 && now_ms() >= running[task].until_ms) {
+            else if (work_ms >= 0 && lasting.count(task) == 0 &&
+                     now_ms() >= running[task].until_ms) {
                 end(task, SCHED_END_DONE);
             }
         }
