Report a run as begun only once its executor has confirmed it

Callers saw a job fail though only one confirmed start of its task had crashed an executor.

Cause: a run whose start had no answer, and that was being stopped, was reported as begun, as its phase is later than that of a started run. When its agent was killed next, the leader counted the loss of the executor as a confirmed crash of that task, and two of those give it up (rule 10). Ruled out: the leader's count, which follows what was reported. Change: a run is pending until its executor has confirmed the start or listed the run.

--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -26,7 +26,7 @@
     status->run = run->run;
     status->percent = run->percent;
     status->figure = run->measured;
-    status->pending = run->state.phase < RUN_STARTED;
+    status->pending = !run->state.confirmed;
     status->settled = run->settled;
     status->slowdown = 100 - run->throttle_percent;
     if (run->checkpoint != NULL) {
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -60,6 +60,7 @@
     std::set<std::string> gone;         /* executors reported as such */
     uint32_t longest_lease_ms = 0;      /* that any leader grants */
     std::map<TaskRun, bool> running;    /* reported; whether settled */
+    std::set<TaskRun> begun;            /* reported as no longer pending */
     std::set<TaskRun> ended;            /* reported */
     uint64_t end_cursor = 0;            /* sent with orders */
     uint64_t sequence = 0;              /* of the newest announcement */
@@ -140,6 +141,9 @@
             const Teasel__RunStatus *run = report->running[i];
 
             running[{run->task, run->run}] = run->settled;
+            if (!run->pending) {
+                begun.insert({run->task, run->run});
+            }
         }
         for (size_t i = 0; i < report->n_ended; i++) {
             ended.insert({report->ended[i]->task, report->ended[i]->run});
@@ -364,6 +368,28 @@
     EXPECT_TRUE(wait([&] { return !gone.empty(); }));
 }
 
+// Guards against a job that is given up for crashes under a run that never
+// began: its start had no answer, and the agent reported it as begun while it
+// waited for the confirmation of the stop.
+TEST_F(Node, ReportsAnUnconfirmedRunThatIsBeingStoppedAsPending)
+{
+    constexpr int MANY = 1000;
+    const TaskRun run = {"j.0.0.0", 1};
+
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 5000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.late_starts = MANY;
+    executor.late_ms = 60000;
+    executor.lose_stops = MANY;
+    grant(heartbeat_us, 5000, {run});
+    ASSERT_TRUE(wait([&] { return executor.lose_stops < MANY; }));
+    running.clear();
+    EXPECT_TRUE(wait([&] { return running.count(run) == 1; }));
+    EXPECT_EQ(begun.count(run), 0U);
+}
+
 // Guards against an agent that carries out orders of a leader after it has
 // heard from the next one.
 TEST_F(Node, IgnoresOrdersOfAnEarlierLeader)
