Take the end of an earlier run while its task waits

Callers saw work done a second time: a run had ended as done while its agent was down or its answers were lost; the leader gave it up with its lease, and then ignored its end, but acknowledged it.

Cause: an end is matched with the current run of its task only. Change: an end as done of an earlier run is the end of its task while this one waits; it is logged as late-end-taken (7025). Long-running tasks are excepted.

Before: Sched.TakesTheEndOfAnEarlierRunWhileTheTaskWaits failed (run 2 was started, the job not completed).

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -101,6 +101,7 @@
     EVENT(EVENT_CRASH_COUNTED, 7022, G_LOG_LEVEL_WARNING, "crash-counted")    \
     EVENT(EVENT_TASK_GIVEN_UP, 7023, G_LOG_LEVEL_WARNING, "task-given-up")    \
     EVENT(EVENT_TASK_IDLE, 7024, G_LOG_LEVEL_MESSAGE, "task-idle")            \
+    EVENT(EVENT_LATE_END_TAKEN, 7025, G_LOG_LEVEL_MESSAGE, "late-end-taken")  \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -379,6 +379,27 @@
         sched_executor_remove_orphan(executor, name, run);
 }
 
+/* The lease of a run may have ended after its work was done, and before the
+   leader heard of it. */
+static void
+take_late_end(sched_t *sched, const Teasel__RunEnd *end)
+{
+    sched_task_t *task = sched_find_task(sched, end->task);
+    char name[SCHED_TASK_NAME_SIZE];
+
+    if (task == NULL || end->how != SCHED_END_DONE ||
+        task->phase != SCHED_TASK_WAITING || end->run > task->run ||
+        task->step->spec->long_running ||
+        sched_job_is_final(sched_task_get_job(task))) {
+        return;
+    }
+    sched_task_format_name(task, name);
+    event_log(EVENT_LATE_END_TAKEN, "task=%s run=%u latest_run=%u", name,
+              end->run, task->run);
+    sched_mark_dirty(sched, sched_task_get_job(task));
+    finish_task(sched, task);
+}
+
 static void
 apply_end(sched_t *sched, sched_executor_t *executor,
           const Teasel__RunEnd *end)
@@ -396,6 +417,9 @@
         sched_task_get_job(task)->started = true;
         sched_end_task(sched, task, (sched_end_t)end->how, end->checkpoint);
     }
+    else {
+        take_late_end(sched, end);
+    }
 }
 
 /* A rejection guarantees that the run does not exist and will never start. */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -189,6 +189,27 @@
     }
 }
 
+// Guards against work that is done a second time, as its end arrived only
+// after the lease of its executor had ended.
+TEST(Sched, TakesTheEndOfAnEarlierRunWhileTheTaskWaits)
+{
+    Core core;
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 10000);
+    core.run_and_commit();
+    Report report(A);
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(report);
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders(A).starts.empty());
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+}
+
 // Guards against a run that starts on another executor while the first run may
 // still be active, and against a task that is never restarted.
 TEST(Sched, WaitsForTheLeaseOfALostExecutor)
