Hold back announcements that contradict an executor's own

An announcement of another writer that named the id, address and start of a real executor replaced its service, place, labels and capacity at the agent, and with a high sequence number made the agent ignore all later ones of the executor itself.

Cause: the only test of a further announcement of an incarnation was that its sequence number is the highest so far.

Change: announcement_filter. An announcement follows the last accepted one if it has the same service, data centre, rack and labels, and a sequence number up to 10000 higher. Others are held back; they are believed after three that follow each other, 500 ms apart, with none accepted meanwhile, as the executor goes on announcing itself and another writer or a late one does not. Then the leader gets a complete list.

Not prevented: an announcement with the next sequence number and another capacity or state is in force until the executor announces itself again. It looks like a true one.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -237,6 +237,30 @@
     return true;
 }
 
+/* Returns false if another writer has made the announcement. */
+static bool
+announce_again(node_executor_t *executor, const executor_info_t *info)
+{
+    announcement_verdict_t verdict = announcement_filter_judge(
+        &executor->announcements, info, node_now_ms(executor->node));
+
+    if (verdict == ANNOUNCEMENT_LATE || verdict == ANNOUNCEMENT_ODD) {
+        return verdict == ANNOUNCEMENT_LATE;
+    }
+    if (verdict == ANNOUNCEMENT_RESUMED) {
+        /* The leader learns a changed service only from a complete list. */
+        executor->full_report_due = true;
+        executor->unreported = true;
+        event_log(EVENT_EXECUTOR_JOINED,
+                  "executor=%s service=%s announces itself anew",
+                  executor->key, info->service);
+    }
+    node_executor_update(executor, info);
+    node_executor_check(executor);
+    node_schedule_report(executor->node);
+    return true;
+}
+
 bool
 node_announce_executor(node_t *node, const executor_info_t *info)
 {
@@ -248,12 +272,7 @@
             return false;
         }
         if (is_same_incarnation(executor, info)) {
-            if (info->sequence > executor->sequence) {
-                node_executor_update(executor, info);
-                node_executor_check(executor);
-                node_schedule_report(node);
-            }
-            return true;
+            return announce_again(executor, info);
         }
     }
     return start_executor(node, info);
--- a/libteasel/node/node.h
+++ b/libteasel/node/node.h
@@ -69,8 +69,9 @@
  * A new incarnation replaces older ones with its id or address as soon as it
  * has answered a poll: an announcement alone does not prove that it exists.
  *
- * Return: false if the announcement is invalid or from an older incarnation
- * than the current one.
+ * Return: false if the announcement is invalid, from an older incarnation than
+ * the current one, or contradicts what this incarnation has announced of
+ * itself, see announcement_filter.h.
  */
 bool node_announce_executor(node_t *node, const executor_info_t *info);
 
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -99,7 +99,6 @@
     executor->capacity.accelerators = info->accelerators;
     executor->draining = info->draining;
     executor->leaves_ms = now_ms + info->remaining_ms;
-    executor->sequence = info->sequence;
     executor->announced_ms = now_ms;
     if (is_plausible_clock(executor, info->clock_ms, now_ms)) {
         executor->clock_ms = info->clock_ms;
@@ -134,6 +133,7 @@
     list_init(&executor->runs);
     list_init(&executor->calls);
     list_append(&node->executors, &executor->link);
+    announcement_filter_init(&executor->announcements, info);
     node_executor_update(executor, info);
     event_log(EVENT_EXECUTOR_JOINED,
               "executor=%s service=%s cpu_milli=%u "
@@ -154,6 +154,7 @@
         run_call_free(call);
     }
     list_remove(&executor->link);
+    announcement_filter_clear(&executor->announcements);
     g_ptr_array_unref(executor->ends);
     g_ptr_array_unref(executor->rejected);
     g_strfreev(executor->labels);
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -2,6 +2,7 @@
 #define TEASEL_NODE_NODE_INTERNAL_H
 
 #include "base/list.h"
+#include "node/announcement_filter.h"
 #include "node/crash_list.h"
 #include "node/node.h"
 #include "node/node_link.h"
@@ -89,7 +90,7 @@
  * @predecessor: key of the incarnation that it has replaced under the same id,
  *     or NULL
  * @leaves_ms: earliest time at which a draining executor leaves
- * @sequence: of its newest announcement
+ * @announcements: tells its announcements from others that name it
  * @announced_ms: time of its newest announcement
  * @clock_ms: clock of the executor at @clock_read_ms of this process, or -1
  * @heartbeat_us: heartbeat_us of the node for the first heartbeat that
@@ -137,7 +138,7 @@
     Teasel__Capacity capacity;
     bool draining;
     int64_t leaves_ms;
-    uint64_t sequence;
+    announcement_filter_t announcements;
     int64_t announced_ms;
     int64_t clock_ms;
     int64_t clock_read_ms;
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -55,6 +55,7 @@
     uint64_t heartbeat_us = 0;          /* sent_us of the newest report */
     std::vector<std::string> heartbeat; /* executors that it contains */
     std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
+    std::string known;                  /* to the leader; see describe() */
     char leader_address[32];
     char executor_address[32];
 
@@ -137,6 +138,11 @@
 
             self->crashed[{run->task, run->run}] = !run->unconfirmed;
         }
+        for (size_t i = 0; i < message->node_report->n_executors; i++) {
+            if (!message->node_report->executors[i]->gone) {
+                self->note(message->node_report->executors[i]);
+            }
+        }
         if (message->node_report->sent_us == 0) {
             return;
         }
@@ -146,6 +152,37 @@
             self->heartbeat.push_back(message->node_report->executors[i]->key);
         }
     }
+    /* What the newest report says of the executor. */
+    static std::string
+    describe(const Teasel__ExecutorReport *report)
+    {
+        std::string text = report->service;
+
+        text += std::string(" ") + report->data_centre + " " + report->rack;
+        for (size_t i = 0; i < report->n_labels; i++) {
+            text += std::string(" ") + report->labels[i];
+        }
+        text += " " + std::to_string(report->capacity->cpu_milli);
+        return text + (report->draining ? " draining" : " ready");
+    }
+    /* The leader takes a changed service, data centre, rack or label only from
+       a complete list, see sched_apply_report(). */
+    void
+    note(const Teasel__ExecutorReport *report)
+    {
+        std::string text = describe(report);
+
+        if (report->listed || known.empty() ||
+            traits_of(text) == traits_of(known)) {
+            known = text;
+        }
+    }
+    /* A description without the capacity and the state. */
+    static std::string
+    traits_of(const std::string &text)
+    {
+        return text.substr(0, text.rfind(' ', text.rfind(' ') - 1));
+    }
     static void
     on_close(peer_t *, const char *, void *data)
     {
@@ -162,8 +199,8 @@
     {
         return loop_wait(loop, 10000, condition);
     }
-    void
-    announce()
+    executor_info_t
+    make_info(uint64_t sequence)
     {
         executor_info_t info = {};
 
@@ -176,9 +213,41 @@
         info.cpu_milli = 4000;
         info.memory_mb = 4000;
         info.clock_ms = FakeExecutor::now_ms();
-        info.sequence = 1;
+        info.sequence = sequence;
+        return info;
+    }
+    void
+    announce()
+    {
+        executor_info_t info = make_info(1);
+
         ASSERT_TRUE(node_announce_executor(node, &info));
     }
+    /* Announces the executor again and again, as it does itself. */
+    void
+    announce_seconds(int seconds, uint64_t *sequence)
+    {
+        for (int i = 0; i < seconds; i++) {
+            executor_info_t info = make_info(++*sequence);
+
+            clock.leap_ms += 1000;
+            node_announce_executor(node, &info);
+        }
+    }
+    /* Announces the executor, and lets the leader learn of it. */
+    void
+    join()
+    {
+        ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+        grant(heartbeat_us, 60000);
+        announce();
+        ASSERT_TRUE(wait([&] { return known == "service dc r1 4000 ready"; }));
+    }
+    bool
+    becomes_known(const std::string &text)
+    {
+        return loop_wait(loop, 2000, [&] { return known == text; });
+    }
     /* Grants a lease that is counted from a heartbeat, and orders starts at
        the first executor that it contained. */
     void
@@ -297,4 +366,107 @@
                                                 {{"late.0.0.0", 1}, false}}));
 }
 
+// Guards against another writer that moves a real executor to another service,
+// data centre or rack, which it keeps as long as it lives.
+TEST_F(Node, KeepsAnExecutorWhereItAnnouncedItself)
+{
+    const char *const labels[] = {"gpu"};
+    uint64_t sequence = 1;
+    join();
+    for (int i = 0; i < 4; i++) {
+        executor_info_t info = make_info(++sequence);
+
+        info.service = i == 0 ? "other" : "service";
+        info.data_centre = i == 1 ? "dc9" : "dc";
+        info.rack = i == 2 ? "r9" : "r1";
+        info.labels = labels;
+        info.label_count = i == 3 ? 1 : 0;
+        EXPECT_FALSE(node_announce_executor(node, &info)) << i;
+        clock.leap_ms += 1000;
+    }
+    run_ms(300);
+    EXPECT_EQ(known, "service dc r1 4000 ready");
+    executor_info_t info = make_info(2);
+    info.cpu_milli = 3000;
+    EXPECT_TRUE(node_announce_executor(node, &info));
+    EXPECT_TRUE(becomes_known("service dc r1 3000 ready")) << known;
+}
+
+// Guards against an executor that is never heard again, as another writer
+// announced it with a sequence number that its own do not reach.
+TEST_F(Node, HearsAnExecutorAfterASequenceThatLeaps)
+{
+    executor_info_t odd = make_info((uint64_t)1 << 53);
+    join();
+    odd.cpu_milli = 1;
+    EXPECT_FALSE(node_announce_executor(node, &odd));
+    executor_info_t info = make_info(2);
+    info.cpu_milli = 3000;
+    EXPECT_TRUE(node_announce_executor(node, &info));
+    EXPECT_TRUE(becomes_known("service dc r1 3000 ready")) << known;
+}
+
+// Guards against the same with a sequence number that its own ones might have
+// reached.
+TEST_F(Node, HearsAnExecutorAgainBehindALaterSequence)
+{
+    executor_info_t odd = make_info(50);
+    uint64_t sequence = 1;
+    join();
+    odd.cpu_milli = 1;
+    EXPECT_TRUE(node_announce_executor(node, &odd));
+    EXPECT_TRUE(becomes_known("service dc r1 1 ready")) << known;
+    announce_seconds(4, &sequence);
+    EXPECT_TRUE(becomes_known("service dc r1 4000 ready")) << known;
+}
+
+// Guards against an executor that keeps what another writer said of it before
+// it announced itself.
+TEST_F(Node, BelievesAnExecutorThatAnotherWriterAnnouncedFirst)
+{
+    executor_info_t odd = make_info(1);
+    uint64_t sequence = 1;
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 60000);
+    odd.service = "other";
+    EXPECT_TRUE(node_announce_executor(node, &odd));
+    ASSERT_TRUE(becomes_known("other dc r1 4000 ready")) << known;
+    announce_seconds(4, &sequence);
+    EXPECT_TRUE(becomes_known("service dc r1 4000 ready")) << known;
+}
+
+// Guards against an executor that is given tasks while it leaves, as what it
+// announced before arrives late: in a burst, singly, or between newer ones.
+TEST_F(Node, LateAnnouncementsDoNotEndDraining)
+{
+    const std::string expected = "service dc r1 4000 draining";
+    executor_info_t leaving = make_info(30);
+    join();
+    leaving.draining = true;
+    EXPECT_TRUE(node_announce_executor(node, &leaving));
+    EXPECT_TRUE(becomes_known(expected)) << known;
+    for (uint64_t sequence = 2; sequence < 20; sequence++) {
+        executor_info_t late = make_info(sequence);
+
+        EXPECT_TRUE(node_announce_executor(node, &late));
+    }
+    run_ms(150);
+    EXPECT_EQ(known, expected);
+    clock.leap_ms += 5000;
+    executor_info_t single = make_info(25);
+    EXPECT_TRUE(node_announce_executor(node, &single));
+    run_ms(150);
+    EXPECT_EQ(known, expected);
+    for (uint64_t sequence = 2; sequence < 10; sequence++) {
+        executor_info_t late = make_info(sequence);
+
+        leaving.sequence++;
+        clock.leap_ms += 1000;
+        EXPECT_TRUE(node_announce_executor(node, &late));
+        run_ms(20);
+        EXPECT_EQ(known, expected);
+        EXPECT_TRUE(node_announce_executor(node, &leaving));
+    }
+}
+
 } // namespace
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -406,6 +406,20 @@
     }
 }
 
+// Guards against a real executor that another writer moves elsewhere, or makes
+// deaf by a sequence number that its own do not reach.
+TEST_F(OddAnnouncements, RefusesWhatContradictsAKnownExecutor)
+{
+    EXPECT_EQ(put("i-1", entry), 200);
+    expect_refused("i-1", with("Service", "\"s\"", "\"t\""));
+    expect_refused("i-1", with("Zone", "\"z\"", "\"y\""));
+    expect_refused("i-1",
+                   with("Labels", "[\"a\",\"r1-3\"]", "[\"a\",\"r9\"]"));
+    expect_refused("i-1", with("Sequence", "4", "9007199254740991"));
+    EXPECT_EQ(put("i-1", with("Sequence", "4", "5")), 200);
+    EXPECT_EQ(put("i-1", with("Sequence", "4", "3")), 200);
+}
+
 /* Serves one body to all calls. */
 struct Answers : public LoopTest {
     http_server_t *server = nullptr;
