Keep the records of jobs within what the store takes

A job record longer than the store's limit made the store refuse the leader's write, the leader repeated the same write for ever, and no job could be accepted, changed or cancelled any more.

Cause: store_http maps the refusal to STORE_REFUSED like that of a store that is not available, retry_write() repeats the unchanged write every 50 ms, and nothing bounded the length of a record: all due occurrences were created at once, and a checkpoint may have 1024 bytes.

Change: the scheduler knows the limit (record_bytes, from the platform's settings, 262144 by default). - A job whose first occurrence cannot fit is refused at its submission, as other jobs that are not valid. Each task counts with the longest encoding that it can have, and a quarter is left for the keys of executors. The largest job that the other limits allow still fits with one step and a payload of 16384 bytes. - A further due occurrence is created once there is room. - Checkpoints that do not fit are left out; their tasks begin anew under the next leader. - A record that still does not fit stays dirty, and its orders unsent; the others are written. This is the last resort, for jobs loaded under another limit, or with very many executors. While it lasts, ends of runs are not acknowledged. Each of these logs record-full (7024) once.

Ruled out: telling a permanent refusal from another one in the leader, as the write would still have to be made without that record; splitting a record, as a change of the stored format is not needed for this.

--- a/bench/sched_turn.c
+++ b/bench/sched_turn.c
@@ -196,7 +196,8 @@
     sched_opts_t opts = {.clock = &world.clock,
                          .predecessor_lease_ms = 6000,
                          .retain_ms = 600000,
-                         .stop_ms = 1000};
+                         .stop_ms = 1000,
+                         .record_bytes = 256 * 1024};
     double spent_us = 0;
 
     world.clock.vtbl = &clock_vtbl;
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -100,6 +100,7 @@
     EVENT(EVENT_ORDER_REPEATED, 7021, G_LOG_LEVEL_MESSAGE, "order-repeated")  \
     EVENT(EVENT_CRASH_COUNTED, 7022, G_LOG_LEVEL_WARNING, "crash-counted")    \
     EVENT(EVENT_TASK_GIVEN_UP, 7023, G_LOG_LEVEL_WARNING, "task-given-up")    \
+    EVENT(EVENT_RECORD_FULL, 7024, G_LOG_LEVEL_WARNING, "record-full")        \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -19,6 +19,8 @@
     /* Of all occurrences, which may be due at the same time. */
     SCHED_MAX_REPEATED_TASKS = 1024 * 1024,
     SCHED_MAX_ID_LENGTH = 60, /* so that the names of tasks fit */
+    /* A record is stored with its key, whose length takes one byte. */
+    SCHED_KEY_LENGTH_BYTES = 1,
     SCHED_NO_IMAGE = 0,
 };
 
@@ -174,6 +176,9 @@
  * @idle_since_ms: since when the job has no running task, or 0
  * @known_since_ms: when the job was accepted, on the monotonic clock
  * @accepted_ms: the same on the wall clock
+ * @occurrences_wait: a due occurrence waits as the record is full
+ * @checkpoints_left_out: number of checkpoints that the last record lacks
+ * @record_held: the last record did not fit into the store, and is not written
  */
 struct sched_job {
     list_t link;
@@ -199,6 +204,9 @@
     int64_t idle_since_ms;
     int64_t known_since_ms;
     int64_t accepted_ms;
+    bool occurrences_wait;
+    uint32_t checkpoints_left_out;
+    bool record_held;
 };
 
 /**
@@ -313,10 +321,27 @@
  */
 bool sched_task_needs_trial(const sched_task_t *task);
 
+/**
+ * sched_job_fits() - check whether a record has room for a number of
+ * occurrences
+ * @max_bytes: longest record that the store takes, with its key
+ *
+ * A part of the record is left for the keys of executors. Checkpoints are not
+ * counted, as a record may lack them.
+ */
+bool sched_job_fits(const Teasel__JobSpec *spec, size_t occurrences,
+                    size_t max_bytes);
+
 /**
  * sched_job_to_record() - encode a job for the store
+ * @max_bytes: longest record that the store takes, with its key
+ * @left_out: receives the number of checkpoints that did not fit; their tasks
+ *     begin anew under the next leader
+ *
+ * Return: the record, or NULL if it does not fit even without checkpoints.
  */
-GByteArray *sched_job_to_record(const sched_job_t *job);
+GByteArray *sched_job_to_record(const sched_job_t *job, size_t max_bytes,
+                                uint32_t *left_out);
 
 typedef sched_executor_t *(*sched_executor_lookup_fn)(const char *key,
                                                       void *data);
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -9,6 +9,15 @@
 enum {
     /* A higher count cannot be followed by others in 32 bits. */
     MAX_COUNT = INT32_MAX,
+    /* Longest encodings: a task without its checkpoint, an occurrence without
+       its tasks, and the numbers of a job. */
+    MAX_TASK_BYTES = 42,
+    MAX_OCCURRENCE_BYTES = 16,
+    MAX_JOB_BYTES = 64,
+    /* A checkpoint adds its length, and lengthens those around it. */
+    CHECKPOINT_HEADER_BYTES = 16,
+    /* Part of a record that is left for the keys of executors. */
+    PLACES_SHARE = 4,
 };
 
 /* Keys of the executors that the tasks of a job are assigned to. */
@@ -55,9 +64,6 @@
     record->crashed_run = task->crashed_run;
     record->stopping = task->phase == SCHED_TASK_STOPPING;
     record->place = add_executor(executors, task->executor);
-    if (task->checkpoint != NULL && task->phase != SCHED_TASK_DONE) {
-        record->checkpoint = task->checkpoint;
-    }
 }
 
 static uint32_t
@@ -106,8 +112,79 @@
     g_free(record);
 }
 
+bool
+sched_job_fits(const Teasel__JobSpec *spec, size_t occurrences,
+               size_t max_bytes)
+{
+    size_t occurrence_bytes =
+        MAX_OCCURRENCE_BYTES + (size_t)count_tasks(spec) * MAX_TASK_BYTES;
+    size_t bytes = SCHED_KEY_LENGTH_BYTES + strlen(spec->id) + MAX_JOB_BYTES +
+                   teasel__job_spec__get_packed_size(spec) +
+                   occurrences * occurrence_bytes;
+
+    return bytes <= max_bytes - max_bytes / PLACES_SHARE;
+}
+
+/* Adds the checkpoints of an occurrence for which there is room. Returns the
+   number of the others. */
+static uint32_t
+add_checkpoints(Teasel__OccurrenceRecord *record,
+                const sched_occurrence_t *occurrence, size_t *room)
+{
+    const Teasel__JobSpec *spec = occurrence->job->spec;
+    uint32_t left_out = 0;
+    size_t n = 0;
+
+    for (size_t i = 0; i < spec->n_steps; i++) {
+        for (uint32_t j = 0; j < spec->steps[i]->count; j++) {
+            const sched_task_t *task = &occurrence->steps[i].tasks[j];
+            Teasel__TaskRecord *out = record->tasks[n++];
+            size_t bytes;
+
+            if (task->checkpoint == NULL || task->phase == SCHED_TASK_DONE) {
+                continue;
+            }
+            bytes = CHECKPOINT_HEADER_BYTES + strlen(task->checkpoint);
+            if (bytes > *room) {
+                left_out++;
+                continue;
+            }
+            *room -= bytes;
+            out->checkpoint = task->checkpoint;
+        }
+    }
+    return left_out;
+}
+
+static GByteArray *
+pack_record(Teasel__JobRecord *record, const sched_job_t *job,
+            size_t max_bytes, uint32_t *left_out)
+{
+    size_t bytes = SCHED_KEY_LENGTH_BYTES + strlen(job->spec->id) +
+                   teasel__job_record__get_packed_size(record);
+    size_t room = max_bytes - MIN(bytes, max_bytes);
+    GByteArray *out;
+    size_t n = 0;
+
+    *left_out = 0;
+    if (bytes > max_bytes) {
+        return NULL;
+    }
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        if (n < record->n_occurrences) {
+            *left_out +=
+                add_checkpoints(record->occurrences[n++], occurrence, &room);
+        }
+    }
+    out = g_byte_array_new();
+    g_byte_array_set_size(out, teasel__job_record__get_packed_size(record));
+    teasel__job_record__pack(record, out->data);
+    return out;
+}
+
 GByteArray *
-sched_job_to_record(const sched_job_t *job)
+sched_job_to_record(const sched_job_t *job, size_t max_bytes,
+                    uint32_t *left_out)
 {
     Teasel__JobRecord record = TEASEL__JOB_RECORD__INIT;
     executor_table_t executors = {
@@ -116,7 +193,7 @@
     };
     GPtrArray *occurrences =
         g_ptr_array_new_with_free_func(free_occurrence_record);
-    GByteArray *out = g_byte_array_new();
+    GByteArray *out;
 
     record.spec = job->spec;
     record.state = job->state;
@@ -136,8 +213,7 @@
     record.occurrences = (Teasel__OccurrenceRecord **)occurrences->pdata;
     record.n_places = executors.keys->len;
     record.places = (char **)executors.keys->pdata;
-    g_byte_array_set_size(out, teasel__job_record__get_packed_size(&record));
-    teasel__job_record__pack(&record, out->data);
+    out = pack_record(&record, job, max_bytes, left_out);
     g_ptr_array_unref(occurrences);
     g_ptr_array_unref(executors.keys);
     g_hash_table_unref(executors.indexes);
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -200,18 +200,65 @@
     return true;
 }
 
-void
-sched_add_due_occurrences(sched_t *sched, sched_job_t *job)
+bool
+sched_check_size(const sched_t *sched, const Teasel__JobSpec *spec,
+                 GError **error)
 {
-    uint32_t count = MAX(1, job->spec->repeat_count);
+    if (sched_job_fits(spec, 1, sched->opts.record_bytes)) {
+        return true;
+    }
+    g_set_error(error, TEASEL_ERROR, ERROR_TOO_LARGE,
+                "job \"%s\" does not fit into a record of the store, which "
+                "takes %zu bytes",
+                spec->id, sched->opts.record_bytes);
+    return false;
+}
 
-    while (job->next_occurrence < count &&
+static bool
+is_occurrence_due(const sched_t *sched, const sched_job_t *job)
+{
+    return job->next_occurrence < MAX(1, job->spec->repeat_count) &&
            sched_job_get_start_ms(job, job->next_occurrence) <=
-               sched_wall_ms(sched)) {
+               sched_wall_ms(sched);
+}
+
+/* Due occurrences wait for the end of earlier ones if the record of the job
+   has no room for them. The first one always has, see sched_check_size(). */
+static bool
+has_room_for_occurrence(const sched_t *sched, const sched_job_t *job)
+{
+    size_t count = 0;
+
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        count++;
+    }
+    return count == 0 ||
+           sched_job_fits(job->spec, count + 1, sched->opts.record_bytes);
+}
+
+static void
+set_occurrences_wait(sched_job_t *job, bool wait)
+{
+    if (wait && !job->occurrences_wait) {
+        event_log(EVENT_RECORD_FULL, "job=%s occurrence=%u waits",
+                  job->spec->id, job->next_occurrence);
+    }
+    job->occurrences_wait = wait;
+}
+
+void
+sched_add_due_occurrences(sched_t *sched, sched_job_t *job)
+{
+    while (is_occurrence_due(sched, job)) {
+        if (!has_room_for_occurrence(sched, job)) {
+            set_occurrences_wait(job, true);
+            return;
+        }
         sched_job_add_occurrence(job);
         sched_mark_dirty(sched, job);
         sched->placement_needed = true;
     }
+    set_occurrences_wait(job, false);
 }
 
 sched_job_t *
@@ -392,16 +439,43 @@
     }
 }
 
+/* Returns NULL if the store would refuse the record. */
+static GByteArray *
+make_record(const sched_t *sched, sched_job_t *job)
+{
+    uint32_t left_out = 0;
+    GByteArray *record =
+        sched_job_to_record(job, sched->opts.record_bytes, &left_out);
+    bool held = record == NULL;
+
+    if (held && !job->record_held) {
+        event_log(EVENT_RECORD_FULL, "job=%s waits until runs have ended",
+                  job->spec->id);
+    }
+    if (left_out > job->checkpoints_left_out) {
+        event_log(EVENT_RECORD_FULL, "job=%s checkpoints=%u left out",
+                  job->spec->id, left_out);
+    }
+    job->record_held = held;
+    job->checkpoints_left_out = left_out;
+    return record;
+}
+
 static void
 take_dirty_jobs(sched_t *sched, GPtrArray *changes)
 {
     size_t bytes = 0;
 
-    while (!list_is_empty(&sched->dirty_jobs) && bytes < MAX_WRITE_BYTES) {
-        sched_job_t *job =
-            LIST_ENTRY(sched->dirty_jobs.next, sched_job_t, dirty_link);
-        GByteArray *record = sched_job_to_record(job);
+    LIST_FOREACH_SAFE (job, &sched->dirty_jobs, sched_job_t, dirty_link) {
+        GByteArray *record;
 
+        if (bytes >= MAX_WRITE_BYTES) {
+            return;
+        }
+        record = make_record(sched, job);
+        if (record == NULL) {
+            continue;
+        }
         list_remove(&job->dirty_link);
         job->pending_state = job->state;
         job->write_pending = true;
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -28,12 +28,14 @@
  *     store have ended
  * @retain_ms: a final job is removed after this time
  * @stop_ms: longest time that an executor takes to stop a run
+ * @record_bytes: longest record that the store takes, with its key
  */
 typedef struct sched_opts {
     const clock_source_t *clock;
     int64_t predecessor_lease_ms;
     int64_t retain_ms;
     int64_t stop_ms;
+    size_t record_bytes;
 } sched_opts_t;
 
 /**
@@ -67,6 +69,13 @@
  */
 bool sched_load_learned(sched_t *sched, const void *record, size_t length);
 
+/**
+ * sched_check_size() - check whether the record of a new job can be stored
+ * @error: names the job and the limit
+ */
+bool sched_check_size(const sched_t *sched, const Teasel__JobSpec *spec,
+                      GError **error);
+
 /**
  * sched_submit() - accept a job, unless a job with the same id exists
  * @spec: ownership is taken in either case
@@ -129,6 +138,9 @@
  * sched_take_changes() - begin a write of the changed records
  * @changes: receives sched_change_t elements and frees them with the array
  *
+ * A record that the store would refuse is kept back, with the orders of its
+ * job, until it has become shorter.
+ *
  * Only one write may be pending: until sched_commit() is called, further calls
  * return false.
  *
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -397,6 +397,7 @@
                                 EXPIRY_MARGIN_MS,
         .retain_ms = opts->retain_ms,
         .stop_ms = opts->stop_ms,
+        .record_bytes = opts->record_bytes,
     };
 
     leader->opts = *opts;
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -26,6 +26,7 @@
  * @lease_ms: longest lease of an executor
  * @retain_ms: retention period of final jobs
  * @stop_ms: longest time that an executor takes to stop a run
+ * @record_bytes: longest record that the store takes, with its key
  * @get_acked_ms: see cluster_get_acked_ms()
  * @on_store_change: writes to the store started to fail, or succeed again
  * @on_fenced: the store rejected a write because of a later leader; the
@@ -39,6 +40,7 @@
     int64_t lease_ms;
     int64_t retain_ms;
     int64_t stop_ms;
+    size_t record_bytes;
     int64_t (*get_acked_ms)(void *data);
     void (*on_store_change)(bool available, void *data);
     void (*on_fenced)(const char *reason, void *data);
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -89,7 +89,8 @@
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE, 0, 0);
         return;
     }
-    if (call->spec == NULL || !sched_job_check(call->spec, &error)) {
+    if (call->spec == NULL || !sched_job_check(call->spec, &error) ||
+        !sched_check_size(leader->sched, call->spec, &error)) {
         event_log(EVENT_JOB_REFUSED, "job=%s reason=\"%s\"", call->id,
                   error ? error->message : "missing job specification");
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_INVALID, 0, 0);
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -83,6 +83,7 @@
         .lease_ms = settings->lease_ms,
         .retain_ms = settings->retain_ms,
         .stop_ms = settings->stop_run_ms,
+        .record_bytes = (size_t)settings->record_bytes,
         .get_acked_ms = get_acked_ms,
         .on_store_change = on_store_change,
         .on_fenced = on_fenced,
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -29,6 +29,7 @@
  *     schedulers with the most lead first
  * @cpu_milli: the same in thousandths
  * @max_lease_ms: longest lease that executors accept; upper limit of @lease_ms
+ * @record_bytes: longest record that the store takes, with its key
  */
 typedef struct scheduler_settings {
     char *name;
@@ -44,6 +45,7 @@
     int64_t max_lease_ms;
     int64_t retain_ms;
     int64_t stop_run_ms;
+    int64_t record_bytes;
     int64_t silence_ms;
     int64_t status_ms;
     int64_t leave_delay_ms;
--- a/libteasel/scheduler/scheduler_settings.c
+++ b/libteasel/scheduler/scheduler_settings.c
@@ -25,6 +25,7 @@
     INTEGER(max_lease_ms, 500, 600000, 600000),
     INTEGER(retain_ms, 1000, 86400000, 600000),
     INTEGER(stop_run_ms, 0, 60000, 1000),
+    INTEGER(record_bytes, 1024, 1024 * 1024 * 1024, 256 * 1024),
     INTEGER(silence_ms, 100, 60000, 800),
     INTEGER(status_ms, 10, 60000, 200),
     INTEGER(leave_delay_ms, 0, 60000, 2500),
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -101,6 +101,7 @@
         scheduler.settings.lease_ms = 2000;
         scheduler.settings.retain_ms = 600000;
         scheduler.settings.stop_run_ms = 100;
+        scheduler.settings.record_bytes = (int64_t)store.record_bytes;
         scheduler.settings.silence_ms = 800;
         scheduler.settings.status_ms = 100;
         scheduler.settings.leave_delay_ms = 100;
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -1,6 +1,7 @@
 #include "fake_store.h"
 
 #include <algorithm>
+#include <cstring>
 
 std::string
 FakeStore::newest(const std::string &topic, const std::string &key)
@@ -142,6 +143,19 @@
     wake_readers(this);
 }
 
+/* The length that counts is that of the key and the value together. */
+static bool
+is_too_long(const FakeStore *store, const store_append_t *append)
+{
+    for (size_t i = 0; i < append->count; i++) {
+        if (1 + strlen(append->records[i].key) + append->records[i].length >
+            store->record_bytes) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static store_status_t
 do_append(FakeStore *store, const store_append_t *append, uint64_t *offset)
 {
@@ -149,6 +163,9 @@
     store_status_t status = STORE_OK;
 
     store->appends++;
+    if (is_too_long(store, append)) {
+        return STORE_REFUSED;
+    }
     if (append->check_end && append->expected_end != topic.records.size()) {
         return STORE_CONFLICT;
     }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -32,6 +32,7 @@
     };
     std::map<std::string, Topic> topics;
     uint64_t appends = 0;
+    size_t record_bytes = 262144; /* an append of a longer record is refused */
 
     /* Returns the newest value of a key, or an empty string. */
     std::string newest(const std::string &topic, const std::string &key);
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -177,8 +177,9 @@
     std::map<std::string, std::string> stored;
     std::vector<std::pair<std::string, std::string>> pending_changes;
     bool writing = false;
+    size_t record_bytes;
 
-    Core()
+    Core(size_t record_bytes = 262144) : record_bytes(record_bytes)
     {
         fake_clock_init(&clock);
         sched = create();
@@ -197,6 +198,7 @@
         opts.predecessor_lease_ms = 6000;
         opts.retain_ms = 600000;
         opts.stop_ms = 500;
+        opts.record_bytes = record_bytes;
         return sched_new(&opts);
     }
     /* Replaces the leader by one that loads the stored records. */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -1115,6 +1115,146 @@
     EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
 }
 
+/* Whether the store takes all records of the pending write. */
+bool
+is_short(const Core &core)
+{
+    for (auto &[key, value] : core.pending_changes) {
+        if (1 + key.size() + value.size() > core.record_bytes) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Guards against a job with many due occurrences whose record the store
+// refuses, and against occurrences that are lost as they had to wait.
+TEST(Sched, LetsDueOccurrencesWaitWhileTheRecordIsFull)
+{
+    Core core(8192);
+    Teasel__JobSpec *spec = make_spec("j", {{.count = 50}});
+    std::set<std::string> started;
+    uint64_t end = 0;
+
+    spec->repeat_count = 60;
+    connect(core, A, 1000000);
+    sched_submit(core.sched, spec);
+    for (int i = 0; i < 100 && started.size() < 3000; i++) {
+        Report report(A, 1000000);
+
+        report.texts.reserve(10000);
+        sched_run(core.sched);
+        core.begin_write();
+        ASSERT_TRUE(is_short(core));
+        core.end_write();
+        for (const TaskRun &run : core.orders(A).starts) {
+            started.insert(run.first);
+            report.ends(++end, run, SCHED_END_DONE);
+        }
+        core.report(report);
+        fake_clock_advance_ms(&core.clock, 100);
+    }
+    core.run_and_commit();
+    EXPECT_EQ(started.size(), 3000U);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+}
+
+// Guards against a job whose record the store refuses, as its tasks have
+// written long checkpoints, and against the loss of those that fit.
+TEST(Sched, LeavesOutCheckpointsThatDoNotFit)
+{
+    Core core(4096);
+    size_t kept = 0;
+
+    connect(core, A, 1000000);
+    sched_submit(core.sched,
+                 make_spec("j", {{.count = 20, .checkpointing = true}}));
+    core.run_and_commit();
+    Report report(A, 1000000);
+    for (uint64_t i = 0; i < 20; i++) {
+        report.ends(i + 1, {"j.0.0." + std::to_string(i), 1}, SCHED_END_LAPSED,
+                    std::string(1000, 'c'));
+    }
+    core.report(report);
+    sched_run(core.sched);
+    core.begin_write();
+    EXPECT_TRUE(is_short(core));
+    core.end_write();
+    EXPECT_EQ(core.orders(A).starts.size(), 20U);
+    core.restart();
+    for (uint32_t i = 0; i < 20; i++) {
+        const sched_task_t *task =
+            sched_job_find_task(sched_find(core.sched, "j"), 0, 0, i);
+
+        EXPECT_EQ(task->run, 2U);
+        kept += task->checkpoint != nullptr;
+    }
+    EXPECT_EQ(kept, 3U);
+}
+
+// Guards against a leader that can write nothing any more beside one record
+// that the store refuses, and against orders without a stored record.
+TEST(Sched, WritesJobsBesideOneWhoseRecordDoesNotFit)
+{
+    Core core;
+
+    connect(core, A, 1000000);
+    sched_submit(core.sched, make_spec("large", {{.count = 50}}));
+    core.run_and_commit();
+    core.record_bytes = 200;
+    core.restart();
+    connect(core, A, 1000000);
+    sched_submit(core.sched, make_spec("small", {{}}));
+    sched_run(core.sched);
+    sched_cancel(core.sched, sched_find(core.sched, "large"));
+    core.begin_write();
+    EXPECT_TRUE(is_short(core));
+    EXPECT_EQ(core.pending_changes.size(), 1U);
+    core.end_write();
+    EXPECT_EQ(core.stored.count("small"), 1U);
+    Core::Orders orders = core.orders(A);
+    EXPECT_EQ(orders.starts, (std::vector<TaskRun>{{"small.0.0.0", 1}}));
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_EQ(core.visible_state("large"), SCHED_JOB_QUEUED);
+    Report report(A, 1000000);
+    for (uint64_t i = 0; i < 50; i++) {
+        report.ends(i + 1, {"large.0.0." + std::to_string(i), 1},
+                    SCHED_END_STOPPED);
+    }
+    core.report(report);
+    core.run_and_commit();
+    EXPECT_EQ(core.visible_state("large"), SCHED_JOB_CANCELLED);
+}
+
+// Guards against a job that is accepted though its record can never be stored.
+TEST(Sched, RefusesAJobWhoseRecordCannotFit)
+{
+    g_autoptr(GError) error = nullptr;
+    Teasel__JobSpec *small = make_spec("small", {{.count = 60}});
+    Teasel__JobSpec *large = make_spec("large", {{.count = 200}});
+    Core core(4096);
+
+    EXPECT_TRUE(sched_check_size(core.sched, small, nullptr));
+    EXPECT_FALSE(sched_check_size(core.sched, large, &error));
+    EXPECT_STREQ(error->message,
+                 "job \"large\" does not fit into a record of the store, "
+                 "which takes 4096 bytes");
+    teasel__job_spec__free_unpacked(small, nullptr);
+    teasel__job_spec__free_unpacked(large, nullptr);
+}
+
+// Guards against the refusal of a job that is within the other limits.
+TEST(Sched, TheLargestJobFitsIntoARecord)
+{
+    Teasel__JobSpec *spec = make_spec("j", {{.count = SCHED_MAX_TASKS}});
+    Core core;
+
+    g_free(spec->payload);
+    spec->payload = g_strnfill(16384, 'p');
+    EXPECT_TRUE(sched_check_size(core.sched, spec, nullptr));
+    teasel__job_spec__free_unpacked(spec, nullptr);
+}
+
 // Guards against a leader that accepts or crashes on malformed specifications
 // and records.
 TEST(Sched, RefusesMalformedJobs)
