Keep the record of learned values within what the store takes

Up to 4096 pairs of names of up to 255 bytes each are learned, which can take 2 MB.

Change: values that do not fit into the record are left out, with a line in the log; the next leader begins with the default for them.

Ruled out as too long: records on the control topic have a name and an address each.

Test: KeepsTheRecordOfLearnedValuesShort; fails in a trial without the limit.

--- a/libteasel/sched/learned.c
+++ b/libteasel/sched/learned.c
@@ -1,11 +1,15 @@
 /* Stores the estimates that a leader has learned, for later leaders. */
 
 #include <math.h>
+#include <string.h>
 
+#include "base/events.h"
 #include "sched/sched_internal.h"
 
 enum {
     WRITE_INTERVAL_MS = 2000,
+    /* Longest encoding of a tag and of the length of an entry. */
+    ENTRY_HEADER_BYTES = 4,
 };
 
 static void
@@ -44,6 +48,44 @@
                WRITE_INTERVAL_MS;
 }
 
+static size_t
+get_pair_size(const void *pair)
+{
+    return teasel__learned_pair__get_packed_size(pair);
+}
+
+static size_t
+get_queue_size(const void *queue)
+{
+    return teasel__learned_queue__get_packed_size(queue);
+}
+
+/* Returns the number of entries for which there is room. */
+static size_t
+count_fitting(const GPtrArray *entries, size_t (*get_size)(const void *entry),
+              size_t *room)
+{
+    for (guint i = 0; i < entries->len; i++) {
+        size_t bytes =
+            ENTRY_HEADER_BYTES + get_size(g_ptr_array_index(entries, i));
+
+        if (bytes > *room) {
+            return i;
+        }
+        *room -= bytes;
+    }
+    return entries->len;
+}
+
+static void
+set_left_out(sched_t *sched, guint left_out)
+{
+    if (left_out > sched->learned_left_out) {
+        event_log(EVENT_RECORD_FULL, "learned=%u left out", left_out);
+    }
+    sched->learned_left_out = left_out;
+}
+
 GByteArray *
 sched_learned_to_record(sched_t *sched)
 {
@@ -51,15 +93,19 @@
     g_autoptr(GPtrArray) pairs = g_ptr_array_new();
     g_autoptr(GPtrArray) queues = g_ptr_array_new();
     GByteArray *out = g_byte_array_new();
+    size_t room = sched->opts.record_bytes - SCHED_KEY_LENGTH_BYTES -
+                  strlen(SCHED_LEARNED_KEY);
 
     sched->learned_dirty = false;
     sched->learned_written_ms = sched_now_ms(sched);
     interference_to_pairs(sched->interference, pairs);
     add_queues(sched, queues);
-    record.n_pairs = pairs->len;
-    record.pairs = (Teasel__LearnedPair **)pairs->pdata;
-    record.n_queues = queues->len;
+    record.n_queues = count_fitting(queues, get_queue_size, &room);
     record.queues = (Teasel__LearnedQueue **)queues->pdata;
+    record.n_pairs = count_fitting(pairs, get_pair_size, &room);
+    record.pairs = (Teasel__LearnedPair **)pairs->pdata;
+    set_left_out(sched, (guint)(pairs->len + queues->len - record.n_pairs -
+                                record.n_queues));
     g_byte_array_set_size(out,
                           teasel__learned_record__get_packed_size(&record));
     teasel__learned_record__pack(&record, out->data);
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -28,6 +28,7 @@
  * @last_placement_ms: time of the last placement
  * @learned_dirty: the learned estimates changed since their last record
  * @learned_written_ms: when that record was made
+ * @learned_left_out: number of values that did not fit into that record
  * @last_sort_ms: when the active jobs were last sorted
  * @last_sequence: sequence number of the newest job
  * @last_report: number of the newest report on an executor
@@ -56,6 +57,7 @@
     int64_t last_placement_ms;
     bool learned_dirty;
     int64_t learned_written_ms;
+    guint learned_left_out;
     int64_t last_sort_ms;
     uint64_t last_sequence;
     uint64_t last_report;
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -1255,6 +1255,49 @@
     teasel__job_spec__free_unpacked(spec, nullptr);
 }
 
+// Guards against learned values of so many images that the store refuses their
+// record, and with it each write.
+TEST(Sched, KeepsTheRecordOfLearnedValuesShort)
+{
+    Teasel__LearnedRecord record = TEASEL__LEARNED_RECORD__INIT;
+    std::vector<Teasel__LearnedPair> pairs(2000);
+    std::vector<Teasel__LearnedPair *> pointers;
+    std::vector<std::string> names;
+    std::string bytes;
+    Core core(65536);
+
+    for (size_t i = 0; i < pairs.size(); i++) {
+        names.push_back(std::string(200, 'i') + std::to_string(i));
+    }
+    for (size_t i = 0; i < pairs.size(); i++) {
+        teasel__learned_pair__init(&pairs[i]);
+        pairs[i].filler = names[i].data();
+        pairs[i].serving = names[0].data();
+        pairs[i].weight = 1;
+        pointers.push_back(&pairs[i]);
+    }
+    record.n_pairs = pointers.size();
+    record.pairs = pointers.data();
+    bytes.resize(teasel__learned_record__get_packed_size(&record));
+    teasel__learned_record__pack(&record,
+                                 reinterpret_cast<uint8_t *>(bytes.data()));
+    ASSERT_TRUE(sched_load_learned(core.sched, bytes.data(), bytes.size()));
+    connect(core, A);
+    sched_submit(core.sched,
+                 make_spec("s", {{.long_running = true, .target_ms = 10}}));
+    core.run_and_commit();
+    fake_clock_advance_ms(&core.clock, 5000);
+    Report report(A);
+    report.runs({"s.0.0.0", 1}, 3);
+    report.message.has_figures = true;
+    core.report(report);
+    sched_run(core.sched);
+    core.begin_write();
+    EXPECT_TRUE(is_short(core));
+    core.end_write();
+    EXPECT_GT(core.stored[SCHED_LEARNED_KEY].size(), 60000U);
+}
+
 // Guards against a leader that accepts or crashes on malformed specifications
 // and records.
 TEST(Sched, RefusesMalformedJobs)
