--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -1142,7 +1142,6 @@
     for (int i = 0; i < 100 && started.size() < 3000; i++) {
         Report report(A, 1000000);
 
-        report.texts.reserve(10000);
         sched_run(core.sched);
         core.begin_write();
         ASSERT_TRUE(is_short(core));
