--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -284,6 +284,7 @@
         opts.epoch = leader->epoch;
         opts.lease_ms = LEASE_MS;
         opts.retain_ms = 600000;
+        opts.record_bytes = store.record_bytes;
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
         opts.on_store_change = on_store_change;
