Let stand-in executors run tasks without end, and agents start unaware

It also notes under which tasks a deadly one crashed it. Deployment::start_node() can leave out the announcement, so that the new agent does not know the incarnation that the old one reported.

--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -130,7 +130,7 @@
         schedulers[i]->view.reset();
     }
     void
-    start_node(int i)
+    start_node(int i, bool announced = true)
     {
         Node &node = *nodes[i];
         node_opts_t opts = {};
@@ -148,7 +148,9 @@
         opts.settings = &node.settings;
         opts.connect = FakeExecutor::connect;
         node.node = node_new(&opts, nullptr);
-        announce_present(i);
+        if (announced) {
+            announce_present(i);
+        }
     }
     /* Announces the present incarnation of an executor. */
     bool
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -42,6 +42,7 @@
     std::string id = "id";
     int64_t born_ms = 100;
     int64_t work_ms = 40;      /* duration of a run; < 0: without end */
+    std::string endless;       /* if set, prefix of tasks that never end */
     bool unresponsive = false; /* calls get no answer and have no effect */
     bool gone = false;         /* calls cannot be sent */
     int lose_starts = 0;       /* next starts to carry out without an answer */
@@ -50,6 +51,7 @@
     std::string deadly_task;   /* crashes the executor just after its start */
     int deadly_starts = 1000;  /* next starts of it that do so */
     int64_t crash_ms = 0;      /* time of the next crash, or 0 */
+    std::map<std::string, int> crashed; /* such crashes under a task */
     int late_starts = 0;       /* next starts to carry out late, unanswered */
     int64_t late_ms = 300;     /* delay of a late start */
     std::string reject_reason; /* if set, rejects all starts */
@@ -115,6 +117,22 @@
     {
         return running.count(task) != 0 && now_ms() <= deadline_ms;
     }
+    bool
+    is_endless(const std::string &task) const
+    {
+        return work_ms < 0 ||
+               (!endless.empty() && task.rfind(endless, 0) == 0);
+    }
+    void
+    crash()
+    {
+        crash_ms = 0;
+        for (auto &[task, entry] : running) {
+            crashed[task]++;
+        }
+        id = "id" + std::to_string(born_ms + 1);
+        restart(born_ms + 1);
+    }
     void
     check_doubled(const std::string &task)
     {
@@ -179,9 +197,7 @@
         std::vector<std::string> names;
 
         if (crash_ms != 0 && now_ms() >= crash_ms) {
-            crash_ms = 0;
-            id = "id" + std::to_string(born_ms + 1);
-            restart(born_ms + 1);
+            crash();
         }
         begin_late();
 
@@ -192,7 +208,7 @@
             if (now_ms() > deadline_ms) {
                 end(task, SCHED_END_LAPSED);
             }
-            else if (work_ms >= 0 && now_ms() >= running[task].until_ms) {
+            else if (!is_endless(task) && now_ms() >= running[task].until_ms) {
                 end(task, SCHED_END_DONE);
             }
         }
