--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -132,7 +132,7 @@
         schedulers[i]->view.reset();
     }
     void
-    start_node(int i)
+    start_node(int i, bool announced = true)
     {
         Node &node = *nodes[i];
         node_opts_t opts = {};
@@ -150,7 +150,9 @@
         opts.settings = &node.settings;
         opts.connect = FakeExecutor::connect;
         node.node = node_new(&opts, nullptr);
-        announce_present(i);
+        if (announced) {
+            announce_present(i);
+        }
     }
     /* Announces the present incarnation of an executor. */
     bool
--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -840,10 +840,8 @@
         job.tasks = tasks;
         job.lasting = steps[0].long_running;
         for (auto &executor : executors) {
-            for (auto &task : tasks) {
-                if (job.lasting) {
-                    executor.fake.lasting.insert(task);
-                }
+            if (job.lasting) {
+                executor.fake.endless = id;
             }
         }
         jobs.push_back(job);
