--- a/tests/unit/deployment_soak_test.cc
+++ b/tests/unit/deployment_soak_test.cc
@@ -573,7 +573,9 @@
 
         for (auto &node : deployment.nodes) {
             node->executor.deadly_task.clear();
-            node->cpu_milli = draw(2) == 0 ? node->cpu_milli : LARGE_CPU;
+            if (draw(2) != 0) {
+                node->cpu_milli = LARGE_CPU;
+            }
         }
         if (kind > 0) {
             lose_busiest();
