Tell each leader the end of an executor

Cause: an agent told the end of an incarnation in one report and forgot it. A leader that is still loading, or that waits for complete lists, drops reports; one that is killed before it has stored the effect takes the knowledge with it. The next leader finds the runs in its records and waits for the longest lease of its predecessor, from its own start. Runs that crashed were reported again on a new connection; ends were not.

The list of crashed runs becomes a list of notices that are kept for some time and repeated whenever a leader needs complete lists; it holds the ends of incarnations too. An incarnation that answers again is taken off, as its end is no longer true.

Without the removal of an incarnation that answers again, Node.ReportsNoEndOfAnExecutorThatAnswersAgain fails.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -10,6 +10,11 @@
     TICK_MS = 50,
     /* An executor exits within this time after it announced its end. */
     LEAVE_GRACE_MS = 300,
+    /* Longer than an agent usually needs to find a new leader. */
+    KEEP_CRASHES_MS = 20000,
+    /* A leader that cannot write to the store may be followed by one that
+       finds the incarnation in its records. */
+    KEEP_ENDS_MS = 60000,
 };
 
 int64_t
@@ -85,7 +90,8 @@
         executor->unreported = true;
         executor->ends_sent = 0;
     }
-    crash_list_resend(node->crashes);
+    notice_list_resend(node->ended_keys);
+    notice_list_resend(node->crashes);
     node_schedule_report(node);
 }
 
@@ -153,6 +159,15 @@
     node_send_report(node, true);
 }
 
+static void
+free_crashed_run(void *data)
+{
+    Teasel__CrashedRun *run = data;
+
+    g_free(run->task);
+    g_free(run);
+}
+
 node_t *
 node_new(const node_opts_t *opts, GError **error)
 {
@@ -170,8 +185,8 @@
 
     node->opts = *opts;
     node->longest_lease_ms = opts->settings->max_lease_ms;
-    node->ended_keys = g_ptr_array_new_with_free_func(g_free);
-    node->crashes = crash_list_new();
+    node->ended_keys = notice_list_new(KEEP_ENDS_MS, g_free);
+    node->crashes = notice_list_new(KEEP_CRASHES_MS, free_crashed_run);
     list_init(&node->executors);
     loop_timer_init(&node->tick, opts->loop, on_tick, node);
     loop_timer_init(&node->flush, opts->loop, on_flush, node);
@@ -194,8 +209,8 @@
     LIST_FOREACH_SAFE (executor, &node->executors, node_executor_t, link) {
         node_executor_free(executor);
     }
-    g_ptr_array_unref(node->ended_keys);
-    crash_list_free(node->crashes);
+    notice_list_free(node->ended_keys);
+    notice_list_free(node->crashes);
     g_free(node);
 }
 
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -195,6 +195,19 @@
     return starting;
 }
 
+static Teasel__CrashedRun *
+new_crashed_run(const run_t *run, bool alone)
+{
+    Teasel__CrashedRun *crashed = g_new(Teasel__CrashedRun, 1);
+
+    teasel__crashed_run__init(crashed);
+    crashed->task = g_strdup(run->task);
+    crashed->run = run->run;
+    crashed->alone = alone;
+    crashed->unconfirmed = !run->state.confirmed;
+    return crashed;
+}
+
 /* An executor that has said that it ends has not crashed. A run that was not
    confirmed may not have begun. An executor that only fell silent may not have
    crashed, so that this proves nothing of a run that started alone. */
@@ -209,16 +222,10 @@
     }
     alone = count_starting(executor) == 1 && !has_lease_expired(executor);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
-        Teasel__CrashedRun crashed = TEASEL__CRASHED_RUN__INIT;
-
-        if (!run_is_starting(run)) {
-            continue;
+        if (run_is_starting(run)) {
+            notice_list_add(node->crashes, new_crashed_run(run, alone),
+                            node_now_ms(node));
         }
-        crashed.task = run->task;
-        crashed.run = run->run;
-        crashed.alone = alone;
-        crashed.unconfirmed = !run->state.confirmed;
-        crash_list_add(node->crashes, &crashed, node_now_ms(node));
     }
 }
 
@@ -241,7 +248,8 @@
     }
     /* Only incarnations that have answered were reported. */
     if (executor->polled) {
-        g_ptr_array_add(executor->node->ended_keys, g_strdup(executor->key));
+        notice_list_add(executor->node->ended_keys, g_strdup(executor->key),
+                        node_now_ms(executor->node));
     }
     mark_ended(executor, reason);
 }
@@ -352,6 +360,9 @@
     if (!executor->polled) {
         executor->polled = true;
         executor->unreported = true;
+        /* It was given up before, and answers again. */
+        notice_list_remove(executor->node->ended_keys, g_str_equal,
+                           executor->key);
         node_end_older_incarnations(executor);
     }
     throttle_update(executor);
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -3,9 +3,9 @@
 
 #include "base/list.h"
 #include "node/announcement_filter.h"
-#include "node/crash_list.h"
 #include "node/node.h"
 #include "node/node_link.h"
+#include "node/notice_list.h"
 #include "node/run_state.h"
 
 /**
@@ -156,8 +156,9 @@
 
 /**
  * struct node - the node agent
- * @ended_keys: keys of ended incarnations to be reported
- * @crashes: runs that had just started when their executor crashed
+ * @ended_keys: keys of ended incarnations
+ * @crashes: Teasel__CrashedRun that had just started when their executor
+ *     crashed
  * @epoch: highest epoch of a leader that sent orders
  * @longest_lease_ms: no leader grants a longer lease, also not to an earlier
  *     agent process
@@ -169,8 +170,8 @@
     node_opts_t opts;
     node_link_t *link;
     list_t executors;
-    GPtrArray *ended_keys;
-    crash_list_t *crashes;
+    notice_list_t *ended_keys;
+    notice_list_t *crashes;
     loop_timer_t tick;
     loop_timer_t flush;
     uint64_t epoch;
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -148,8 +148,8 @@
         executor->ends_sent = executor->ends->len;
         g_ptr_array_set_size(executor->rejected, 0);
     }
-    g_ptr_array_set_size(node->ended_keys, 0);
-    crash_list_mark_sent(node->crashes, node_now_ms(node));
+    notice_list_mark_sent(node->ended_keys, node_now_ms(node));
+    notice_list_mark_sent(node->crashes, node_now_ms(node));
 }
 
 void
@@ -160,17 +160,21 @@
         .executors = g_ptr_array_new(),
         .allocated = g_ptr_array_new_with_free_func(g_free),
     };
+    void **ended;
+    size_t ended_count;
 
     heartbeat |= is_full_report_due(node);
-    for (guint i = 0; i < node->ended_keys->len; i++) {
-        add_ended_executor(&report, g_ptr_array_index(node->ended_keys, i));
+    ended = notice_list_get_unsent(node->ended_keys, &ended_count);
+    for (size_t i = 0; i < ended_count; i++) {
+        add_ended_executor(&report, ended[i]);
     }
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
         if (is_reportable(executor) && (heartbeat || executor->unreported)) {
             add_executor(&report, executor, heartbeat);
         }
     }
-    message.crashed = crash_list_get_unsent(node->crashes, &message.n_crashed);
+    message.crashed = (Teasel__CrashedRun **)notice_list_get_unsent(
+        node->crashes, &message.n_crashed);
     message.n_executors = report.executors->len;
     message.executors = (Teasel__ExecutorReport **)report.executors->pdata;
     if (heartbeat) {
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -59,6 +59,7 @@
     std::map<TaskRun, bool> crashed;    /* reported; whether confirmed */
     std::set<std::string> gone;         /* executors reported as such */
     uint32_t longest_lease_ms = 0;      /* that any leader grants */
+    bool send_lists = false;            /* asked for with orders */
     std::map<TaskRun, bool> running;    /* reported; whether settled */
     std::set<TaskRun> begun;            /* reported as no longer pending */
     std::set<TaskRun> ended;            /* reported */
@@ -326,6 +327,7 @@
         orders.echo_us = echo_us;
         orders.lease_ms = lease_ms;
         orders.longest_lease_ms = longest_lease_ms;
+        orders.send_lists = send_lists;
         envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
         envelope.node_orders = &orders;
         peer_send(peer, &envelope);
@@ -521,6 +523,74 @@
     EXPECT_TRUE(wait([&] { return crashed.count({"j.0.0.0", 1}) == 1; }));
 }
 
+/* Replaces the executor, and returns its key once it is reported as gone. */
+std::string
+lose_executor(Node &test)
+{
+    std::string key;
+
+    g_assert(test.wait([&] { return !test.heartbeat.empty(); }));
+    key = test.heartbeat[0];
+    test.executor.id = "later";
+    test.executor.restart(200);
+    test.announce();
+    g_assert(test.wait([&] { return test.gone.count(key) == 1; }));
+    test.run_ms(50);
+    test.gone.clear();
+    return key;
+}
+
+// Guards against tasks that wait for the lease of an executor whose end was
+// told to a leader that was killed before it had stored the effect.
+TEST_F(Node, ReportsTheEndOfAnExecutorAgainOnANewConnection)
+{
+    std::string key;
+
+    join();
+    key = lose_executor(*this);
+    peer_close(peer);
+    peer = nullptr;
+    EXPECT_TRUE(wait([&] { return gone.count(key) == 1; }));
+}
+
+// Guards against tasks that wait for the lease of an executor whose end was
+// told to a leader that was still loading.
+TEST_F(Node, ReportsTheEndOfAnExecutorAgainWithCompleteLists)
+{
+    std::string key;
+
+    join();
+    key = lose_executor(*this);
+    send_lists = true;
+    grant(heartbeat_us, 5000);
+    EXPECT_TRUE(wait([&] { return gone.count(key) == 1; }));
+}
+
+// Guards against a second run of tasks whose executor was given up, answers
+// again, and is reported as gone to the next leader.
+TEST_F(Node, ReportsNoEndOfAnExecutorThatAnswersAgain)
+{
+    std::string key;
+
+    longest_lease_ms = 500;
+    join();
+    grant(heartbeat_us, 500);
+    key = heartbeat[0];
+    executor.unresponsive = true;
+    ASSERT_TRUE(wait([&] { return gone.count(key) == 1; }));
+    executor.unresponsive = false;
+    heartbeat.clear();
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    gone.clear();
+    heartbeat.clear();
+    peer_close(peer);
+    peer = nullptr;
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    run_ms(200);
+    EXPECT_EQ(gone, std::set<std::string>());
+}
+
 // Guards against a task that stays on trial, and its executor closed, though
 // the run has outlived its start.
 TEST_F(Node, ReportsARunThatHasOutlivedItsStart)
