Remember each executor that a task was rejected or failed on

Callers would see a lasting task that doesn't run, with room for it: two executors reject each start, or fail each run, and a third one with room is never tried. The leader remembered one executor for a task, the last one that had rejected or failed it, so the task alternated between the two for ever. Serving tasks are packed onto the executors that have most of them, so an executor that is sick and full of them is preferred to an empty one by up to the whole penalty.

Class: an executor with room that the leader doesn't use. Ruled out for these two tests: probation, which counts failures of different jobs (the same job failed each time) and no rejections at all; lack of room (the third executor is empty).

A task now keeps a list of the executors that failed, rejected or stalled its runs, with the number of these runs, until one of its runs outlives its start. The penalty grows with the number.

Before: SchedAvoid.TriesAnotherExecutorWhereTwoReject and ...WhereTwoFail fail, the task is at the second executor after four tries. After: at the third one, on the third try. 58 of 58 tests of Sched, 300 of SchedModel, and the lasting model pass.

--- /dev/null
+++ b/libteasel/sched/avoid_list.h
@@ -0,0 +1,39 @@
+#ifndef TEASEL_SCHED_AVOID_LIST_H
+#define TEASEL_SCHED_AVOID_LIST_H
+
+#include <glib.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * The executors that failed, rejected or stalled runs of one task since a run
+ * of it last outlived its start. The task prefers the others, and among these
+ * the ones with the fewest such runs: with only the last one remembered, a
+ * task would alternate between two of them. An empty list is NULL.
+ */
+
+typedef struct avoid_list avoid_list_t;
+typedef struct sched_executor sched_executor_t;
+
+/**
+ * avoid_list_add() - count a run on an executor
+ * @executor: may be freed later, as it is only compared
+ */
+void avoid_list_add(avoid_list_t **list, const sched_executor_t *executor);
+
+/**
+ * avoid_list_count() - return the number of runs that were counted for an
+ * executor
+ */
+guint avoid_list_count(const avoid_list_t *list,
+                       const sched_executor_t *executor);
+
+void avoid_list_clear(avoid_list_t **list);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -113,6 +113,7 @@
         list_remove(&step->tasks[i].order_link);
         sched_executor_detach(&step->tasks[i]);
         g_free(step->tasks[i].checkpoint);
+        avoid_list_clear(&step->tasks[i].avoided);
     }
     g_free(step->tasks);
 }
@@ -299,6 +300,7 @@
     sched_task_set_phase(task, SCHED_TASK_DONE);
     task->step->done++;
     g_clear_pointer(&task->checkpoint, g_free);
+    avoid_list_clear(&task->avoided);
 }
 
 bool
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/list.h"
+#include "sched/avoid_list.h"
 #include "wire/sched.pb-c.h"
 
 #ifdef __cplusplus
@@ -28,7 +29,6 @@
 typedef struct sched_occurrence sched_occurrence_t;
 typedef struct sched_step sched_step_t;
 typedef struct sched_task sched_task_t;
-typedef struct sched_executor sched_executor_t;
 
 /* Latest time on a wall clock, and longest interval, in milliseconds. Sums of
    times and of all intervals of a job cannot overflow. */
@@ -94,8 +94,7 @@
  *     slowdown
  * @not_before_ms: no new run is placed before this time
  * @ended_ms: when the last run ended, or 0
- * @avoid_executor: executor that last failed, rejected or stalled a run of
- *     this task; it may be freed already, so it is only compared
+ * @avoided: executors that failed, rejected or stalled runs of this task
  */
 struct sched_task {
     list_t order_link;
@@ -125,7 +124,7 @@
     int64_t progress_ms;
     int64_t not_before_ms;
     int64_t ended_ms;
-    const sched_executor_t *avoid_executor;
+    avoid_list_t *avoided;
 };
 
 /**
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -219,11 +219,9 @@
 
     LIST_FOREACH (executor, placement->executors, sched_executor_t, link) {
         double cost =
-            sched_placement_get_cost(placement, executor, task->step);
+            sched_placement_get_cost(placement, executor, task->step) +
+            COST_FAILED_HERE * avoid_list_count(task->avoided, executor);
 
-        if (task->avoid_executor == executor) {
-            cost += COST_FAILED_HERE;
-        }
         if (cost < best_cost) {
             best = executor;
             best_cost = cost;
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -154,6 +154,7 @@
 sched_task_settle(sched_t *sched, sched_task_t *task)
 {
     task->settled = true;
+    avoid_list_clear(&task->avoided);
     if (task->on_trial) {
         task->on_trial = false;
         task->executor->trials--;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -237,7 +237,7 @@
         update_run_time_ratio(sched, task);
     }
     if (how == SCHED_END_FAILED) {
-        task->avoid_executor = task->executor;
+        avoid_list_add(&task->avoided, task->executor);
         count_executor_failure(sched, task->executor,
                                sched_task_get_job(task));
     }
@@ -432,7 +432,7 @@
 
     release_orphan(sched, executor, rejected->task, rejected->run);
     if (task != NULL) {
-        task->avoid_executor = executor;
+        avoid_list_add(&task->avoided, executor);
         sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
     }
 }
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -118,8 +118,7 @@
         sched_executor_t *executor;
 
         if (!is_placeable(task, pass->now_ms) ||
-            (task->avoid_executor == NULL && !idle &&
-             !sched_task_is_suspect(task))) {
+            (task->avoided == NULL && !idle && !sched_task_is_suspect(task))) {
             continue;
         }
         executor = choose_executor(pass->sched, task, NULL);
@@ -379,7 +378,7 @@
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, executor_link) {
         sched_check_trial(sched, task, now_ms);
         if (is_stalled(task, now_ms)) {
-            task->avoid_executor = executor;
+            avoid_list_add(&task->avoided, executor);
             sched_stop_task(sched, task, "no progress");
         }
     }
