Close an executor to new tasks only for failures that speak against it

Callers would see tasks that last, and any others, wait with room for them, for as long as some jobs fail.

Cause: three failures of different jobs in a row close an executor for 4 s, and each further one does so again. Any failure counted: those of runs that were placed before it was closed, so that it stayed closed while its old tasks failed; those of jobs that fail wherever they run, which closed one executor after the other; and those of lasting tasks that had been at work, though they may fail at any time and an executor full of them has no run that ends as done, which alone resets the count. Nothing kept all executors of a service from being closed at once.

Class: an executor with room that the leader does not use. Ruled out: lack of resources, trials and restart delays (the model prints for each executor why it refuses the task: probation).

--- a/libteasel/sched/avoid_list.c
+++ b/libteasel/sched/avoid_list.c
@@ -56,6 +56,15 @@
     return found != NULL ? found->runs : 0;
 }
 
+bool
+avoid_list_has_other(const avoid_list_t *list,
+                     const sched_executor_t *executor)
+{
+    guint own = find(list, executor) != NULL;
+
+    return list != NULL && list->avoided->len > own;
+}
+
 void
 avoid_list_clear(avoid_list_t **list)
 {
--- a/libteasel/sched/avoid_list.h
+++ b/libteasel/sched/avoid_list.h
@@ -2,6 +2,7 @@
 #define TEASEL_SCHED_AVOID_LIST_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -30,6 +31,12 @@
 guint avoid_list_count(const avoid_list_t *list,
                        const sched_executor_t *executor);
 
+/**
+ * avoid_list_has_other() - check whether runs were counted for other executors
+ */
+bool avoid_list_has_other(const avoid_list_t *list,
+                          const sched_executor_t *executor);
+
 void avoid_list_clear(avoid_list_t **list);
 
 #ifdef __cplusplus
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -133,6 +133,13 @@
  */
 sched_task_t *sched_find_task(sched_t *sched, const char *name);
 
+/**
+ * sched_count_failure() - count a failed run against its executor, and put the
+ * executor on probation after several
+ * @task: still has the run
+ */
+void sched_count_failure(sched_t *sched, const sched_task_t *task);
+
 /**
  * sched_infer_crashes() - count a crash for the runs that had just started on
  * an executor whose end its agent did not report
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -7,10 +7,6 @@
 
 enum {
     DEFAULT_ATTEMPTS = 3,
-    /* Number of different jobs that fail in a row before an executor is put on
-       probation. */
-    PROBATION_FAILURES = 3,
-    PROBATION_MS = 4000,
     MAX_RESTART_DELAY_MS = 2000,
     RESTART_DELAY_STEP_MS = 100,
     /* A best-effort task that is throttled this much may be migrated. */
@@ -210,25 +206,6 @@
     step->run_ms_total += ran_ms;
 }
 
-static void
-count_executor_failure(sched_t *sched, sched_executor_t *executor,
-                       const sched_job_t *job)
-{
-    if (executor->last_failed_job == job->sequence) {
-        return;
-    }
-    executor->last_failed_job = job->sequence;
-    executor->consecutive_failures++;
-    if (executor->consecutive_failures >= PROBATION_FAILURES) {
-        executor->probation_ms = sched_now_ms(sched) + PROBATION_MS;
-        event_log(EVENT_EXECUTOR_SUSPECTED,
-                  "executor=%s jobs_in_row=%u probation_ms=%d", executor->key,
-                  executor->consecutive_failures, PROBATION_MS);
-        /* One more failure after the probation starts another one. */
-        executor->consecutive_failures = PROBATION_FAILURES - 1;
-    }
-}
-
 static void
 update_executor_health(sched_t *sched, sched_task_t *task, sched_end_t how)
 {
@@ -237,9 +214,8 @@
         update_run_time_ratio(sched, task);
     }
     if (how == SCHED_END_FAILED) {
+        sched_count_failure(sched, task);
         avoid_list_add(&task->avoided, task->executor);
-        count_executor_failure(sched, task->executor,
-                               sched_task_get_job(task));
     }
 }
 
--- /dev/null
+++ b/tests/unit/sched_probation_test.cc
@@ -0,0 +1,137 @@
+/* When executors that fail runs are closed to new tasks. */
+
+#include <gtest/gtest.h>
+
+#include "sched_fixture.h"
+
+namespace {
+
+const std::vector<std::string> KEYS = {
+    "10.0.0.1:80/a/100", "10.0.0.2:80/b/100", "10.0.0.3:80/c/100"};
+
+struct SchedProbation : public testing::Test {
+    Core core;
+    std::map<std::string, uint64_t> ends; /* number of the last one */
+
+    void
+    SetUp() override
+    {
+        for (auto &key : KEYS) {
+            Report report(key);
+
+            core.report(report);
+        }
+        take_starts();
+    }
+    /* Runs a turn, and returns the starts by executor. */
+    std::map<std::string, std::vector<TaskRun>>
+    take_starts()
+    {
+        std::map<std::string, std::vector<TaskRun>> starts;
+
+        core.run_and_commit();
+        for (auto &key : KEYS) {
+            for (auto &run : core.orders(key).starts) {
+                starts[key].push_back(run);
+            }
+        }
+        return starts;
+    }
+    void
+    fail(const std::string &key, const TaskRun &run)
+    {
+        Report report(key);
+
+        report.message.listed = false;
+        report.ends(++ends[key], run, SCHED_END_FAILED);
+        core.report(report);
+    }
+    void
+    submit(const std::string &id, const Step &step, uint32_t max_attempts = 1)
+    {
+        sched_submit(core.sched, make_spec(id, {step}, max_attempts));
+    }
+    /* Fails one run of each of several jobs on each executor. */
+    void
+    fail_jobs_everywhere()
+    {
+        for (int i = 0; i < 5 * (int)KEYS.size(); i++) {
+            submit("f" + std::to_string(i), {});
+        }
+        for (auto &[key, starts] : take_starts()) {
+            for (auto &run : starts) {
+                fail(key, run);
+            }
+        }
+    }
+};
+
+// Guards against a task that waits, with room for it, as jobs that cannot be
+// done have closed all executors.
+TEST_F(SchedProbation, KeepsMostExecutorsOpenWhateverFails)
+{
+    fail_jobs_everywhere();
+    submit("j", {.count = 12, .long_running = true});
+    EXPECT_EQ(take_starts().size(), 2U);
+}
+
+// Guards against an executor that is never closed, though it fails whatever it
+// starts while the others do not.
+TEST_F(SchedProbation, ClosesAnExecutorThatFailsSeveralJobs)
+{
+    std::map<std::string, std::vector<TaskRun>> starts;
+
+    for (int i = 0; i < 9; i++) {
+        submit("f" + std::to_string(i), {});
+    }
+    starts = take_starts();
+    for (auto &run : starts[KEYS[0]]) {
+        fail(KEYS[0], run);
+    }
+    submit("j", {.count = 12, .cpu = 500});
+    starts = take_starts();
+    EXPECT_EQ(starts.count(KEYS[0]), 0U);
+    EXPECT_EQ(starts.size(), 2U);
+}
+
+// Guards against executors that are closed in turn by tasks that fail wherever
+// they run.
+TEST_F(SchedProbation, CountsATaskThatFailsEverywhereAtOneExecutorOnly)
+{
+    submit("f0", {.cpu = 4000, .long_running = true}, 100);
+    submit("f1", {.cpu = 4000, .long_running = true}, 100);
+    submit("f2", {.cpu = 4000, .long_running = true}, 100);
+    for (int i = 0; i < 6; i++) {
+        auto starts = take_starts();
+
+        EXPECT_EQ(starts.size(), 3U) << "round " << i;
+        for (auto &[key, runs] : starts) {
+            fail(key, runs[0]);
+        }
+        fake_clock_advance_ms(&core.clock, 2500);
+    }
+}
+
+// Guards against an executor that is closed by lasting tasks which were at
+// work there and fail by themselves, one now and then.
+TEST_F(SchedProbation, CountsNoLastingTaskThatWasAtWork)
+{
+    std::map<std::string, std::vector<TaskRun>> starts;
+
+    for (int i = 0; i < 12; i++) {
+        submit("l" + std::to_string(i), {.long_running = true}, 100);
+    }
+    starts = take_starts();
+    for (auto &run : starts[KEYS[0]]) {
+        Report settled(KEYS[0]);
+
+        settled.message.listed = false;
+        settled.runs(run);
+        settled.running.back().settled = true;
+        core.report(settled);
+        fail(KEYS[0], run);
+    }
+    EXPECT_EQ(take_starts()[KEYS[0]].size(), starts[KEYS[0]].size());
+}
+
+} // namespace
