Test that trials leave other tasks a turn (fails on this code)

StartsOtherTasksBetweenTrialsThatFail: w.0.0.0 has no run after 9 s, while 29 runs of four suspects start on trial and fail, one after the other.

--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-const std::string A = "10.0.0.1:80/a/100";
+const std::string ADDRESS = "10.0.0.1:80/a/";
 constexpr int64_t TURN_MS = 100;
 /* After this time without a run and with room, callers count a task as
    lost. */
@@ -17,6 +17,7 @@
 struct Agent {
     Core &core;
     uint32_t cpu;
+    int started = 100;
     std::set<TaskRun> running;
     std::vector<TaskRun> failed;
     uint64_t next_end = 1;
@@ -25,6 +26,11 @@
     {
         turn();
     }
+    std::string
+    key() const
+    {
+        return ADDRESS + std::to_string(started);
+    }
     bool
     runs(const std::string &task) const
     {
@@ -47,10 +53,30 @@
         }
         ADD_FAILURE() << task << " does not run";
     }
+    /* Crashes the executor while all its runs are starting. */
+    void
+    crash()
+    {
+        Report gone(key());
+
+        for (auto &[task, run] : running) {
+            Teasel__CrashedRun crashed = TEASEL__CRASHED_RUN__INIT;
+            std::string name = task;
+
+            crashed.task = name.data();
+            crashed.run = run;
+            sched_apply_crash(core.sched, &crashed);
+        }
+        gone.message.gone = true;
+        core.report(gone);
+        running.clear();
+        next_end = 1;
+        started++;
+    }
     void
     turn()
     {
-        Report report(A, cpu);
+        Report report(key(), cpu);
 
         fake_clock_advance_ms(&core.clock, TURN_MS);
         for (auto &run : running) {
@@ -62,7 +88,7 @@
         failed.clear();
         core.report(report);
         core.run_and_commit();
-        for (auto &run : core.orders(A).starts) {
+        for (auto &run : core.orders(key()).starts) {
             running.insert(run);
         }
     }
@@ -120,4 +146,33 @@
     EXPECT_TRUE(agent.runs("j0.0.0.0"));
 }
 
+// Guards against a task that lasts and never runs on the only executor, as
+// suspects of crashes fail there one by one and each is put on trial again.
+TEST(SchedLasting, StartsOtherTasksBetweenTrialsThatFail)
+{
+    constexpr uint32_t SUSPECTS = 4;
+    constexpr int64_t RUN_MS = 300;
+    Core core;
+    Agent agent(core, 16000);
+
+    sched_submit(core.sched,
+                 make_spec("s", {{.count = SUSPECTS, .long_running = true}}));
+    agent.turn();
+    agent.crash();
+    agent.turn();
+    agent.crash();
+    sched_submit(core.sched, make_spec("w", {{.long_running = true}}, 2, 1));
+    for (int64_t passed = 0; passed < WAIT_MS; passed += RUN_MS) {
+        agent.run_for(RUN_MS);
+        for (uint32_t i = 0; i < SUSPECTS; i++) {
+            std::string task = "s.0.0." + std::to_string(i);
+
+            if (agent.runs(task)) {
+                agent.fail(task);
+            }
+        }
+    }
+    EXPECT_TRUE(agent.runs("w.0.0.0"));
+}
+
 } // namespace
