Run each best-effort task that lasts, also where no processor time is left

Callers would see a lasting best-effort task that never runs, with memory free for it, as soon as another task of its job runs: it needed unused processor time, and no harm to serving tasks, unless its job had no run at all.

Ruled out: probation and trials (the plain test has neither).

A lasting best-effort task that has had no run for 2 s may now overcommit an executor, as the first task of an idle job may; its agent throttles it there. Before that it waits for a better place. The name in the code follows: a placement may overcommit, whatever the reason.

--- a/libteasel/sched/demand.c
+++ b/libteasel/sched/demand.c
@@ -11,7 +11,7 @@
     const char *service;
     const Teasel__StepSpec *spec;
     uint16_t image_id;
-    bool job_idle;
+    bool may_overcommit;
 } demand_t;
 
 struct demand_list {
@@ -35,13 +35,13 @@
 }
 
 static demand_t
-get_demand(const sched_step_t *step, bool job_idle)
+get_demand(const sched_step_t *step, bool may_overcommit)
 {
     return (demand_t){
         .service = step->occurrence->job->spec->service,
         .spec = step->spec,
         .image_id = sched_step_get_image_id(step),
-        .job_idle = job_idle,
+        .may_overcommit = may_overcommit,
     };
 }
 
@@ -53,14 +53,14 @@
 }
 
 /* A best-effort task is also limited by its effect on serving tasks, which
-   depends on its image and on whether its job is idle. */
+   depends on its image, unless it may overcommit an executor. */
 static bool
 has_same_limits(const demand_t *a, const demand_t *b)
 {
     return a->spec->filler == b->spec->filler &&
            (!a->spec->filler ||
-            (a->job_idle == b->job_idle && a->image_id == b->image_id &&
-             a->image_id != SCHED_NO_IMAGE)) &&
+            (a->may_overcommit == b->may_overcommit &&
+             a->image_id == b->image_id && a->image_id != SCHED_NO_IMAGE)) &&
            strcmp(a->service, b->service) == 0;
 }
 
@@ -75,9 +75,10 @@
 }
 
 void
-demand_list_add(demand_list_t *list, const sched_step_t *step, bool job_idle)
+demand_list_add(demand_list_t *list, const sched_step_t *step,
+                bool may_overcommit)
 {
-    demand_t demand = get_demand(step, job_idle);
+    demand_t demand = get_demand(step, may_overcommit);
 
     /* A limit on the tasks of the step may have been the reason. */
     if (step->spec->max_per_executor == 0 &&
@@ -88,9 +89,9 @@
 
 bool
 demand_list_covers(const demand_list_t *list, const sched_step_t *step,
-                   bool job_idle)
+                   bool may_overcommit)
 {
-    demand_t demand = get_demand(step, job_idle);
+    demand_t demand = get_demand(step, may_overcommit);
 
     for (guint i = 0; i < list->demands->len; i++) {
         if (implies(&g_array_index(list->demands, demand_t, i), &demand)) {
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -55,8 +55,8 @@
     uint64_t cpu = reserved->cpu_milli + step->cpu_milli;
 
     /* Best-effort tasks use the CPU that other tasks leave unused, so they
-       need some to be unused unless their job is idle. */
-    if (step->filler && placement->job_idle) {
+       need some to be unused unless they may overcommit the executor. */
+    if (step->filler && placement->may_overcommit) {
         cpu = 0;
     }
     else if (step->filler) {
@@ -155,7 +155,7 @@
 /* The cost is the share of the remaining slack of the serving tasks that the
    task would use, so that tasks with little effect fill executors where others
    would be throttled. It is infinite where the task would make a serving task
-   miss its target, unless its job is idle. */
+   miss its target, unless it may overcommit the executor. */
 static double
 get_best_effort_cost(const sched_placement_t *placement,
                      const sched_executor_t *executor,
@@ -175,7 +175,7 @@
         return COST_BEST_EFFORT_BESIDE_SERVING * prediction.effect /
                fmax(slack, NEGLIGIBLE_EFFECT);
     }
-    if (!placement->job_idle) {
+    if (!placement->may_overcommit) {
         return INFINITY;
     }
     return COST_BEST_EFFORT_BESIDE_SERVING *
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -15,16 +15,16 @@
  * @executors: list of sched_executor_t
  * @interference: model of the effect of best-effort tasks on serving tasks
  * @rack: only executors in this rack; NULL for any
- * @job_idle: the job has had no running task for some time, so its best-effort
- *     tasks may be placed where they raise tail latencies above target; the
- *     agent throttles them there
+ * @may_overcommit: a best-effort task has waited for so long that it may be
+ *     placed where no processor time is left, or where it raises tail
+ *     latencies above target; the agent throttles it there
  * @now_ms: monotonic clock
  */
 typedef struct sched_placement {
     const list_t *executors;
     const interference_t *interference;
     const char *rack;
-    bool job_idle;
+    bool may_overcommit;
     int64_t now_ms;
 } sched_placement_t;
 
--- a/libteasel/sched/sched_idle_log.c
+++ b/libteasel/sched/sched_idle_log.c
@@ -10,9 +10,8 @@
     MAX_LOGGED_TASKS = 4,
 };
 
-/* A task that was placed under an earlier leader may have run since. */
-static int64_t
-get_idle_since_ms(const sched_t *sched, const sched_task_t *task)
+int64_t
+sched_get_idle_since_ms(const sched_t *sched, const sched_task_t *task)
 {
     const sched_job_t *job = sched_task_get_job(task);
     int64_t known_ms = MAX(job->known_since_ms, sched->created_ms);
@@ -36,7 +35,7 @@
         return is_reported_running(task) ? 0
                                          : now_ms - task->executor->heard_ms;
     }
-    return now_ms - get_idle_since_ms(sched, task);
+    return now_ms - sched_get_idle_since_ms(sched, task);
 }
 
 static void
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -140,6 +140,15 @@
  */
 void sched_count_failure(sched_t *sched, const sched_task_t *task);
 
+/**
+ * sched_get_idle_since_ms() - return since when a task has had no run
+ *
+ * A task that was placed under an earlier leader may have run since; the time
+ * is then that at which this leader began.
+ */
+int64_t sched_get_idle_since_ms(const sched_t *sched,
+                                const sched_task_t *task);
+
 /**
  * sched_infer_crashes() - count a crash for the runs that had just started on
  * an executor whose end its agent did not report
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -11,8 +11,8 @@
        another executor. */
     STALL_TIMEOUT_MS = 6000,
     MIGRATE_AFTER_MS = 1000,
-    /* The best-effort tasks of a job without a running task for this long may
-       be placed where they raise tail latencies above target. */
+    /* The best-effort tasks of a job without a running task for this long, and
+       lasting ones without a run, may overcommit an executor. */
     IDLE_TIMEOUT_MS = 2000,
     /* Allows for the delay of the messages of an evacuation. */
     EVACUATE_MARGIN_MS = 500,
@@ -40,6 +40,21 @@
            now_ms - job->idle_since_ms > IDLE_TIMEOUT_MS;
 }
 
+/* A job makes progress with one of its tasks, but each lasting task has to
+   run. */
+static bool
+may_overcommit(const sched_t *sched, const sched_task_t *task, int64_t now_ms)
+{
+    const Teasel__StepSpec *spec = task->step->spec;
+
+    if (is_idle(sched_task_get_job(task), now_ms)) {
+        return true;
+    }
+    return spec->long_running && spec->filler &&
+           task->phase == SCHED_TASK_WAITING &&
+           now_ms - sched_get_idle_since_ms(sched, task) > IDLE_TIMEOUT_MS;
+}
+
 static sched_placement_t
 new_placement(const sched_t *sched, const sched_job_t *job, const char *rack)
 {
@@ -50,7 +65,7 @@
         .now_ms = sched_now_ms(sched),
     };
 
-    placement.job_idle = is_idle(job, placement.now_ms);
+    placement.may_overcommit = is_idle(job, placement.now_ms);
     return placement;
 }
 
@@ -61,6 +76,7 @@
     sched_placement_t placement =
         new_placement(sched, sched_task_get_job(task), rack);
 
+    placement.may_overcommit = may_overcommit(sched, task, placement.now_ms);
     return sched_placement_choose(&placement, task);
 }
 
@@ -105,30 +121,43 @@
     return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
 }
 
-/* Tasks that avoid an executor have costs of their own. So has the first task
-   of an idle job, as its placement ends the idle time. A task on trial keeps
-   other tasks away from its executor. */
+/* Tasks that avoid an executor have costs of their own. So have tasks that may
+   overcommit one; the first task of an idle job ends the idle time by its
+   placement. A task on trial keeps other tasks away from its executor. */
+static bool
+is_special(const pass_t *pass, const sched_task_t *task)
+{
+    return task->avoided != NULL || sched_task_is_suspect(task) ||
+           may_overcommit(pass->sched, task, pass->now_ms);
+}
+
 static bool
 place_special_tasks(pass_t *pass, sched_step_t *step)
 {
-    bool idle = is_idle(step->occurrence->job, pass->now_ms);
+    bool found = true;
 
     for (uint32_t i = 0; i < step->spec->count; i++) {
         sched_task_t *task = &step->tasks[i];
+        bool overcommits = may_overcommit(pass->sched, task, pass->now_ms);
         sched_executor_t *executor;
 
-        if (!is_placeable(task, pass->now_ms) ||
-            (task->avoided == NULL && !idle && !sched_task_is_suspect(task))) {
+        /* Where one task finds no executor, only one that may overcommit can
+           find one. */
+        if (!is_placeable(task, pass->now_ms) || !is_special(pass, task) ||
+            (!found && !overcommits)) {
             continue;
         }
         executor = choose_executor(pass->sched, task, NULL);
-        if (executor == NULL) {
+        if (executor != NULL) {
+            place_task(pass->sched, task, executor, task->run + 1);
+            continue;
+        }
+        if (overcommits) {
             return false;
         }
-        place_task(pass->sched, task, executor, task->run + 1);
-        idle = false;
+        found = false;
     }
-    return true;
+    return found;
 }
 
 static bool
@@ -167,18 +196,34 @@
     }
 }
 
+static bool
+has_overcommitting_task(const pass_t *pass, const sched_step_t *step)
+{
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        const sched_task_t *task = &step->tasks[i];
+
+        if (is_placeable(task, pass->now_ms) &&
+            may_overcommit(pass->sched, task, pass->now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 place_tasks(pass_t *pass, sched_step_t *step)
 {
     sched_job_t *job = step->occurrence->job;
     uint32_t waiting = step->waiting;
 
-    if (demand_list_covers(pass->failed, step, is_idle(job, pass->now_ms))) {
+    if (demand_list_covers(pass->failed, step,
+                           has_overcommitting_task(pass, step))) {
         return;
     }
     if (!place_special_tasks(pass, step) ||
         (step->waiting > 0 && !place_equal_tasks(pass, step))) {
-        demand_list_add(pass->failed, step, is_idle(job, pass->now_ms));
+        demand_list_add(pass->failed, step,
+                        has_overcommitting_task(pass, step));
     }
     if (step->waiting == 0) {
         count_start(pass->sched, job);
