Run lasting tasks on a closed executor rather than not at all

A probation keeps new tasks away from an executor that may be sick. To a task that has to run all the time a doubtful executor is better than none; if its run fails there, it is started again. An executor on probation is now a cost to lasting tasks, above all other costs, and refuses the others as before. A demand of a batch task that no executor could meet says nothing about lasting ones any more.

--- a/libteasel/sched/demand.c
+++ b/libteasel/sched/demand.c
@@ -53,11 +53,13 @@
 }
 
 /* A best-effort task is also limited by its effect on serving tasks, which
-   depends on its image, unless it may overcommit an executor. */
+   depends on its image, unless it may overcommit an executor. Lasting tasks
+   also run on executors that are on probation. */
 static bool
 has_same_limits(const demand_t *a, const demand_t *b)
 {
     return a->spec->filler == b->spec->filler &&
+           a->spec->long_running == b->spec->long_running &&
            (!a->spec->filler ||
             (a->may_overcommit == b->may_overcommit &&
              a->image_id == b->image_id && a->image_id != SCHED_NO_IMAGE)) &&
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -11,6 +11,9 @@
 static const double COST_SERVING_SPREAD = 1.0;
 static const double COST_FAILED_HERE = 1.0;
 static const double COST_RUN_TIME_RATIO = 1.0;
+/* Lasting tasks run on an executor that is on probation rather than not at
+   all. */
+static const double COST_PROBATION = 10.0;
 /* A run time is compared with those of the runs of its step that ended earlier
    and are therefore shorter, so the average ratio is above 1.0. */
 static const double NORMAL_RUN_TIME_RATIO = 1.6;
@@ -89,6 +92,13 @@
     return siblings < spec->max_per_executor;
 }
 
+static bool
+is_on_probation(const sched_placement_t *placement,
+                const sched_executor_t *executor)
+{
+    return placement->now_ms < executor->probation_ms;
+}
+
 sched_refusal_t
 sched_placement_check(const sched_placement_t *placement,
                       const sched_executor_t *executor,
@@ -108,7 +118,7 @@
     if (executor->trials > 0) {
         return SCHED_REFUSAL_TRIAL;
     }
-    if (placement->now_ms < executor->probation_ms) {
+    if (!step->spec->long_running && is_on_probation(placement, executor)) {
         return SCHED_REFUSAL_PROBATION;
     }
     if (!has_resources(placement, executor, step->spec)) {
@@ -202,6 +212,9 @@
         cost += COST_REMOTE_DATA;
     }
     cost += get_best_effort_cost(placement, executor, step);
+    if (is_on_probation(placement, executor)) {
+        cost += COST_PROBATION;
+    }
     if (spec->latency_target_ms > 0) {
         cost += COST_SERVING_BESIDE_BEST_EFFORT *
                 (double)executor->best_effort_cpu /
