Name the executors that a task avoids by number

A task could avoid an executor on which it never failed: executors were compared by address, also after they had been freed, and a new one may get the same memory. It was more expensive for this task by as much as a whole executor's load, and since the task remembers several, more often so.

Found by comparing the logs of one build under several settings of the allocator: they differed. With an allocator that reuses nothing they do not.

Each executor has a number now, which is never used again by this leader.

--- a/libteasel/sched/avoid_list.c
+++ b/libteasel/sched/avoid_list.c
@@ -6,7 +6,7 @@
 };
 
 typedef struct avoided {
-    const sched_executor_t *executor;
+    uint64_t executor;
     guint runs;
 } avoided_t;
 
@@ -16,7 +16,7 @@
 };
 
 static avoided_t *
-find(const avoid_list_t *list, const sched_executor_t *executor)
+find(const avoid_list_t *list, uint64_t executor)
 {
     for (guint i = 0; list != NULL && i < list->avoided->len; i++) {
         avoided_t *avoided = &g_array_index(list->avoided, avoided_t, i);
@@ -29,7 +29,7 @@
 }
 
 void
-avoid_list_add(avoid_list_t **list, const sched_executor_t *executor)
+avoid_list_add(avoid_list_t **list, uint64_t executor)
 {
     avoided_t *found = find(*list, executor);
     avoided_t added = {.executor = executor, .runs = 1};
@@ -49,7 +49,7 @@
 }
 
 guint
-avoid_list_count(const avoid_list_t *list, const sched_executor_t *executor)
+avoid_list_count(const avoid_list_t *list, uint64_t executor)
 {
     const avoided_t *found = find(list, executor);
 
@@ -57,8 +57,7 @@
 }
 
 bool
-avoid_list_has_other(const avoid_list_t *list,
-                     const sched_executor_t *executor)
+avoid_list_has_other(const avoid_list_t *list, uint64_t executor)
 {
     guint own = find(list, executor) != NULL;
 
--- a/libteasel/sched/avoid_list.h
+++ b/libteasel/sched/avoid_list.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -16,26 +17,23 @@
  */
 
 typedef struct avoid_list avoid_list_t;
-typedef struct sched_executor sched_executor_t;
 
 /**
  * avoid_list_add() - count a run on an executor
- * @executor: may be freed later, as it is only compared
+ * @executor: number of the executor
  */
-void avoid_list_add(avoid_list_t **list, const sched_executor_t *executor);
+void avoid_list_add(avoid_list_t **list, uint64_t executor);
 
 /**
  * avoid_list_count() - return the number of runs that were counted for an
  * executor
  */
-guint avoid_list_count(const avoid_list_t *list,
-                       const sched_executor_t *executor);
+guint avoid_list_count(const avoid_list_t *list, uint64_t executor);
 
 /**
  * avoid_list_has_other() - check whether runs were counted for other executors
  */
-bool avoid_list_has_other(const avoid_list_t *list,
-                          const sched_executor_t *executor);
+bool avoid_list_has_other(const avoid_list_t *list, uint64_t executor);
 
 void avoid_list_clear(avoid_list_t **list);
 
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -52,6 +52,7 @@
 /**
  * struct sched_executor - one incarnation of an executor
  * @key: unique name of this incarnation
+ * @number: differs from that of any other incarnation that this leader knew
  * @node: agent that reports it, NULL before the first report
  * @connected: its agent is connected
  * @listed: its agent has sent a complete list of runs on this connection
@@ -87,6 +88,7 @@
     list_t link;
     list_t node_link;
     char *key;
+    uint64_t number;
     sched_node_t *node;
     char *service;
     char *data_centre;
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -29,6 +29,7 @@
 typedef struct sched_occurrence sched_occurrence_t;
 typedef struct sched_step sched_step_t;
 typedef struct sched_task sched_task_t;
+typedef struct sched_executor sched_executor_t;
 
 /* Latest time on a wall clock, and longest interval, in milliseconds. Sums of
    times and of all intervals of a job cannot overflow. */
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -233,7 +233,8 @@
     LIST_FOREACH (executor, placement->executors, sched_executor_t, link) {
         double cost =
             sched_placement_get_cost(placement, executor, task->step) +
-            COST_FAILED_HERE * avoid_list_count(task->avoided, executor);
+            COST_FAILED_HERE *
+                avoid_list_count(task->avoided, executor->number);
 
         if (cost < best_cost) {
             best = executor;
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -31,6 +31,7 @@
  * @learned_left_out: number of values that did not fit into that record
  * @last_sort_ms: when the active jobs were last sorted
  * @last_sequence: sequence number of the newest job
+ * @last_executor: number of the newest executor
  * @last_report: number of the newest report on an executor
  * @created_ms: when this leader began
  */
@@ -61,6 +62,7 @@
     guint learned_left_out;
     int64_t last_sort_ms;
     uint64_t last_sequence;
+    uint64_t last_executor;
     uint64_t last_report;
     int64_t created_ms;
 };
--- a/libteasel/sched/sched_probation.c
+++ b/libteasel/sched/sched_probation.c
@@ -28,7 +28,7 @@
 
     return task->placed_ms >= executor->probation_ms &&
            !(task->step->spec->long_running && task->settled) &&
-           !avoid_list_has_other(task->avoided, executor);
+           !avoid_list_has_other(task->avoided, executor->number);
 }
 
 static bool
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -215,7 +215,7 @@
     }
     if (how == SCHED_END_FAILED) {
         sched_count_failure(sched, task);
-        avoid_list_add(&task->avoided, task->executor);
+        avoid_list_add(&task->avoided, task->executor->number);
     }
 }
 
@@ -408,7 +408,7 @@
 
     release_orphan(sched, executor, rejected->task, rejected->run);
     if (task != NULL) {
-        avoid_list_add(&task->avoided, executor);
+        avoid_list_add(&task->avoided, executor->number);
         sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
     }
 }
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -423,7 +423,7 @@
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, executor_link) {
         sched_check_trial(sched, task, now_ms);
         if (is_stalled(task, now_ms)) {
-            avoid_list_add(&task->avoided, executor);
+            avoid_list_add(&task->avoided, executor->number);
             sched_stop_task(sched, task, "no progress");
         }
     }
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -34,6 +34,40 @@
               (std::vector<TaskRun>{{"j.0.0.0", 1}, {"j.0.0.1", 1}}));
 }
 
+// Guards against a task that avoids an executor on which it never failed, as
+// its memory was that of one which is gone.
+TEST(Sched, AvoidsNoExecutorInTheMemoryOfAnEarlierOne)
+{
+    Core core;
+
+    for (int i = 0; i < 20; i++) {
+        const std::string n = std::to_string(i);
+        const std::string failed = "10.0.1." + n + ":80/a/100";
+        const std::string first = "10.0.2." + n + ":80/a/100";
+        const std::string second = "10.0.3." + n + ":80/a/100";
+        const std::string job = "j" + n;
+        Report report(failed);
+
+        connect(core, failed, 4000, "failed");
+        sched_submit(core.sched, make_spec(job, {{}}));
+        core.run_and_commit();
+        core.orders(failed);
+        report.ends(1, {job + ".0.0.0", 1}, SCHED_END_FAILED);
+        core.report(report, "failed");
+        sched_disconnect(core.sched, "failed");
+        fake_clock_advance_ms(&core.clock, 20000);
+        core.run_and_commit();
+        connect(core, first);
+        connect(core, second);
+        core.run_and_commit();
+        EXPECT_EQ(core.orders(first).starts.size(), 1U) << "round " << i;
+        sched_cancel(core.sched, sched_find(core.sched, job.c_str()));
+        sched_disconnect(core.sched, "node");
+        fake_clock_advance_ms(&core.clock, 20000);
+        core.run_and_commit();
+    }
+}
+
 // Guards against a step that starts before the steps that it depends on are
 // done.
 TEST(Sched, KeepsTheOrderOfSteps)
