Decide on reports, ends and stops of runs in one function at the leader

What the leader believes of a run was decided in many functions, each of which tested the fields of the record that it happened to need. A reader had to collect them to see which reports end a run, and a new kind of event had no place.

run_view_decide() takes what the record says and an event, and returns the next state and the action, without I/O and clock, as run_state_decide() does at the agent. Reports of runs, ends, late ends, rejections, expired leases, stops and complete lists go through it; the callers carry the actions out. The number of attempts is compared before the failure is counted instead of after it.

Behaviour is the same. sched_test, sched_idle_test, sched_model_test, sched_lasting_model_test and run_model_test pass unchanged.

--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -2,6 +2,7 @@
 #define TEASEL_SCHED_SCHED_INTERNAL_H
 
 #include "sched/interference.h"
+#include "sched/run_view.h"
 #include "sched/sched.h"
 #include "sched/size_share.h"
 
@@ -119,13 +120,6 @@
  */
 void sched_stop_task(sched_t *sched, sched_task_t *task, const char *reason);
 
-/**
- * sched_end_task() - process the end of the run of a placed task
- * @checkpoint: NULL or empty if there is none
- */
-void sched_end_task(sched_t *sched, sched_task_t *task, sched_end_t how,
-                    const char *checkpoint);
-
 /**
  * sched_find_task() - find a task by its name
  *
@@ -133,6 +127,21 @@
  */
 sched_task_t *sched_find_task(sched_t *sched, const char *name);
 
+/**
+ * sched_task_decide() - decide what an event means for a task and its latest
+ * run
+ * @task: NULL if it is not known
+ */
+run_view_decision_t sched_task_decide(const sched_task_t *task,
+                                      run_view_event_t event);
+
+/**
+ * sched_task_set_view() - take over the state that was decided
+ *
+ * The run of a task that is over must have been taken from its executor.
+ */
+void sched_task_set_view(sched_task_t *task, const run_view_t *view);
+
 /**
  * sched_infer_crashes() - count a crash for the runs that had just started on
  * an executor whose end its agent did not report
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -6,7 +6,6 @@
 #include "sched/sched_internal.h"
 
 enum {
-    DEFAULT_ATTEMPTS = 3,
     /* Number of different jobs that fail in a row before an executor is put on
        probation. */
     PROBATION_FAILURES = 3,
@@ -55,17 +54,13 @@
                                                     : NULL;
 }
 
-/* Returns the task whose current run this is, or NULL. */
-static sched_task_t *
-find_run(sched_t *sched, const sched_executor_t *executor, const char *name,
-         uint32_t run)
+/* Decides on what an executor reports of a run. The task may be NULL. */
+static run_view_decision_t
+decide_report(const sched_task_t *task, const sched_executor_t *executor,
+              run_view_event_t event)
 {
-    sched_task_t *task = sched_find_task(sched, name);
-
-    if (task == NULL || task->executor != executor || task->run != run) {
-        return NULL;
-    }
-    return task;
+    event.at_executor = task != NULL && task->executor == executor;
+    return sched_task_decide(task, event);
 }
 
 void
@@ -85,21 +80,6 @@
               name, task->run, task->executor->key, reason);
 }
 
-void
-sched_stop_task(sched_t *sched, sched_task_t *task, const char *reason)
-{
-    if (task->phase == SCHED_TASK_STOPPING) {
-        return;
-    }
-    log_stop(task, reason);
-    if (!task->start_sent) {
-        sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
-        return;
-    }
-    sched_task_set_phase(task, SCHED_TASK_STOPPING);
-    sched_stage_order(sched, task);
-}
-
 void
 sched_complete_occurrence(sched_t *sched, sched_occurrence_t *occurrence)
 {
@@ -112,14 +92,13 @@
     }
 }
 
-/* May free the occurrence of the task. */
+/* Follows the end of a task. May free its occurrence. */
 static void
 finish_task(sched_t *sched, sched_task_t *task)
 {
     sched_step_t *step = task->step;
     sched_occurrence_t *occurrence = step->occurrence;
 
-    sched_task_mark_done(task);
     sched_step_finish_gang(step);
     sched->placement_needed = true;
     if (step->done < step->spec->count) {
@@ -131,44 +110,16 @@
     }
 }
 
-/* A long-running task lasts until its job is cancelled. */
-static bool
-ends_task(const sched_task_t *task, sched_end_t how)
-{
-    return !task->step->spec->long_running &&
-           (how == SCHED_END_DONE || sched_step_is_finished_gang(task->step));
-}
-
-static uint32_t
-count_failures(const sched_task_t *task)
-{
-    const sched_step_t *step = task->step;
-    uint32_t failures = 0;
-
-    if (!step->spec->gang) {
-        return task->failures;
-    }
-    for (uint32_t i = 0; i < step->spec->count; i++) {
-        failures += step->tasks[i].failures;
-    }
-    return failures;
-}
-
 static void
 release_task(sched_t *sched, sched_task_t *task)
 {
-    sched_task_set_phase(task, SCHED_TASK_WAITING);
     task->step->waiting++;
     sched->placement_needed = true;
 }
 
-/* Handles a run that has ended by itself and whose task has to run again. */
 static void
-restart_task(sched_t *sched, sched_task_t *task)
+retry_task(sched_t *sched, sched_task_t *task)
 {
-    sched_job_t *job = sched_task_get_job(task);
-    uint32_t attempts = job->spec->max_attempts;
-
     task->failures++;
     release_task(sched, task);
     if (task->step->spec->long_running) {
@@ -176,15 +127,17 @@
             sched_now_ms(sched) +
             MIN(MAX_RESTART_DELAY_MS,
                 RESTART_DELAY_STEP_MS * (int64_t)(task->failures - 1));
-        return;
-    }
-    if (count_failures(task) >= (attempts ? attempts : DEFAULT_ATTEMPTS)) {
-        sched_task_set_phase(task, SCHED_TASK_FAILED);
-        task->step->waiting--;
-        sched_finish_job(sched, job, SCHED_JOB_FAILED);
     }
 }
 
+static void
+fail_task(sched_t *sched, sched_task_t *task)
+{
+    task->failures++;
+    sched->placement_needed = true;
+    sched_finish_job(sched, sched_task_get_job(task), SCHED_JOB_FAILED);
+}
+
 /* Compares the run time with those of the other tasks of the step, because the
    estimates in job specifications are inaccurate. */
 static void
@@ -257,20 +210,41 @@
               task->failures);
 }
 
-void
-sched_end_task(sched_t *sched, sched_task_t *task, sched_end_t how,
-               const char *checkpoint)
+/* May free the occurrence of the task. */
+static void
+follow_end(sched_t *sched, sched_task_t *task, run_view_action_t action)
 {
-    sched_job_t *job = sched_task_get_job(task);
+    switch (action) {
+    case RUN_VIEW_FINISH:
+        finish_task(sched, task);
+        break;
+    case RUN_VIEW_RETRY:
+        retry_task(sched, task);
+        break;
+    case RUN_VIEW_FAIL:
+        fail_task(sched, task);
+        break;
+    case RUN_VIEW_RELEASE:
+        release_task(sched, task);
+        break;
+    default: /* RUN_VIEW_FORGET */
+        sched->placement_needed = true;
+        break;
+    }
+}
 
-    if (how != SCHED_END_DONE || task->step->spec->long_running) {
-        log_end(sched, task, how);
+/* The checkpoint is NULL or empty if there is none. */
+static void
+end_run(sched_t *sched, sched_task_t *task,
+        const run_view_decision_t *decision, const char *checkpoint)
+{
+    if (decision->how != SCHED_END_DONE || task->step->spec->long_running) {
+        log_end(sched, task, decision->how);
     }
-    update_executor_health(sched, task, how);
+    update_executor_health(sched, task, decision->how);
     list_remove(&task->order_link);
     sched_executor_detach(task);
-    sched_mark_dirty(sched, job);
-    task->start_sent = false;
+    sched_mark_dirty(sched, sched_task_get_job(task));
     task->on_trial = false;
     task->settled = false;
     task->running_ms = 0;
@@ -284,20 +258,35 @@
         g_free(task->checkpoint);
         task->checkpoint = g_strdup(checkpoint);
     }
-    if (sched_job_is_final(job)) {
-        sched_task_set_phase(task, SCHED_TASK_WAITING);
-        sched->placement_needed = true;
+    sched_task_set_view(task, &decision->view);
+    follow_end(sched, task, decision->action);
+}
+
+void
+sched_stop_task(sched_t *sched, sched_task_t *task, const char *reason)
+{
+    run_view_decision_t decision = sched_task_decide(
+        task, (run_view_event_t){.kind = RUN_VIEW_STOP_WANTED});
+
+    if (decision.action == RUN_VIEW_NONE) {
         return;
     }
-    if (ends_task(task, how)) {
-        finish_task(sched, task);
-    }
-    else if (how == SCHED_END_FAILED || how == SCHED_END_DONE) {
-        restart_task(sched, task);
-    }
-    else {
-        release_task(sched, task);
+    log_stop(task, reason);
+    if (decision.action != RUN_VIEW_ORDER) {
+        end_run(sched, task, &decision, NULL);
+        return;
     }
+    sched_task_set_view(task, &decision.view);
+    sched_stage_order(sched, task);
+}
+
+static void
+expire_run(sched_t *sched, sched_task_t *task)
+{
+    run_view_decision_t decision =
+        sched_task_decide(task, (run_view_event_t){.kind = RUN_VIEW_EXPIRED});
+
+    end_run(sched, task, &decision, NULL);
 }
 
 void
@@ -307,7 +296,7 @@
         sched_task_t *task =
             LIST_ENTRY(executor->tasks.next, sched_task_t, executor_link);
 
-        sched_end_task(sched, task, SCHED_END_LAPSED, NULL);
+        expire_run(sched, task);
     }
     sched_assign_node(sched, executor, NULL);
     g_hash_table_remove(sched->executors, executor->key);
@@ -330,22 +319,27 @@
 apply_running(sched_t *sched, sched_executor_t *executor,
               const Teasel__RunStatus *status)
 {
-    sched_task_t *task = find_run(sched, executor, status->task, status->run);
+    sched_task_t *task = sched_find_task(sched, status->task);
+    run_view_decision_t decision = decide_report(
+        task, executor,
+        (run_view_event_t){.kind = status->pending ? RUN_VIEW_REPORTED_PENDING
+                                                   : RUN_VIEW_REPORTED_RUNNING,
+                           .run = status->run});
     sched_job_t *job;
 
-    if (task == NULL) {
+    if (decision.action == RUN_VIEW_STOP_ORPHAN) {
         sched_executor_note_orphan(executor, status,
                                    find_step(sched, status->task),
                                    sched->last_report);
         return;
     }
     task->report = sched->last_report;
-    if (status->pending) {
+    if (decision.action == RUN_VIEW_NONE) {
         return;
     }
     job = sched_task_get_job(task);
-    if (task->phase == SCHED_TASK_PLACED) {
-        sched_task_set_phase(task, SCHED_TASK_RUNNING);
+    sched_task_set_view(task, &decision.view);
+    if (decision.action == RUN_VIEW_MARK_BEGUN) {
         task->running_ms = sched_now_ms(sched);
         task->progress_ms = task->running_ms;
         list_remove(&task->order_link);
@@ -379,24 +373,17 @@
         sched_executor_remove_orphan(executor, name, run);
 }
 
-/* The lease of a run may have ended after its work was done, and before the
-   leader heard of it. */
 static void
-take_late_end(sched_t *sched, const Teasel__RunEnd *end)
+take_late_end(sched_t *sched, sched_task_t *task,
+              const run_view_decision_t *decision, uint32_t run)
 {
-    sched_task_t *task = sched_find_task(sched, end->task);
     char name[SCHED_TASK_NAME_SIZE];
 
-    if (task == NULL || end->how != SCHED_END_DONE ||
-        task->phase != SCHED_TASK_WAITING || end->run > task->run ||
-        task->step->spec->long_running ||
-        sched_job_is_final(sched_task_get_job(task))) {
-        return;
-    }
     sched_task_format_name(task, name);
-    event_log(EVENT_LATE_END_TAKEN, "task=%s run=%u latest_run=%u", name,
-              end->run, task->run);
+    event_log(EVENT_LATE_END_TAKEN, "task=%s run=%u latest_run=%u", name, run,
+              task->run);
     sched_mark_dirty(sched, sched_task_get_job(task));
+    sched_task_set_view(task, &decision->view);
     finish_task(sched, task);
 }
 
@@ -405,6 +392,7 @@
           const Teasel__RunEnd *end)
 {
     sched_task_t *task;
+    run_view_decision_t decision;
 
     if (end->number <= executor->end_seen) {
         return;
@@ -412,13 +400,17 @@
     executor->end_seen = end->number;
     sched->cursors_dirty = true;
     release_orphan(sched, executor, end->task, end->run);
-    task = find_run(sched, executor, end->task, end->run);
-    if (task != NULL) {
+    task = sched_find_task(sched, end->task);
+    decision = decide_report(task, executor,
+                             (run_view_event_t){.kind = RUN_VIEW_ENDED,
+                                                .run = end->run,
+                                                .how = (sched_end_t)end->how});
+    if (decision.action == RUN_VIEW_TAKE_LATE_END) {
+        take_late_end(sched, task, &decision, end->run);
+    }
+    else if (decision.action != RUN_VIEW_NONE) {
         sched_task_get_job(task)->started = true;
-        sched_end_task(sched, task, (sched_end_t)end->how, end->checkpoint);
-    }
-    else {
-        take_late_end(sched, end);
+        end_run(sched, task, &decision, end->checkpoint);
     }
 }
 
@@ -427,13 +419,15 @@
 apply_rejection(sched_t *sched, sched_executor_t *executor,
                 const Teasel__RejectedStart *rejected)
 {
-    sched_task_t *task =
-        find_run(sched, executor, rejected->task, rejected->run);
+    sched_task_t *task = sched_find_task(sched, rejected->task);
+    run_view_decision_t decision = decide_report(
+        task, executor,
+        (run_view_event_t){.kind = RUN_VIEW_REJECTED, .run = rejected->run});
 
     release_orphan(sched, executor, rejected->task, rejected->run);
-    if (task != NULL) {
+    if (decision.action != RUN_VIEW_NONE) {
         task->avoid_executor = executor;
-        sched_end_task(sched, task, SCHED_END_STOPPED, NULL);
+        end_run(sched, task, &decision, NULL);
     }
 }
 
@@ -449,15 +443,14 @@
     sched_stage_order(sched, task);
 }
 
-/* Stops, and the starts of runs that the present complete list does not
-   contain, may have been lost with a connection. */
-static bool
-may_be_lost(const sched_t *sched, const sched_task_t *task)
+static run_view_decision_t
+decide_list(const sched_t *sched, const sched_task_t *task)
 {
     bool is_listed = task->report == sched->last_report;
 
-    return task->start_sent &&
-           (!is_listed || task->phase == SCHED_TASK_STOPPING);
+    return sched_task_decide(
+        task, (run_view_event_t){.kind = is_listed ? RUN_VIEW_LISTED
+                                                   : RUN_VIEW_UNLISTED});
 }
 
 /* The agent and the executor ignore repeated orders. */
@@ -467,7 +460,7 @@
     LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
         task->tail_effect =
             interference_get_effect(sched->interference, executor, task->step);
-        if (may_be_lost(sched, task)) {
+        if (decide_list(sched, task).action == RUN_VIEW_REPEAT) {
             repeat_order(sched, task);
         }
     }
