Decide on placements and orders of runs in the leader's one function too

Whether a staged order is sent as a start, as a stop or not at all, and that a start then counts as sent, was decided while the message was built; that a new run counts as not sent was decided while it was placed. Both are events of run_view_decide() now.

--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -85,14 +85,16 @@
 static void
 add_order(sched_task_t *task, GPtrArray *starts, GPtrArray *stops)
 {
-    if (task->phase == SCHED_TASK_STOPPING) {
+    run_view_decision_t decision = sched_task_decide(
+        task, (run_view_event_t){.kind = RUN_VIEW_ORDER_DUE});
+
+    if (decision.action == RUN_VIEW_SEND_STOP) {
         g_ptr_array_add(stops, new_stop(new_task_name(task), task->run));
     }
-    else if (task->phase == SCHED_TASK_PLACED ||
-             task->phase == SCHED_TASK_RUNNING) {
+    else if (decision.action == RUN_VIEW_SEND_START) {
         g_ptr_array_add(starts, new_start(task));
-        task->start_sent = true;
     }
+    sched_task_set_view(task, &decision.view);
 }
 
 static bool
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -69,10 +69,10 @@
            uint32_t run)
 {
     sched_job_t *job = sched_task_get_job(task);
+    run_view_decision_t decision = sched_task_decide(
+        task, (run_view_event_t){.kind = RUN_VIEW_PLACED, .run = run});
 
-    task->run = run;
-    sched_task_set_phase(task, SCHED_TASK_PLACED);
-    task->start_sent = false;
+    sched_task_set_view(task, &decision.view);
     task->on_trial = sched_task_needs_trial(task);
     task->placed_ms = sched_now_ms(sched);
     task->step->waiting--;
--- a/tests/unit/run_view_test.cc
+++ b/tests/unit/run_view_test.cc
@@ -164,6 +164,21 @@
            RUN_VIEW_NONE);
 }
 
+// Guards against a start that is sent in place of the stop of its run.
+TEST(RunView, SendsNoStartOfARunThatIsBeingStopped)
+{
+    run_view_decision_t decision = decide(unsent(), RUN_VIEW_ORDER_DUE);
+
+    expect(decision, SCHED_TASK_PLACED, RUN_VIEW_SEND_START);
+    EXPECT_TRUE(decision.view.start_sent);
+    expect(decide(at_work(), RUN_VIEW_ORDER_DUE), SCHED_TASK_RUNNING,
+           RUN_VIEW_SEND_START);
+    expect(decide(stopping(), RUN_VIEW_ORDER_DUE), SCHED_TASK_STOPPING,
+           RUN_VIEW_SEND_STOP);
+    expect(decide(waiting(), RUN_VIEW_ORDER_DUE), SCHED_TASK_WAITING,
+           RUN_VIEW_NONE);
+}
+
 // Guards against a task that waits for the end of a run that cannot exist.
 TEST(RunView, EndsAnUnsentRunWithoutAStop)
 {
