Decide on the runs of a restarted executor in the leader's function

Which runs are moved to the later incarnation and stopped there was tested in the loop that moves them; it is an event of run_view_decide() now, the last one of those in section 14 of the design.

--- a/libteasel/sched/run_view.c
+++ b/libteasel/sched/run_view.c
@@ -157,8 +157,7 @@
 static run_view_decision_t
 on_restarted(run_view_t view)
 {
-    return view.start_sent ? enter(view, SCHED_TASK_STOPPING, RUN_VIEW_MOVE)
-                           : keep(view);
+    return view.start_sent ? act(view, RUN_VIEW_MOVE) : keep(view);
 }
 
 run_view_decision_t
--- a/libteasel/sched/run_view.h
+++ b/libteasel/sched/run_view.h
@@ -78,8 +78,8 @@
     RUN_VIEW_STOP_ORPHAN, /* stop a run that belongs to no task */
     RUN_VIEW_MARK_BEGUN,  /* the first report of the run at work */
     RUN_VIEW_UPDATE,      /* take over what is reported of the run at work */
-    RUN_VIEW_MOVE, /* assign the run to the later incarnation, and stop it
-                      there */
+    RUN_VIEW_MOVE,        /* assign the run to the later incarnation, and stop
+                             it there, again if it is being stopped */
     RUN_VIEW_TAKE_LATE_END, /* the task is done by an earlier run */
 
     /* The run is over. */
--- a/libteasel/sched/sched_incarnation.c
+++ b/libteasel/sched/sched_incarnation.c
@@ -9,7 +9,10 @@
 move_runs(sched_t *sched, sched_executor_t *older, sched_executor_t *later)
 {
     LIST_FOREACH_SAFE (task, &older->tasks, sched_task_t, executor_link) {
-        if (!task->start_sent) {
+        run_view_decision_t decision = sched_task_decide(
+            task, (run_view_event_t){.kind = RUN_VIEW_RESTARTED});
+
+        if (decision.action != RUN_VIEW_MOVE) {
             continue;
         }
         sched_executor_detach(task);
--- a/tests/unit/run_view_test.cc
+++ b/tests/unit/run_view_test.cc
@@ -179,6 +179,16 @@
            RUN_VIEW_NONE);
 }
 
+// Guards against two runs, as a late start reached the later incarnation.
+TEST(RunView, MovesWhatWasSentToARestartedExecutor)
+{
+    for (const run_view_t &view : {sent(), at_work(), stopping()}) {
+        expect(decide(view, RUN_VIEW_RESTARTED), view.phase, RUN_VIEW_MOVE);
+    }
+    expect(decide(unsent(), RUN_VIEW_RESTARTED), SCHED_TASK_PLACED,
+           RUN_VIEW_NONE);
+}
+
 // Guards against a task that waits for the end of a run that cannot exist.
 TEST(RunView, EndsAnUnsentRunWithoutAStop)
 {
