--- a/libteasel/sched/run_view.c
+++ b/libteasel/sched/run_view.c
@@ -26,7 +26,7 @@
 static bool
 is_current(const run_view_t *view, const run_view_event_t *event)
 {
-    return view->known && event->at_executor && event->run == view->run;
+    return event->at_executor && event->run == view->run;
 }
 
 static run_view_decision_t
--- a/libteasel/sched/run_view.h
+++ b/libteasel/sched/run_view.h
@@ -58,8 +58,8 @@
 /**
  * struct run_view_event - something that happens to a run
  * @run: number of the run, for RUN_VIEW_PLACED and what an agent reports
- * @at_executor: for what an agent reports: the run is on the executor that
- *     the task is assigned to
+ * @at_executor: for what an agent reports: the task is known, and the run is
+ *     on the executor that it is assigned to
  * @how: of RUN_VIEW_ENDED
  */
 typedef struct run_view_event {
--- a/tests/unit/run_view_test.cc
+++ b/tests/unit/run_view_test.cc
@@ -245,6 +245,23 @@
     }
     expect(decide_other(waiting(), RUN_VIEW_ENDED, RUN + 1, false),
            SCHED_TASK_WAITING, RUN_VIEW_NONE);
+    expect(decide_other({}, RUN_VIEW_ENDED, 0, false), SCHED_TASK_WAITING,
+           RUN_VIEW_NONE);
+}
+
+// Guards against a task that is done by a run which failed or was stopped.
+TEST(RunView, TakesNoLateEndOfARunThatWasNotDone)
+{
+    run_view_event_t event = {};
+
+    event.kind = RUN_VIEW_ENDED;
+    event.run = RUN;
+    for (auto how : {SCHED_END_FAILED, SCHED_END_STOPPED, SCHED_END_LAPSED,
+                     SCHED_END_BROKEN, SCHED_END_ALONE}) {
+        event.how = how;
+        expect(run_view_decide(waiting(), event), SCHED_TASK_WAITING,
+               RUN_VIEW_NONE);
+    }
 }
 
 // Guards against a service that stays down after it ended by itself.
@@ -283,6 +300,8 @@
                      SCHED_END_ALONE}) {
         expect(decide_end(view, how), SCHED_TASK_WAITING, RUN_VIEW_RELEASE);
     }
+    expect(decide(view, RUN_VIEW_EXPIRED), SCHED_TASK_WAITING,
+           RUN_VIEW_RELEASE);
     view.failures--;
     expect(decide_end(view, SCHED_END_FAILED), SCHED_TASK_WAITING,
            RUN_VIEW_RETRY);
@@ -302,6 +321,9 @@
 // Guards against a first start that is sent as if it were repeated.
 TEST(RunView, ForgetsThatTheStartOfAnEndedRunWasSent)
 {
+    run_view_decision_t placed =
+        decide_other(sent(), RUN_VIEW_PLACED, RUN + 1, true);
+
     for (const run_view_decision_t &decision :
          {decide_end(at_work(), SCHED_END_DONE),
           decide_end(at_work(), SCHED_END_FAILED),
@@ -309,4 +331,7 @@
           decide(at_work(), RUN_VIEW_EXPIRED)}) {
         EXPECT_FALSE(decision.view.start_sent);
     }
+    expect(placed, SCHED_TASK_PLACED, RUN_VIEW_ORDER);
+    EXPECT_FALSE(placed.view.start_sent);
+    EXPECT_EQ(placed.view.run, RUN + 1);
 }
