--- a/libteasel/node/node_lists.c
+++ b/libteasel/node/node_lists.c
@@ -1,5 +1,6 @@
 /* The lists of an executor: its running runs, and those that have ended. */
 
+#include "base/text.h"
 #include "node/node_internal.h"
 
 enum {
@@ -65,10 +66,7 @@
     run->listed_ms = now_ms;
     run->percent = status->percent;
     run->measured = status->figure;
-    if (g_strcmp0(run->checkpoint, status->checkpoint) != 0) {
-        g_free(run->checkpoint);
-        run->checkpoint = g_strdup(status->checkpoint);
-    }
+    text_replace(&run->checkpoint, status->checkpoint);
 }
 
 /* A run that existed when the poll was sent, and is listed neither as running
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/text.h"
+
 char *
 sched_executor_key(const char *address, const char *id, int64_t started_ms)
 {
@@ -101,15 +103,6 @@
     g_free(executor);
 }
 
-static void
-replace_string(char **field, const char *value)
-{
-    if (g_strcmp0(*field, value) != 0) {
-        g_free(*field);
-        *field = g_strdup(value);
-    }
-}
-
 static char **
 copy_strings(char *const *strings, size_t count)
 {
@@ -135,9 +128,9 @@
 sched_executor_update(sched_executor_t *executor,
                       const Teasel__ExecutorReport *report, int64_t now_ms)
 {
-    replace_string(&executor->service, report->service);
-    replace_string(&executor->data_centre, report->data_centre);
-    replace_string(&executor->rack, report->rack);
+    text_replace(&executor->service, report->service);
+    text_replace(&executor->data_centre, report->data_centre);
+    text_replace(&executor->rack, report->rack);
     g_strfreev(executor->labels);
     executor->labels = copy_strings(report->labels, report->n_labels);
     executor->draining = report->draining;
