--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/events.h"
+#include "base/text.h"
 #include "node/node_internal.h"
 #include "sched/executor.h"
 
@@ -40,15 +41,6 @@
     g_free(rejected);
 }
 
-static void
-replace_string(char **field, const char *value)
-{
-    if (g_strcmp0(*field, value) != 0) {
-        g_free(*field);
-        *field = g_strdup(value);
-    }
-}
-
 static bool
 has_capacity(const node_executor_t *executor, const executor_info_t *info)
 {
@@ -90,9 +82,9 @@
     }
     executor->unreported |=
         info->draining != executor->draining || !has_capacity(executor, info);
-    replace_string(&executor->service, info->service);
-    replace_string(&executor->data_centre, info->data_centre);
-    replace_string(&executor->rack, info->rack);
+    text_replace(&executor->service, info->service);
+    text_replace(&executor->data_centre, info->data_centre);
+    text_replace(&executor->rack, info->rack);
     g_strfreev(executor->labels);
     executor->labels = g_new0(char *, info->label_count + 1);
     for (size_t i = 0; i < info->label_count; i++) {
