Compute the size of a job record once where nothing is added to it

pack_record() computed the packed size, added the checkpoints, and computed it again on each write. Most records have no checkpoint, so the second computation is left out unless one was added. The records are the same: sched_test (which covers records with checkpoints, and those without room for them), sched_model_test, odd_records_test and run_model_test pass.

--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -160,9 +160,11 @@
 pack_record(Teasel__JobRecord *record, const sched_job_t *job,
             size_t max_bytes, uint32_t *left_out)
 {
-    size_t bytes = SCHED_KEY_LENGTH_BYTES + strlen(job->spec->id) +
-                   teasel__job_record__get_packed_size(record);
-    size_t room = max_bytes - MIN(bytes, max_bytes);
+    size_t packed_size = teasel__job_record__get_packed_size(record);
+    size_t bytes =
+        SCHED_KEY_LENGTH_BYTES + strlen(job->spec->id) + packed_size;
+    size_t initial_room = max_bytes - MIN(bytes, max_bytes);
+    size_t room = initial_room;
     GByteArray *out;
     size_t n = 0;
 
@@ -176,8 +178,11 @@
                 add_checkpoints(record->occurrences[n++], occurrence, &room);
         }
     }
+    if (room < initial_room) {
+        packed_size = teasel__job_record__get_packed_size(record);
+    }
     out = g_byte_array_new();
-    g_byte_array_set_size(out, teasel__job_record__get_packed_size(record));
+    g_byte_array_set_size(out, packed_size);
     teasel__job_record__pack(record, out->data);
     return out;
 }
