Count the occurrences of a job once when some are due

has_room_for_occurrence() walked the list for each due occurrence, so that 200 due ones cost 20,000 steps. The count is now taken once, and only if an occurrence is due. The behaviour is the same: sched_test, leader_test (WritesJobsBesideOneWithManyDueOccurrences), sched_model_test and run_model_test pass.

--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -223,16 +223,22 @@
                sched_wall_ms(sched);
 }
 
-/* Due occurrences wait for the end of earlier ones if the record of the job
-   has no room for them. The first one always has, see sched_check_size(). */
-static bool
-has_room_for_occurrence(const sched_t *sched, const sched_job_t *job)
+static size_t
+count_occurrences(const sched_job_t *job)
 {
     size_t count = 0;
 
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         count++;
     }
+    return count;
+}
+
+/* The first occurrence always has room, see sched_check_size(). */
+static bool
+has_room_for_occurrence(const sched_t *sched, const sched_job_t *job,
+                        size_t count)
+{
     return count == 0 ||
            sched_job_fits(job->spec, count + 1, sched->opts.record_bytes);
 }
@@ -247,19 +253,32 @@
     job->occurrences_wait = wait;
 }
 
-void
-sched_add_due_occurrences(sched_t *sched, sched_job_t *job)
+/* Due occurrences wait for the end of earlier ones if the record of the job
+   has no room for them. Returns whether none waits. */
+static bool
+add_due_occurrences(sched_t *sched, sched_job_t *job)
 {
+    size_t count = count_occurrences(job);
+
     while (is_occurrence_due(sched, job)) {
-        if (!has_room_for_occurrence(sched, job)) {
-            set_occurrences_wait(job, true);
-            return;
+        if (!has_room_for_occurrence(sched, job, count)) {
+            return false;
         }
         sched_job_add_occurrence(job);
+        count++;
         sched_mark_dirty(sched, job);
         sched->placement_needed = true;
     }
-    set_occurrences_wait(job, false);
+    return true;
+}
+
+void
+sched_add_due_occurrences(sched_t *sched, sched_job_t *job)
+{
+    bool wait =
+        is_occurrence_due(sched, job) && !add_due_occurrences(sched, job);
+
+    set_occurrences_wait(job, wait);
 }
 
 sched_job_t *
