--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -15,6 +15,7 @@
 #include "fake_executor.h"
 #include "fake_store.h"
 #include "sched_fixture.h"
+#include "seed_range.h"
 #include "virtual_loop.h"
 
 extern "C" {
@@ -1123,15 +1124,9 @@
 // whichever orders, answers and processes are lost.
 TEST(RunModel, RunsEachTaskOnceAndNeverGetsStuck)
 {
-    const char *text = getenv("TEASEL_MODEL");
-    unsigned first = 1;
-    unsigned count = 5000;
     unsigned failures = 0;
 
-    if (text != nullptr) {
-        sscanf(text, "%u:%u", &first, &count);
-    }
-    for (unsigned seed = first; seed < first + count; seed++) {
+    for (unsigned seed : get_seeds("TEASEL_MODEL", 1, 5000)) {
         World world(seed);
         Names stuck;
         Names doubled;
