--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -368,6 +368,16 @@
     return crash_and_reorder(core, incarnation, crashed, alone).starts;
 }
 
+/* Starts the job "j", and crashes its only task on the first two incarnations,
+   so that the third one runs it on trial. */
+void
+start_trial(Core &core, const std::vector<Step> &steps = {Step()})
+{
+    start_on_first_incarnation(core, steps);
+    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
+    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+}
+
 // Guards against a count of crashes that is lost with the leader, or counts a
 // repeated report twice.
 TEST(Sched, GivesUpATaskAfterThreeCrashesUnderSeveralLeaders)
@@ -441,7 +451,7 @@
     settled.running[0].settled = true;
     core.report(settled);
     core.run_and_commit();
-    EXPECT_EQ(core.orders("10.0.0.1:80/x3/3").starts,
+    EXPECT_EQ(core.orders(incarnation_key(3)).starts,
               (std::vector<TaskRun>{{"j.0.0.1", 3}}));
 }
 
@@ -452,15 +462,13 @@
     Core core;
     Report report(incarnation_key(3));
 
-    start_on_first_incarnation(core);
-    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
-    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    start_trial(core);
     core.restart();
     report.runs({"j.0.0.0", 3});
     core.report(report);
     sched_submit(core.sched, make_spec("k", {{}}));
     core.run_and_commit();
-    EXPECT_TRUE(core.orders("10.0.0.1:80/x3/3").starts.empty());
+    EXPECT_TRUE(core.orders(incarnation_key(3)).starts.empty());
 }
 
 // Guards against an executor that is closed for ever by a trial, as its agent
@@ -470,18 +478,16 @@
     Core core;
     Report report(incarnation_key(3));
 
-    start_on_first_incarnation(core, {{.long_running = true}});
-    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
-    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    start_trial(core, {{.long_running = true}});
     report.message.listed = false;
     report.runs({"j.0.0.0", 3});
     core.report(report);
     sched_submit(core.sched, make_spec("k", {{}}));
     core.run_and_commit();
-    EXPECT_TRUE(core.orders("10.0.0.1:80/x3/3").starts.empty());
+    EXPECT_TRUE(core.orders(incarnation_key(3)).starts.empty());
     fake_clock_advance_ms(&core.clock, 5100);
     core.run_and_commit();
-    EXPECT_EQ(core.orders("10.0.0.1:80/x3/3").starts,
+    EXPECT_EQ(core.orders(incarnation_key(3)).starts,
               (std::vector<TaskRun>{{"k.0.0.0", 1}}));
 }
 
@@ -525,9 +531,7 @@
     Core core;
     Report begun(incarnation_key(3));
 
-    start_on_first_incarnation(core);
-    crash_and_restart(core, 1, {{"j.0.0.0", 1}});
-    crash_and_restart(core, 2, {{"j.0.0.0", 2}});
+    start_trial(core);
     begun.message.listed = false;
     begun.runs({"j.0.0.0", 3});
     core.report(begun);
