Show what a leader does after a pause and beside a malformed record

GrantsNoLeaseAfterAPauseBeyondItsLeadership: a leader that was paused must not extend leases that a later one counts as expired. It fails if the lease isn't cut by the age of the proof of leadership (1000 ms granted in place of 100 and 0).

LoadsTheJobsBesideAMalformedRecord: one record that cannot be read must not hide the jobs after it. It fails if the loading ends at the record (the later job is unknown), or is repeated for it (no leader gets ready).

The fixture can now be started twice, with the next epoch, and with a clock of the test.

--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -5,24 +5,30 @@
 #include "fake_store.h"
 #include "loop_wait.h"
 #include "sched_fixture.h"
+#include "test_address.h"
 
 extern "C" {
-#include "scheduler/leader.h"
+#include "scheduler/leader_internal.h"
+#include "wire/peer.h"
 }
 
 namespace {
 
 enum {
     DONE_MS = 1000, /* less than the time after which a call is abandoned */
+    LEASE_MS = 1000,
+    SILENCE_MS = 60000,
 };
 
 struct Leader : public testing::Test {
     loop_t *loop = loop_new();
     FakeStore store;
     FakeStoreView view{&store, loop};
+    const clock_source_t *clock = clock_system();
     leader_t *leader = nullptr;
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
     uint64_t calls = 0;
+    uint64_t epoch = 0; /* of the leader */
 
     void
     start()
@@ -30,10 +36,10 @@
         leader_opts_t opts = {};
 
         opts.loop = loop;
-        opts.clock = clock_system();
+        opts.clock = clock;
         opts.store = &view.base;
-        opts.epoch = 1;
-        opts.lease_ms = 1000;
+        opts.epoch = ++epoch;
+        opts.lease_ms = LEASE_MS;
         opts.retain_ms = 60000;
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
@@ -90,6 +96,102 @@
     }
 };
 
+/* A node agent that is connected to the leader. */
+struct Agent {
+    Leader *test;
+    peer_handler_t handler = {nullptr, on_orders, on_close};
+    peer_opts_t opts = {};
+    peer_listener_t *listener = nullptr;
+    peer_t *agent = nullptr;
+    peer_t *leader = nullptr;     /* its end of the connection */
+    std::vector<uint32_t> leases; /* of the orders received, in ms */
+
+    Agent(Leader *test) : test(test)
+    {
+        char address[32];
+
+        test_address(address, 12);
+        opts = {test->loop, clock_system(), &handler,      this,
+                1 << 20,    SILENCE_MS,     SILENCE_MS / 2};
+        listener = peer_listen(&opts, address, on_accept, nullptr);
+        g_assert(listener != nullptr);
+        agent = peer_connect(&opts, address, nullptr);
+        g_assert(
+            loop_wait(test->loop, DONE_MS, [&] { return leader != nullptr; }));
+    }
+    Agent(const Agent &) = delete;
+    ~Agent()
+    {
+        leader_remove_peer(test->leader, leader);
+        peer_close(agent);
+        peer_close(leader);
+        peer_listener_free(listener);
+    }
+    static void
+    on_accept(peer_t *peer, void *data)
+    {
+        static_cast<Agent *>(data)->leader = peer;
+    }
+    static void
+    on_orders(peer_t *peer, const Teasel__Envelope *message, void *data)
+    {
+        static_cast<Agent *>(data)->leases.push_back(
+            message->node_orders->lease_ms);
+    }
+    static void
+    on_close(peer_t *peer, const char *reason, void *data)
+    {
+        ADD_FAILURE() << reason;
+    }
+    /* Sends a report; returns the lease that the leader grants. */
+    uint32_t
+    report()
+    {
+        Teasel__NodeReport report = TEASEL__NODE_REPORT__INIT;
+        size_t before = leases.size();
+
+        report.sent_us = 1;
+        leader_handle_report(test->leader, leader, "node", &report);
+        g_assert(loop_wait(test->loop, DONE_MS,
+                           [&] { return leases.size() > before; }));
+        return leases.back();
+    }
+};
+
+// Guards against a leader that extends leases after a pause, while a later one
+// counts them as expired and starts their tasks elsewhere.
+TEST_F(Leader, GrantsNoLeaseAfterAPauseBeyondItsLeadership)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    Agent agent(this);
+    EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    view.silent = true;
+    fake_clock_advance_ms(&fake, LEASE_MS - 100);
+    EXPECT_EQ(agent.report(), 100U);
+    fake_clock_advance_ms(&fake, 200);
+    EXPECT_EQ(agent.report(), 0U);
+}
+
+// Guards against a malformed record that keeps each leader from loading the
+// jobs beside it.
+TEST_F(Leader, LoadsTheJobsBesideAMalformedRecord)
+{
+    start();
+    EXPECT_EQ(submit("a", {{}}), JOB_OUTCOME_DONE);
+    store.put(JOBS_TOPIC, "m", "\xff\xff");
+    EXPECT_EQ(submit("z", {{}}), JOB_OUTCOME_DONE);
+    leader_free(leader);
+    loop_run_ms(loop, 50); /* the view must outlive its last call */
+    start();
+    EXPECT_EQ(call(JOB_VERB_CANCEL, "a", nullptr), JOB_OUTCOME_DONE);
+    EXPECT_EQ(call(JOB_VERB_CANCEL, "z", nullptr), JOB_OUTCOME_DONE);
+    EXPECT_EQ(submit("other", {{}}), JOB_OUTCOME_DONE);
+}
+
 // Guards against a leader that can write nothing any more, as the record of
 // one job with many due occurrences is longer than the store takes.
 TEST_F(Leader, WritesJobsBesideOneWithManyDueOccurrences)
