Retry the refusals of a leaving agent beyond the retry budget

In a planned stop of one agent, callers could get 503 "The instance is shutting down" (executed "no") while the other agents had room. The answer was true, but the stop should have gone unnoticed.

Cause: until an entry reads the Leave message, it goes on sending requests to the agent, which refuses them as leaving. Each retry took a token of the retry budget, of which the reserve has 10. An entry that is delayed by some 100 ms has sent more than that.

The refusal of a leaving instance now needs no token. It reaches no executor, is known as not run, and ends with the Leave message, so it cannot multiply the load that the budget bounds; the limit of attempts per request stays. Other refusals spend the budget as before.

This isn't the cause of the refusals that agent_stop_test has on a busy machine; those are overloaded.

--- a/libteasel/request/attempt.c
+++ b/libteasel/request/attempt.c
@@ -51,6 +51,17 @@
            timespec_is_before(now, attempt->deadline);
 }
 
+/* Refusals of a leaving instance reach no executor and end with its Leave
+   message, so that their retries need no budget. */
+static bool
+take_token(attempt_t *attempt, attempt_outcome_t outcome, error_kind_t kind)
+{
+    if (outcome == ATTEMPT_NOT_RUN && kind == ERROR_LEAVING) {
+        return true;
+    }
+    return retry_budget_withdraw(attempt->budget);
+}
+
 attempt_action_t
 attempt_end(attempt_t *attempt, attempt_outcome_t outcome, error_kind_t kind,
             struct timespec now)
@@ -62,7 +73,7 @@
         return ATTEMPT_REPLY;
     }
     record_failure(attempt, outcome, kind);
-    if (can_retry(attempt, now) && retry_budget_withdraw(attempt->budget)) {
+    if (can_retry(attempt, now) && take_token(attempt, outcome, kind)) {
         return ATTEMPT_RETRY;
     }
     attempt->finished = true;
--- a/libteasel/request/attempt.h
+++ b/libteasel/request/attempt.h
@@ -28,7 +28,8 @@
  * @idempotent: the request may be run more than once
  * @max_attempts: upper bound, whatever the retry budget allows
  * @deadline: no attempt begins at or after this time
- * @budget: retry budget; the second and each further attempt take a token
+ * @budget: retry budget; the second and each further attempt take a token,
+ *     but for those after the refusal of a leaving instance
  * @count: number of attempts that began
  * @running: an attempt is in progress
  * @finished: no further attempt may begin
--- a/tests/unit/entry_test.cc
+++ b/tests/unit/entry_test.cc
@@ -73,13 +73,13 @@
     }
 
     void
-    not_run(uint64_t id)
+    not_run(uint64_t id, error_kind_t kind = ERROR_OVERLOADED)
     {
         Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
         Teasel__NotRun not_run = TEASEL__NOT_RUN__INIT;
 
         not_run.request_id = id;
-        not_run.kind = ERROR_OVERLOADED;
+        not_run.kind = kind;
         envelope.body_case = TEASEL__ENVELOPE__BODY_NOT_RUN;
         envelope.not_run = &not_run;
         send(envelope);
@@ -127,6 +127,7 @@
 struct EntryTest : public ::testing::Test {
     loop_t *loop = loop_new();
     entry_settings_t settings = {};
+    int64_t retry_reserve = 1000;
     char http[32] = "";
     char peer[32] = "";
     char no_log[32] = "";
@@ -203,7 +204,7 @@
         settings.max_in_flight = 1000;
         settings.max_attempts = 3;
         settings.retry_percent = 10;
-        settings.retry_reserve = 1000;
+        settings.retry_reserve = retry_reserve;
         settings.park_ms = 60000;
         settings.eject_failures = 1000;
         settings.eject_ms = settings.max_eject_ms = 1000;
@@ -279,15 +280,21 @@
         return callers.back().get();
     }
 
-    bool
-    all_answered()
+    size_t
+    count_answered()
     {
+        size_t count = 0;
+
         for (auto &caller : callers) {
-            if (caller->answers == 0) {
-                return false;
-            }
+            count += caller->answers != 0;
         }
-        return true;
+        return count;
+    }
+
+    bool
+    all_answered()
+    {
+        return count_answered() == callers.size();
     }
 };
 
@@ -529,6 +536,44 @@
     EXPECT_EQ(leaving->deliveries.size(), 1U);
 }
 
+struct SmallBudgetTest : public EntryTest {
+    SmallBudgetTest()
+    {
+        retry_reserve = 2;
+    }
+};
+
+// Guards against refusing callers in a planned stop of one agent, of which the
+// entry hears only when it has sent it more requests than the retry budget has
+// tokens, and against a budget that other refusals don't spend after that.
+TEST_F(SmallBudgetTest, RetriesEachRefusalOfALeavingAgent)
+{
+    const size_t requests = 20;
+    Agent *leaving = connect("agent-1", 1);
+    Agent *staying;
+
+    for (size_t i = 0; i < requests; i++) {
+        call("late", "no", 60000);
+    }
+    wait_for([&] { return leaving->deliveries.size() == requests; });
+    leaving->leave();
+    staying = connect("agent-2", 1);
+    for (const Delivery &delivery : leaving->deliveries) {
+        leaving->not_run(delivery.id, ERROR_LEAVING);
+    }
+    wait_for([&] {
+        return staying->deliveries.size() + count_answered() == requests;
+    });
+    ASSERT_EQ(staying->deliveries.size(), requests);
+    for (size_t i = 0; i < requests; i++) {
+        staying->not_run(staying->deliveries[i].id);
+    }
+    wait_for([&] {
+        return staying->deliveries.size() + count_answered() == 2 * requests;
+    });
+    EXPECT_EQ(staying->deliveries.size(), requests + 2);
+}
+
 // Guards against failing requests that reach a new entry before the first
 // agent has connected.
 TEST_F(EntryTest, HoldsRequestsUntilAnAgentConnects)
