Keep the cluster until its pending calls to the store return

Cause: cluster_free() freed the cluster while calls to the store were pending whose callbacks get it as data: a claim, a probe or a registration. The late answer wrote to the freed cluster, made its former owner lead, or started the registration timer inside freed memory. Ruled out: the follower and the leader, which outlive their pending call. No program frees a scheduler while it goes on, by reading, so only tests reach it.

The cluster now counts its pending calls (cluster_begin_call(), cluster_end_call()) and the last one frees it. The stand-in store can hold its answers, so that the tests need no luck with the moment.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -22,6 +22,25 @@
     return (int64_t)timespec_to_ms(clock_get_monotonic(cluster->opts.clock));
 }
 
+void
+cluster_begin_call(cluster_t *cluster)
+{
+    cluster->calls++;
+}
+
+bool
+cluster_end_call(cluster_t *cluster)
+{
+    cluster->calls--;
+    if (!cluster->freed) {
+        return true;
+    }
+    if (cluster->calls == 0) {
+        g_free(cluster);
+    }
+    return false;
+}
+
 bool
 cluster_is_leading(const cluster_t *cluster)
 {
@@ -94,6 +113,9 @@
 {
     cluster_t *cluster = data;
 
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
     cluster->probing = false;
     if (status == STORE_OK) {
         cluster->probe_ok_ms = cluster_now_ms(cluster);
@@ -112,6 +134,7 @@
     }
     cluster->probing = true;
     cluster->probe_started_ms = now_ms;
+    cluster_begin_call(cluster);
     store_read(cluster->opts.store, CONTROL_TOPIC,
                follower_get_next_offset(cluster->follower), 0, on_probed,
                cluster);
@@ -268,5 +291,9 @@
     g_free(cluster->leader_address);
     g_free(cluster->name);
     g_free(cluster->address);
+    if (cluster->calls > 0) {
+        cluster->freed = true;
+        return;
+    }
     g_free(cluster);
 }
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -73,6 +73,12 @@
 } cluster_opts_t;
 
 cluster_t *cluster_new(const cluster_opts_t *opts, GError **error);
+
+/**
+ * cluster_free() - free a cluster; no callback runs after this
+ *
+ * Must not be called from inside a callback of the handler.
+ */
 void cluster_free(cluster_t *cluster);
 
 bool cluster_is_leading(const cluster_t *cluster);
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -58,6 +58,8 @@
     loop_timer_t register_timer;
     int64_t started_ms;
     int64_t status_sent_ms;
+    unsigned calls; /* pending store calls that were begun for this cluster */
+    bool freed;     /* freed when the last of them returns */
 
     uint64_t epoch; /* of the newest known leader */
     char *leader_name;
@@ -79,6 +81,22 @@
 
 int64_t cluster_now_ms(const cluster_t *cluster);
 
+/**
+ * cluster_begin_call() - keep the cluster until the callback of a store call
+ *
+ * Each store call whose callback gets the cluster begins with this function,
+ * and the callback begins with cluster_end_call().
+ */
+void cluster_begin_call(cluster_t *cluster);
+
+/**
+ * cluster_end_call() - end what cluster_begin_call() began
+ *
+ * Return: false if the cluster was freed in the meantime; the callback must
+ * not use it then.
+ */
+bool cluster_end_call(cluster_t *cluster);
+
 /**
  * cluster_log_malformed() - log a record of the control topic that cannot be
  * read
--- a/libteasel/cluster/election.c
+++ b/libteasel/cluster/election.c
@@ -153,6 +153,9 @@
 {
     cluster_t *cluster = data;
 
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
     cluster->claiming = false;
     if (status != STORE_OK) {
         event_log(EVENT_CLAIM_FAILED, "epoch=%" G_GUINT64_FORMAT " status=%s",
@@ -187,6 +190,7 @@
     stored.value = value->data;
     stored.length = value->len;
     cluster->claiming = true;
+    cluster_begin_call(cluster);
     store_append(cluster->opts.store, &append, on_claimed, cluster);
 }
 
--- a/libteasel/cluster/registration.c
+++ b/libteasel/cluster/registration.c
@@ -71,6 +71,9 @@
 {
     cluster_t *cluster = data;
 
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
     if (status != STORE_OK && !cluster->leaving) {
         loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
     }
@@ -126,6 +129,7 @@
     teasel__scheduler_record__pack(&record, value->data);
     stored.value = value->data;
     stored.length = value->len;
+    cluster_begin_call(cluster);
     store_append(cluster->opts.store, &append, on_registered, cluster);
 }
 
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -51,7 +51,21 @@
     call->deliver = std::move(deliver);
     call->self = call;
     loop_timer_init(&call->timer, loop, on_call, &*call);
-    loop_timer_start(&call->timer, ms);
+    if (!hold) {
+        loop_timer_start(&call->timer, ms);
+    }
+}
+
+void
+FakeStoreView::release()
+{
+    hold = false;
+    for (auto &call : calls) {
+        loop_timer_start(&call.timer, 0);
+    }
+    for (auto &reader : readers) {
+        loop_timer_start(&reader.timer, 0);
+    }
 }
 
 static void
@@ -93,7 +107,8 @@
 wake_readers(FakeStore *store)
 {
     for (FakeStoreView *view : FakeStoreView::all()) {
-        if (view->store != store || view->silent || view->refuse) {
+        if (view->store != store || view->silent || view->refuse ||
+            view->hold) {
             continue;
         }
         for (auto it = view->readers.begin(); it != view->readers.end();) {
@@ -250,6 +265,9 @@
     reader->view = view;
     reader->self = reader;
     loop_timer_init(&reader->timer, view->loop, on_reader, &*reader);
+    if (view->hold) {
+        return;
+    }
     loop_timer_start(&reader->timer, ready ? 0
                                      : view->silent
                                          ? wait_ms + view->silence_ms
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -50,6 +50,7 @@
     loop_t *loop;
     bool refuse = false;      /* calls are refused and have no effect */
     bool silent = false;      /* calls get no answer and have no effect */
+    bool hold = false;        /* answers wait for release() */
     int lose_answers = 0;     /* next appends to apply without an answer */
     uint64_t silence_ms = 30; /* timeout of a call without an answer */
     std::vector<uint64_t> lost_timeouts; /* of the appends without an answer */
@@ -77,6 +78,8 @@
     ~FakeStoreView();
 
     void deliver_after(uint64_t ms, std::function<void()> deliver);
+    /* Delivers the answers that were held. */
+    void release();
     static std::vector<FakeStoreView *> &all();
 };
 
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -19,14 +19,22 @@
 
 enum {
     PORT = 800,
+    /* Within it late answers arrive, and a call that one of them causes. */
+    ANSWERS_MS = 500,
 };
 
 constexpr uint32_t STRONG_MILLI = 500;
 constexpr uint32_t WEAK_MILLI = 120;
 
+/* The owner of a cluster. */
+struct Owner {
+    int elections = 0;
+};
+
 void
-ignore_elected(uint64_t, void *)
+count_election(uint64_t, void *data)
 {
+    static_cast<Owner *>(data)->elections++;
 }
 
 void
@@ -35,7 +43,7 @@
 }
 
 const cluster_handler_t handler = {
-    .on_elected = ignore_elected,
+    .on_elected = count_election,
     .on_deposed = ignore,
     .on_leader_ready = ignore,
     .on_answer = [](const Teasel__JobAnswer *, void *) {},
@@ -52,6 +60,7 @@
         uint32_t cpu_milli;
         char address[32];
         std::unique_ptr<FakeStoreView> view;
+        Owner owner;
         cluster_t *cluster = nullptr;
     };
     loop_t *loop = loop_new();
@@ -97,18 +106,36 @@
         opts.silence_ms = 800;
         opts.status_ms = 100;
         opts.handler = &handler;
+        opts.data = &process.owner;
         process.cluster = cluster_new(&opts, &error);
         g_assert_no_error(error);
     }
     void
+    run_ms(int64_t ms)
+    {
+        auto end_us = g_get_monotonic_time() + ms * 1000;
+
+        while (g_get_monotonic_time() < end_us) {
+            loop_run_once(loop, 10);
+        }
+    }
+    void
     kill(size_t i)
     {
         cluster_free(processes[i]->cluster);
         processes[i]->cluster = nullptr;
         /* The view must outlive its last pending call. */
-        for (int j = 0; j < 10; j++) {
-            loop_run_once(loop, 5);
-        }
+        run_ms(50);
+    }
+    /* Ends the process while the store holds its answers, which arrive after
+       that. */
+    void
+    kill_before_answers(size_t i)
+    {
+        cluster_free(processes[i]->cluster);
+        processes[i]->cluster = nullptr;
+        processes[i]->view->release();
+        run_ms(ANSWERS_MS);
     }
     bool
     wait(const std::function<bool()> &done)
@@ -366,4 +393,51 @@
         [&] { return schedulers.store.newest(CONTROL_TOPIC, key) == sound; }));
 }
 
+// Guards against an owner that is told to lead after it has freed its cluster,
+// as the answer to the claim came late.
+TEST(Cluster, IgnoresALateAnswerToAClaim)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    Schedulers::Process &process = *schedulers.processes[0];
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return follower_is_caught_up(process.cluster->follower) &&
+               !process.cluster->claiming;
+    }));
+    process.view->hold = true;
+    ASSERT_TRUE(schedulers.wait([&] { return process.cluster->claiming; }));
+    schedulers.kill_before_answers(0);
+    EXPECT_NE(schedulers.store.newest(CONTROL_TOPIC, CONTROL_KEY_LEADER), "");
+    EXPECT_EQ(process.owner.elections, 0);
+}
+
+// Guards against a status that is sent by a cluster that was freed before the
+// answer to its probe came.
+TEST(Cluster, IgnoresALateAnswerToAProbe)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    Schedulers::Process &process = *schedulers.processes[0];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    process.view->hold = true;
+    cluster_probe_store(process.cluster);
+    ASSERT_TRUE(process.cluster->probing);
+    schedulers.kill_before_answers(0);
+    EXPECT_TRUE(process.view->readers.empty());
+}
+
+// Guards against a registration that is repeated by a cluster that was freed
+// before the answer to the first one came.
+TEST(Cluster, IgnoresALateAnswerToARegistration)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    Schedulers::Process &process = *schedulers.processes[0];
+
+    process.view->hold = true;
+    process.view->lose_answers = 1;
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.store.appends > 0; }));
+    schedulers.kill_before_answers(0);
+    EXPECT_EQ(schedulers.store.appends, 1U);
+}
+
 } // namespace
