Let an owner free its follower inside a callback

follower_free() promises that no callback runs after it, and deliver() stops at a freed follower, but one that was freed inside its own callback was destroyed at once, as the call in progress had ended before its callback began. It then went on in freed memory: further records, the other callbacks, a retry or the next read. No owner does this at present, by reading (cluster, node link, configuration feed), so nobody saw it.

A call of the store is now in progress until its callback has returned; end_call() destroys the follower or begins the next call there, in one place for all outcomes.

--- a/libteasel/store/follower.c
+++ b/libteasel/store/follower.c
@@ -16,8 +16,8 @@
     uint64_t next;
     bool caught_up;
     bool available;
-    bool freed; /* free when the call in progress returns */
-    bool calling;
+    bool freed;   /* destroyed when the call in progress ends */
+    bool calling; /* from a call of the store to the end of its callback */
     bool listing_started;
     char *after; /* where the listing in progress continues */
 };
@@ -79,7 +79,8 @@
     g_clear_pointer(&follower->after, g_free);
     follower->listing_started = false;
     follower->caught_up = true;
-    if (!was_caught_up && follower->opts.on_caught_up != NULL) {
+    if (!was_caught_up && !follower->freed &&
+        follower->opts.on_caught_up != NULL) {
         follower->opts.on_caught_up(follower->opts.data);
     }
 }
@@ -102,15 +103,47 @@
     finish_listing(follower);
 }
 
-static bool
+static void
+handle_listing(follower_t *follower, store_status_t status,
+               const store_page_t *page)
+{
+    if (status != STORE_OK) {
+        retry_later(follower);
+        return;
+    }
+    handle_listing_page(follower, page);
+}
+
+static void
+handle_read(follower_t *follower, store_status_t status,
+            const store_page_t *page)
+{
+    if (status == STORE_TRIMMED) {
+        follower->caught_up = false;
+        return;
+    }
+    if (status != STORE_OK) {
+        retry_later(follower);
+        return;
+    }
+    follower->next = page->next;
+    deliver(follower, page);
+}
+
+/* Ends the call in progress and begins the next one, unless a retry is due
+   later. The owner may have freed the follower since the call began, also
+   inside a callback. */
+static void
 end_call(follower_t *follower)
 {
     follower->calling = false;
     if (follower->freed) {
         destroy(follower);
-        return false;
+        return;
+    }
+    if (!loop_timer_is_active(&follower->retry)) {
+        request_next(follower);
     }
-    return true;
 }
 
 static void
@@ -118,15 +151,10 @@
 {
     follower_t *follower = data;
 
-    if (!end_call(follower)) {
-        return;
+    if (!follower->freed) {
+        handle_listing(follower, status, page);
     }
-    if (status != STORE_OK) {
-        retry_later(follower);
-        return;
-    }
-    handle_listing_page(follower, page);
-    request_next(follower);
+    end_call(follower);
 }
 
 static void
@@ -134,21 +162,10 @@
 {
     follower_t *follower = data;
 
-    if (!end_call(follower)) {
-        return;
+    if (!follower->freed) {
+        handle_read(follower, status, page);
     }
-    if (status == STORE_TRIMMED) {
-        follower->caught_up = false;
-        request_next(follower);
-        return;
-    }
-    if (status != STORE_OK) {
-        retry_later(follower);
-        return;
-    }
-    follower->next = page->next;
-    deliver(follower, page);
-    request_next(follower);
+    end_call(follower);
 }
 
 static void
--- a/libteasel/store/follower.h
+++ b/libteasel/store/follower.h
@@ -43,6 +43,8 @@
 
 /**
  * follower_free() - free a follower; no callback runs after this
+ *
+ * May be called from inside a callback.
  */
 void follower_free(follower_t *follower);
 
