Hand no request to an owner that has freed its HTTP server

A server with open connections outlives http_server_free(), as h2o cannot dispose of it, and went on to hand requests on these connections to its handlers, with the data of an owner that is gone. teasel-agent and teasel-entry reach it, by reading: they free their agent or entry at a planned stop, and loop_free() then runs the loop once more, so a request that arrives in that moment on a kept connection is handled with freed memory. Ruled out: a reply after the free, as h2o doesn't read from, and so doesn't close, a connection with a pending request.

Such requests are now refused with status 503, and the connection is closed.

Before: HandsNoRequestToAnOwnerThatHasFreedTheServer failed, as the handler had been called (and status 0, not 503). After: http_test passes with and without the address sanitizer; agent_test and entry_test pass.

--- a/libteasel/base/http_server.c
+++ b/libteasel/base/http_server.c
@@ -34,6 +34,7 @@
     size_t connection_count;
     size_t pending;
     bool shutting_down;
+    bool freed; /* by its owner; only open connections remain */
 };
 
 typedef struct handler {
@@ -141,6 +142,10 @@
     http_server_t *server = handler->server;
     http_exchange_t *exchange = exchange_new(server, req);
 
+    if (server->freed) {
+        http_exchange_reply_text(exchange, 503, "text/plain", "stopped\n");
+        return 0;
+    }
     for (const http_route_t *route = server->opts.routes; route->path;
          route++) {
         if (route_matches(route, exchange->path)) {
@@ -276,11 +281,14 @@
     http_server_close_listener(server);
     /* h2o 2.2 cannot dispose of a context with open HTTP/1 connections. The
        process is about to exit, and the kernel then closes them. */
-    if (server->connection_count == 0) {
-        h2o_context_dispose(&server->context);
-        h2o_config_dispose(&server->config);
-        g_free(server);
+    if (server->connection_count > 0) {
+        server->freed = true;
+        http_server_announce_shutdown(server);
+        return;
     }
+    h2o_context_dispose(&server->context);
+    h2o_config_dispose(&server->config);
+    g_free(server);
 }
 
 const char *
--- a/libteasel/base/http_server.h
+++ b/libteasel/base/http_server.h
@@ -103,6 +103,13 @@
  * http_server_get_connections() - return the number of open connections
  */
 size_t http_server_get_connections(const http_server_t *server);
+
+/**
+ * http_server_free() - stop accepting connections, and free the server
+ *
+ * No handler runs after this: requests on connections that are still open are
+ * refused with status 503.
+ */
 void http_server_free(http_server_t *server);
 
 /**
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -186,4 +186,19 @@
     EXPECT_EQ(kind, ERROR_TRUNCATED);
 }
 
+// Guards against a request on a connection that is still open, which is handed
+// to an owner that has freed its server and itself.
+TEST_F(Fixture, HandsNoRequestToAnOwnerThatHasFreedTheServer)
+{
+    send("/echo", "x", false, 5000);
+    wait_for_responses(1);
+    ASSERT_EQ(http_server_get_connections(server), 1U);
+    http_server_free(server);
+    server = nullptr;
+    send("/hold/a", "x", false, 200);
+    wait_for_responses(2);
+    EXPECT_EQ(held, nullptr);
+    EXPECT_EQ(status, 503);
+}
+
 } // namespace
