--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <csignal>
 #include <map>
 #include <string>
 #include <vector>
@@ -138,7 +137,6 @@
     void
     SetUp() override
     {
-        signal(SIGPIPE, SIG_IGN);
         entries.push_back(new FakeEntry(loop, 505));
         start_executor();
     }
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include <csignal>
 #include <string>
 
 extern "C" {
@@ -72,8 +71,6 @@
         char address[32];
         GError *error = nullptr;
 
-        /* The programs do this in loop_on_signals(). */
-        signal(SIGPIPE, SIG_IGN);
         test_address(address, 1);
         server_opts.loop = loop;
         server_opts.listen = address;
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -3,7 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <csignal>
 #include <cstring>
 #include <functional>
 #include <string>
@@ -36,12 +35,6 @@
 struct LoopTest : public ::testing::Test {
     loop_t *loop = loop_new();
 
-    static void
-    SetUpTestSuite()
-    {
-        /* The programs do this in loop_on_signals(). */
-        signal(SIGPIPE, SIG_IGN);
-    }
     void
     SetUp() override
     {
