Name the last fault of a lasting soak that does not settle

It now keeps the last fault that was seen, and says how many polls without one followed. The check is the same: eight polls in a row without a fault.

--- a/tests/unit/deployment_soak_test.cc
+++ b/tests/unit/deployment_soak_test.cc
@@ -762,22 +762,28 @@
         }
         return "";
     }
-    /* Returns the fault that is left when everything had time to settle, or
+    /* Returns the last fault, if everything had time to settle and has not, or
        "". */
     std::string
     find_lasting_fault()
     {
         int64_t end_ms = FakeExecutor::now_ms() + SETTLE_MS;
-        std::string fault = "not settled";
+        std::string last_fault = "no fault, but too few polls";
         int polls = 0;
 
         while (polls < SETTLED_POLLS && FakeExecutor::now_ms() < end_ms) {
+            std::string fault;
+
             announce();
             deployment.run_ms(ANNOUNCE_MS);
             fault = find_fault();
             polls = fault.empty() ? polls + 1 : 0;
+            last_fault = fault.empty() ? last_fault : fault;
         }
-        return polls == SETTLED_POLLS ? "" : "at the end: " + fault;
+        return polls == SETTLED_POLLS
+                   ? ""
+                   : "at the end, " + std::to_string(polls) +
+                         " polls after: " + last_fault;
     }
 };
 
