Append to the end of the control topic in one place

The claim of the leadership and the removal of a scheduler's own record built the same conditional append. cluster_append_at_end() does both, and counts the call, so that the removal is one of the cluster's pending calls too. Same appends, same log lines.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -108,6 +108,22 @@
                          : now_ms - cluster->probe_ok_ms < STATUS_MAX_AGE_MS;
 }
 
+void
+cluster_append_at_end(cluster_t *cluster, const store_record_t *record,
+                      store_append_cb cb)
+{
+    store_append_t append = {
+        .topic = CONTROL_TOPIC,
+        .records = record,
+        .count = 1,
+        .check_end = true,
+        .expected_end = follower_get_next_offset(cluster->follower),
+    };
+
+    cluster_begin_call(cluster);
+    store_append(cluster->opts.store, &append, cb, cluster);
+}
+
 static void
 on_probed(store_status_t status, const store_page_t *page, void *data)
 {
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -97,6 +97,14 @@
  */
 bool cluster_end_call(cluster_t *cluster);
 
+/**
+ * cluster_append_at_end() - append a record to the control topic, if the topic
+ * still ends where this process has read to
+ * @cb: gets the cluster; see cluster_begin_call()
+ */
+void cluster_append_at_end(cluster_t *cluster, const store_record_t *record,
+                           store_append_cb cb);
+
 /**
  * cluster_log_malformed() - log a record of the control topic that cannot be
  * read
--- a/libteasel/cluster/election.c
+++ b/libteasel/cluster/election.c
@@ -173,13 +173,6 @@
     Teasel__LeaderRecord record = TEASEL__LEADER_RECORD__INIT;
     g_autoptr(GByteArray) value = g_byte_array_new();
     store_record_t stored = {.key = CONTROL_KEY_LEADER};
-    store_append_t append = {
-        .topic = CONTROL_TOPIC,
-        .records = &stored,
-        .count = 1,
-        .check_end = true,
-        .expected_end = follower_get_next_offset(cluster->follower),
-    };
 
     record.name = cluster->name;
     record.address = cluster->address;
@@ -190,8 +183,7 @@
     stored.value = value->data;
     stored.length = value->len;
     cluster->claiming = true;
-    cluster_begin_call(cluster);
-    store_append(cluster->opts.store, &append, on_claimed, cluster);
+    cluster_append_at_end(cluster, &stored, on_claimed);
 }
 
 static int64_t
--- a/libteasel/cluster/registration.c
+++ b/libteasel/cluster/registration.c
@@ -82,6 +82,7 @@
 static void
 on_unregistered(store_status_t status, uint64_t offset, void *data)
 {
+    cluster_end_call(data);
     if (status != STORE_OK) {
         event_log(EVENT_UNREGISTER_FAILED, "status=%s",
                   store_status_to_string(status));
@@ -97,15 +98,8 @@
     g_autofree char *key =
         g_strconcat(CONTROL_SCHEDULER_PREFIX, cluster->name, NULL);
     store_record_t stored = {.key = key};
-    store_append_t append = {
-        .topic = CONTROL_TOPIC,
-        .records = &stored,
-        .count = 1,
-        .check_end = true,
-        .expected_end = follower_get_next_offset(cluster->follower),
-    };
-
-    store_append(cluster->opts.store, &append, on_unregistered, NULL);
+
+    cluster_append_at_end(cluster, &stored, on_unregistered);
     loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
 }
 
