Say that an HTTP client is not freed in a callback of its calls

The call in whose callback the client is freed is freed with it, and once more after the callback. Shown by a trial with the address sanitizer (heap-use-after-free of the response); no owner does this, by reading: the executors of a node agent are freed by a timer, the others at the end of the process.

--- a/libteasel/base/http_client.h
+++ b/libteasel/base/http_client.h
@@ -74,6 +74,8 @@
 
 /**
  * http_client_free() - cancel all calls, without their callbacks, and free
+ *
+ * Must not be called from inside the callback of one of its calls.
  */
 void http_client_free(http_client_t *client);
 
