--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -22,6 +22,25 @@
     return (int64_t)timespec_to_ms(clock_get_monotonic(cluster->opts.clock));
 }
 
+void
+cluster_begin_call(cluster_t *cluster)
+{
+    cluster->calls++;
+}
+
+bool
+cluster_end_call(cluster_t *cluster)
+{
+    cluster->calls--;
+    if (!cluster->freed) {
+        return true;
+    }
+    if (cluster->calls == 0) {
+        g_free(cluster);
+    }
+    return false;
+}
+
 bool
 cluster_is_leading(const cluster_t *cluster)
 {
@@ -89,11 +108,30 @@
                          : now_ms - cluster->probe_ok_ms < STATUS_MAX_AGE_MS;
 }
 
+void
+cluster_append_at_end(cluster_t *cluster, const store_record_t *record,
+                      store_append_cb cb)
+{
+    store_append_t append = {
+        .topic = CONTROL_TOPIC,
+        .records = record,
+        .count = 1,
+        .check_end = true,
+        .expected_end = follower_get_next_offset(cluster->follower),
+    };
+
+    cluster_begin_call(cluster);
+    store_append(cluster->opts.store, &append, cb, cluster);
+}
+
 static void
 on_probed(store_status_t status, const store_page_t *page, void *data)
 {
     cluster_t *cluster = data;
 
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
     cluster->probing = false;
     if (status == STORE_OK) {
         cluster->probe_ok_ms = cluster_now_ms(cluster);
@@ -112,6 +150,7 @@
     }
     cluster->probing = true;
     cluster->probe_started_ms = now_ms;
+    cluster_begin_call(cluster);
     store_read(cluster->opts.store, CONTROL_TOPIC,
                follower_get_next_offset(cluster->follower), 0, on_probed,
                cluster);
@@ -268,5 +307,9 @@
     g_free(cluster->leader_address);
     g_free(cluster->name);
     g_free(cluster->address);
+    if (cluster->calls > 0) {
+        cluster->freed = true;
+        return;
+    }
     g_free(cluster);
 }
--- a/libteasel/cluster/registration.c
+++ b/libteasel/cluster/registration.c
@@ -71,6 +71,9 @@
 {
     cluster_t *cluster = data;
 
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
     if (status != STORE_OK && !cluster->leaving) {
         loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
     }
@@ -79,6 +82,7 @@
 static void
 on_unregistered(store_status_t status, uint64_t offset, void *data)
 {
+    cluster_end_call(data);
     if (status != STORE_OK) {
         event_log(EVENT_UNREGISTER_FAILED, "status=%s",
                   store_status_to_string(status));
@@ -94,15 +98,8 @@
     g_autofree char *key =
         g_strconcat(CONTROL_SCHEDULER_PREFIX, cluster->name, NULL);
     store_record_t stored = {.key = key};
-    store_append_t append = {
-        .topic = CONTROL_TOPIC,
-        .records = &stored,
-        .count = 1,
-        .check_end = true,
-        .expected_end = follower_get_next_offset(cluster->follower),
-    };
-
-    store_append(cluster->opts.store, &append, on_unregistered, NULL);
+
+    cluster_append_at_end(cluster, &stored, on_unregistered);
     loop_timer_start(&cluster->register_timer, REGISTER_RETRY_MS);
 }
 
@@ -126,6 +123,7 @@
     teasel__scheduler_record__pack(&record, value->data);
     stored.value = value->data;
     stored.length = value->len;
+    cluster_begin_call(cluster);
     store_append(cluster->opts.store, &append, on_registered, cluster);
 }
 
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include <csignal>
 #include <string>
 
 extern "C" {
@@ -72,8 +71,6 @@
         char address[32];
         GError *error = nullptr;
 
-        /* The programs do this in loop_on_signals(). */
-        signal(SIGPIPE, SIG_IGN);
         test_address(address, 1);
         server_opts.loop = loop;
         server_opts.listen = address;
@@ -186,4 +183,19 @@
     EXPECT_EQ(kind, ERROR_TRUNCATED);
 }
 
+// Guards against a request on a connection that is still open, which is handed
+// to an owner that has freed its server and itself.
+TEST_F(Fixture, HandsNoRequestToAnOwnerThatHasFreedTheServer)
+{
+    send("/echo", "x", false, 5000);
+    wait_for_responses(1);
+    ASSERT_EQ(http_server_get_connections(server), 1U);
+    http_server_free(server);
+    server = nullptr;
+    send("/hold/a", "x", false, 200);
+    wait_for_responses(2);
+    EXPECT_EQ(held, nullptr);
+    EXPECT_EQ(status, 503);
+}
+
 } // namespace
