Let a lasting task that has waited for long go before trials

Callers would see a lasting task that waits, with room for it, while several suspects of crashes take their trials one after the other on the only executor with room, and fail before they settle: a trial closes the executor to all other tasks, suspects were placed in the order of jobs, and the next trial began in the same turn as the last one ended.

Ruled out: probation and resources (the plain test has one executor with room for all).

The leader notes that a pass left a lasting task without a run for 3 s, and places all but the suspects first in the next one. Weighed: others before suspects in each pass. A task that is started beside suspects puts their trials off and may be counted as a suspect itself; the test that keeps others away from a trial fails then.

Before: SchedLasting.StartsOtherTasksBetweenTrialsThatFail fails, the task has no run after 9 s.

--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -23,6 +23,8 @@
  *     write
  * @cursors_dirty: an executor reported a run end since the last write
  * @placement_needed: something changed that may let a waiting task be placed
+ * @lasting_overdue: the last placement left a lasting task without a run that
+ *     has had none for long
  * @committing: a write is pending
  * @check_needed: an executor changed, so its timers must be checked at once
  * @last_check_ms: when the timers of executors and jobs were last checked
@@ -54,6 +56,7 @@
     list_t orders_in_write;
     bool cursors_dirty;
     bool placement_needed;
+    bool lasting_overdue;
     bool committing;
     bool check_needed;
     int64_t last_check_ms;
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -14,6 +14,9 @@
     /* The best-effort tasks of a job without a running task for this long, and
        lasting ones without a run, may overcommit an executor. */
     IDLE_TIMEOUT_MS = 2000,
+    /* A lasting task without a run for this long goes before trials, which
+       may follow each other without end. */
+    OVERDUE_MS = 3000,
     /* Allows for the delay of the messages of an evacuation. */
     EVACUATE_MARGIN_MS = 500,
     /* Reports arrive more often than the timers need to be checked. */
@@ -23,14 +26,24 @@
     PLACE_INTERVAL_MS = 200,
 };
 
+typedef enum pass_scope {
+    PASS_ALL,
+    PASS_OTHERS,   /* all but suspects of crashes */
+    PASS_SUSPECTS, /* which close their executors to others */
+} pass_scope_t;
+
 /**
  * struct pass - a pass over the waiting tasks
  * @failed: demands that no executor could meet in this pass
+ * @overdue: a lasting task that is no suspect still waits for an executor,
+ *     and has waited for long
  */
 typedef struct pass {
     sched_t *sched;
     int64_t now_ms;
+    pass_scope_t scope;
     demand_list_t *failed;
+    bool overdue;
 } pass_t;
 
 static bool
@@ -127,6 +140,10 @@
 static bool
 is_special(const pass_t *pass, const sched_task_t *task)
 {
+    if (pass->scope != PASS_ALL &&
+        sched_task_is_suspect(task) != (pass->scope == PASS_SUSPECTS)) {
+        return false;
+    }
     return task->avoided != NULL || sched_task_is_suspect(task) ||
            may_overcommit(pass->sched, task, pass->now_ms);
 }
@@ -210,6 +227,24 @@
     return false;
 }
 
+static bool
+has_overdue_task(const pass_t *pass, const sched_step_t *step)
+{
+    if (!step->spec->long_running || step->waiting == 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        const sched_task_t *task = &step->tasks[i];
+
+        if (is_placeable(task, pass->now_ms) && !sched_task_is_suspect(task) &&
+            pass->now_ms - sched_get_idle_since_ms(pass->sched, task) >
+                OVERDUE_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 place_tasks(pass_t *pass, sched_step_t *step)
 {
@@ -218,13 +253,16 @@
 
     if (demand_list_covers(pass->failed, step,
                            has_overcommitting_task(pass, step))) {
+        pass->overdue |= has_overdue_task(pass, step);
         return;
     }
     if (!place_special_tasks(pass, step) ||
-        (step->waiting > 0 && !place_equal_tasks(pass, step))) {
+        (step->waiting > 0 && pass->scope != PASS_SUSPECTS &&
+         !place_equal_tasks(pass, step))) {
         demand_list_add(pass->failed, step,
                         has_overcommitting_task(pass, step));
     }
+    pass->overdue |= has_overdue_task(pass, step);
     if (step->waiting == 0) {
         count_start(pass->sched, job);
     }
@@ -324,12 +362,12 @@
             if (step->waiting == 0 || !sched_step_is_ready(step)) {
                 continue;
             }
-            if (step->spec->gang) {
-                place_gang(pass->sched, step);
-            }
-            else {
+            if (!step->spec->gang) {
                 place_tasks(pass, step);
             }
+            else if (pass->scope != PASS_SUSPECTS) {
+                place_gang(pass->sched, step);
+            }
         }
     }
 }
@@ -468,15 +506,29 @@
     remove_expired_jobs(sched);
 }
 
+static void
+place_in_scope(pass_t *pass, pass_scope_t scope)
+{
+    pass->scope = scope;
+    LIST_FOREACH (job, &pass->sched->active_jobs, sched_job_t, link) {
+        place_job(pass, job);
+    }
+}
+
 static void
 place_jobs(sched_t *sched, int64_t now_ms)
 {
     pass_t pass = {.sched = sched, .now_ms = now_ms};
 
     pass.failed = demand_list_new();
-    LIST_FOREACH (job, &sched->active_jobs, sched_job_t, link) {
-        place_job(&pass, job);
+    if (sched->lasting_overdue) {
+        place_in_scope(&pass, PASS_OTHERS);
+        place_in_scope(&pass, PASS_SUSPECTS);
+    }
+    else {
+        place_in_scope(&pass, PASS_ALL);
     }
+    sched->lasting_overdue = pass.overdue;
     demand_list_free(pass.failed);
 }
 
