Try suspects that may overcommit after the others of their step

In the pass over all but the suspects, another task of its step finds no processor time, and the demand was recorded as one that may overcommit, because the suspect may, which was not tried; the pass over the suspects then skips the step.

Only tasks that the pass places count.

--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -219,7 +219,7 @@
     for (uint32_t i = 0; i < step->spec->count; i++) {
         const sched_task_t *task = &step->tasks[i];
 
-        if (is_placeable(task, pass->now_ms) &&
+        if (is_placeable(task, pass->now_ms) && is_special(pass, task) &&
             may_overcommit(pass->sched, task, pass->now_ms)) {
             return true;
         }
