--- a/tests/unit/deployment_soak_test.cc
+++ b/tests/unit/deployment_soak_test.cc
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "deployment.h"
+#include "seed_range.h"
 
 namespace {
 
@@ -804,27 +805,10 @@
     EXPECT_GE(soak.accepted.size(), (size_t)MIN_LASTING_JOBS);
 }
 
-std::vector<unsigned>
-get_seeds()
-{
-    const char *text = getenv("TEASEL_SOAK");
-    unsigned first = 27;
-    unsigned count = 3;
-    std::vector<unsigned> seeds;
-
-    if (text != nullptr) {
-        sscanf(text, "%u:%u", &first, &count);
-    }
-    for (unsigned i = 0; i < count; i++) {
-        seeds.push_back(first + i);
-    }
-    return seeds;
-}
-
 INSTANTIATE_TEST_SUITE_P(Seeds, DeploymentSoak,
-                         testing::ValuesIn(get_seeds()));
+                         testing::ValuesIn(get_seeds("TEASEL_SOAK", 27, 3)));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LastingSoakTest,
-                         testing::ValuesIn(get_seeds()));
+                         testing::ValuesIn(get_seeds("TEASEL_SOAK", 27, 3)));
 
 } // namespace
--- a/tests/unit/sched_avoid_test.cc
+++ b/tests/unit/sched_avoid_test.cc
@@ -2,8 +2,6 @@
 
 #include <gtest/gtest.h>
 
-#include <tuple>
-
 #include "sched_fixture.h"
 
 namespace {
@@ -79,44 +77,39 @@
         core.report(report);
         fake_clock_advance_ms(&core.clock, 3000);
     }
+    /* Returns whether the task is started on the last executor once the first
+       two have harmed a run of it each. */
+    bool
+    reaches_last_executor(void (SchedAvoid::*harm)(const std::string &,
+                                                   uint32_t))
+    {
+        for (int i = 0; i < 3; i++) {
+            auto [key, run] = find_start();
+
+            if (key == C || key.empty()) {
+                return key == C;
+            }
+            (this->*harm)(key, run);
+            core.run_and_commit();
+        }
+        return false;
+    }
 };
 
 // Guards against a task that never runs, with room for it: two executors
 // reject each start, and each of them is preferred while the other is avoided.
 TEST_F(SchedAvoid, TriesAnotherExecutorWhereTwoReject)
 {
-    std::string key;
-    uint32_t run;
-
     submit_serving("j", 1000);
-    for (int i = 0; i < 4 && key != C; i++) {
-        std::tie(key, run) = find_start();
-        ASSERT_NE(key, "");
-        if (key != C) {
-            reject(key, run);
-            core.run_and_commit();
-        }
-    }
-    EXPECT_EQ(key, C);
+    EXPECT_TRUE(reaches_last_executor(&SchedAvoid::reject));
 }
 
 // Guards against a lasting task that is never at work, with room for it, as
 // its runs fail on two executors in turn.
 TEST_F(SchedAvoid, TriesAnotherExecutorWhereTwoFail)
 {
-    std::string key;
-    uint32_t run;
-
     submit_serving("j", 1000);
-    for (int i = 0; i < 4 && key != C; i++) {
-        std::tie(key, run) = find_start();
-        ASSERT_NE(key, "");
-        if (key != C) {
-            fail(key, run);
-            core.run_and_commit();
-        }
-    }
-    EXPECT_EQ(key, C);
+    EXPECT_TRUE(reaches_last_executor(&SchedAvoid::fail));
 }
 
 // Guards against a task that keeps away from a good executor for ever, as one
--- a/tests/unit/sched_lasting_model_test.cc
+++ b/tests/unit/sched_lasting_model_test.cc
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include "sched_world.h"
+#include "seed_range.h"
 
 namespace {
 
@@ -358,24 +359,7 @@
     EXPECT_EQ(world.steps.size(), (size_t)JOBS);
 }
 
-std::vector<unsigned>
-get_seeds()
-{
-    const char *text = getenv("TEASEL_MODEL");
-    unsigned first = 1;
-    unsigned count = 60;
-    std::vector<unsigned> seeds;
-
-    if (text != nullptr) {
-        sscanf(text, "%u:%u", &first, &count);
-    }
-    for (unsigned i = 0; i < count; i++) {
-        seeds.push_back(first + i);
-    }
-    return seeds;
-}
-
 INSTANTIATE_TEST_SUITE_P(Seeds, SchedLastingModel,
-                         testing::ValuesIn(get_seeds()));
+                         testing::ValuesIn(get_seeds("TEASEL_MODEL", 1, 60)));
 
 } // namespace
--- a/tests/unit/sched_lasting_time_test.cc
+++ b/tests/unit/sched_lasting_time_test.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 
 #include "sched_world.h"
+#include "seed_range.h"
 
 namespace {
 
@@ -431,24 +432,7 @@
     }
 }
 
-std::vector<unsigned>
-get_seeds()
-{
-    const char *text = getenv("TEASEL_MODEL");
-    unsigned first = 1;
-    unsigned count = 60;
-    std::vector<unsigned> seeds;
-
-    if (text != nullptr) {
-        sscanf(text, "%u:%u", &first, &count);
-    }
-    for (unsigned i = 0; i < count; i++) {
-        seeds.push_back(first + i);
-    }
-    return seeds;
-}
-
 INSTANTIATE_TEST_SUITE_P(Seeds, SchedLastingTime,
-                         testing::ValuesIn(get_seeds()));
+                         testing::ValuesIn(get_seeds("TEASEL_MODEL", 1, 60)));
 
 } // namespace
