--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -187,14 +187,14 @@
 }
 
 /* A run whose lease has expired may have ended when its executor was last
-   heard of. */
+   heard of, or before this leader began. */
 static int64_t
 get_end_ms(const sched_t *sched, const sched_task_t *task, sched_end_t how)
 {
-    int64_t heard_ms = task->executor->heard_ms;
-
-    return how == SCHED_END_LAPSED && heard_ms > 0 ? heard_ms
-                                                   : sched_now_ms(sched);
+    if (how != SCHED_END_LAPSED) {
+        return sched_now_ms(sched);
+    }
+    return MAX(task->executor->heard_ms, sched->created_ms);
 }
 
 /* May free the occurrence of the task. */
