Repeat no end of an incarnation at an address where one is alive

Found by the review of the notices that are repeated: the leader takes the end of an incarnation for the end of the older ones at its address too. If the wall clock was set back before an executor started again, the live one seems to be older. With a repeated notice its tasks were placed elsewhere while it ran them (TWICE; shown on the leader and on the agent, not end to end).

The ends of incarnations at an address where another one has answered are no longer repeated. Where it seems to be older, a new leader waits for the lease, as it did before ends were repeated; otherwise it ends the older one by the key of the later one.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -82,9 +82,34 @@
     }
 }
 
+static gboolean
+is_key_at_address(gconstpointer key, gconstpointer address)
+{
+    size_t length = strlen(address);
+
+    return strncmp(key, address, length) == 0 &&
+           ((const char *)key)[length] == '/';
+}
+
+/* The leader takes the notice that an incarnation has ended for the end of the
+   older ones at its address as well. A live one there may be an incarnation
+   that was given up and answers again, or one that seems to be older because
+   the wall clock was set back. */
+static void
+withdraw_ends_at_live_addresses(node_t *node)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        if (executor->polled && !executor->has_ended) {
+            notice_list_remove(node->ended_keys, is_key_at_address,
+                               executor->address);
+        }
+    }
+}
+
 static void
 request_full_report(node_t *node)
 {
+    withdraw_ends_at_live_addresses(node);
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
         executor->full_report_due = true;
         executor->unreported = true;
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -352,9 +352,6 @@
     if (!executor->polled) {
         executor->polled = true;
         executor->unreported = true;
-        /* It was given up before, and answers again. */
-        notice_list_remove(executor->node->ended_keys, g_str_equal,
-                           executor->key);
         node_end_older_incarnations(executor);
     }
     throttle_update(executor);
