Let only tasks that a trial holds up go before trials

Found by the review: a lasting task that no executor can take, as for a label that none has, put the suspects of crashes behind all other tasks for ever, as it counted as overdue.

A task counts only if it would find room on an executor that a trial closes. Before: SchedLasting.PlacesSuspectsInTheirOrderBesideATaskThatFits- Nowhere fails, the suspect is not started.

--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -115,7 +115,7 @@
     if (executor->draining) {
         return SCHED_REFUSAL_DRAINING;
     }
-    if (executor->trials > 0) {
+    if (executor->trials > 0 && !placement->ignore_trials) {
         return SCHED_REFUSAL_TRIAL;
     }
     if (!step->spec->long_running && is_on_probation(placement, executor)) {
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -18,6 +18,7 @@
  * @may_overcommit: a best-effort task has waited for so long that it may be
  *     placed where no processor time is left, or where it raises tail
  *     latencies above target; the agent throttles it there
+ * @ignore_trials: also take executors that are closed by a trial
  * @now_ms: monotonic clock
  */
 typedef struct sched_placement {
@@ -25,6 +26,7 @@
     const interference_t *interference;
     const char *rack;
     bool may_overcommit;
+    bool ignore_trials;
     int64_t now_ms;
 } sched_placement_t;
 
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -23,8 +23,8 @@
  *     write
  * @cursors_dirty: an executor reported a run end since the last write
  * @placement_needed: something changed that may let a waiting task be placed
- * @lasting_overdue: the last placement left a lasting task without a run that
- *     has had none for long
+ * @lasting_overdue: at the last placement a trial kept a lasting task from an
+ *     executor that has had no run for long
  * @committing: a write is pending
  * @check_needed: an executor changed, so its timers must be checked at once
  * @last_check_ms: when the timers of executors and jobs were last checked
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -35,8 +35,8 @@
 /**
  * struct pass - a pass over the waiting tasks
  * @failed: demands that no executor could meet in this pass
- * @overdue: a lasting task that is no suspect still waits for an executor,
- *     and has waited for long
+ * @overdue: a trial keeps a lasting task that is no suspect from its executor,
+ *     and the task has waited for long
  */
 typedef struct pass {
     sched_t *sched;
@@ -227,10 +227,30 @@
     return false;
 }
 
+/* Checks whether a trial keeps a task from an executor with room for it. */
+static bool
+is_held_up_by_trial(const pass_t *pass, const sched_task_t *task)
+{
+    sched_placement_t placement =
+        new_placement(pass->sched, sched_task_get_job(task), NULL);
+
+    placement.may_overcommit = may_overcommit(pass->sched, task, pass->now_ms);
+    placement.ignore_trials = true;
+    LIST_FOREACH (executor, &pass->sched->executor_list, sched_executor_t,
+                  link) {
+        if (executor->trials > 0 &&
+            sched_placement_check(&placement, executor, task->step) ==
+                SCHED_REFUSAL_NONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 has_overdue_task(const pass_t *pass, const sched_step_t *step)
 {
-    if (!step->spec->long_running || step->waiting == 0) {
+    if (!step->spec->long_running || step->waiting == 0 || pass->overdue) {
         return false;
     }
     for (uint32_t i = 0; i < step->spec->count; i++) {
@@ -239,7 +259,7 @@
         if (is_placeable(task, pass->now_ms) && !sched_task_is_suspect(task) &&
             pass->now_ms - sched_get_idle_since_ms(pass->sched, task) >
                 OVERDUE_MS) {
-            return true;
+            return is_held_up_by_trial(pass, task);
         }
     }
     return false;
--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -175,4 +175,24 @@
     EXPECT_TRUE(agent.runs("w.0.0.0"));
 }
 
+// Guards against suspects of crashes that never get a trial, as other jobs
+// always go first: a lasting task that fits nowhere waits all the time.
+TEST(SchedLasting, PlacesSuspectsInTheirOrderBesideATaskThatFitsNowhere)
+{
+    Core core;
+    Agent agent(core, 1000);
+
+    sched_submit(core.sched, make_spec("s", {{.long_running = true}}));
+    sched_submit(
+        core.sched,
+        make_spec("n", {{.long_running = true, .label = "none"}}, 2, 1));
+    agent.run_for(WAIT_MS);
+    sched_submit(core.sched, make_spec("b", {{}}, 2, 1));
+    agent.crash();
+    agent.turn();
+    agent.crash();
+    agent.turn();
+    EXPECT_TRUE(agent.runs("s.0.0.0"));
+}
+
 } // namespace
