Test each condition under which a failure counts against an executor

Found by the review: without the condition on runs placed before the probation, or the one on tasks that fail elsewhere too, all tests passed, as the share of closed executors hid both. The tests have six executors now, so that two may be closed; each condition, taken out, fails a test of its own name.

--- a/tests/unit/sched_probation_test.cc
+++ b/tests/unit/sched_probation_test.cc
@@ -2,15 +2,20 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "sched_fixture.h"
 
 namespace {
 
 const std::vector<std::string> KEYS = {
-    "10.0.0.1:80/a/100", "10.0.0.2:80/b/100", "10.0.0.3:80/c/100"};
+    "10.0.0.1:80/a/100", "10.0.0.2:80/b/100", "10.0.0.3:80/c/100",
+    "10.0.0.4:80/d/100", "10.0.0.5:80/e/100", "10.0.0.6:80/f/100"};
+constexpr int64_t PROBATION_MS = 4000;
 
 struct SchedProbation : public testing::Test {
     Core core;
+    std::set<std::string> full;           /* executors without room */
     std::map<std::string, uint64_t> ends; /* number of the last one */
 
     void
@@ -51,6 +56,30 @@
     {
         sched_submit(core.sched, make_spec(id, {step}, max_attempts));
     }
+    /* Fills all executors but some. */
+    void
+    fill_all_but(size_t open)
+    {
+        submit("full", {.count = (uint32_t)(KEYS.size() - open),
+                        .cpu = 4000,
+                        .long_running = true});
+        for (auto &[key, runs] : take_starts()) {
+            full.insert(key);
+        }
+    }
+    /* Returns one of the executors that are not full. */
+    std::string
+    get_open(size_t index) const
+    {
+        std::vector<std::string> open;
+
+        for (auto &key : KEYS) {
+            if (full.count(key) == 0) {
+                open.push_back(key);
+            }
+        }
+        return open[index];
+    }
     /* Fails one run of each of several jobs on each executor. */
     void
     fail_jobs_everywhere()
@@ -71,8 +100,8 @@
 TEST_F(SchedProbation, KeepsMostExecutorsOpenWhateverFails)
 {
     fail_jobs_everywhere();
-    submit("j", {.count = 12});
-    EXPECT_EQ(take_starts().size(), 2U);
+    submit("j", {.count = 24});
+    EXPECT_EQ(take_starts().size(), 4U);
 }
 
 // Guards against an executor that is never closed, though it fails whatever it
@@ -81,66 +110,81 @@
 {
     std::map<std::string, std::vector<TaskRun>> starts;
 
-    for (int i = 0; i < 9; i++) {
+    for (int i = 0; i < 18; i++) {
         submit("f" + std::to_string(i), {});
     }
     starts = take_starts();
     for (auto &run : starts[KEYS[0]]) {
         fail(KEYS[0], run);
     }
-    submit("j", {.count = 12, .cpu = 500});
+    submit("j", {.count = 24, .cpu = 500});
     starts = take_starts();
     EXPECT_EQ(starts.count(KEYS[0]), 0U);
-    EXPECT_EQ(starts.size(), 2U);
+    EXPECT_EQ(starts.size(), KEYS.size() - 1);
 }
 
 // Guards against executors that are closed in turn by tasks that fail wherever
 // they run.
 TEST_F(SchedProbation, CountsATaskThatFailsEverywhereAtOneExecutorOnly)
 {
-    for (int i = 0; i < 3; i++) {
-        submit("f" + std::to_string(i), {.cpu = 4000, .long_running = true},
-               100);
-    }
+    std::vector<TaskRun> runs;
+
+    fill_all_but(2);
     for (int i = 0; i < 6; i++) {
-        auto starts = take_starts();
+        submit("f" + std::to_string(i), {.cpu = 600}, 100);
+    }
+    runs = take_starts()[get_open(0)];
+    ASSERT_EQ(runs.size(), 3U);
+    for (auto &run : runs) {
+        fail(get_open(0), run);
+    }
+    runs = take_starts()[get_open(1)];
+    ASSERT_EQ(runs.size(), 3U);
+    for (auto &run : runs) {
+        fail(get_open(1), run);
+    }
+    submit("j", {.count = 2});
+    EXPECT_GT(take_starts()[get_open(1)].size(), 0U);
+}
 
-        EXPECT_EQ(starts.size(), KEYS.size()) << "round " << i;
-        for (auto &[key, runs] : starts) {
-            fail(key, runs[0]);
-        }
-        fake_clock_advance_ms(&core.clock, 2500);
+// Guards against a probation that runs which were placed before it begin anew,
+// for as long as they fail.
+TEST_F(SchedProbation, EndsThoughRunsFailThatWerePlacedBefore)
+{
+    std::vector<TaskRun> runs;
+
+    for (int i = 0; i < 24; i++) {
+        submit("f" + std::to_string(i), {});
     }
-    sched_cancel(core.sched, sched_find(core.sched, "f0"));
-    sched_cancel(core.sched, sched_find(core.sched, "f1"));
-    sched_cancel(core.sched, sched_find(core.sched, "f2"));
-    submit("j", {.count = 12});
-    EXPECT_EQ(take_starts().size(), KEYS.size());
+    runs = take_starts()[KEYS[0]];
+    ASSERT_EQ(runs.size(), 4U);
+    for (int i = 0; i < 3; i++) {
+        fail(KEYS[0], runs[i]);
+    }
+    fake_clock_advance_ms(&core.clock, PROBATION_MS - 1000);
+    fail(KEYS[0], runs[3]);
+    fake_clock_advance_ms(&core.clock, 1500);
+    submit("j", {.count = 4});
+    EXPECT_EQ(take_starts()[KEYS[0]].size(), 4U);
 }
 
 // Guards against a lasting task that waits, with room for it, as others that
 // fail on the only executor with room begin its probation anew.
 TEST_F(SchedProbation, RunsLastingTasksOnAClosedExecutorRatherThanNotAtAll)
 {
-    std::map<std::string, std::vector<TaskRun>> starts;
-
-    submit("full", {.count = 2, .cpu = 4000, .long_running = true});
-    starts = take_starts();
-    for (auto &key : KEYS) {
-        if (starts.count(key) != 0) {
-            continue;
-        }
-        for (int i = 0; i < 4; i++) {
-            submit("f" + std::to_string(i), {});
-        }
-        starts = take_starts();
-        for (auto &run : starts[key]) {
+    fill_all_but(1);
+    for (int i = 0; i < 4; i++) {
+        submit("f" + std::to_string(i), {});
+    }
+    for (auto &[key, runs] : take_starts()) {
+        for (auto &run : runs) {
             fail(key, run);
         }
-        submit("short", {});
-        submit("j", {.long_running = true});
-        EXPECT_EQ(take_starts()[key], (std::vector<TaskRun>{{"j.0.0.0", 1}}));
     }
+    submit("short", {});
+    submit("j", {.long_running = true});
+    EXPECT_EQ(take_starts()[get_open(0)],
+              (std::vector<TaskRun>{{"j.0.0.0", 1}}));
 }
 
 // Guards against an executor that is closed by lasting tasks which were at
@@ -149,20 +193,21 @@
 {
     std::map<std::string, std::vector<TaskRun>> starts;
 
-    for (int i = 0; i < 12; i++) {
+    for (int i = 0; i < 24; i++) {
         submit("l" + std::to_string(i), {.long_running = true}, 100);
     }
     starts = take_starts();
     for (auto &run : starts[KEYS[0]]) {
         Report settled(KEYS[0]);
+        std::string id;
 
         settled.message.listed = false;
         settled.runs(run);
         settled.running.back().settled = true;
         core.report(settled);
         fail(KEYS[0], run);
-        sched_cancel(core.sched,
-                     sched_find(core.sched, run.first.substr(0, 2).c_str()));
+        id = run.first.substr(0, run.first.find('.'));
+        sched_cancel(core.sched, sched_find(core.sched, id.c_str()));
     }
     submit("j", {.count = 4});
     EXPECT_EQ(take_starts()[KEYS[0]].size(), 4U);
