Log cancellings of unknown jobs, with the age of the proof of leadership

The answer 410 to a cancelling left no line, so neither the leader that gave it nor what it knew of its leadership could be told afterwards. Event 7027 names the job, the epoch and the age of the proof; refusals (7010) carry the same two figures. No decision changes: the age is the one from which leases were counted already, now in a function of its own.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -35,6 +35,14 @@
     return (int64_t)timespec_to_ms(clock_get_monotonic(leader->opts.clock));
 }
 
+int64_t
+leader_get_proof_age_ms(const leader_t *leader)
+{
+    int64_t acked_ms = leader->opts.get_acked_ms(leader->opts.data);
+
+    return leader_now_ms(leader) - MAX(leader->confirmed_ms, acked_ms);
+}
+
 bool
 leader_is_ready(const leader_t *leader)
 {
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -81,16 +81,21 @@
         leader->refused++;
         event_log(EVENT_JOB_REFUSED,
                   "job=%s reason=\"store unavailable\" "
-                  "age_ms=%" G_GINT64_FORMAT,
-                  call->id, leader_now_ms(leader) - leader->write_began_ms);
+                  "age_ms=%" G_GINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
+                  " proof_age_ms=%" G_GINT64_FORMAT,
+                  call->id, leader_now_ms(leader) - leader->write_began_ms,
+                  leader->opts.epoch, leader_get_proof_age_ms(leader));
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
         return;
     }
     if (job == NULL && cancelled_ids_contains(leader->cancelled_ids, call->id,
                                               leader_now_ms(leader))) {
         leader->refused++;
-        event_log(EVENT_JOB_REFUSED, "job=%s reason=\"cancelled before\"",
-                  call->id);
+        event_log(EVENT_JOB_REFUSED,
+                  "job=%s reason=\"cancelled before\" epoch=%" G_GUINT64_FORMAT
+                  " proof_age_ms=%" G_GINT64_FORMAT,
+                  call->id, leader->opts.epoch,
+                  leader_get_proof_age_ms(leader));
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
         return;
     }
@@ -109,6 +114,11 @@
 {
     if (cancelled_ids_add(leader->cancelled_ids, call->id,
                           leader_now_ms(leader))) {
+        event_log(EVENT_JOB_UNKNOWN,
+                  "job=%s epoch=%" G_GUINT64_FORMAT
+                  " proof_age_ms=%" G_GINT64_FORMAT,
+                  call->id, leader->opts.epoch,
+                  leader_get_proof_age_ms(leader));
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0, 0);
         return;
     }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -84,6 +84,12 @@
 
 int64_t leader_now_ms(const leader_t *leader);
 
+/**
+ * leader_get_proof_age_ms() - return the time since the last proof that no
+ * other scheduler leads
+ */
+int64_t leader_get_proof_age_ms(const leader_t *leader);
+
 /**
  * leader_schedule_flush() - schedule one pass that makes decisions, writes
  * changes and sends orders in the next turn of the loop
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -95,11 +95,7 @@
 static int64_t
 get_lease_ms(const leader_t *leader)
 {
-    int64_t acked_ms = leader->opts.get_acked_ms(leader->opts.data);
-    int64_t sole_leader_ms = MAX(leader->confirmed_ms, acked_ms);
-    int64_t age_ms = leader_now_ms(leader) - sole_leader_ms;
-
-    return MAX(0, leader->opts.lease_ms - age_ms);
+    return MAX(0, leader->opts.lease_ms - leader_get_proof_age_ms(leader));
 }
 
 static void
