--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -24,6 +24,7 @@
     loop_t *loop = loop_new();
     FakeStore store;
     FakeStoreView view{&store, loop};
+    FakeStoreView successor_view{&store, loop};
     const clock_source_t *clock = clock_system();
     leader_t *leader = nullptr;
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
@@ -64,6 +65,25 @@
 
         self->outcomes[answer->call_id] = (job_outcome_t)answer->outcome;
     }
+    /* Sets the epoch of a later leader, which this one has not heard of. */
+    void
+    replace()
+    {
+        store_append_t append = {};
+        bool done = false;
+
+        append.topic = JOBS_TOPIC;
+        append.producer = JOBS_PRODUCER;
+        append.epoch = epoch + 1;
+        store_append(
+            &successor_view.base, &append,
+            [](store_status_t status, uint64_t, void *data) {
+                EXPECT_EQ(status, STORE_OK);
+                *static_cast<bool *>(data) = true;
+            },
+            &done);
+        ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return done; }));
+    }
     /* Returns the outcome of a call, or JOB_OUTCOME_UNKNOWN without one. */
     job_outcome_t
     call(job_verb_t verb, const std::string &id, Teasel__JobSpec *spec)
@@ -176,6 +196,97 @@
     EXPECT_EQ(agent.report(), 0U);
 }
 
+// Guards against leases that outlast a leadership which ended before the
+// answer to a repeated write: the store answers a repeat as it answered the
+// first.
+TEST_F(Leader, CountsLeasesFromTheFirstAttemptOfAWrite)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    Agent agent(this);
+    ASSERT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    view.lose_answers = 1;
+    Teasel__JobSpec *spec = make_spec("j", {{}});
+    Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
+    call.call_id = ++calls;
+    call.id = spec->id;
+    call.spec = spec;
+    leader_handle_call(leader, &call, on_answer, this);
+    ASSERT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return view.lose_answers == 0; }));
+    fake_clock_advance_ms(&fake, LEASE_MS / 2);
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return outcomes.count(1); }));
+    EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS / 2);
+    teasel__job_spec__free_unpacked(spec, nullptr);
+}
+
+// Guards against a job that runs on for ever: its cancelling was answered as
+// of an unknown job by a leader that had been replaced, while its successor
+// had accepted the job.
+TEST_F(Leader, AnswersNoCancellingAfterItWasReplaced)
+{
+    start();
+    replace();
+    EXPECT_EQ(call(JOB_VERB_CANCEL, "x", nullptr), JOB_OUTCOME_UNKNOWN);
+}
+
+// Guards against states and counts from the memory of a leader that has been
+// replaced: of jobs that its successor accepted, cancelled or completed.
+TEST_F(Leader, AnswersNoQuestionsAfterItWasReplaced)
+{
+    start();
+    ASSERT_EQ(submit("j", {{}}), JOB_OUTCOME_DONE);
+    replace();
+    EXPECT_EQ(call(JOB_VERB_GET, "x", nullptr), JOB_OUTCOME_UNKNOWN);
+    EXPECT_EQ(call(JOB_VERB_GET, "j", nullptr), JOB_OUTCOME_UNKNOWN);
+    EXPECT_EQ(call(JOB_VERB_COUNT_PENDING, "", nullptr), JOB_OUTCOME_UNKNOWN);
+}
+
+// Guards against a caller who is told that a job never runs, by a leader that
+// is cut off from the store, while its successor has accepted the job.
+TEST_F(Leader, RefusesNoSubmissionAfterItWasReplaced)
+{
+    start();
+    view.refuse = true;
+    ASSERT_TRUE(loop_wait(loop, 3000, [&] { return leader->writes_failing; }));
+    replace();
+    EXPECT_EQ(submit("j", {{}}), JOB_OUTCOME_UNKNOWN);
+}
+
+// Guards against a job that runs although its cancelling was answered: its
+// submission was kept until another scheduler led.
+TEST_F(Leader, RefusesASubmissionThatWasCancelledAtItsPredecessor)
+{
+    start();
+    ASSERT_EQ(call(JOB_VERB_CANCEL, "x", nullptr), JOB_OUTCOME_NOT_FOUND);
+    leader_free(leader);
+    loop_run_ms(loop, 50); /* the view must outlive its last call */
+    start();
+    EXPECT_EQ(submit("x", {{}}), JOB_OUTCOME_REFUSED);
+    EXPECT_EQ(call(JOB_VERB_GET, "x", nullptr), JOB_OUTCOME_NOT_FOUND);
+}
+
+// Guards against a job that runs although its cancelling was answered: the
+// scheduler that kept its submission stood still for longer than the leader
+// remembered the cancelling.
+TEST_F(Leader, RefusesASubmissionThatWasCancelledLongBefore)
+{
+    enum {
+        PAUSE_MS = 30000
+    };
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    ASSERT_EQ(call(JOB_VERB_CANCEL, "x", nullptr), JOB_OUTCOME_NOT_FOUND);
+    fake_clock_advance_ms(&fake, PAUSE_MS);
+    EXPECT_EQ(submit("x", {{}}), JOB_OUTCOME_REFUSED);
+}
+
 // Guards against a malformed record that keeps each leader from loading the
 // jobs beside it.
 TEST_F(Leader, LoadsTheJobsBesideAMalformedRecord)
