--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,162 @@
+"""HTTP/1.1 server and client on asyncio, as small as the stand-ins need."""
+
+import asyncio
+import itertools
+import json
+import os
+import socket
+
+# Scenarios that run at the same time use different ranges.
+PORTS_PER_SCENARIO = 150
+PORTS = itertools.count(20000 + os.getpid() % 80 * PORTS_PER_SCENARIO)
+
+
+def free_port():
+    """Return a port below the range that outgoing connections use."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    return 0
+
+
+class Request:
+    """A request that a server has received."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.path, _, query = target.partition("?")
+        self.query = dict(
+            pair.partition("=")[::2] for pair in query.split("&") if pair
+        )
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Return the body as an object, or None if it is malformed."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            return None
+        return value if isinstance(value, dict) else None
+
+
+async def read_head(reader):
+    """Return the first line and the headers, or None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    headers = {}
+    while True:
+        header = await reader.readline()
+        if header in (b"\r\n", b"\n", b""):
+            break
+        name, _, value = header.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return line.decode("latin-1").strip(), headers
+
+
+class Server:
+    """Serves requests with a handler, which returns (status, body).
+
+    The handler returns None to leave the request without an answer: the
+    connection then stays open and returns nothing further.
+    """
+
+    def __init__(self, host, port, handler):
+        self.host = host
+        self.port = port
+        self.handler = handler
+        self.server = None
+        self.writers = set()
+
+    @property
+    def address(self):
+        return f"{self.host}:{self.port}"
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.serve, self.host, self.port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def abort(self):
+        """Close the listener and reset all connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve_one(self, reader, writer):
+        head = await read_head(reader)
+        if head is None:
+            return False
+        line, headers = head
+        method, target, _ = line.split(" ", 2)
+        length = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(length) if length else b""
+        answer = await self.handler(Request(method, target, headers, body))
+        if answer is None:
+            await reader.read()
+            return False
+        status, content = answer
+        if not isinstance(content, bytes):
+            content = json.dumps(content).encode()
+        writer.write(
+            f"HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n"
+            f"content-length: {len(content)}\r\n\r\n".encode() + content
+        )
+        await writer.drain()
+        return headers.get("connection", "").lower() != "close"
+
+
+async def call(address, method, target, body=None, headers=None, timeout=3.0):
+    """Send one request on a connection of its own.
+
+    Return (status, body), or (0, b"") if there was no complete answer.
+    """
+    try:
+        return await asyncio.wait_for(
+            exchange(address, method, target, body, headers or {}), timeout
+        )
+    except (OSError, asyncio.TimeoutError, ValueError, IndexError,
+            asyncio.IncompleteReadError):
+        return 0, b""
+
+
+async def exchange(address, method, target, body, headers):
+    host, _, port = address.rpartition(":")
+    content = b"" if body is None else body
+    if not isinstance(content, bytes):
+        content = json.dumps(content).encode()
+    lines = [f"{method} {target} HTTP/1.1"]
+    fields = {
+        "host": address,
+        "content-type": "application/json",
+        "content-length": str(len(content)),
+        "connection": "close",
+        **headers,
+    }
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
+        await writer.drain()
+        line, received = await read_head(reader)
+        length = int(received.get("content-length", "0"))
+        return int(line.split(" ")[1]), await reader.readexactly(length)
+    finally:
+        writer.transport.abort()
