Store the cancelling of an unknown job before it is answered

Callers saw a job run on for ever although its cancelling had been answered 410. The same end came about without a pause of the leader: the ids of such cancellings lived in the memory of one leader, for 10 s, so a submission that another scheduler had kept was accepted after a change of leader, or later.

Cause: an answer that nothing in the store fences, and a promise ("it never runs") that was kept by nobody after the leader.

The id is now a record beside the jobs, written by the leader's producer: a leader that was replaced cannot write it, resigns, and the call goes to its successor; later leaders load it. Records are removed after retain_ms, as those of final jobs. At most 16384 are kept, as before.

Ruled out: checking with the other schedulers first (needs no store call, but nothing lasts). The cost is one write for each cancelling of an unknown job, within the leader's usual append.

--- a/bench/sched_turn.c
+++ b/bench/sched_turn.c
@@ -128,7 +128,7 @@
 static void
 run_turn(world_t *world)
 {
-    g_autoptr(GPtrArray) changes = g_ptr_array_new();
+    g_autoptr(GPtrArray) changes = sched_changes_new();
 
     sched_run(world->sched);
     if (sched_take_changes(world->sched, changes)) {
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -22,6 +22,22 @@
     g_free(change);
 }
 
+GPtrArray *
+sched_changes_new(void)
+{
+    return g_ptr_array_new_with_free_func(free_change);
+}
+
+void
+sched_changes_add(GPtrArray *changes, const char *key, GByteArray *value)
+{
+    sched_change_t *change = g_new(sched_change_t, 1);
+
+    change->key = g_strdup(key);
+    change->value = value;
+    g_ptr_array_add(changes, change);
+}
+
 sched_t *
 sched_new(const sched_opts_t *opts)
 {
@@ -437,16 +453,6 @@
     }
 }
 
-static void
-add_change(GPtrArray *changes, const char *key, GByteArray *value)
-{
-    sched_change_t *change = g_new(sched_change_t, 1);
-
-    change->key = g_strdup(key);
-    change->value = value;
-    g_ptr_array_add(changes, change);
-}
-
 /* Orders of jobs whose record did not fit into this write wait for the next
    write. */
 static void
@@ -501,7 +507,7 @@
         job->pending_state = job->state;
         job->write_pending = true;
         g_ptr_array_add(sched->jobs_in_write, job);
-        add_change(changes, job->spec->id, record);
+        sched_changes_add(changes, job->spec->id, record);
         bytes += record->len;
     }
 }
@@ -517,13 +523,14 @@
         return false;
     }
     sched->committing = true;
-    g_ptr_array_set_free_func(changes, free_change);
     take_dirty_jobs(sched, changes);
     if (sched_learned_is_due(sched)) {
-        add_change(changes, SCHED_LEARNED_KEY, sched_learned_to_record(sched));
+        sched_changes_add(changes, SCHED_LEARNED_KEY,
+                          sched_learned_to_record(sched));
     }
     for (guint i = 0; i < sched->deleted_keys->len; i++) {
-        add_change(changes, g_ptr_array_index(sched->deleted_keys, i), NULL);
+        sched_changes_add(changes, g_ptr_array_index(sched->deleted_keys, i),
+                          NULL);
     }
     g_ptr_array_set_size(sched->deleted_keys, 0);
     take_orders(sched);
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -47,6 +47,17 @@
     GByteArray *value;
 } sched_change_t;
 
+/**
+ * sched_changes_new() - create an array of sched_change_t that owns them
+ */
+GPtrArray *sched_changes_new(void);
+
+/**
+ * sched_changes_add() - append a change
+ * @value: ownership is taken
+ */
+void sched_changes_add(GPtrArray *changes, const char *key, GByteArray *value);
+
 sched_t *sched_new(const sched_opts_t *opts);
 void sched_free(sched_t *sched);
 
@@ -136,7 +147,7 @@
 
 /**
  * sched_take_changes() - begin a write of the changed records
- * @changes: receives sched_change_t elements and frees them with the array
+ * @changes: from sched_changes_new()
  *
  * A record that the store would refuse is kept back, with the orders of its
  * job, until it has become shorter.
--- a/libteasel/scheduler/cancelled_ids.c
+++ b/libteasel/scheduler/cancelled_ids.c
@@ -1,65 +1,208 @@
 #include "scheduler/cancelled_ids.h"
 
+#include <string.h>
+
+#include "base/list.h"
+#include "sched/sched.h"
+#include "wire/sched.pb-c.h"
+
 enum {
-    /* Several times the time for which a scheduler keeps a call. */
-    KEEP_MS = 10000,
     MAX_IDS = 16384,
+    /* Leaves most of an append to the records of jobs. */
+    MAX_RECORDS_PER_WRITE = 1024,
 };
 
+/* Where the newest value of a record is. */
+typedef enum record_state {
+    RECORD_CHANGED, /* only in memory */
+    RECORD_IN_WRITE,
+    RECORD_STORED,
+    RECORD_REMOVED, /* its removal is in the pending write */
+} record_state_t;
+
+/**
+ * struct cancelled_id - a cancelled id
+ * @link: in the list of its state; the list of stored ids is roughly in the
+ *     order of @cancelled_ms
+ * @cancelled_ms: wall clock
+ */
+typedef struct cancelled_id {
+    list_t link;
+    char *id;
+    int64_t cancelled_ms;
+    record_state_t state;
+} cancelled_id_t;
+
 struct cancelled_ids {
-    GHashTable *added_ms; /* id -> int64_t */
+    int64_t retain_ms;
+    GHashTable *by_id; /* id -> cancelled_id_t */
+    list_t changed;
+    list_t in_write; /* also those that are being removed */
+    list_t stored;
 };
 
+static void
+free_id(void *data)
+{
+    cancelled_id_t *cancelled = data;
+
+    list_remove(&cancelled->link);
+    g_free(cancelled->id);
+    g_free(cancelled);
+}
+
 cancelled_ids_t *
-cancelled_ids_new(void)
+cancelled_ids_new(int64_t retain_ms)
 {
     cancelled_ids_t *ids = g_new0(cancelled_ids_t, 1);
 
-    ids->added_ms =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    ids->retain_ms = retain_ms;
+    ids->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_id);
+    list_init(&ids->changed);
+    list_init(&ids->in_write);
+    list_init(&ids->stored);
     return ids;
 }
 
 void
 cancelled_ids_free(cancelled_ids_t *ids)
 {
-    g_hash_table_unref(ids->added_ms);
+    g_hash_table_unref(ids->by_id);
     g_free(ids);
 }
 
-static bool
-is_recent(const int64_t *added_ms, int64_t now_ms)
+static void
+move(cancelled_id_t *cancelled, record_state_t state, list_t *list)
 {
-    return now_ms - *added_ms < KEEP_MS;
+    list_remove(&cancelled->link);
+    list_append(list, &cancelled->link);
+    cancelled->state = state;
 }
 
-static gboolean
-has_expired(gpointer key, gpointer value, gpointer data)
+static cancelled_id_t *
+add(cancelled_ids_t *ids, const char *id, record_state_t state, list_t *list)
 {
-    const int64_t *now_ms = data;
+    cancelled_id_t *cancelled = g_new0(cancelled_id_t, 1);
 
-    return !is_recent(value, *now_ms);
+    cancelled->id = g_strdup(id);
+    cancelled->state = state;
+    list_append(list, &cancelled->link);
+    g_hash_table_insert(ids->by_id, cancelled->id, cancelled);
+    return cancelled;
 }
 
 bool
 cancelled_ids_add(cancelled_ids_t *ids, const char *id, int64_t now_ms)
 {
-    if (g_hash_table_size(ids->added_ms) >= MAX_IDS) {
-        g_hash_table_foreach_remove(ids->added_ms, has_expired, &now_ms);
+    cancelled_id_t *cancelled = g_hash_table_lookup(ids->by_id, id);
+
+    if (cancelled == NULL && g_hash_table_size(ids->by_id) >= MAX_IDS) {
+        return false;
+    }
+    if (cancelled == NULL) {
+        cancelled = add(ids, id, RECORD_CHANGED, &ids->changed);
     }
-    if (g_hash_table_size(ids->added_ms) >= MAX_IDS) {
+    else {
+        move(cancelled, RECORD_CHANGED, &ids->changed);
+    }
+    cancelled->cancelled_ms = now_ms;
+    return true;
+}
+
+bool
+cancelled_ids_load(cancelled_ids_t *ids, const store_record_t *record)
+{
+    const char *id = record->key + strlen(CANCELLED_KEY_PREFIX);
+    Teasel__CancelledRecord *value =
+        teasel__cancelled_record__unpack(NULL, record->length, record->value);
+
+    if (value == NULL) {
         return false;
     }
-    g_hash_table_replace(ids->added_ms, g_strdup(id),
-                         g_memdup2(&now_ms, sizeof(now_ms)));
+    if (!cancelled_ids_contains(ids, id)) {
+        add(ids, id, RECORD_STORED, &ids->stored)->cancelled_ms =
+            value->cancelled_ms;
+    }
+    teasel__cancelled_record__free_unpacked(value, NULL);
     return true;
 }
 
 bool
-cancelled_ids_contains(const cancelled_ids_t *ids, const char *id,
-                       int64_t now_ms)
+cancelled_ids_contains(const cancelled_ids_t *ids, const char *id)
+{
+    return g_hash_table_contains(ids->by_id, id);
+}
+
+bool
+cancelled_ids_is_stored(const cancelled_ids_t *ids, const char *id)
 {
-    const int64_t *added_ms = g_hash_table_lookup(ids->added_ms, id);
+    const cancelled_id_t *cancelled = g_hash_table_lookup(ids->by_id, id);
 
-    return added_ms != NULL && is_recent(added_ms, now_ms);
+    return cancelled != NULL && cancelled->state == RECORD_STORED;
+}
+
+static void
+add_change(GPtrArray *changes, const cancelled_id_t *cancelled,
+           GByteArray *value)
+{
+    g_autofree char *key =
+        g_strconcat(CANCELLED_KEY_PREFIX, cancelled->id, NULL);
+
+    sched_changes_add(changes, key, value);
+}
+
+static GByteArray *
+pack(const cancelled_id_t *cancelled)
+{
+    Teasel__CancelledRecord record = TEASEL__CANCELLED_RECORD__INIT;
+    GByteArray *value = g_byte_array_new();
+
+    record.cancelled_ms = cancelled->cancelled_ms;
+    g_byte_array_set_size(
+        value, (guint)teasel__cancelled_record__get_packed_size(&record));
+    teasel__cancelled_record__pack(&record, value->data);
+    return value;
+}
+
+static bool
+has_expired(const cancelled_ids_t *ids, const cancelled_id_t *cancelled,
+            int64_t now_ms)
+{
+    return now_ms - cancelled->cancelled_ms >= ids->retain_ms;
+}
+
+void
+cancelled_ids_take_changes(cancelled_ids_t *ids, int64_t now_ms,
+                           GPtrArray *changes)
+{
+    unsigned count = 0;
+
+    LIST_FOREACH_SAFE (cancelled, &ids->changed, cancelled_id_t, link) {
+        if (count++ >= MAX_RECORDS_PER_WRITE) {
+            return;
+        }
+        add_change(changes, cancelled, pack(cancelled));
+        move(cancelled, RECORD_IN_WRITE, &ids->in_write);
+    }
+    LIST_FOREACH_SAFE (cancelled, &ids->stored, cancelled_id_t, link) {
+        if (count++ >= MAX_RECORDS_PER_WRITE ||
+            !has_expired(ids, cancelled, now_ms)) {
+            return;
+        }
+        add_change(changes, cancelled, NULL);
+        move(cancelled, RECORD_REMOVED, &ids->in_write);
+    }
+}
+
+void
+cancelled_ids_commit(cancelled_ids_t *ids)
+{
+    LIST_FOREACH_SAFE (cancelled, &ids->in_write, cancelled_id_t, link) {
+        if (cancelled->state == RECORD_REMOVED) {
+            g_hash_table_remove(ids->by_id, cancelled->id);
+        }
+        else {
+            move(cancelled, RECORD_STORED, &ids->stored);
+        }
+    }
 }
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -35,6 +35,12 @@
     return (int64_t)timespec_to_ms(clock_get_monotonic(leader->opts.clock));
 }
 
+int64_t
+leader_get_wall_ms(const leader_t *leader)
+{
+    return (int64_t)timespec_to_ms(clock_get_wall(leader->opts.clock));
+}
+
 int64_t
 leader_get_proof_age_ms(const leader_t *leader)
 {
@@ -127,6 +133,7 @@
         leader->sequence++;
         g_clear_pointer(&leader->changes, g_ptr_array_unref);
         sched_commit(leader->sched);
+        cancelled_ids_commit(leader->cancelled_ids);
         leader_answer_stored(leader);
     }
     leader_schedule_flush(leader);
@@ -237,23 +244,22 @@
 static void
 write_changes(leader_t *leader)
 {
-    GPtrArray *changes;
+    g_autoptr(GPtrArray) changes = sched_changes_new();
+    bool taken;
 
     if (is_write_pending(leader)) {
         return;
     }
-    changes = g_ptr_array_new();
-    if (!sched_take_changes(leader->sched, changes)) {
-        g_ptr_array_unref(changes);
-        return;
+    taken = sched_take_changes(leader->sched, changes);
+    cancelled_ids_take_changes(leader->cancelled_ids,
+                               leader_get_wall_ms(leader), changes);
+    if (changes->len > 0) {
+        leader->changes = g_steal_pointer(&changes);
+        begin_write(leader);
     }
-    if (changes->len == 0) {
-        g_ptr_array_unref(changes);
+    else if (taken) {
         sched_commit(leader->sched);
-        return;
     }
-    leader->changes = changes;
-    begin_write(leader);
 }
 
 static void
@@ -330,6 +336,24 @@
     leader_schedule_flush(leader);
 }
 
+/* Returns whether the record could be read. */
+static bool
+load_other_record(leader_t *leader, const store_record_t *record)
+{
+    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
+        return sched_load_learned(leader->sched, record->value,
+                                  record->length);
+    }
+    return cancelled_ids_load(leader->cancelled_ids, record);
+}
+
+static bool
+is_job_record(const store_record_t *record)
+{
+    return strcmp(record->key, SCHED_LEARNED_KEY) != 0 &&
+           !g_str_has_prefix(record->key, CANCELLED_KEY_PREFIX);
+}
+
 static void
 load_record(leader_t *leader, const store_record_t *record)
 {
@@ -338,9 +362,8 @@
     if (record->value == NULL) {
         return;
     }
-    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
-        if (!sched_load_learned(leader->sched, record->value,
-                                record->length)) {
+    if (!is_job_record(record)) {
+        if (!load_other_record(leader, record)) {
             event_log(EVENT_RECORD_MALFORMED,
                       "topic=%s offset=%" G_GUINT64_FORMAT, JOBS_TOPIC,
                       record->offset);
@@ -415,7 +438,7 @@
     list_init(&leader->sessions);
     leader->sessions_by_node = g_hash_table_new(g_str_hash, g_str_equal);
     list_init(&leader->waiting);
-    leader->cancelled_ids = cancelled_ids_new();
+    leader->cancelled_ids = cancelled_ids_new(opts->retain_ms);
     loop_timer_init(&leader->tick, opts->loop, on_tick, leader);
     loop_timer_init(&leader->flush, opts->loop, on_flush, leader);
     loop_timer_init(&leader->retry, opts->loop, on_retry, leader);
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -88,8 +88,8 @@
         answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
         return;
     }
-    if (job == NULL && cancelled_ids_contains(leader->cancelled_ids, call->id,
-                                              leader_now_ms(leader))) {
+    if (job == NULL &&
+        cancelled_ids_contains(leader->cancelled_ids, call->id)) {
         leader->refused++;
         event_log(EVENT_JOB_REFUSED,
                   "job=%s reason=\"cancelled before\" epoch=%" G_GUINT64_FORMAT
@@ -107,19 +107,22 @@
     leader_schedule_flush(leader);
 }
 
-/* A scheduler may still keep the submission of the job. */
+/* A scheduler may still keep the submission of the job, so the cancelling is
+   stored before it is answered. The write also shows that no other leader has
+   accepted the job. */
 static void
 cancel_unknown(leader_t *leader, const Teasel__JobCall *call,
                job_answer_fn answer, void *owner)
 {
     if (cancelled_ids_add(leader->cancelled_ids, call->id,
-                          leader_now_ms(leader))) {
+                          leader_get_wall_ms(leader))) {
         event_log(EVENT_JOB_UNKNOWN,
                   "job=%s epoch=%" G_GUINT64_FORMAT
                   " proof_age_ms=%" G_GINT64_FORMAT,
                   call->id, leader->opts.epoch,
                   leader_get_proof_age_ms(leader));
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0, 0);
+        add_waiting(leader, call, answer, owner);
+        leader_schedule_flush(leader);
         return;
     }
     event_log(EVENT_CALL_UNANSWERED,
@@ -210,24 +213,41 @@
 }
 
 static bool
-is_stored(leader_t *leader, const waiting_call_t *waiting)
+is_job_stored(const sched_job_t *job, job_verb_t verb)
+{
+    return job->stored && (verb == JOB_VERB_SUBMIT ||
+                           job->visible_state >= SCHED_JOB_COMPLETED);
+}
+
+/* Returns the outcome of a call that waited for a write, or
+   JOB_OUTCOME_UNKNOWN if its effect is not stored yet. */
+static job_outcome_t
+get_stored_outcome(leader_t *leader, const waiting_call_t *waiting)
 {
     const sched_job_t *job = sched_find(leader->sched, waiting->job_id);
 
-    if (waiting->call != NULL || job == NULL || !job->stored) {
-        return false;
+    if (waiting->call != NULL) {
+        return JOB_OUTCOME_UNKNOWN;
     }
-    return waiting->verb == JOB_VERB_SUBMIT ||
-           job->visible_state >= SCHED_JOB_COMPLETED;
+    if (job != NULL && is_job_stored(job, waiting->verb)) {
+        return JOB_OUTCOME_DONE;
+    }
+    if (job == NULL && waiting->verb == JOB_VERB_CANCEL &&
+        cancelled_ids_is_stored(leader->cancelled_ids, waiting->job_id)) {
+        return JOB_OUTCOME_NOT_FOUND;
+    }
+    return JOB_OUTCOME_UNKNOWN;
 }
 
 void
 leader_answer_stored(leader_t *leader)
 {
     LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
-        if (is_stored(leader, waiting)) {
+        job_outcome_t outcome = get_stored_outcome(leader, waiting);
+
+        if (outcome != JOB_OUTCOME_UNKNOWN) {
             answer_call(waiting->answer, waiting->owner, waiting->call_id,
-                        JOB_OUTCOME_DONE, 0, 0);
+                        outcome, 0, 0);
             free_waiting(waiting);
         }
     }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -84,6 +84,12 @@
 
 int64_t leader_now_ms(const leader_t *leader);
 
+/**
+ * leader_get_wall_ms() - return the wall clock, for times that later leaders
+ * read
+ */
+int64_t leader_get_wall_ms(const leader_t *leader);
+
 /**
  * leader_get_proof_age_ms() - return the time since the last proof that no
  * other scheduler leads
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &teasel__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__cancelled_record__init
+                     (Teasel__CancelledRecord         *message)
+{
+  static const Teasel__CancelledRecord init_value = TEASEL__CANCELLED_RECORD__INIT;
+  *message = init_value;
+}
+size_t teasel__cancelled_record__get_packed_size
+                     (const Teasel__CancelledRecord *message)
+{
+  assert(message->base.descriptor == &teasel__cancelled_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__cancelled_record__pack
+                     (const Teasel__CancelledRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__cancelled_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__cancelled_record__pack_to_buffer
+                     (const Teasel__CancelledRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__cancelled_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__CancelledRecord *
+       teasel__cancelled_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__CancelledRecord *)
+     protobuf_c_message_unpack (&teasel__cancelled_record__descriptor,
+                                allocator, len, data);
+}
+void   teasel__cancelled_record__free_unpacked
+                     (Teasel__CancelledRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__cancelled_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__learned_pair__init
                      (Teasel__LearnedPair         *message)
 {
@@ -1939,6 +1984,44 @@
   (ProtobufCMessageInit) teasel__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor teasel__cancelled_record__field_descriptors[1] =
+{
+  {
+    "cancelled_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CancelledRecord, cancelled_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__cancelled_record__field_indices_by_name[] = {
+  0,   /* field[0] = cancelled_ms */
+};
+static const ProtobufCIntRange teasel__cancelled_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor teasel__cancelled_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.CancelledRecord",
+  "CancelledRecord",
+  "Teasel__CancelledRecord",
+  "teasel",
+  sizeof(Teasel__CancelledRecord),
+  1,
+  teasel__cancelled_record__field_descriptors,
+  teasel__cancelled_record__field_indices_by_name,
+  1,  teasel__cancelled_record__number_ranges,
+  (ProtobufCMessageInit) teasel__cancelled_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor teasel__learned_pair__field_descriptors[3] =
 {
   {
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Teasel__TaskRecord Teasel__TaskRecord;
 typedef struct Teasel__OccurrenceRecord Teasel__OccurrenceRecord;
 typedef struct Teasel__JobRecord Teasel__JobRecord;
+typedef struct Teasel__CancelledRecord Teasel__CancelledRecord;
 typedef struct Teasel__LearnedPair Teasel__LearnedPair;
 typedef struct Teasel__LearnedQueue Teasel__LearnedQueue;
 typedef struct Teasel__LearnedRecord Teasel__LearnedRecord;
@@ -201,6 +202,22 @@
     , NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * A job that a caller cancelled and that no leader had accepted.
+ */
+struct  Teasel__CancelledRecord
+{
+  ProtobufCMessage base;
+  /*
+   * wall clock
+   */
+  int64_t cancelled_ms;
+};
+#define TEASEL__CANCELLED_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__cancelled_record__descriptor) \
+    , 0 }
+
+
 /*
  * What a leader has learned, for its successors.
  */
@@ -695,6 +712,25 @@
 void   teasel__job_record__free_unpacked
                      (Teasel__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__CancelledRecord methods */
+void   teasel__cancelled_record__init
+                     (Teasel__CancelledRecord         *message);
+size_t teasel__cancelled_record__get_packed_size
+                     (const Teasel__CancelledRecord   *message);
+size_t teasel__cancelled_record__pack
+                     (const Teasel__CancelledRecord   *message,
+                      uint8_t             *out);
+size_t teasel__cancelled_record__pack_to_buffer
+                     (const Teasel__CancelledRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__CancelledRecord *
+       teasel__cancelled_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__cancelled_record__free_unpacked
+                     (Teasel__CancelledRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__LearnedPair methods */
 void   teasel__learned_pair__init
                      (Teasel__LearnedPair         *message);
@@ -1111,6 +1147,9 @@
 typedef void (*Teasel__JobRecord_Closure)
                  (const Teasel__JobRecord *message,
                   void *closure_data);
+typedef void (*Teasel__CancelledRecord_Closure)
+                 (const Teasel__CancelledRecord *message,
+                  void *closure_data);
 typedef void (*Teasel__LearnedPair_Closure)
                  (const Teasel__LearnedPair *message,
                   void *closure_data);
@@ -1185,6 +1224,7 @@
 extern const ProtobufCMessageDescriptor teasel__task_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__occurrence_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__job_record__descriptor;
+extern const ProtobufCMessageDescriptor teasel__cancelled_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__learned_pair__descriptor;
 extern const ProtobufCMessageDescriptor teasel__learned_queue__descriptor;
 extern const ProtobufCMessageDescriptor teasel__learned_record__descriptor;
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -223,7 +223,7 @@
     void
     begin_write()
     {
-        GPtrArray *changes = g_ptr_array_new();
+        GPtrArray *changes = sched_changes_new();
 
         if (sched_take_changes(sched, changes)) {
             writing = true;
