Count the proof of leadership from the first attempt of a write

The store answers the repeat of an append as it answered the first one. A leader whose answer was lost, and that was replaced before it repeated the write, counted the repeat as a new proof that it leads, and granted leases from that time, while its successor counted them from an earlier one: the work of an executor could be started elsewhere while its lease went on (TWICE).

A renewal has no sequence number and is no repeat, so its last attempt counts.

Before: CountsLeasesFromTheFirstAttemptOfAWrite gives a lease of 1000 ms where 500 are left; after: 500.

--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -70,8 +70,9 @@
     int64_t write_sent_ms;   /* last attempt */
     unsigned write_timeouts; /* unanswered attempts of the pending write */
     double write_latency_ms; /* moving average */
-    int64_t confirmed_ms; /* send time of the last write that succeeded, which
-                             proves that there was no later leader then */
+    int64_t proof_sent_ms;   /* last attempt of the pending write whose success
+                                proves that there was no later leader then */
+    int64_t confirmed_ms;    /* that time, of the last write that succeeded */
     bool writes_failing;
     int64_t load_logged_ms;
 
