Answer from memory only with a proof that no other scheduler leads

Callers of a leader that had stood still, or that could not reach the store, were told 410 for jobs which its successor ran, states and counts that were out of date, and 503 ("never runs") for a submission that the successor had accepted.

Cause: writes are fenced by the store, answers that need no write were not. A leader learns of its successor only by its next read or write, so every answer before that came from a permission that had run out.

Such a call now waits for the first success of a write that was sent after it arrived. On a busy leader that is the next write; otherwise an empty append confirms the epoch, one for all calls that wait. While writes fail, a confirmation of all other schedulers that was asked for after the call arrived serves instead, so that refusals in an outage of the store stay definite and take one round trip between schedulers. Without either the outcome is unknown (504). A submission that is withdrawn after its write did not return is refused on the same condition.

Ruled out: a lease on leadership (delays each failover, and a reset connection lets a successor claim after 50 ms), reading the control topic (a store call as well, outside the order of the leader's writes).

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -180,6 +180,13 @@
     return false;
 }
 
+void
+cluster_request_acks(cluster_t *cluster)
+{
+    /* Each status is acknowledged at once. */
+    cluster_send_status(cluster);
+}
+
 int64_t
 cluster_get_acked_ms(const cluster_t *cluster)
 {
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -32,6 +32,8 @@
  * @on_elected: this process became the leader
  * @on_deposed: this process stopped being the leader
  * @on_leader_ready: another scheduler leads and calls can be sent to it
+ * @on_status: another scheduler sent a status while this process leads, so
+ *     cluster_get_acked_ms() may have changed
  * @on_answer: the leader answered a call
  * @on_call: another scheduler sent a call
  * @on_report: a node agent sent a report
@@ -42,6 +44,7 @@
     void (*on_elected)(uint64_t epoch, void *data);
     void (*on_deposed)(void *data);
     void (*on_leader_ready)(void *data);
+    void (*on_status)(void *data);
     void (*on_answer)(const Teasel__JobAnswer *answer, void *data);
     void (*on_call)(peer_t *peer, const Teasel__JobCall *call, void *data);
     void (*on_report)(peer_t *peer, const char *node,
@@ -119,6 +122,12 @@
  */
 int64_t cluster_get_acked_ms(const cluster_t *cluster);
 
+/**
+ * cluster_request_acks() - ask all other schedulers to confirm that they
+ * follow this leader
+ */
+void cluster_request_acks(cluster_t *cluster);
+
 /**
  * cluster_set_store_available() - record whether the writes of this leader
  * succeed
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -82,6 +82,9 @@
         member->store_reached_ms = member->status_ms;
     }
     cluster_check_leader(cluster);
+    if (cluster->leading) {
+        cluster->opts.handler->on_status(cluster->opts.data);
+    }
 }
 
 static void
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -27,6 +27,11 @@
        before it treats the leases of its predecessor as expired. */
     DRIFT_PERCENT = 5,
     EXPIRY_MARGIN_MS = 400,
+    /* While writes fail, calls wait for the other schedulers to confirm the
+       leader. A request sent within the millisecond in which a call arrived
+       would not count for it. */
+    FIRST_ASK_MS = 2,
+    ASK_INTERVAL_MS = 50,
 };
 
 int64_t
@@ -72,6 +77,27 @@
 /* Weight of a new sample in the moving average of the write latency. */
 static const double LATENCY_WEIGHT = 0.3;
 
+static void
+on_ask(loop_timer_t *timer)
+{
+    leader_t *leader = timer->data;
+
+    if (!leader->writes_failing || !leader_has_unproven_calls(leader)) {
+        return;
+    }
+    leader->opts.request_acks(leader->opts.data);
+    loop_timer_start(timer, ASK_INTERVAL_MS);
+}
+
+void
+leader_seek_proof(leader_t *leader)
+{
+    leader_schedule_flush(leader);
+    if (leader->writes_failing && !loop_timer_is_active(&leader->ask)) {
+        loop_timer_start(&leader->ask, FIRST_ASK_MS);
+    }
+}
+
 static void
 set_writes_failing(leader_t *leader, bool failing)
 {
@@ -79,6 +105,9 @@
         return;
     }
     leader->writes_failing = failing;
+    if (leader_has_unproven_calls(leader)) {
+        leader_seek_proof(leader);
+    }
     event_log(failing ? EVENT_WRITE_FAILED : EVENT_STORE_BACK,
               "topic=%s sequence=%" G_GUINT64_FORMAT
               " since_ms=%" G_GINT64_FORMAT,
@@ -108,6 +137,7 @@
     int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
 
     leader->confirmed_ms = leader->proof_sent_ms;
+    leader->proven = leader->proof;
     leader->write_latency_ms +=
         LATENCY_WEIGHT *
         ((double)(leader_now_ms(leader) - leader->write_sent_ms) -
@@ -136,6 +166,7 @@
         cancelled_ids_commit(leader->cancelled_ids);
         leader_answer_stored(leader);
     }
+    leader_answer_proven(leader);
     leader_schedule_flush(leader);
 }
 
@@ -227,6 +258,7 @@
     /* The store may answer the repeat of an append as it answered the first,
        also after a later leader has begun. */
     if (leader->changes == NULL || leader->write_timeouts == 0) {
+        leader->proof++;
         leader->proof_sent_ms = leader->write_sent_ms;
     }
     store_append(leader->opts.store, &append, on_written, leader);
@@ -267,6 +299,16 @@
     }
 }
 
+/* A write without records proves that no later leader has begun. */
+static void
+renew_leadership(leader_t *leader)
+{
+    if (!is_write_pending(leader)) {
+        leader->renewing = true;
+        begin_write(leader);
+    }
+}
+
 static void
 on_flush(loop_timer_t *timer)
 {
@@ -278,18 +320,10 @@
     }
     sched_run(leader->sched);
     write_changes(leader);
-    leader_send_orders(leader);
-}
-
-static void
-renew_leadership(leader_t *leader)
-{
-    if (leader_now_ms(leader) - leader->confirmed_ms < RENEW_AFTER_MS ||
-        is_write_pending(leader)) {
-        return;
+    if (leader_needs_proof(leader)) {
+        renew_leadership(leader);
     }
-    leader->renewing = true;
-    begin_write(leader);
+    leader_send_orders(leader);
 }
 
 static void
@@ -315,7 +349,9 @@
         set_writes_failing(leader, true);
     }
     if (leader->stage == LEADER_READY) {
-        renew_leadership(leader);
+        if (leader_now_ms(leader) - leader->confirmed_ms >= RENEW_AFTER_MS) {
+            renew_leadership(leader);
+        }
         log_load(leader);
         leader_schedule_flush(leader);
     }
@@ -447,6 +483,7 @@
     loop_timer_init(&leader->tick, opts->loop, on_tick, leader);
     loop_timer_init(&leader->flush, opts->loop, on_flush, leader);
     loop_timer_init(&leader->retry, opts->loop, on_retry, leader);
+    loop_timer_init(&leader->ask, opts->loop, on_ask, leader);
     loop_timer_start(&leader->tick, TICK_MS);
     begin_write(leader);
     return leader;
@@ -461,6 +498,7 @@
     loop_timer_stop(&leader->tick);
     loop_timer_stop(&leader->flush);
     loop_timer_stop(&leader->retry);
+    loop_timer_stop(&leader->ask);
     leader_free_calls(leader);
     leader_free_sessions(leader);
     g_hash_table_unref(leader->sessions_by_node);
@@ -485,6 +523,13 @@
     metrics_write_counter(out, "teasel_jobs_refused_total",
                           "Jobs refused while the store does not answer.",
                           leader->refused);
+    metrics_write_counter(out, "teasel_calls_awaiting_proof_total",
+                          "Calls that waited until the leader knew that no "
+                          "other scheduler led when they arrived.",
+                          leader->proof_waits);
+    metrics_write_counter(out, "teasel_calls_unproven_total",
+                          "Calls for which that was not known in time.",
+                          leader->unproven);
     metrics_write_counter(out, "teasel_store_writes_total",
                           "Writes of job records and renewals.",
                           leader->writes);
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -16,6 +16,11 @@
  * The leading scheduler loads the jobs from the store, answers calls, leases
  * the executors to their agents, and writes each change to the store before it
  * sends any message that depends on it.
+ *
+ * It may have been replaced without knowing it, as it stood still or cannot
+ * reach the store. An answer that follows a write is fenced by the store; any
+ * other one that a later leader could contradict waits for a proof that no
+ * other scheduler led when the call arrived.
  */
 
 typedef struct leader leader_t;
@@ -28,6 +33,8 @@
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
  * @get_acked_ms: see cluster_get_acked_ms()
+ * @request_acks: ask the other schedulers to confirm that they follow this
+ *     leader; see leader_handle_acks()
  * @on_store_change: writes to the store started to fail, or succeed again
  * @on_fenced: the store rejected a write because of a later leader; the
  *     callee must free the leader, but not inside the callback
@@ -42,6 +49,7 @@
     int64_t stop_ms;
     size_t record_bytes;
     int64_t (*get_acked_ms)(void *data);
+    void (*request_acks)(void *data);
     void (*on_store_change)(bool available, void *data);
     void (*on_fenced)(const char *reason, void *data);
     void *data;
@@ -68,6 +76,12 @@
 void leader_handle_call(leader_t *leader, const Teasel__JobCall *call,
                         job_answer_fn answer, void *owner);
 
+/**
+ * leader_handle_acks() - answer the calls that are proven by what another
+ * scheduler has confirmed
+ */
+void leader_handle_acks(leader_t *leader);
+
 /**
  * leader_drop_calls() - drop the waiting calls of an owner unanswered
  */
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -10,26 +10,74 @@
     /* Loading takes tens of milliseconds. A longer wait is answered before the
        caller's own timeout. */
     MAX_LOAD_WAIT_MS = 300,
-    /* A call whose write takes longer is answered as unknown; the caller can
-       repeat it to learn the outcome. */
+    /* A submission that is about to be refused waits no longer for a proof. */
+    MAX_REFUSAL_WAIT_MS = 300,
+    /* A call whose write or proof takes longer is answered as unknown; the
+       caller can repeat it to learn the outcome. */
     MAX_STORE_WAIT_MS = 1200,
     RETRY_AFTER_MS = 1000,
 };
 
+/**
+ * struct request - call that is being handled
+ * @proven: no other scheduler led when the call arrived
+ */
+typedef struct request {
+    const Teasel__JobCall *call;
+    job_answer_fn answer;
+    void *owner;
+    bool proven;
+} request_t;
+
+static void
+send_answer(job_answer_fn answer, void *owner, Teasel__JobAnswer *message)
+{
+    if (message->outcome == JOB_OUTCOME_REFUSED) {
+        message->retry_after_ms = RETRY_AFTER_MS;
+    }
+    answer(message, owner);
+}
+
 static void
-answer_call(job_answer_fn answer, void *owner, uint64_t call_id,
-            job_outcome_t outcome, uint32_t state, uint32_t count)
+answer_request(const request_t *request, job_outcome_t outcome)
 {
     Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
 
-    message.call_id = call_id;
+    message.call_id = request->call->call_id;
     message.outcome = outcome;
-    message.state = state;
+    send_answer(request->answer, request->owner, &message);
+}
+
+static void
+answer_state(const request_t *request, const sched_job_t *job)
+{
+    Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
+
+    message.call_id = request->call->call_id;
+    message.outcome = job->stored ? JOB_OUTCOME_DONE : JOB_OUTCOME_UNKNOWN;
+    message.state = sched_job_get_visible_state(job);
+    send_answer(request->answer, request->owner, &message);
+}
+
+static void
+answer_count(const request_t *request, uint32_t count)
+{
+    Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
+
+    message.call_id = request->call->call_id;
+    message.outcome = JOB_OUTCOME_DONE;
     message.count = count;
-    if (outcome == JOB_OUTCOME_REFUSED) {
-        message.retry_after_ms = RETRY_AFTER_MS;
-    }
-    answer(&message, owner);
+    send_answer(request->answer, request->owner, &message);
+}
+
+static void
+answer_waiting(const waiting_call_t *waiting, job_outcome_t outcome)
+{
+    Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
+
+    message.call_id = waiting->call_id;
+    message.outcome = outcome;
+    send_answer(waiting->answer, waiting->owner, &message);
 }
 
 static void
@@ -43,77 +91,121 @@
     g_free(waiting);
 }
 
-static waiting_call_t *
-add_waiting(leader_t *leader, const Teasel__JobCall *call,
-            job_answer_fn answer, void *owner)
+static void
+add_waiting(leader_t *leader, const request_t *request, call_wait_t wait)
 {
+    const Teasel__JobCall *call = request->call;
     waiting_call_t *waiting = g_new0(waiting_call_t, 1);
 
+    waiting->wait = wait;
     waiting->call_id = call->call_id;
     waiting->verb = (job_verb_t)call->verb;
     waiting->job_id = g_strdup(call->id);
+    waiting->proof = leader->proof + 1;
     waiting->received_ms = leader_now_ms(leader);
-    waiting->answer = answer;
-    waiting->owner = owner;
+    waiting->answer = request->answer;
+    waiting->owner = request->owner;
+    if (wait != CALL_WAITS_FOR_WRITE) {
+        waiting->call = message_copy(&call->base);
+    }
     list_append(&leader->waiting, &waiting->link);
-    return waiting;
 }
 
 static void
-submit(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
-       void *owner)
+await_write(leader_t *leader, const request_t *request)
 {
+    add_waiting(leader, request, CALL_WAITS_FOR_WRITE);
+    leader_schedule_flush(leader);
+}
+
+/* The call is handled again once there is a proof. */
+static void
+await_proof(leader_t *leader, const request_t *request)
+{
+    leader->proof_waits++;
+    add_waiting(leader, request, CALL_WAITS_FOR_PROOF);
+    leader_seek_proof(leader);
+}
+
+/* Returns why a new job cannot be accepted, or NULL. */
+static const char *
+get_refusal(const leader_t *leader, const char *id)
+{
+    if (leader->writes_failing) {
+        return "store unavailable";
+    }
+    if (cancelled_ids_contains(leader->cancelled_ids, id)) {
+        return "cancelled before";
+    }
+    return NULL;
+}
+
+static void
+refuse(leader_t *leader, const request_t *request, const char *reason)
+{
+    leader->refused++;
+    event_log(EVENT_JOB_REFUSED,
+              "job=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
+              " epoch=%" G_GUINT64_FORMAT " proof_age_ms=%" G_GINT64_FORMAT,
+              request->call->id, reason,
+              leader->writes_failing
+                  ? leader_now_ms(leader) - leader->write_began_ms
+                  : 0,
+              leader->opts.epoch, leader_get_proof_age_ms(leader));
+    answer_request(request, JOB_OUTCOME_REFUSED);
+}
+
+static void
+submit_new(leader_t *leader, const request_t *request)
+{
+    const char *refusal = get_refusal(leader, request->call->id);
+
+    if (refusal != NULL && request->proven) {
+        refuse(leader, request, refusal);
+        return;
+    }
+    if (refusal != NULL) {
+        await_proof(leader, request);
+        return;
+    }
+    sched_submit(leader->sched, message_copy(&request->call->spec->base));
+    leader->accepted++;
+    await_write(leader, request);
+}
+
+static void
+submit(leader_t *leader, const request_t *request)
+{
+    const Teasel__JobCall *call = request->call;
     sched_job_t *job = sched_find(leader->sched, call->id);
     g_autoptr(GError) error = NULL;
 
     if (job != NULL && job->stored) {
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE, 0, 0);
+        answer_request(request, JOB_OUTCOME_DONE);
         return;
     }
     if (call->spec == NULL || !sched_job_check(call->spec, &error) ||
         !sched_check_size(leader->sched, call->spec, &error)) {
         event_log(EVENT_JOB_REFUSED, "job=%s reason=\"%s\"", call->id,
                   error ? error->message : "missing job specification");
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_INVALID, 0, 0);
+        answer_request(request, JOB_OUTCOME_INVALID);
         return;
     }
-    if (job == NULL && leader->writes_failing) {
-        leader->refused++;
-        event_log(EVENT_JOB_REFUSED,
-                  "job=%s reason=\"store unavailable\" "
-                  "age_ms=%" G_GINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
-                  " proof_age_ms=%" G_GINT64_FORMAT,
-                  call->id, leader_now_ms(leader) - leader->write_began_ms,
-                  leader->opts.epoch, leader_get_proof_age_ms(leader));
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
+    if (job != NULL) {
+        await_write(leader, request);
         return;
     }
-    if (job == NULL &&
-        cancelled_ids_contains(leader->cancelled_ids, call->id)) {
-        leader->refused++;
-        event_log(EVENT_JOB_REFUSED,
-                  "job=%s reason=\"cancelled before\" epoch=%" G_GUINT64_FORMAT
-                  " proof_age_ms=%" G_GINT64_FORMAT,
-                  call->id, leader->opts.epoch,
-                  leader_get_proof_age_ms(leader));
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
-        return;
-    }
-    if (job == NULL) {
-        sched_submit(leader->sched, message_copy(&call->spec->base));
-        leader->accepted++;
-    }
-    add_waiting(leader, call, answer, owner);
-    leader_schedule_flush(leader);
+    submit_new(leader, request);
 }
 
 /* A scheduler may still keep the submission of the job, so the cancelling is
    stored before it is answered. The write also shows that no other leader has
    accepted the job. */
 static void
-cancel_unknown(leader_t *leader, const Teasel__JobCall *call,
-               job_answer_fn answer, void *owner)
+cancel_unknown(leader_t *leader, const request_t *request)
 {
+    const Teasel__JobCall *call = request->call;
+
     if (cancelled_ids_add(leader->cancelled_ids, call->id,
                           leader_get_wall_ms(leader))) {
         event_log(EVENT_JOB_UNKNOWN,
@@ -121,102 +213,179 @@
                   " proof_age_ms=%" G_GINT64_FORMAT,
                   call->id, leader->opts.epoch,
                   leader_get_proof_age_ms(leader));
-        add_waiting(leader, call, answer, owner);
-        leader_schedule_flush(leader);
+        await_write(leader, request);
         return;
     }
     event_log(EVENT_CALL_UNANSWERED,
               "job=%s verb=%u waited_ms=0 outcome=refused "
               "reason=\"too many cancelled jobs\"",
               call->id, call->verb);
-    answer_call(answer, owner, call->call_id, JOB_OUTCOME_REFUSED, 0, 0);
+    answer_request(request, JOB_OUTCOME_REFUSED);
+}
+
+/* A final state that is stored never changes. */
+static bool
+is_final(const sched_job_t *job)
+{
+    return job->stored && job->visible_state >= SCHED_JOB_COMPLETED;
 }
 
 static void
-cancel(leader_t *leader, const Teasel__JobCall *call, job_answer_fn answer,
-       void *owner)
+cancel(leader_t *leader, const request_t *request)
 {
-    sched_job_t *job = sched_find(leader->sched, call->id);
+    sched_job_t *job = sched_find(leader->sched, request->call->id);
 
     if (job == NULL) {
-        cancel_unknown(leader, call, answer, owner);
+        cancel_unknown(leader, request);
         return;
     }
     sched_cancel(leader->sched, job);
-    if (job->stored && job->visible_state >= SCHED_JOB_COMPLETED) {
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE,
-                    job->visible_state, 0);
+    if (is_final(job)) {
+        answer_state(request, job);
         return;
     }
-    add_waiting(leader, call, answer, owner);
-    leader_schedule_flush(leader);
+    await_write(leader, request);
+}
+
+static void
+get(leader_t *leader, const request_t *request)
+{
+    const sched_job_t *job = sched_find(leader->sched, request->call->id);
+
+    if (!request->proven && (job == NULL || !is_final(job))) {
+        await_proof(leader, request);
+        return;
+    }
+    if (job == NULL) {
+        answer_request(request, JOB_OUTCOME_NOT_FOUND);
+        return;
+    }
+    answer_state(request, job);
 }
 
 static void
-handle_call(leader_t *leader, const Teasel__JobCall *call,
-            job_answer_fn answer, void *owner)
+count_pending(leader_t *leader, const request_t *request)
 {
-    sched_job_t *job;
+    if (!request->proven) {
+        await_proof(leader, request);
+        return;
+    }
+    answer_count(request,
+                 sched_count_pending(leader->sched, request->call->queue));
+}
 
-    switch ((job_verb_t)call->verb) {
+static void
+handle_request(leader_t *leader, const request_t *request)
+{
+    switch ((job_verb_t)request->call->verb) {
     case JOB_VERB_SUBMIT:
-        submit(leader, call, answer, owner);
+        submit(leader, request);
         return;
     case JOB_VERB_CANCEL:
-        cancel(leader, call, answer, owner);
+        cancel(leader, request);
         return;
     case JOB_VERB_COUNT_PENDING:
-        answer_call(answer, owner, call->call_id, JOB_OUTCOME_DONE, 0,
-                    sched_count_pending(leader->sched, call->queue));
+        count_pending(leader, request);
         return;
     case JOB_VERB_GET:
-        job = sched_find(leader->sched, call->id);
-        if (job == NULL) {
-            answer_call(answer, owner, call->call_id, JOB_OUTCOME_NOT_FOUND, 0,
-                        0);
-        }
-        else {
-            answer_call(answer, owner, call->call_id,
-                        job->stored ? JOB_OUTCOME_DONE : JOB_OUTCOME_UNKNOWN,
-                        sched_job_get_visible_state(job), 0);
-        }
+        get(leader, request);
         return;
     }
-    answer_call(answer, owner, call->call_id, JOB_OUTCOME_INVALID, 0, 0);
+    answer_request(request, JOB_OUTCOME_INVALID);
 }
 
 void
 leader_handle_call(leader_t *leader, const Teasel__JobCall *call,
                    job_answer_fn answer, void *owner)
 {
+    request_t request = {.call = call, .answer = answer, .owner = owner};
+
     if (leader->stage == LEADER_READY) {
-        handle_call(leader, call, answer, owner);
+        handle_request(leader, &request);
         return;
     }
-    add_waiting(leader, call, answer, owner)->call = message_copy(&call->base);
+    add_waiting(leader, &request, CALL_WAITS_FOR_JOBS);
+}
+
+/* Handles a call that has waited, which may have to wait for something else
+   then. */
+static void
+handle_again(leader_t *leader, waiting_call_t *waiting)
+{
+    request_t request = {
+        .call = waiting->call,
+        .answer = waiting->answer,
+        .owner = waiting->owner,
+        .proven = waiting->wait == CALL_WAITS_FOR_PROOF,
+    };
+
+    list_remove(&waiting->link);
+    handle_request(leader, &request);
+    free_waiting(waiting);
 }
 
 void
 leader_handle_deferred_calls(leader_t *leader)
 {
-    list_t delayed;
-
-    list_init(&delayed);
     LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
-        list_remove(&waiting->link);
-        list_append(&delayed, &waiting->link);
+        if (waiting->wait == CALL_WAITS_FOR_JOBS) {
+            handle_again(leader, waiting);
+        }
     }
-    LIST_FOREACH_SAFE (waiting, &delayed, waiting_call_t, link) {
-        handle_call(leader, waiting->call, waiting->answer, waiting->owner);
-        free_waiting(waiting);
+}
+
+bool
+leader_has_unproven_calls(const leader_t *leader)
+{
+    LIST_FOREACH (waiting, &leader->waiting, waiting_call_t, link) {
+        if (waiting->wait == CALL_WAITS_FOR_PROOF) {
+            return true;
+        }
     }
+    return false;
 }
 
+bool
+leader_needs_proof(const leader_t *leader)
+{
+    LIST_FOREACH (waiting, &leader->waiting, waiting_call_t, link) {
+        if (waiting->wait == CALL_WAITS_FOR_PROOF &&
+            waiting->proof > leader->proof) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether no other scheduler led when the call arrived. */
 static bool
-is_job_stored(const sched_job_t *job, job_verb_t verb)
+is_proven(const leader_t *leader, const waiting_call_t *waiting,
+          int64_t acked_ms)
 {
-    return job->stored && (verb == JOB_VERB_SUBMIT ||
-                           job->visible_state >= SCHED_JOB_COMPLETED);
+    return waiting->proof <= leader->proven || waiting->received_ms < acked_ms;
+}
+
+void
+leader_answer_proven(leader_t *leader)
+{
+    int64_t acked_ms;
+
+    if (leader->stage != LEADER_READY || !leader_has_unproven_calls(leader)) {
+        return;
+    }
+    acked_ms = leader->opts.get_acked_ms(leader->opts.data);
+    LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
+        if (waiting->wait == CALL_WAITS_FOR_PROOF &&
+            is_proven(leader, waiting, acked_ms)) {
+            handle_again(leader, waiting);
+        }
+    }
+}
+
+void
+leader_handle_acks(leader_t *leader)
+{
+    leader_answer_proven(leader);
 }
 
 /* Returns the outcome of a call that waited for a write, or
@@ -226,10 +395,8 @@
 {
     const sched_job_t *job = sched_find(leader->sched, waiting->job_id);
 
-    if (waiting->call != NULL) {
-        return JOB_OUTCOME_UNKNOWN;
-    }
-    if (job != NULL && is_job_stored(job, waiting->verb)) {
+    if (job != NULL && job->stored &&
+        (waiting->verb == JOB_VERB_SUBMIT || is_final(job))) {
         return JOB_OUTCOME_DONE;
     }
     if (job == NULL && waiting->verb == JOB_VERB_CANCEL &&
@@ -243,55 +410,91 @@
 leader_answer_stored(leader_t *leader)
 {
     LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
-        job_outcome_t outcome = get_stored_outcome(leader, waiting);
+        job_outcome_t outcome;
 
+        if (waiting->wait != CALL_WAITS_FOR_WRITE) {
+            continue;
+        }
+        outcome = get_stored_outcome(leader, waiting);
         if (outcome != JOB_OUTCOME_UNKNOWN) {
-            answer_call(waiting->answer, waiting->owner, waiting->call_id,
-                        outcome, 0, 0);
+            answer_waiting(waiting, outcome);
             free_waiting(waiting);
         }
     }
 }
 
-/* Returns the outcome of a call that has waited too long. A job can be
-   withdrawn and the call refused if no write has included its record. */
+/* Removes the job of a submission that has waited too long for its write.
+   Returns false if a write may have included its record. */
+static bool
+withdraw(leader_t *leader, const waiting_call_t *waiting)
+{
+    sched_job_t *job = sched_find(leader->sched, waiting->job_id);
+
+    /* An expired earlier call may have withdrawn the same job already. */
+    return job == NULL || sched_withdraw(leader->sched, job);
+}
+
+/* Returns the outcome of a call that has waited too long. */
 static job_outcome_t
 abandon_call(leader_t *leader, const waiting_call_t *waiting)
 {
-    sched_job_t *job = sched_find(leader->sched, waiting->job_id);
+    int64_t acked_ms;
 
-    if (waiting->call != NULL) {
+    if (waiting->wait == CALL_WAITS_FOR_JOBS) {
         return JOB_OUTCOME_REFUSED;
     }
-    /* An expired earlier call may have withdrawn the same job already. */
-    if (waiting->verb == JOB_VERB_SUBMIT &&
-        (job == NULL || sched_withdraw(leader->sched, job))) {
+    if (waiting->wait == CALL_WAITS_FOR_WRITE &&
+        (waiting->verb != JOB_VERB_SUBMIT || !withdraw(leader, waiting))) {
+        return JOB_OUTCOME_UNKNOWN;
+    }
+    acked_ms = leader->opts.get_acked_ms(leader->opts.data);
+    if (waiting->wait == CALL_WAITS_FOR_WRITE &&
+        is_proven(leader, waiting, acked_ms)) {
         return JOB_OUTCOME_REFUSED;
     }
+    leader->unproven++;
     return JOB_OUTCOME_UNKNOWN;
 }
 
+static int64_t
+get_max_wait_ms(const waiting_call_t *waiting)
+{
+    if (waiting->wait == CALL_WAITS_FOR_JOBS) {
+        return MAX_LOAD_WAIT_MS;
+    }
+    if (waiting->wait == CALL_WAITS_FOR_PROOF &&
+        waiting->verb == JOB_VERB_SUBMIT) {
+        return MAX_REFUSAL_WAIT_MS;
+    }
+    return MAX_STORE_WAIT_MS;
+}
+
+static const char *const wait_names[] = {
+    [CALL_WAITS_FOR_JOBS] = "stored jobs",
+    [CALL_WAITS_FOR_PROOF] = "proof of leadership",
+    [CALL_WAITS_FOR_WRITE] = "write",
+};
+
 void
 leader_expire_calls(leader_t *leader)
 {
     int64_t now_ms = leader_now_ms(leader);
 
     LIST_FOREACH_SAFE (waiting, &leader->waiting, waiting_call_t, link) {
-        int64_t limit_ms =
-            waiting->call != NULL ? MAX_LOAD_WAIT_MS : MAX_STORE_WAIT_MS;
         job_outcome_t outcome;
 
-        if (now_ms - waiting->received_ms < limit_ms) {
+        if (now_ms - waiting->received_ms < get_max_wait_ms(waiting)) {
             continue;
         }
         outcome = abandon_call(leader, waiting);
         event_log(EVENT_CALL_UNANSWERED,
-                  "job=%s verb=%d waited_ms=%" G_GINT64_FORMAT " outcome=%s",
+                  "job=%s verb=%d waited_ms=%" G_GINT64_FORMAT
+                  " outcome=%s reason=\"no %s\"",
                   waiting->job_id, waiting->verb,
                   now_ms - waiting->received_ms,
-                  outcome == JOB_OUTCOME_REFUSED ? "refused" : "unknown");
-        answer_call(waiting->answer, waiting->owner, waiting->call_id, outcome,
-                    0, 0);
+                  outcome == JOB_OUTCOME_REFUSED ? "refused" : "unknown",
+                  wait_names[waiting->wait]);
+        answer_waiting(waiting, outcome);
         free_waiting(waiting);
     }
 }
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -26,17 +26,26 @@
     bool lists_received;
 } session_t;
 
+/* What a call waits for. */
+typedef enum call_wait {
+    CALL_WAITS_FOR_JOBS,  /* until the stored jobs are loaded */
+    CALL_WAITS_FOR_PROOF, /* that no other scheduler led when it arrived */
+    CALL_WAITS_FOR_WRITE, /* until its effect is stored */
+} call_wait_t;
+
 /**
- * struct waiting_call - call that waits for a write or for the stored jobs to
- * be loaded
- * @call: set while the call waits for the jobs to be loaded
+ * struct waiting_call - call that cannot be answered yet
+ * @call: NULL if it waits for a write
+ * @proof: number of the first write that was sent after the call arrived
  */
 typedef struct waiting_call {
     list_t link;
+    call_wait_t wait;
     uint64_t call_id;
     job_verb_t verb;
     char *job_id;
     Teasel__JobCall *call;
+    uint64_t proof;
     int64_t received_ms;
     job_answer_fn answer;
     void *owner;
@@ -60,6 +69,7 @@
     loop_timer_t tick;
     loop_timer_t flush;
     loop_timer_t retry;
+    loop_timer_t ask; /* asks the other schedulers for a proof */
     char *load_after;
 
     GPtrArray *changes; /* of the pending write, or NULL */
@@ -70,14 +80,18 @@
     int64_t write_sent_ms;   /* last attempt */
     unsigned write_timeouts; /* unanswered attempts of the pending write */
     double write_latency_ms; /* moving average */
-    int64_t proof_sent_ms;   /* last attempt of the pending write whose success
-                                proves that there was no later leader then */
-    int64_t confirmed_ms;    /* that time, of the last write that succeeded */
+    uint64_t proof;          /* number of the newest attempt of a write whose
+                                success proves that no later leader led then */
+    uint64_t proven;         /* newest number that succeeded */
+    int64_t proof_sent_ms;   /* of @proof */
+    int64_t confirmed_ms;    /* proof_sent_ms of @proven */
     bool writes_failing;
     int64_t load_logged_ms;
 
     uint64_t accepted;
     uint64_t refused;
+    uint64_t proof_waits; /* calls that waited for a proof */
+    uint64_t unproven;    /* calls without a proof in time */
     uint64_t writes;
     uint64_t write_retries;
     histogram_t *write_us;
@@ -108,12 +122,29 @@
  */
 void leader_answer_stored(leader_t *leader);
 
+/**
+ * leader_seek_proof() - look for a proof that no other scheduler leads
+ */
+void leader_seek_proof(leader_t *leader);
+
+/**
+ * leader_answer_proven() - handle the calls for which there is a proof now
+ */
+void leader_answer_proven(leader_t *leader);
+bool leader_has_unproven_calls(const leader_t *leader);
+
 /**
  * leader_handle_deferred_calls() - handle the calls that arrived before the
  * stored jobs were loaded
  */
 void leader_handle_deferred_calls(leader_t *leader);
 
+/**
+ * leader_needs_proof() - return whether a call waits for a proof that no write
+ * sent so far can give
+ */
+bool leader_needs_proof(const leader_t *leader);
+
 /**
  * leader_expire_calls() - answer calls that have waited too long
  */
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -43,6 +43,14 @@
     return cluster_get_acked_ms(scheduler->cluster);
 }
 
+static void
+request_acks(void *data)
+{
+    scheduler_t *scheduler = data;
+
+    cluster_request_acks(scheduler->cluster);
+}
+
 static void
 on_store_change(bool available, void *data)
 {
@@ -85,6 +93,7 @@
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
         .get_acked_ms = get_acked_ms,
+        .request_acks = request_acks,
         .on_store_change = on_store_change,
         .on_fenced = on_fenced,
         .data = scheduler,
@@ -116,6 +125,16 @@
     gateway_resend(scheduler->gateway);
 }
 
+static void
+on_status(void *data)
+{
+    scheduler_t *scheduler = data;
+
+    if (scheduler->leader != NULL) {
+        leader_handle_acks(scheduler->leader);
+    }
+}
+
 static void
 on_answer(const Teasel__JobAnswer *answer, void *data)
 {
@@ -171,6 +190,7 @@
     .on_elected = on_elected,
     .on_deposed = on_deposed,
     .on_leader_ready = on_leader_ready,
+    .on_status = on_status,
     .on_answer = on_answer,
     .on_call = on_call,
     .on_report = on_report,
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -46,6 +46,7 @@
     .on_elected = count_election,
     .on_deposed = ignore,
     .on_leader_ready = ignore,
+    .on_status = ignore,
     .on_answer = [](const Teasel__JobAnswer *, void *) {},
     .on_call = [](peer_t *, const Teasel__JobCall *, void *) {},
     .on_report = [](peer_t *, const char *, const Teasel__NodeReport *,
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -45,6 +45,7 @@
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
         opts.get_acked_ms = [](void *) { return (int64_t)0; };
+        opts.request_acks = [](void *) {};
         opts.on_store_change = [](bool, void *) {};
         opts.on_fenced = [](const char *, void *) {};
         leader = leader_new(&opts);
