Let the model of runs wait for the answers to its questions

A leader answers the state of a job that is not final only after a write, so the model, which read the answer in the turn of its question, took every lasting job for stuck. It now asks all jobs and reads the answers 20 ms later; no answer still counts as stuck.

--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -40,6 +40,8 @@
        times that of a lease. */
     RECOVERY_MS = 15000,
     CHECK_MS = 100,
+    /* An answer waits for a write of the leader. */
+    ANSWER_MS = 20,
     /* Time for which the state after it has to last; exceeds a lease. */
     LASTING_MS = 2500,
     TRACE_LINES = 150,
@@ -171,6 +173,7 @@
     std::string id;
     std::vector<Step> steps;
     std::vector<std::string> tasks;
+    int state = NOT_KNOWN; /* in the last answer */
     bool lasting = false;
     bool accepted = false;
     bool cancelling = false;
@@ -288,6 +291,7 @@
         opts.record_bytes = store.record_bytes;
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
+        opts.request_acks = [](void *) {};
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
         opts.data = leader.get();
@@ -976,23 +980,31 @@
         return state == SCHED_JOB_RUNNING && job.lasting && !job.cancelling &&
                running == 1 && running_well == 1;
     }
+    void
+    ask_state(Job &job)
+    {
+        leader_t *leader = newest_leader().leader;
+        Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
+
+        job.state = NOT_KNOWN;
+        call.verb = JOB_VERB_GET;
+        call.id = job.id.data();
+        if (job.accepted && leader != nullptr && leader_is_ready(leader)) {
+            leader_handle_call(leader, &call, on_state, &job.state);
+        }
+    }
     /* Returns the jobs that are not as they have to be after the faults. */
     std::vector<std::string>
     find_stuck()
     {
         std::vector<std::string> stuck;
-        leader_t *leader = newest_leader().leader;
 
         for (auto &job : jobs) {
-            Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
-            int state = NOT_KNOWN;
-
-            call.verb = JOB_VERB_GET;
-            call.id = job.id.data();
-            if (job.accepted && leader != nullptr && leader_is_ready(leader)) {
-                leader_handle_call(leader, &call, on_state, &state);
-            }
-            if (!is_as_expected(job, state)) {
+            ask_state(job);
+        }
+        loop.run_ms(ANSWER_MS);
+        for (auto &job : jobs) {
+            if (!is_as_expected(job, job.state)) {
                 stuck.push_back(job.id);
             }
         }
