Drop starts that wait at an agent when its connection or its leader changes

A start that an agent had received but not sent, as its lease had ended while it stood still, stayed in its list. With the next lease it was sent, also if that came from a later leader, or from the same one on a new connection, which had cancelled the job since: the lease goes out at once, while the stop of such a run may wait for a pending write, for seconds if the store is slow. The task then started after its job's cancelling had been answered.

The agent now drops such starts before its complete report, so the leader, which repeats the starts that a complete list lacks, decides on them anew. The start of the same leader on the same connection goes on as before (SendsNoStartAfterAPauseBeyondItsLease).

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -126,6 +126,7 @@
     EVENT(EVENT_ORDER_MISDIRECTED, 8012, G_LOG_LEVEL_WARNING,                 \
           "order-misdirected")                                                \
     EVENT(EVENT_ANSWER_INVALID, 8013, G_LOG_LEVEL_WARNING, "answer-invalid")  \
+    EVENT(EVENT_START_DROPPED, 8014, G_LOG_LEVEL_MESSAGE, "start-dropped")    \
     EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -142,12 +142,39 @@
                                  : max_lease_ms;
 }
 
+static void
+drop_unsent_starts(node_executor_t *executor)
+{
+    LIST_FOREACH_SAFE (run, &executor->runs, run_t, link) {
+        if (run->state.phase == RUN_QUEUED && !run->state.stop_requested) {
+            event_log(EVENT_START_DROPPED, "task=%s run=%u executor=%s",
+                      run->task, run->run, executor->key);
+            run_free(run);
+            executor->unreported = true;
+        }
+    }
+}
+
+/* Drops what was ordered on an earlier connection, or by an earlier leader.
+   The job may have been cancelled since, and a lease may arrive before the
+   stop. The leader repeats the starts that the next complete list lacks. */
+static void
+drop_old_orders(node_t *node)
+{
+    LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
+        drop_unsent_starts(executor);
+    }
+}
+
 static void
 on_orders(const Teasel__NodeOrders *orders, void *data)
 {
     node_t *node = data;
     bool is_first_epoch = node->epoch == 0;
 
+    if (orders->epoch > node->epoch) {
+        drop_old_orders(node);
+    }
     node->epoch = MAX(node->epoch, orders->epoch);
     learn_longest_lease(node, orders);
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
@@ -179,6 +206,7 @@
     if (!open) {
         return;
     }
+    drop_old_orders(node);
     request_full_report(node);
     node->reported_ms = node_now_ms(node);
     node_send_report(node, true);
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -377,6 +377,54 @@
     EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
 }
 
+// Guards against a start that an agent kept while it stood still, and sends
+// with a lease of the next leader, which may have cancelled the job since.
+TEST_F(Node, SendsNoKeptStartAfterANewConnection)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 1000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    executor.work_ms = -1;
+    grant(heartbeat_us, 1000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return executor.starts.size() == 1; }));
+    grant(heartbeat_us, 1000, {{"j.0.0.1", 1}});
+    clock.leap_ms = 3000;
+    run_ms(300);
+    ASSERT_EQ(executor.starts.count("j.0.0.1"), 0U);
+    peer_close(peer);
+    peer = nullptr;
+    running.clear();
+    ASSERT_TRUE(wait([&] { return !running.empty(); }));
+    EXPECT_EQ(running.count({"j.0.0.1", 1}), 0U);
+    epoch++;
+    grant(heartbeat_us, 1000);
+    run_ms(300);
+    EXPECT_EQ(executor.starts.count("j.0.0.1"), 0U);
+    grant(heartbeat_us, 1000, {{"j.0.0.1", 1}});
+    EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
+}
+
+// Guards against the same start behind a leader that was deposed and elected
+// again while the agent stood still, on the same connection.
+TEST_F(Node, SendsNoKeptStartOfAnEarlierEpoch)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 1000);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    grant(heartbeat_us, 0, {{"j.0.0.1", 1}});
+    clock.leap_ms = 3000;
+    run_ms(300);
+    ASSERT_EQ(executor.starts.count("j.0.0.1"), 0U);
+    epoch++;
+    grant(heartbeat_us, 1000);
+    run_ms(300);
+    EXPECT_EQ(executor.starts.count("j.0.0.1"), 0U);
+    grant(heartbeat_us, 1000, {{"j.0.0.1", 1}});
+    EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
+}
+
 // Guards against tasks that wait longer for an executor that was lost, as its
 // agent has extended the lease while it did not answer any more.
 TEST_F(Node, CountsALeaseFromTheLastAnswerAtMost)
