Send a repeated stop with the lease, not after the next write

A stop that a leader repeats, as its agent has a new connection, was staged like a new decision, so it waited for a pending write and its own turn behind it. The lease for the same agent went out at once. An agent that had kept or was about to repeat the start of such a run could start it on that lease, 4 to 500 ms before the stop, and for the length of an outage of the store longer, though the job's cancelling had been answered.

The order is stored already unless its job has a change to write, so it is sent with the next message to the agent.

Before: GrantsNoLeaseBeforeTheStopsThatItRepeats fails (a lease without a stop).

--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -418,6 +418,21 @@
     }
 }
 
+/* An order whose job has no change to write is sent with the next message, so
+   that a lease does not go out before a stop. */
+static void
+add_repeated_order(sched_t *sched, sched_task_t *task)
+{
+    const sched_job_t *job = sched_task_get_job(task);
+
+    if (!list_is_empty(&job->dirty_link) || job->write_pending) {
+        sched_stage_order(sched, task);
+        return;
+    }
+    list_remove(&task->order_link);
+    list_append(&task->executor->orders, &task->order_link);
+}
+
 static void
 repeat_order(sched_t *sched, sched_task_t *task)
 {
@@ -427,7 +442,7 @@
     event_log(EVENT_ORDER_REPEATED, "order=%s task=%s run=%u executor=%s",
               task->phase == SCHED_TASK_STOPPING ? "stop" : "start", name,
               task->run, task->executor->key);
-    sched_stage_order(sched, task);
+    add_repeated_order(sched, task);
 }
 
 static run_view_decision_t
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -30,7 +30,13 @@
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
     uint64_t calls = 0;
     uint64_t epoch = 0; /* of the leader */
+    bool alone = false; /* no other scheduler is known */
 
+    int64_t
+    now_ms()
+    {
+        return (int64_t)timespec_to_ms(clock_get_monotonic(clock));
+    }
     void
     start()
     {
@@ -44,7 +50,12 @@
         opts.retain_ms = 60000;
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
-        opts.get_acked_ms = [](void *) { return (int64_t)0; };
+        opts.get_acked_ms = [](void *data) {
+            auto *self = static_cast<Leader *>(data);
+
+            return self->alone ? self->now_ms() : (int64_t)0;
+        };
+        opts.data = this;
         opts.request_acks = [](void *) {};
         opts.on_store_change = [](bool, void *) {};
         opts.on_fenced = [](const char *, void *) {};
@@ -126,6 +137,8 @@
     peer_t *agent = nullptr;
     peer_t *leader = nullptr;     /* its end of the connection */
     std::vector<uint32_t> leases; /* of the orders received, in ms */
+    std::vector<size_t> starts;   /* number of starts, of each message */
+    std::vector<size_t> stops;    /* number of stops, of each message */
 
     Agent(Leader *test) : test(test)
     {
@@ -156,14 +169,26 @@
     static void
     on_orders(peer_t *peer, const Teasel__Envelope *message, void *data)
     {
-        static_cast<Agent *>(data)->leases.push_back(
-            message->node_orders->lease_ms);
+        auto *self = static_cast<Agent *>(data);
+        const Teasel__NodeOrders *orders = message->node_orders;
+        size_t starts = 0;
+        size_t stops = 0;
+
+        for (size_t i = 0; i < orders->n_executors; i++) {
+            starts += orders->executors[i]->n_starts;
+            stops += orders->executors[i]->n_stops;
+        }
+        self->starts.push_back(starts);
+        self->stops.push_back(stops);
+        self->leases.push_back(orders->lease_ms);
     }
     static void
     on_close(peer_t *peer, const char *reason, void *data)
     {
         ADD_FAILURE() << reason;
     }
+    uint64_t sent_us = 0;
+    std::vector<Teasel__ExecutorReport *> executors;
     /* Sends a report; returns the lease that the leader grants. */
     uint32_t
     report()
@@ -171,7 +196,9 @@
         Teasel__NodeReport report = TEASEL__NODE_REPORT__INIT;
         size_t before = leases.size();
 
-        report.sent_us = 1;
+        report.sent_us = ++sent_us;
+        report.n_executors = executors.size();
+        report.executors = executors.data();
         leader_handle_report(test->leader, leader, "node", &report);
         g_assert(loop_wait(test->loop, DONE_MS,
                            [&] { return leases.size() > before; }));
@@ -325,4 +352,60 @@
     EXPECT_EQ(submit("other", {{}}), JOB_OUTCOME_DONE);
 }
 
+// Guards against a task of a cancelled job that starts on the lease of a later
+// leader: its agent kept the start of the earlier one, and gets the lease
+// before the stop.
+TEST_F(Leader, GrantsNoLeaseBeforeTheStopsThatItRepeats)
+{
+    Teasel__Capacity capacity = TEASEL__CAPACITY__INIT;
+    Teasel__ExecutorReport executor = TEASEL__EXECUTOR_REPORT__INIT;
+    Teasel__RunStatus status = TEASEL__RUN_STATUS__INIT;
+    Teasel__RunStatus *running[] = {&status};
+
+    capacity.cpu_milli = 100000;
+    capacity.memory_mb = 100000;
+    executor.key = const_cast<char *>("127.0.0.1:1/e/1");
+    executor.service = const_cast<char *>("service");
+    executor.data_centre = const_cast<char *>("dc");
+    executor.rack = const_cast<char *>("r");
+    executor.capacity = &capacity;
+    executor.listed = true;
+    start();
+    {
+        Agent agent(this);
+        agent.executors = {&executor};
+        agent.report();
+        ASSERT_EQ(submit("j", {{.long_running = true}}), JOB_OUTCOME_DONE);
+        ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] {
+            return !agent.starts.empty() && agent.starts.back() == 1;
+        }));
+    }
+    leader_free(leader);
+    loop_run_ms(loop, 50);
+    start();
+    ASSERT_EQ(call(JOB_VERB_CANCEL, "j", nullptr), JOB_OUTCOME_DONE);
+    loop_run_ms(loop, 100);
+    Agent agent(this);
+    status.task = const_cast<char *>("j.0.0.0");
+    status.run = 1;
+    status.pending = true;
+    executor.n_running = 1;
+    executor.running = running;
+    agent.executors = {&executor};
+    view.hold = true; /* the store takes its time with another job */
+    Teasel__JobSpec *spec = make_spec("other", {{}});
+    Teasel__JobCall submission = TEASEL__JOB_CALL__INIT;
+    submission.call_id = ++calls;
+    submission.id = spec->id;
+    submission.spec = spec;
+    leader_handle_call(leader, &submission, on_answer, this);
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return !view.calls.empty(); }));
+    EXPECT_GT(agent.report(), 0U);
+    EXPECT_EQ(agent.stops.back(), 1U);
+    view.release();
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return agent.stops.back() == 1; }));
+    teasel__job_spec__free_unpacked(spec, nullptr);
+}
+
 } // namespace
