Remove cancelled ids that have expired behind one of a clock that was ahead

The search for expired records of cancelled ids ended at the first one that had not expired. A leader whose wall clock was an hour ahead, or a later leader, which loads them by key, kept all those behind it for that hour; at 16384 ids further cancellings of unknown jobs are refused. All records are looked at now, once the first of them is due.

Before: RemovesRecordsBehindOneOfAClockThatWasAhead fails. After: the five tests of cancelled_ids pass.

--- a/libteasel/scheduler/cancelled_ids.c
+++ b/libteasel/scheduler/cancelled_ids.c
@@ -14,16 +14,15 @@
 
 /* Where the newest value of a record is. */
 typedef enum record_state {
-    RECORD_CHANGED, /* only in memory */
-    RECORD_IN_WRITE,
-    RECORD_STORED,
-    RECORD_REMOVED, /* its removal is in the pending write */
+    CANCELLED_CHANGED, /* only in memory */
+    CANCELLED_IN_WRITE,
+    CANCELLED_STORED,
+    CANCELLED_REMOVED, /* its removal is in the pending write */
 } record_state_t;
 
 /**
  * struct cancelled_id - a cancelled id
- * @link: in the list of its state; the list of stored ids is roughly in the
- *     order of @cancelled_ms
+ * @link: in the list of its state
  * @cancelled_ms: wall clock
  */
 typedef struct cancelled_id {
@@ -35,6 +34,7 @@
 
 struct cancelled_ids {
     int64_t retain_ms;
+    int64_t expiry_ms; /* no stored id expires before it */
     GHashTable *by_id; /* id -> cancelled_id_t */
     list_t changed;
     list_t in_write; /* also those that are being removed */
@@ -57,6 +57,7 @@
     cancelled_ids_t *ids = g_new0(cancelled_ids_t, 1);
 
     ids->retain_ms = retain_ms;
+    ids->expiry_ms = INT64_MAX;
     ids->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_id);
     list_init(&ids->changed);
     list_init(&ids->in_write);
@@ -79,14 +80,23 @@
     cancelled->state = state;
 }
 
+static void
+mark_stored(cancelled_ids_t *ids, cancelled_id_t *cancelled)
+{
+    move(cancelled, CANCELLED_STORED, &ids->stored);
+    ids->expiry_ms =
+        MIN(ids->expiry_ms, cancelled->cancelled_ms + ids->retain_ms);
+}
+
 static cancelled_id_t *
-add(cancelled_ids_t *ids, const char *id, record_state_t state, list_t *list)
+add(cancelled_ids_t *ids, const char *id, int64_t cancelled_ms)
 {
     cancelled_id_t *cancelled = g_new0(cancelled_id_t, 1);
 
     cancelled->id = g_strdup(id);
-    cancelled->state = state;
-    list_append(list, &cancelled->link);
+    cancelled->cancelled_ms = cancelled_ms;
+    cancelled->state = CANCELLED_CHANGED;
+    list_append(&ids->changed, &cancelled->link);
     g_hash_table_insert(ids->by_id, cancelled->id, cancelled);
     return cancelled;
 }
@@ -100,12 +110,11 @@
         return false;
     }
     if (cancelled == NULL) {
-        cancelled = add(ids, id, RECORD_CHANGED, &ids->changed);
-    }
-    else {
-        move(cancelled, RECORD_CHANGED, &ids->changed);
+        add(ids, id, now_ms);
+        return true;
     }
     cancelled->cancelled_ms = now_ms;
+    move(cancelled, CANCELLED_CHANGED, &ids->changed);
     return true;
 }
 
@@ -120,8 +129,7 @@
         return false;
     }
     if (!cancelled_ids_contains(ids, id)) {
-        add(ids, id, RECORD_STORED, &ids->stored)->cancelled_ms =
-            value->cancelled_ms;
+        mark_stored(ids, add(ids, id, value->cancelled_ms));
     }
     teasel__cancelled_record__free_unpacked(value, NULL);
     return true;
@@ -138,7 +146,7 @@
 {
     const cancelled_id_t *cancelled = g_hash_table_lookup(ids->by_id, id);
 
-    return cancelled != NULL && cancelled->state == RECORD_STORED;
+    return cancelled != NULL && cancelled->state == CANCELLED_STORED;
 }
 
 static void
@@ -164,16 +172,8 @@
     return value;
 }
 
-static bool
-has_expired(const cancelled_ids_t *ids, const cancelled_id_t *cancelled,
-            int64_t now_ms)
-{
-    return now_ms - cancelled->cancelled_ms >= ids->retain_ms;
-}
-
-void
-cancelled_ids_take_changes(cancelled_ids_t *ids, int64_t now_ms,
-                           GPtrArray *changes)
+static void
+take_changed(cancelled_ids_t *ids, GPtrArray *changes)
 {
     unsigned count = 0;
 
@@ -182,27 +182,54 @@
             return;
         }
         add_change(changes, cancelled, pack(cancelled));
-        move(cancelled, RECORD_IN_WRITE, &ids->in_write);
+        move(cancelled, CANCELLED_IN_WRITE, &ids->in_write);
+    }
+}
+
+/* The stored ids are in no order of time: they are loaded by key, and their
+   times are of several leaders, whose clocks differ. */
+static void
+take_expired(cancelled_ids_t *ids, int64_t now_ms, GPtrArray *changes)
+{
+    int64_t next_ms = INT64_MAX;
+    unsigned count = 0;
+
+    if (now_ms < ids->expiry_ms) {
+        return;
     }
     LIST_FOREACH_SAFE (cancelled, &ids->stored, cancelled_id_t, link) {
-        if (count++ >= MAX_RECORDS_PER_WRITE ||
-            !has_expired(ids, cancelled, now_ms)) {
+        int64_t expiry_ms = cancelled->cancelled_ms + ids->retain_ms;
+
+        if (now_ms < expiry_ms) {
+            next_ms = MIN(next_ms, expiry_ms);
+            continue;
+        }
+        if (count++ >= MAX_RECORDS_PER_WRITE) {
             return;
         }
         add_change(changes, cancelled, NULL);
-        move(cancelled, RECORD_REMOVED, &ids->in_write);
+        move(cancelled, CANCELLED_REMOVED, &ids->in_write);
     }
+    ids->expiry_ms = next_ms;
+}
+
+void
+cancelled_ids_take_changes(cancelled_ids_t *ids, int64_t now_ms,
+                           GPtrArray *changes)
+{
+    take_changed(ids, changes);
+    take_expired(ids, now_ms, changes);
 }
 
 void
 cancelled_ids_commit(cancelled_ids_t *ids)
 {
     LIST_FOREACH_SAFE (cancelled, &ids->in_write, cancelled_id_t, link) {
-        if (cancelled->state == RECORD_REMOVED) {
+        if (cancelled->state == CANCELLED_REMOVED) {
             g_hash_table_remove(ids->by_id, cancelled->id);
         }
         else {
-            move(cancelled, RECORD_STORED, &ids->stored);
+            mark_stored(ids, cancelled);
         }
     }
 }
--- a/tests/unit/cancelled_ids_test.cc
+++ b/tests/unit/cancelled_ids_test.cc
@@ -134,4 +134,16 @@
     EXPECT_FALSE(cancelled_ids_contains(ids, "y"));
 }
 
+// Guards against records that are retained too long behind one whose leader
+// had a wall clock that was ahead.
+TEST_F(CancelledIds, RemovesRecordsBehindOneOfAClockThatWasAhead)
+{
+    cancelled_ids_add(ids, "ahead", 3600000);
+    write_all(3600000);
+    cancelled_ids_add(ids, "x", 1000);
+    write_all(1000);
+    write_all(1000 + RETAIN_MS);
+    EXPECT_FALSE(cancelled_ids_contains(ids, "x"));
+}
+
 } // namespace
