Let a leader do nothing more once the store has fenced it

Between the answer that fenced it and its release, which follows in the next turn of the loop, a leader could take changes for another write, lose the memory of the ones before, send leases, and refuse calls that its successor has to answer.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -204,6 +204,7 @@
     case STORE_FENCED:
     case STORE_MISORDERED:
         leader->writing = false;
+        leader->stage = LEADER_REPLACED;
         leader->opts.on_fenced(store_status_to_string(status),
                                leader->opts.data);
         return;
@@ -314,6 +315,9 @@
 {
     leader_t *leader = timer->data;
 
+    if (leader->stage == LEADER_REPLACED) {
+        return;
+    }
     if (leader->stage != LEADER_READY) {
         leader_send_orders(leader);
         return;
@@ -342,6 +346,9 @@
 {
     leader_t *leader = timer->data;
 
+    if (leader->stage == LEADER_REPLACED) {
+        return;
+    }
     loop_timer_start(timer, TICK_MS);
     leader_expire_calls(leader);
     if (is_write_pending(leader) &&
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -55,6 +55,7 @@
     LEADER_FENCING, /* sets the epoch in the store */
     LEADER_LOADING, /* reads the stored jobs */
     LEADER_READY,
+    LEADER_REPLACED, /* fenced by a later leader; answers nothing any more */
     LEADER_STOPPED, /* freed when the pending store call returns */
 } leader_stage_t;
 
