Take the lack of other schedulers for no proof of leadership

A leader that knew no other scheduler counted as confirmed by all of them at any time. If a scheduler started and took over while it stood still, it answered a state or 410 from memory when it went on: the answer to an earlier write, read from its socket, made it look for calls that were proven, and found all of them so. After any pause it also granted full leases.

cluster_get_acked_ms() is 0 now if no other scheduler is known. Work still goes on at a lone leader while the store is away, so there it goes on granting leases; a refusal of such a leader is indefinite (504), at once, as is one of a leader with a scheduler that it can't reach.

Attempts of writes that prove leadership are now called so (proof_attempt, proven_attempt).

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -187,11 +187,20 @@
     cluster_send_status(cluster);
 }
 
+bool
+cluster_is_alone(const cluster_t *cluster)
+{
+    return list_is_empty(&cluster->members);
+}
+
 int64_t
 cluster_get_acked_ms(const cluster_t *cluster)
 {
     int64_t oldest_ms = cluster_now_ms(cluster);
 
+    if (cluster_is_alone(cluster)) {
+        return 0;
+    }
     LIST_FOREACH (member, &cluster->members, member_t, link) {
         if (!member->open || member->epoch != cluster->epoch ||
             !member->leader_alive) {
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -118,10 +118,15 @@
  *
  * Return: the earliest of the send times, on the monotonic clock, of the last
  * status that each other scheduler acknowledged; 0 if one of them is
- * disconnected or does not follow this leader.
+ * disconnected or does not follow this leader, or if none is known.
  */
 int64_t cluster_get_acked_ms(const cluster_t *cluster);
 
+/**
+ * cluster_is_alone() - return whether no other scheduler is known
+ */
+bool cluster_is_alone(const cluster_t *cluster);
+
 /**
  * cluster_request_acks() - ask all other schedulers to confirm that they
  * follow this leader
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -137,7 +137,7 @@
     int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
 
     leader->confirmed_ms = leader->proof_sent_ms;
-    leader->proven = leader->proof;
+    leader->proven_attempt = leader->proof_attempt;
     leader->write_latency_ms +=
         LATENCY_WEIGHT *
         ((double)(leader_now_ms(leader) - leader->write_sent_ms) -
@@ -259,7 +259,7 @@
     /* The store may answer the repeat of an append as it answered the first,
        also after a later leader has begun. */
     if (leader->changes == NULL || leader->write_timeouts == 0) {
-        leader->proof++;
+        leader->proof_attempt++;
         leader->proof_sent_ms = leader->write_sent_ms;
     }
     store_append(leader->opts.store, &append, on_written, leader);
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -33,8 +33,9 @@
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
  * @get_acked_ms: see cluster_get_acked_ms()
+ * @is_alone: whether no other scheduler is known
  * @request_acks: ask the other schedulers to confirm that they follow this
- *     leader; see leader_handle_acks()
+ *     leader; the callee calls leader_answer_proven() when one of them does
  * @on_store_change: writes to the store started to fail, or succeed again
  * @on_fenced: the store rejected a write because of a later leader; the
  *     callee must free the leader, but not inside the callback
@@ -49,6 +50,7 @@
     int64_t stop_ms;
     size_t record_bytes;
     int64_t (*get_acked_ms)(void *data);
+    bool (*is_alone)(void *data);
     void (*request_acks)(void *data);
     void (*on_store_change)(bool available, void *data);
     void (*on_fenced)(const char *reason, void *data);
@@ -77,10 +79,10 @@
                         job_answer_fn answer, void *owner);
 
 /**
- * leader_handle_acks() - answer the calls that are proven by what another
- * scheduler has confirmed
+ * leader_answer_proven() - answer the calls for which there is a proof now
+ * that no other scheduler led when they arrived
  */
-void leader_handle_acks(leader_t *leader);
+void leader_answer_proven(leader_t *leader);
 
 /**
  * leader_drop_calls() - drop the waiting calls of an owner unanswered
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -18,6 +18,12 @@
     RETRY_AFTER_MS = 1000,
 };
 
+static const char *const wait_names[] = {
+    [CALL_WAITS_FOR_JOBS] = "stored jobs",
+    [CALL_WAITS_FOR_PROOF] = "proof of leadership",
+    [CALL_WAITS_FOR_WRITE] = "write",
+};
+
 /**
  * struct request - call that is being handled
  * @proven: no other scheduler led when the call arrived
@@ -101,7 +107,7 @@
     waiting->call_id = call->call_id;
     waiting->verb = (job_verb_t)call->verb;
     waiting->job_id = g_strdup(call->id);
-    waiting->proof = leader->proof + 1;
+    waiting->needed_attempt = leader->proof_attempt + 1;
     waiting->received_ms = leader_now_ms(leader);
     waiting->answer = request->answer;
     waiting->owner = request->owner;
@@ -155,17 +161,49 @@
     answer_request(request, JOB_OUTCOME_REFUSED);
 }
 
+/* While writes fail, only confirmations of all other schedulers are a proof.
+ */
+static bool
+can_be_proven(const leader_t *leader)
+{
+    return !leader->writes_failing ||
+           leader->opts.get_acked_ms(leader->opts.data) != 0;
+}
+
+static void
+log_unproven(leader_t *leader, const request_t *request, const char *reason)
+{
+    leader->unproven++;
+    event_log(EVENT_CALL_UNANSWERED,
+              "job=%s verb=%u waited_ms=0 outcome=unknown reason=\"%s, and "
+              "another scheduler may lead\"",
+              request->call->id, request->call->verb, reason);
+}
+
+/* A successor may have accepted the job, so a refusal needs a proof. */
+static void
+refuse_if_proven(leader_t *leader, const request_t *request,
+                 const char *reason)
+{
+    if (request->proven) {
+        refuse(leader, request, reason);
+    }
+    else if (can_be_proven(leader)) {
+        await_proof(leader, request);
+    }
+    else {
+        log_unproven(leader, request, reason);
+        answer_request(request, JOB_OUTCOME_UNKNOWN);
+    }
+}
+
 static void
 submit_new(leader_t *leader, const request_t *request)
 {
     const char *refusal = get_refusal(leader, request->call->id);
 
-    if (refusal != NULL && request->proven) {
-        refuse(leader, request, refusal);
-        return;
-    }
     if (refusal != NULL) {
-        await_proof(leader, request);
+        refuse_if_proven(leader, request, refusal);
         return;
     }
     sched_submit(leader->sched, message_copy(&request->call->spec->base));
@@ -350,7 +388,7 @@
 {
     LIST_FOREACH (waiting, &leader->waiting, waiting_call_t, link) {
         if (waiting->wait == CALL_WAITS_FOR_PROOF &&
-            waiting->proof > leader->proof) {
+            waiting->needed_attempt > leader->proof_attempt) {
             return true;
         }
     }
@@ -362,7 +400,8 @@
 is_proven(const leader_t *leader, const waiting_call_t *waiting,
           int64_t acked_ms)
 {
-    return waiting->proof <= leader->proven || waiting->received_ms < acked_ms;
+    return waiting->needed_attempt <= leader->proven_attempt ||
+           waiting->received_ms < acked_ms;
 }
 
 void
@@ -382,12 +421,6 @@
     }
 }
 
-void
-leader_handle_acks(leader_t *leader)
-{
-    leader_answer_proven(leader);
-}
-
 /* Returns the outcome of a call that waited for a write, or
    JOB_OUTCOME_UNKNOWN if its effect is not stored yet. */
 static job_outcome_t
@@ -469,12 +502,6 @@
     return MAX_STORE_WAIT_MS;
 }
 
-static const char *const wait_names[] = {
-    [CALL_WAITS_FOR_JOBS] = "stored jobs",
-    [CALL_WAITS_FOR_PROOF] = "proof of leadership",
-    [CALL_WAITS_FOR_WRITE] = "write",
-};
-
 void
 leader_expire_calls(leader_t *leader)
 {
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -36,7 +36,8 @@
 /**
  * struct waiting_call - call that cannot be answered yet
  * @call: NULL if it waits for a write
- * @proof: number of the first write that was sent after the call arrived
+ * @needed_attempt: number of the first attempt of a write that was made after
+ *     the call arrived
  */
 typedef struct waiting_call {
     list_t link;
@@ -45,7 +46,7 @@
     job_verb_t verb;
     char *job_id;
     Teasel__JobCall *call;
-    uint64_t proof;
+    uint64_t needed_attempt;
     int64_t received_ms;
     job_answer_fn answer;
     void *owner;
@@ -56,7 +57,7 @@
     LEADER_LOADING, /* reads the stored jobs */
     LEADER_READY,
     LEADER_REPLACED, /* fenced by a later leader; answers nothing any more */
-    LEADER_STOPPED, /* freed when the pending store call returns */
+    LEADER_STOPPED,  /* freed when the pending store call returns */
 } leader_stage_t;
 
 struct leader {
@@ -81,11 +82,11 @@
     int64_t write_sent_ms;   /* last attempt */
     unsigned write_timeouts; /* unanswered attempts of the pending write */
     double write_latency_ms; /* moving average */
-    uint64_t proof;          /* number of the newest attempt of a write whose
+    uint64_t proof_attempt;  /* number of the newest attempt of a write whose
                                 success proves that no later leader led then */
-    uint64_t proven;         /* newest number that succeeded */
-    int64_t proof_sent_ms;   /* of @proof */
-    int64_t confirmed_ms;    /* proof_sent_ms of @proven */
+    int64_t proof_sent_ms;   /* when it was made */
+    uint64_t proven_attempt; /* number of the newest one that succeeded */
+    int64_t confirmed_ms;    /* when that one was made */
     bool writes_failing;
     int64_t load_logged_ms;
 
@@ -128,10 +129,6 @@
  */
 void leader_seek_proof(leader_t *leader);
 
-/**
- * leader_answer_proven() - handle the calls for which there is a proof now
- */
-void leader_answer_proven(leader_t *leader);
 bool leader_has_unproven_calls(const leader_t *leader);
 
 /**
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -91,10 +91,14 @@
 
 /* Returns the lease counted from the last time at which this leader is known
    to have been the only one. A later leader waits for the longest lease before
-   it treats an executor as lost. */
+   it treats an executor as lost. While the store is away, work goes on at a
+   leader that knows no other scheduler. */
 static int64_t
 get_lease_ms(const leader_t *leader)
 {
+    if (leader->writes_failing && leader->opts.is_alone(leader->opts.data)) {
+        return leader->opts.lease_ms;
+    }
     return MAX(0, leader->opts.lease_ms - leader_get_proof_age_ms(leader));
 }
 
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -43,6 +43,14 @@
     return cluster_get_acked_ms(scheduler->cluster);
 }
 
+static bool
+is_alone(void *data)
+{
+    const scheduler_t *scheduler = data;
+
+    return cluster_is_alone(scheduler->cluster);
+}
+
 static void
 request_acks(void *data)
 {
@@ -93,6 +101,7 @@
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
         .get_acked_ms = get_acked_ms,
+        .is_alone = is_alone,
         .request_acks = request_acks,
         .on_store_change = on_store_change,
         .on_fenced = on_fenced,
@@ -131,7 +140,7 @@
     scheduler_t *scheduler = data;
 
     if (scheduler->leader != NULL) {
-        leader_handle_acks(scheduler->leader);
+        leader_answer_proven(scheduler->leader);
     }
 }
 
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -300,6 +300,32 @@
     }));
 }
 
+// Guards against a leader that takes older acknowledgements, or the lack of
+// other schedulers, for a confirmation.
+TEST(Cluster, CountsAcknowledgementsOfAllOtherSchedulers)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI});
+
+    ASSERT_TRUE(schedulers.wait([&] {
+        return schedulers.leader() >= 0 &&
+               schedulers.all_follow(schedulers.leader());
+    }));
+    auto leader = (size_t)schedulers.leader();
+    cluster_t *cluster = schedulers.processes[leader]->cluster;
+    ASSERT_TRUE(
+        schedulers.wait([&] { return cluster_get_acked_ms(cluster) > 0; }));
+    EXPECT_FALSE(cluster_is_alone(cluster));
+    schedulers.run_ms(5);
+    int64_t asked_ms = cluster_now_ms(cluster);
+    EXPECT_LT(cluster_get_acked_ms(cluster), asked_ms);
+    cluster_request_acks(cluster);
+    EXPECT_TRUE(schedulers.wait(
+        [&] { return cluster_get_acked_ms(cluster) >= asked_ms; }));
+    cluster_leave(schedulers.processes[1 - leader]->cluster);
+    ASSERT_TRUE(schedulers.wait([&] { return cluster_is_alone(cluster); }));
+    EXPECT_EQ(cluster_get_acked_ms(cluster), 0);
+}
+
 // Guards against a scheduler that others cannot find, because the removal by
 // its predecessor took effect after its registration.
 TEST(Cluster, RegistersAgainAfterALateRemoval)
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -29,8 +29,10 @@
     leader_t *leader = nullptr;
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
     uint64_t calls = 0;
-    uint64_t epoch = 0; /* of the leader */
-    bool alone = false; /* no other scheduler is known */
+    uint64_t epoch = 0;   /* of the leader */
+    bool alone = false;   /* no other scheduler is known */
+    int64_t acked_ms = 0; /* send time of what all others acknowledged */
+    int asked = 0;        /* requests for acknowledgements */
 
     int64_t
     now_ms()
@@ -39,6 +41,13 @@
     }
     void
     start()
+    {
+        begin();
+        ASSERT_TRUE(
+            loop_wait(loop, 2000, [&] { return leader_is_ready(leader); }));
+    }
+    void
+    begin()
     {
         leader_opts_t opts = {};
 
@@ -51,17 +60,18 @@
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
         opts.get_acked_ms = [](void *data) {
-            auto *self = static_cast<Leader *>(data);
-
-            return self->alone ? self->now_ms() : (int64_t)0;
+            return static_cast<Leader *>(data)->acked_ms;
+        };
+        opts.is_alone = [](void *data) {
+            return static_cast<Leader *>(data)->alone;
+        };
+        opts.request_acks = [](void *data) {
+            static_cast<Leader *>(data)->asked++;
         };
         opts.data = this;
-        opts.request_acks = [](void *) {};
         opts.on_store_change = [](bool, void *) {};
         opts.on_fenced = [](const char *, void *) {};
         leader = leader_new(&opts);
-        ASSERT_TRUE(
-            loop_wait(loop, 2000, [&] { return leader_is_ready(leader); }));
     }
     void
     TearDown() override
@@ -96,23 +106,59 @@
             &done);
         ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return done; }));
     }
-    /* Returns the outcome of a call, or JOB_OUTCOME_UNKNOWN without one. */
-    job_outcome_t
-    call(job_verb_t verb, const std::string &id, Teasel__JobSpec *spec)
+    /* Sends a call; returns its number. */
+    uint64_t
+    send(job_verb_t verb, const std::string &id,
+         Teasel__JobSpec *spec = nullptr)
     {
         Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
-        uint64_t number = ++calls;
 
-        call.call_id = number;
+        call.call_id = ++calls;
         call.verb = verb;
         call.id = const_cast<char *>(id.c_str());
+        call.queue = const_cast<char *>("queue");
         call.spec = spec;
         leader_handle_call(leader, &call, on_answer, this);
-        if (!loop_wait(loop, DONE_MS,
-                       [&] { return outcomes.count(number) != 0; })) {
-            return JOB_OUTCOME_UNKNOWN;
-        }
-        return outcomes[number];
+        return call.call_id;
+    }
+    uint64_t
+    send_submission(const std::string &id)
+    {
+        Teasel__JobSpec *spec = make_spec(id, {{}});
+        uint64_t number = send(JOB_VERB_SUBMIT, id, spec);
+
+        teasel__job_spec__free_unpacked(spec, nullptr);
+        return number;
+    }
+    bool
+    is_answered(uint64_t number, int64_t within_ms = DONE_MS)
+    {
+        return loop_wait(loop, within_ms,
+                         [&] { return outcomes.count(number) != 0; });
+    }
+    /* Returns the outcome of a call, or JOB_OUTCOME_UNKNOWN without one. */
+    job_outcome_t
+    call(job_verb_t verb, const std::string &id, Teasel__JobSpec *spec)
+    {
+        uint64_t number = send(verb, id, spec);
+
+        return is_answered(number) ? outcomes[number] : JOB_OUTCOME_UNKNOWN;
+    }
+    /* Begins a write whose answer is held back. */
+    void
+    hold_write()
+    {
+        view.hold = true;
+        send_submission("held");
+        ASSERT_TRUE(
+            loop_wait(loop, DONE_MS, [&] { return !view.calls.empty(); }));
+    }
+    void
+    lose_store()
+    {
+        view.refuse = true;
+        ASSERT_TRUE(
+            loop_wait(loop, 3000, [&] { return leader->writes_failing; }));
     }
     job_outcome_t
     submit(const std::string &id, const std::vector<Step> &steps,
@@ -352,6 +398,147 @@
     EXPECT_EQ(submit("other", {{}}), JOB_OUTCOME_DONE);
 }
 
+// Guards against a state from the memory of a leader that was replaced by a
+// scheduler which started while it stood still: it knew no other scheduler,
+// and the answer to an earlier write lay in its socket.
+TEST_F(Leader, TakesTheLackOfOtherSchedulersForNoProof)
+{
+    start();
+    alone = true;
+    hold_write();
+    replace();
+    uint64_t number = send(JOB_VERB_GET, "x");
+    loop_run_ms(loop, 5);
+    view.release();
+    EXPECT_TRUE(is_answered(1));
+    EXPECT_FALSE(is_answered(number));
+}
+
+// Guards against a state that is proven by a write sent before the question.
+TEST_F(Leader, TakesNoProofFromAWriteSentBeforeTheCall)
+{
+    start();
+    hold_write();
+    replace();
+    uint64_t number = send(JOB_VERB_GET, "x");
+    view.release();
+    EXPECT_TRUE(is_answered(1));
+    EXPECT_FALSE(is_answered(number));
+}
+
+// Guards against a state from the memory of a leader that was replaced while
+// it loaded the jobs.
+TEST_F(Leader, TakesNoProofFromItsElection)
+{
+    begin();
+    view.refuse = true; /* the listing, not the write that was sent */
+    ASSERT_TRUE(loop_wait(loop, DONE_MS,
+                          [&] { return leader->stage == LEADER_LOADING; }));
+    uint64_t number = send(JOB_VERB_GET, "x");
+    replace();
+    view.refuse = false;
+    EXPECT_FALSE(is_answered(number));
+}
+
+// Guards against counts and states that are never answered.
+TEST_F(Leader, AnswersFromMemoryWhileItLeads)
+{
+    start();
+    EXPECT_EQ(submit("j", {{}}), JOB_OUTCOME_DONE);
+    EXPECT_EQ(call(JOB_VERB_GET, "j", nullptr), JOB_OUTCOME_DONE);
+    EXPECT_EQ(call(JOB_VERB_GET, "x", nullptr), JOB_OUTCOME_NOT_FOUND);
+    EXPECT_EQ(call(JOB_VERB_COUNT_PENDING, "", nullptr), JOB_OUTCOME_DONE);
+}
+
+// Guards against refusals that are late or indefinite while the store is away,
+// although all other schedulers confirm the leader.
+TEST_F(Leader, RefusesWhileTheStoreIsAwayOnceTheOthersConfirm)
+{
+    enum {
+        SOON_MS = 100
+    };
+
+    start();
+    acked_ms = now_ms();
+    lose_store();
+    uint64_t number = send_submission("j");
+    ASSERT_TRUE(loop_wait(loop, SOON_MS, [&] { return asked > 0; }));
+    leader_answer_proven(leader);
+    EXPECT_EQ(outcomes.count(number), 0U);
+    acked_ms = now_ms();
+    leader_answer_proven(leader);
+    EXPECT_EQ(outcomes.count(number), 1U);
+    EXPECT_EQ(outcomes[number], JOB_OUTCOME_REFUSED);
+}
+
+// Guards against a refusal on an acknowledgement of what was sent before the
+// call arrived.
+TEST_F(Leader, TakesNoProofFromAnEarlierAcknowledgement)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    fake_clock_advance_ms(&fake, 2000);
+    view.refuse = true;
+    loop_run_ms(loop, 200);
+    fake_clock_advance_ms(&fake, 2000);
+    ASSERT_TRUE(loop_wait(loop, 3000, [&] { return leader->writes_failing; }));
+    acked_ms = now_ms();
+    uint64_t number = send_submission("j");
+    leader_answer_proven(leader);
+    EXPECT_FALSE(is_answered(number, 100));
+    fake_clock_advance_ms(&fake, 2);
+    acked_ms = now_ms();
+    leader_answer_proven(leader);
+    EXPECT_EQ(outcomes[number], JOB_OUTCOME_REFUSED);
+}
+
+// Guards against callers who wait for a refusal that can't become definite.
+TEST_F(Leader, AnswersAtOnceThatARefusalCannotBeProven)
+{
+    start();
+    lose_store();
+    uint64_t number = send_submission("j");
+    EXPECT_EQ(outcomes.count(number), 1U);
+    EXPECT_EQ(outcomes[number], JOB_OUTCOME_UNKNOWN);
+}
+
+// Guards against a caller who is told that a job never runs, by a leader whose
+// write has had no answer, while its successor has accepted the job.
+TEST_F(Leader, RefusesAWithdrawnSubmissionOnlyWithAProof)
+{
+    enum {
+        EXPIRED_MS = 1500
+    };
+
+    start();
+    hold_write();
+    uint64_t number = send_submission("j");
+    EXPECT_TRUE(is_answered(number, EXPIRED_MS));
+    EXPECT_EQ(outcomes[number], JOB_OUTCOME_UNKNOWN);
+    view.release();
+}
+
+// Guards against a submission without a definite outcome, though no write has
+// included the job and all other schedulers confirm the leader.
+TEST_F(Leader, RefusesAWithdrawnSubmissionWithAProof)
+{
+    enum {
+        EXPIRED_MS = 1500
+    };
+
+    start();
+    hold_write();
+    uint64_t number = send_submission("j");
+    loop_run_ms(loop, 5);
+    acked_ms = now_ms();
+    EXPECT_TRUE(is_answered(number, EXPIRED_MS));
+    EXPECT_EQ(outcomes[number], JOB_OUTCOME_REFUSED);
+    view.release();
+}
+
 // Guards against a task of a cancelled job that starts on the lease of a later
 // leader: its agent kept the start of the earlier one, and gets the lease
 // before the stop.
--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -291,6 +291,7 @@
         opts.record_bytes = store.record_bytes;
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
+        opts.is_alone = [](void *) { return false; };
         opts.request_acks = [](void *) {};
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
