Wait for the answer when the model of a run asks for the state of a job

Cause: a fault of the test. It read the answer to its GET when leader_handle_call() returned, and passed the address of a local variable for it. An answer that came later was not seen, and was written to a stack frame that had gone.

The state now belongs to the job. Each check asks anew, for which the last answer is forgotten, lets 100 ms pass, and takes only the answer to that question; none counts as stuck, as before. What has to hold, for how long and until when is unchanged, so the check is as strict, and now includes that a leader proves itself within 100 ms once the faults have stopped.

--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -175,6 +175,8 @@
     bool accepted = false;
     bool cancelling = false;
     bool cancelled = false; /* the cancellation was answered */
+    uint64_t questions = 0; /* for its state */
+    int state = NOT_KNOWN;  /* answer to the newest question */
 };
 
 struct World {
@@ -253,6 +255,18 @@
         return std::min(static_cast<Leader *>(data)->acked_ms,
                         loop_t::now_ms());
     }
+    /* The others answer after a round trip. */
+    static void
+    request_acks(void *data)
+    {
+        auto *leader = static_cast<Leader *>(data);
+
+        leader->world->loop.call_after(1, [=] {
+            if (leader->leader != nullptr) {
+                leader_handle_acks(leader->leader);
+            }
+        });
+    }
     static void
     on_store_change(bool available, void *data)
     {
@@ -288,6 +302,7 @@
         opts.record_bytes = store.record_bytes;
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
+        opts.request_acks = request_acks;
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
         opts.data = leader.get();
@@ -931,8 +946,11 @@
     static void
     on_state(const Teasel__JobAnswer *answer, void *data)
     {
-        if (answer->outcome == JOB_OUTCOME_DONE) {
-            *static_cast<int *>(data) = (int)answer->state;
+        auto *job = static_cast<Job *>(data);
+
+        if (answer->outcome == JOB_OUTCOME_DONE &&
+            answer->call_id == job->questions) {
+            job->state = (int)answer->state;
         }
     }
     /* A task under which two executors have crashed may be given up. */
@@ -976,23 +994,32 @@
         return state == SCHED_JOB_RUNNING && job.lasting && !job.cancelling &&
                running == 1 && running_well == 1;
     }
-    /* Returns the jobs that are not as they have to be after the faults. */
-    std::vector<std::string>
-    find_stuck()
+    /* A leader may answer later, once it has a proof that it still leads. */
+    void
+    ask_for_states()
     {
-        std::vector<std::string> stuck;
         leader_t *leader = newest_leader().leader;
 
         for (auto &job : jobs) {
             Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
-            int state = NOT_KNOWN;
 
+            job.state = NOT_KNOWN;
             call.verb = JOB_VERB_GET;
             call.id = job.id.data();
+            call.call_id = ++job.questions;
             if (job.accepted && leader != nullptr && leader_is_ready(leader)) {
-                leader_handle_call(leader, &call, on_state, &state);
+                leader_handle_call(leader, &call, on_state, &job);
             }
-            if (!is_as_expected(job, state)) {
+        }
+    }
+    /* Returns the jobs that are not as they have to be after the faults. */
+    std::vector<std::string>
+    find_stuck()
+    {
+        std::vector<std::string> stuck;
+
+        for (auto &job : jobs) {
+            if (!is_as_expected(job, job.state)) {
                 stuck.push_back(job.id);
             }
         }
@@ -1009,6 +1036,7 @@
         while (loop_t::now_ms() < end_ms) {
             std::vector<std::string> stuck;
 
+            ask_for_states();
             loop.run_ms(CHECK_MS);
             stuck = find_stuck();
             if (!stuck.empty()) {
