Stop the later run of a task whose earlier run turns out to be done

Callers saw work that had ended as done being done again, and their next step waiting for it: a run ended as done while its agent was down or its answers were lost, its lease ended, the task was placed again, and only then the end arrived. The leader took no notice of it, but acknowledged it. If the later run was lost as well, or had to be stopped, a third one was started although the work was known to be done.

Cause: an end of an earlier run counted only while its task waited.

Now such an end marks the task (done_before) and stops the later run; a start that was not sent is dropped. Whichever way the later run ends then, the task is done, and only then does the next step begin, so that two runs never overlap, resources stay counted, and no step starts beside the old one. The members of a gang end as done together, so they are stopped together: one that was stopped alone would leave the others waiting for it. Neither failures nor crashes of the run that is being stopped count. Tasks that last are excepted, as before, and with them MaxUnavailable.

The mark is stored, as the end is acknowledged with the same write: TaskRecord.stopping becomes a number with the value 2, which earlier versions read as true; records get no longer. A field of its own made the largest job too large (TheLargestJobFitsIntoARecord).

--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -75,6 +75,8 @@
  * @unconfirmed_crashes: the same for runs whose start was not confirmed, and
  *     which may not have begun
  * @crashed_run: newest run that is included in one of the two
+ * @done_before: an earlier run has ended as done, and the latest one is being
+ *     stopped
  * @start_sent: the start was handed to the executor's agent, perhaps by an
  *     earlier leader
  * @on_trial: the run may crash its executor, and starts there alone
@@ -111,6 +113,7 @@
     sched_executor_t *executor;
     char *checkpoint;
     bool start_sent;
+    bool done_before;
     bool on_trial;
     bool settled;
     uint64_t report;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -20,6 +20,13 @@
     PLACES_SHARE = 4,
 };
 
+/* Values of TaskRecord.stopping. */
+enum {
+    NOT_STOPPING,
+    STOPPING,
+    STOPPING_AS_DONE_BEFORE,
+};
+
 /* Keys of the executors that the tasks of a job are assigned to. */
 typedef struct executor_table {
     GPtrArray *keys;
@@ -51,6 +58,15 @@
     return task->phase <= SCHED_TASK_FAILED ? task->phase : SCHED_TASK_PLACED;
 }
 
+static uint32_t
+stored_stopping(const sched_task_t *task)
+{
+    if (task->phase != SCHED_TASK_STOPPING) {
+        return NOT_STOPPING;
+    }
+    return task->done_before ? STOPPING_AS_DONE_BEFORE : STOPPING;
+}
+
 static void
 fill_task(Teasel__TaskRecord *record, const sched_task_t *task,
           executor_table_t *executors)
@@ -62,7 +78,7 @@
     record->crashes = task->crashes;
     record->unconfirmed_crashes = task->unconfirmed_crashes;
     record->crashed_run = task->crashed_run;
-    record->stopping = task->phase == SCHED_TASK_STOPPING;
+    record->stopping = stored_stopping(task);
     record->place = add_executor(executors, task->executor);
 }
 
@@ -232,7 +248,8 @@
            task->place <= record->n_places && task->run <= MAX_COUNT &&
            task->failures <= MAX_COUNT && task->crashes <= MAX_COUNT &&
            task->unconfirmed_crashes <= MAX_COUNT &&
-           task->crashed_run <= task->run;
+           task->crashed_run <= task->run &&
+           task->stopping <= STOPPING_AS_DONE_BEFORE;
 }
 
 static bool
@@ -339,6 +356,7 @@
     task->crashes = record->crashes;
     task->unconfirmed_crashes = record->unconfirmed_crashes;
     task->crashed_run = record->crashed_run;
+    task->done_before = record->stopping == STOPPING_AS_DONE_BEFORE;
     if (record->checkpoint[0] != '\0') {
         task->checkpoint = g_strdup(record->checkpoint);
     }
@@ -352,7 +370,8 @@
         record->place <= executors->len) {
         task->start_sent = true;
         task->on_trial = sched_task_needs_trial(task);
-        if (record->stopping || sched_job_is_final(sched_task_get_job(task))) {
+        if (record->stopping != NOT_STOPPING ||
+            sched_job_is_final(sched_task_get_job(task))) {
             task->phase = SCHED_TASK_STOPPING;
         }
         sched_executor_attach(g_ptr_array_index(executors, record->place - 1),
--- a/libteasel/sched/run_view.c
+++ b/libteasel/sched/run_view.c
@@ -94,7 +94,8 @@
     if (view.job_final) {
         return enter(view, SCHED_TASK_WAITING, RUN_VIEW_FORGET);
     }
-    if (!view.long_running && (how == SCHED_END_DONE || view.gang_done)) {
+    if (!view.long_running &&
+        (how == SCHED_END_DONE || view.gang_done || view.done_before)) {
         return enter(view, SCHED_TASK_DONE, RUN_VIEW_FINISH);
     }
     if (how == SCHED_END_FAILED || how == SCHED_END_DONE) {
@@ -112,17 +113,31 @@
     return decision;
 }
 
+static bool
+is_placed(sched_task_phase_t phase)
+{
+    return phase == SCHED_TASK_PLACED || phase == SCHED_TASK_RUNNING ||
+           phase == SCHED_TASK_STOPPING;
+}
+
 /* The lease of a run may have ended after its work was done, and before the
-   leader heard of it. */
+   leader heard of it. A later run is stopped first, as two runs may not
+   overlap, and the next step has to find nothing of this one at work. */
 static run_view_decision_t
 on_other_end(run_view_t view, run_view_event_t event)
 {
-    if (!view.known || event.how != SCHED_END_DONE ||
-        view.phase != SCHED_TASK_WAITING || event.run > view.run ||
-        view.long_running || view.job_final) {
+    if (!view.known || event.how != SCHED_END_DONE || view.long_running ||
+        view.job_final) {
         return keep(view);
     }
-    return enter(view, SCHED_TASK_DONE, RUN_VIEW_TAKE_LATE_END);
+    if (view.phase == SCHED_TASK_WAITING && event.run <= view.run) {
+        return enter(view, SCHED_TASK_DONE, RUN_VIEW_TAKE_LATE_END);
+    }
+    if (is_placed(view.phase) && event.run < view.run) {
+        view.done_before = true;
+        return act(view, RUN_VIEW_STOP_LATER);
+    }
+    return keep(view);
 }
 
 static run_view_decision_t
--- a/libteasel/sched/run_view.h
+++ b/libteasel/sched/run_view.h
@@ -24,6 +24,8 @@
  * @long_running: the task lasts until its job is cancelled
  * @job_final: the job has ended, and nothing of it is placed again
  * @gang_done: the task is member of a gang of which another member is done
+ * @done_before: an earlier run has ended as done, so the task is done once the
+ *     latest one is over
  * @failures: runs that count as attempts, of all members of a gang; only
  *     set for RUN_VIEW_ENDED
  * @max_attempts: number of such runs after which the job fails
@@ -36,6 +38,7 @@
     bool long_running;
     bool job_final;
     bool gang_done;
+    bool done_before;
     uint32_t failures;
     uint32_t max_attempts;
 } run_view_t;
@@ -81,6 +84,7 @@
     RUN_VIEW_MOVE,        /* assign the run to the later incarnation, and stop
                              it there, again if it is being stopped */
     RUN_VIEW_TAKE_LATE_END, /* the task is done by an earlier run */
+    RUN_VIEW_STOP_LATER,    /* the same, but a later run has to be stopped */
 
     /* The run is over. */
     RUN_VIEW_FINISH,  /* the task is done */
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -49,8 +49,8 @@
 is_new_crash(const sched_task_t *task, uint32_t run)
 {
     return !sched_job_is_final(sched_task_get_job(task)) &&
-           task->phase != SCHED_TASK_DONE && run <= task->run &&
-           run > task->crashed_run;
+           task->phase != SCHED_TASK_DONE && !task->done_before &&
+           run <= task->run && run > task->crashed_run;
 }
 
 static bool
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -360,6 +360,32 @@
         sched_executor_remove_orphan(executor, name, run);
 }
 
+/* Stops the run of a task that is done. The members of a gang end as done
+   together, so they are stopped together. May free the occurrence. */
+static void
+stop_later(sched_t *sched, sched_task_t *task)
+{
+    g_autoptr(GPtrArray) placed = g_ptr_array_new();
+    const sched_step_t *step = task->step;
+
+    for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
+        if (step->tasks[i].executor != NULL) {
+            g_ptr_array_add(placed, &step->tasks[i]);
+        }
+    }
+    if (!step->spec->gang) {
+        g_ptr_array_add(placed, task);
+    }
+    for (guint i = 0; i < placed->len; i++) {
+        ((sched_task_t *)g_ptr_array_index(placed, i))->done_before = true;
+    }
+    /* The last one that ends may free the occurrence. */
+    for (guint i = 0; i < placed->len; i++) {
+        sched_stop_task(sched, g_ptr_array_index(placed, i),
+                        "an earlier run is done");
+    }
+}
+
 static void
 take_late_end(sched_t *sched, sched_task_t *task,
               const run_view_decision_t *decision, uint32_t run)
@@ -370,6 +396,10 @@
     event_log(EVENT_LATE_END_TAKEN, "task=%s run=%u latest_run=%u", name, run,
               task->run);
     sched_mark_dirty(sched, sched_task_get_job(task));
+    if (decision->action == RUN_VIEW_STOP_LATER) {
+        stop_later(sched, task);
+        return;
+    }
     sched_task_set_view(task, &decision->view);
     finish_task(sched, task);
 }
@@ -392,7 +422,8 @@
                              (run_view_event_t){.kind = RUN_VIEW_ENDED,
                                                 .run = end->run,
                                                 .how = (sched_end_t)end->how});
-    if (decision.action == RUN_VIEW_TAKE_LATE_END) {
+    if (decision.action == RUN_VIEW_TAKE_LATE_END ||
+        decision.action == RUN_VIEW_STOP_LATER) {
         take_late_end(sched, task, &decision, end->run);
     }
     else if (decision.action != RUN_VIEW_NONE) {
--- a/libteasel/sched/sched_view.c
+++ b/libteasel/sched/sched_view.c
@@ -35,6 +35,7 @@
         .long_running = task->step->spec->long_running,
         .job_final = sched_job_is_final(job),
         .gang_done = sched_step_is_finished_gang(task->step),
+        .done_before = task->done_before,
         .max_attempts = attempts ? attempts : DEFAULT_ATTEMPTS,
     };
 }
@@ -65,4 +66,5 @@
     }
     task->run = view->run;
     task->start_sent = view->start_sent;
+    task->done_before = view->done_before;
 }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1728,7 +1728,7 @@
     "stopping",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Teasel__TaskRecord, stopping),
     NULL,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -138,9 +138,12 @@
   uint32_t failures;
   char *checkpoint;
   /*
-   * a stop was ordered
+   * 1: a stop was ordered; 2: the same, and an earlier
+   */
+  uint32_t stopping;
+  /*
+   * run is done; earlier versions read both as true
    */
-  protobuf_c_boolean stopping;
   /*
    * executors that crashed in a row at its start
    */
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -244,6 +244,123 @@
     EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
 }
 
+/* Loses the agent of a job's first runs on A until they are placed anew on B,
+   with the number 2. */
+void
+place_again(Core &core, const Step &step, bool last_step = false)
+{
+    std::vector<Step> steps{step};
+
+    if (!last_step) {
+        steps.push_back({.after = {0}});
+    }
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", steps));
+    core.run_and_commit();
+    ASSERT_EQ(core.orders(A).starts.size(), step.count);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 10000);
+    core.run_and_commit();
+    connect(core, B, 4000, "other");
+    core.run_and_commit();
+}
+
+/* The end of the first run of a task arrives late. */
+void
+report_late_end(Core &core, const std::string &task)
+{
+    Report late(A);
+
+    late.ends(1, {task, 1}, SCHED_END_DONE);
+    core.report(late);
+    core.run_and_commit();
+}
+
+// Guards against work that is done a second or third time, as its end arrived
+// when the task had been placed again, and against a next step that starts
+// while the later run is at work.
+TEST(Sched, StopsTheLaterRunOfATaskThatIsDone)
+{
+    for (bool replaced : {false, true}) {
+        Core core;
+        Core::Orders orders;
+        Report stopped(B);
+
+        place_again(core, {});
+        ASSERT_EQ(core.orders(B).starts,
+                  (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+        report_late_end(core, "j.0.0.0");
+        if (replaced) {
+            core.restart();
+            connect(core, B, 4000, "other");
+            core.run_and_commit();
+        }
+        orders = core.orders(B);
+        EXPECT_EQ(orders.stops, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+        EXPECT_TRUE(orders.starts.empty());
+        stopped.ends(1, {"j.0.0.0", 2}, SCHED_END_STOPPED);
+        core.report(stopped, "other");
+        core.run_and_commit();
+        orders = core.orders(A);
+        for (auto &run : core.orders(B).starts) {
+            orders.starts.push_back(run);
+        }
+        EXPECT_EQ(orders.starts, (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+    }
+}
+
+// Guards against a start that is sent although the work is done.
+TEST(Sched, SendsNoStartOnceAnEarlierRunIsDone)
+{
+    for (bool gang : {false, true}) {
+        Core core;
+        std::vector<TaskRun> starts;
+
+        place_again(core, {.count = gang ? 2U : 1U, .gang = gang});
+        report_late_end(core, "j.0.0.0");
+        for (auto &key : {A, B}) {
+            for (auto &run : core.orders(key).starts) {
+                starts.push_back(run);
+            }
+        }
+        EXPECT_EQ(starts, (std::vector<TaskRun>{{"j.0.1.0", 1}}));
+    }
+}
+
+// Guards against the same at the end of a job, whose tasks are freed then.
+TEST(Sched, CompletesAJobOnceAnEarlierRunIsDone)
+{
+    for (bool gang : {false, true}) {
+        Core core;
+
+        place_again(core, {.count = gang ? 2U : 1U, .gang = gang}, true);
+        report_late_end(core, "j.0.0.0");
+        EXPECT_EQ(core.visible_state("j"), SCHED_JOB_COMPLETED);
+        EXPECT_TRUE(core.orders(A).starts.empty());
+        EXPECT_TRUE(core.orders(B).starts.empty());
+    }
+}
+
+// Guards against members of a gang that wait for one that is stopped, and
+// against an attempt that is counted for work that is done.
+TEST(Sched, StopsAllMembersOfAGangThatIsDone)
+{
+    Core core;
+    Report ended(B);
+
+    place_again(core, {.count = 2, .gang = true});
+    ASSERT_EQ(core.orders(B).starts.size(), 2U);
+    report_late_end(core, "j.0.0.1");
+    EXPECT_EQ(core.orders(B).stops,
+              (std::vector<TaskRun>{{"j.0.0.0", 2}, {"j.0.0.1", 2}}));
+    ended.ends(1, {"j.0.0.0", 2}, SCHED_END_FAILED)
+        .ends(2, {"j.0.0.1", 2}, SCHED_END_BROKEN);
+    core.report(ended, "other");
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(A).starts.size() + core.orders(B).starts.size(), 1U);
+    EXPECT_EQ(core.visible_state("j"), SCHED_JOB_RUNNING);
+}
+
 // Guards against a run that starts on another executor while the first run may
 // still be active, and against a task that is never restarted.
 TEST(Sched, WaitsForTheLeaseOfALostExecutor)
