--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -40,8 +40,6 @@
        times that of a lease. */
     RECOVERY_MS = 15000,
     CHECK_MS = 100,
-    /* An answer waits for a write of the leader. */
-    ANSWER_MS = 20,
     /* Time for which the state after it has to last; exceeds a lease. */
     LASTING_MS = 2500,
     TRACE_LINES = 150,
@@ -173,11 +171,12 @@
     std::string id;
     std::vector<Step> steps;
     std::vector<std::string> tasks;
-    int state = NOT_KNOWN; /* in the last answer */
     bool lasting = false;
     bool accepted = false;
     bool cancelling = false;
     bool cancelled = false; /* the cancellation was answered */
+    uint64_t questions = 0; /* for its state */
+    int state = NOT_KNOWN;  /* answer to the newest question */
 };
 
 struct World {
@@ -256,6 +255,18 @@
         return std::min(static_cast<Leader *>(data)->acked_ms,
                         loop_t::now_ms());
     }
+    /* The others answer after a round trip. */
+    static void
+    request_acks(void *data)
+    {
+        auto *leader = static_cast<Leader *>(data);
+
+        leader->world->loop.call_after(1, [=] {
+            if (leader->leader != nullptr) {
+                leader_answer_proven(leader->leader);
+            }
+        });
+    }
     static void
     on_store_change(bool available, void *data)
     {
@@ -292,7 +303,7 @@
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
         opts.is_alone = [](void *) { return false; };
-        opts.request_acks = [](void *) {};
+        opts.request_acks = request_acks;
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
         opts.data = leader.get();
@@ -936,8 +947,11 @@
     static void
     on_state(const Teasel__JobAnswer *answer, void *data)
     {
-        if (answer->outcome == JOB_OUTCOME_DONE) {
-            *static_cast<int *>(data) = (int)answer->state;
+        auto *job = static_cast<Job *>(data);
+
+        if (answer->outcome == JOB_OUTCOME_DONE &&
+            answer->call_id == job->questions) {
+            job->state = (int)answer->state;
         }
     }
     /* A task under which two executors have crashed may be given up. */
@@ -981,17 +995,22 @@
         return state == SCHED_JOB_RUNNING && job.lasting && !job.cancelling &&
                running == 1 && running_well == 1;
     }
+    /* A leader may answer later, once it has a proof that it still leads. */
     void
-    ask_state(Job &job)
+    ask_for_states()
     {
         leader_t *leader = newest_leader().leader;
-        Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
 
-        job.state = NOT_KNOWN;
-        call.verb = JOB_VERB_GET;
-        call.id = job.id.data();
-        if (job.accepted && leader != nullptr && leader_is_ready(leader)) {
-            leader_handle_call(leader, &call, on_state, &job.state);
+        for (auto &job : jobs) {
+            Teasel__JobCall call = TEASEL__JOB_CALL__INIT;
+
+            job.state = NOT_KNOWN;
+            call.verb = JOB_VERB_GET;
+            call.id = job.id.data();
+            call.call_id = ++job.questions;
+            if (job.accepted && leader != nullptr && leader_is_ready(leader)) {
+                leader_handle_call(leader, &call, on_state, &job);
+            }
         }
     }
     /* Returns the jobs that are not as they have to be after the faults. */
@@ -1000,10 +1019,6 @@
     {
         std::vector<std::string> stuck;
 
-        for (auto &job : jobs) {
-            ask_state(job);
-        }
-        loop.run_ms(ANSWER_MS);
         for (auto &job : jobs) {
             if (!is_as_expected(job, job.state)) {
                 stuck.push_back(job.id);
@@ -1022,6 +1037,7 @@
         while (loop_t::now_ms() < end_ms) {
             std::vector<std::string> stuck;
 
+            ask_for_states();
             loop.run_ms(CHECK_MS);
             stuck = find_stuck();
             if (!stuck.empty()) {
