--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -161,8 +161,7 @@
     answer_request(request, JOB_OUTCOME_REFUSED);
 }
 
-/* While writes fail, only confirmations of all other schedulers are a proof.
- */
+/* While writes fail, only the other schedulers can give a proof. */
 static bool
 can_be_proven(const leader_t *leader)
 {
