--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -20,6 +20,7 @@
     int started = 100;
     std::set<TaskRun> running;
     std::vector<TaskRun> failed;
+    std::vector<TaskRun> done;
     uint64_t next_end = 1;
 
     Agent(Core &core, uint32_t cpu) : core(core), cpu(cpu)
@@ -53,6 +54,19 @@
         }
         ADD_FAILURE() << task << " does not run";
     }
+    /* Ends the runs of all jobs but one. */
+    void
+    finish_others(const std::string &task)
+    {
+        for (auto it = running.begin(); it != running.end();) {
+            if (it->first == task) {
+                ++it;
+                continue;
+            }
+            done.push_back(*it);
+            it = running.erase(it);
+        }
+    }
     /* Crashes the executor while all its runs are starting. */
     void
     crash()
@@ -85,7 +99,11 @@
         for (auto &run : failed) {
             report.ends(next_end++, run, SCHED_END_FAILED);
         }
+        for (auto &run : done) {
+            report.ends(next_end++, run, SCHED_END_DONE);
+        }
         failed.clear();
+        done.clear();
         core.report(report);
         core.run_and_commit();
         for (auto &run : core.orders(key()).starts) {
@@ -101,6 +119,70 @@
     }
 };
 
+constexpr uint32_t SHORT_ALLOWANCE_MS = 100;
+constexpr uint32_t LONG_ALLOWANCE_MS = 60000;
+
+Teasel__JobSpec *
+make_job(const std::string &id, const Step &step, uint32_t allowance_ms)
+{
+    Teasel__JobSpec *spec = make_spec(id, {step});
+
+    spec->allowance_ms = allowance_ms;
+    return spec;
+}
+
+/* Keeps more short work than fits waiting, and ends what runs of it. */
+void
+run_short_work(Core &core, Agent &agent, int64_t ms)
+{
+    static int jobs = 0;
+
+    for (int64_t passed = 0; passed < ms; passed += TURN_MS) {
+        sched_submit(core.sched, make_job("b" + std::to_string(jobs++),
+                                          {.count = 3, .cpu = 2000},
+                                          LONG_ALLOWANCE_MS));
+        agent.turn();
+        agent.finish_others("l.0.0.0");
+    }
+}
+
+// Guards against a task that lasts and, after it has failed, is started again
+// behind all later short work, as its job has been known for long: on a full
+// cell each piece of room that becomes free then goes to that work, though the
+// task has waited for longer.
+TEST(SchedLasting, RestartsBeforeLaterShortWorkOnAFullExecutor)
+{
+    Core core;
+    Agent agent(core, 4000);
+
+    sched_submit(core.sched, make_job("l", {.cpu = 2000, .long_running = true},
+                                      SHORT_ALLOWANCE_MS));
+    run_short_work(core, agent, WAIT_MS);
+    ASSERT_TRUE(agent.runs("l.0.0.0"));
+    agent.fail("l.0.0.0");
+    run_short_work(core, agent, WAIT_MS);
+    EXPECT_TRUE(agent.runs("l.0.0.0"));
+}
+
+// Guards against a task that lasts and goes before work of a higher priority
+// when it is started again.
+TEST(SchedLasting, RestartsBehindWorkOfAHigherPriority)
+{
+    Core core;
+    Agent agent(core, 4000);
+    Teasel__JobSpec *spec = make_job("l", {.cpu = 2000, .long_running = true},
+                                     SHORT_ALLOWANCE_MS);
+
+    spec->priority = 1;
+    sched_submit(core.sched, spec);
+    agent.turn();
+    ASSERT_TRUE(agent.runs("l.0.0.0"));
+    run_short_work(core, agent, WAIT_MS);
+    agent.fail("l.0.0.0");
+    run_short_work(core, agent, WAIT_MS);
+    EXPECT_FALSE(agent.runs("l.0.0.0"));
+}
+
 // Guards against a best-effort task that lasts and never runs on executors
 // whose processors are full, as another task of its job runs: it needs memory
 // only.
