--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,156 @@
+"""Seeded faults of processes and connections, in series that overlap."""
+
+import asyncio
+import random
+import signal
+
+LEAVE_S = 10.0
+PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
+LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
+# Lanes of process faults and of link faults; each disturbs one thing at a time.
+LANES = ((3, 0), (2, 2), (1, 4))
+ADDRESS_IN_USE = '"event":9003,'
+
+
+class Faults:
+    """Disturbs a deployment until its time is over.
+
+    findings: list of (rule, text), extended with processes that end by
+        themselves
+    """
+
+    def __init__(self, system, seed, seconds, findings):
+        self.system = system
+        self.seed = seed
+        self.seconds = seconds
+        self.findings = findings
+        self.spans = []
+        self.counts = {}
+
+    async def play(self):
+        """Play all lanes; in the end all is healed and runs."""
+        signals, links = LANES[self.seed % len(LANES)]
+        lanes = [self.play_lane(i, self.disturb_process)
+                 for i in range(signals)]
+        lanes += [self.play_lane(10 + i, self.disturb_link)
+                  for i in range(links)]
+        await asyncio.gather(*lanes)
+
+    async def play_lane(self, lane, disturb):
+        pick = random.Random(f"faults {self.seed} {lane}")
+        end_s = self.system.record.now_s() + self.seconds
+        while self.system.record.now_s() < end_s:
+            await asyncio.sleep(pick.uniform(0.05, 1.2))
+            began_s = self.system.record.now_s()
+            what = await disturb(pick)
+            self.spans.append((began_s, self.system.record.now_s(), what))
+
+    def pick_process(self, pick):
+        """Pick a process that nothing else disturbs, the leader most often."""
+        leader = self.system.find_leader()
+        kind = pick.random()
+        pool = self.system.nodes
+        if kind < 0.7:
+            pool = self.system.schedulers
+        if kind < 0.45 and leader is not None:
+            pool = [self.system.schedulers[leader]]
+        free = [each for each in pool if each not in self.system.busy]
+        return pick.choice(free) if free else None
+
+    async def disturb_process(self, pick):
+        process = self.pick_process(pick)
+        fault = pick.choice(PROCESS_FAULTS)
+        seconds = pick.choice((pick.uniform(0.3, 1.5), pick.uniform(0.3, 7)))
+        if process is None:
+            return "nothing"
+        self.system.busy.add(process)
+        self.counts[fault] = self.counts.get(fault, 0) + 1
+        try:
+            await getattr(self, fault)(process, seconds)
+        finally:
+            self.system.busy.discard(process)
+        return f"{fault} {process.name}"
+
+    async def pause(self, process, seconds):
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.signal(signal.SIGCONT)
+
+    async def kill(self, process, seconds):
+        self.report_exit(process)
+        process.signal(signal.SIGKILL)
+        process.child.wait()
+        await asyncio.sleep(seconds / 3)
+        process.start()
+
+    async def term(self, process, seconds):
+        self.report_exit(process)
+        process.signal(signal.SIGTERM)
+        for _ in range(int(LEAVE_S / 0.02)):
+            if process.child.poll() is not None:
+                break
+            await asyncio.sleep(0.02)
+        else:
+            self.system.record("note", f"{process.name} is killed, as it did "
+                                       f"not leave in {LEAVE_S} s")
+            process.signal(signal.SIGKILL)
+            process.child.wait()
+        if process.child.returncode > 0:
+            self.report(process, "after SIGTERM")
+        await asyncio.sleep(seconds / 3)
+        process.start()
+
+    async def disturb_link(self, pick):
+        proxies = [each for each in self.system.proxies
+                   if each not in self.system.busy]
+        # The few links of the schedulers are disturbed as often as all others.
+        stores = [each for each in proxies if each.name.startswith("front")]
+        proxy = pick.choice(stores if stores and pick.random() < 0.5
+                            else proxies)
+        fault = pick.choice(LINK_FAULTS)
+        seconds = pick.choice((pick.uniform(0.1, 1.5), pick.uniform(0.3, 7)))
+        delay_s = pick.uniform(0.02, 0.8)
+        self.system.busy.add(proxy)
+        self.counts[fault] = self.counts.get(fault, 0) + 1
+        self.system.record("link", f"{proxy.name} {fault} for {seconds:.2f} s")
+        if fault == "reset":
+            proxy.reset()
+        elif fault == "delay":
+            proxy.delay_s = delay_s
+        else:
+            proxy.hold(("up", "down") if fault == "silence" else (fault,))
+        if fault != "reset":
+            await asyncio.sleep(seconds)
+        proxy.heal()
+        if pick.random() < 0.5:
+            proxy.reset()
+        self.system.busy.discard(proxy)
+        self.system.record("link", f"{proxy.name} healed")
+        return f"{fault} {proxy.name}"
+
+    async def watch_exits(self):
+        """Report and restart processes that ended by themselves."""
+        while True:
+            await asyncio.sleep(0.2)
+            for process in self.system.processes():
+                if (process not in self.system.busy and
+                        self.report_exit(process)):
+                    process.start()
+
+    def report_exit(self, process):
+        """Return whether a process has ended by itself; report it if so."""
+        if process.child.poll() is None:
+            return False
+        self.report(process, "by itself")
+        return True
+
+    def report(self, process, when):
+        lines = process.read_log().splitlines()[-12:]
+        cause = ""
+        if any(ADDRESS_IN_USE in line for line in lines[-3:]):
+            cause = "; an address could not be listened on"
+        text = (f"{process.name} ended {when} at "
+                f"{self.system.record.now_s():.3f} s with exit code "
+                f"{process.child.returncode}{cause}")
+        self.system.record("exit", text)
+        self.findings.append(("EXIT", "\n    ".join([text] + lines)))
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -6,21 +6,42 @@
 import os
 import socket
 
-# Scenarios that run at the same time use different ranges.
-PORTS_PER_SCENARIO = 150
-PORTS = itertools.count(20000 + os.getpid() % 80 * PORTS_PER_SCENARIO)
+# Ports lie below the range that outgoing connections use. Programs that run at
+# the same time take different slots of them.
+FIRST_PORT = int(os.environ.get("TEST_PORT_BASE", "20000")) + 2000
+SLOT_COUNT = 4
+PORTS_PER_SLOT = 400
+
+
+def take_slot():
+    """Return the ports of a free slot; its first port guards it until exit."""
+    for slot in range(SLOT_COUNT):
+        first = FIRST_PORT + slot * PORTS_PER_SLOT
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        return guard, itertools.cycle(range(first + 1, first + PORTS_PER_SLOT))
+    raise OSError("no free ports: too many soaks run at the same time")
+
+
+GUARD, PORTS = take_slot()
 
 
 def free_port():
-    """Return a port below the range that outgoing connections use."""
-    for port in PORTS:
+    """Return a port of the slot that nothing listens on."""
+    for port in itertools.islice(PORTS, PORTS_PER_SLOT):
         with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", port))
                 return port
             except OSError:
                 continue
-    return 0
+    raise OSError("no free port in the slot")
 
 
 class Request:
@@ -155,7 +176,10 @@
     try:
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
         await writer.drain()
-        line, received = await read_head(reader)
+        head = await read_head(reader)
+        if head is None:
+            raise ConnectionError("closed without an answer")
+        line, received = head
         length = int(received.get("content-length", "0"))
         return int(line.split(" ")[1]), await reader.readexactly(length)
     finally:
