--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -100,32 +100,49 @@
         await asyncio.sleep(seconds / 3)
         process.start()
 
-    async def disturb_link(self, pick):
-        proxies = [each for each in self.system.proxies
-                   if each not in self.system.busy]
+    def pick_proxies(self, pick):
+        """Pick a link, or all links of the leader."""
+        free = [each for each in self.system.proxies
+                if each not in self.system.busy]
+        leader = self.system.find_leader()
+        whole = pick.random() < 0.3
+        if whole and leader is not None:
+            name = self.system.schedulers[leader].name
+            return [each for each in free if each.name.startswith(f"{name}-")]
         # The few links of the schedulers are disturbed as often as all others.
-        few = [each for each in proxies if each.name.startswith("frontend")]
-        proxy = pick.choice(few if few and pick.random() < 0.5 else proxies)
+        few = [each for each in free if each.name.startswith("frontend")]
+        return [pick.choice(few if few and pick.random() < 0.5 else free)]
+
+    async def disturb_link(self, pick):
+        proxies = self.pick_proxies(pick)
         fault = pick.choice(LINK_FAULTS)
         seconds = pick.choice((pick.uniform(0.1, 1.5), pick.uniform(0.3, 7)))
         delay_s = pick.uniform(0.02, 0.8)
-        self.system.busy.add(proxy)
+        resets = pick.random() < 0.5
+        names = " ".join(proxy.name for proxy in proxies)
+        self.system.busy.update(proxies)
         self.counts[fault] = self.counts.get(fault, 0) + 1
-        self.system.record("link", f"{proxy.name} {fault} for {seconds:.2f} s")
+        self.system.record("link", f"{names} {fault} for {seconds:.2f} s")
+        for proxy in proxies:
+            self.begin_link_fault(proxy, fault, delay_s)
+        if fault != "reset":
+            await asyncio.sleep(seconds)
+        for proxy in proxies:
+            proxy.heal()
+            if resets:
+                proxy.reset()
+        self.system.busy.difference_update(proxies)
+        self.system.record("link", f"{names} healed")
+        return f"{fault} {names}"
+
+    @staticmethod
+    def begin_link_fault(proxy, fault, delay_s):
         if fault == "reset":
             proxy.reset()
         elif fault == "delay":
             proxy.delay_s = delay_s
         else:
             proxy.hold(("up", "down") if fault == "silence" else (fault,))
-        if fault != "reset":
-            await asyncio.sleep(seconds)
-        proxy.heal()
-        if pick.random() < 0.5:
-            proxy.reset()
-        self.system.busy.discard(proxy)
-        self.system.record("link", f"{proxy.name} healed")
-        return f"{fault} {proxy.name}"
 
     async def watch_exits(self):
         """Report and restart processes that ended by themselves."""
