--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,10 +2,21 @@
 
 import asyncio
 import socket
+import struct
 
 WAYS = ("up", "down")
 
 
+def reset(writer):
+    """End a connection with RST, which is sent if it does not linger."""
+    try:
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # closed by the other side already
+    writer.transport.abort()
+
+
 class Proxy:
     """Forwards connections to a target address.
 
@@ -54,7 +65,7 @@
         for pump in self.pumps:
             pump.cancel()
         for writer in self.writers:
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         host, _, port = self.target.rpartition(":")
