--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -1,6 +1,7 @@
 """Tests that the faults do what they are said to do, and that ends are seen."""
 
 import asyncio
+import contextlib
 import types
 import unittest
 
@@ -12,8 +13,9 @@
 
 
 async def echo(reader, writer):
-    while data := await reader.read(100):
-        writer.write(data)
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(100):
+            writer.write(data)
     writer.close()
 
 
