--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -13,22 +13,22 @@
 PORTS_PER_SLOT = 400
 
 
-def take_slot():
-    """Return the ports of a free slot; its first port guards it until exit."""
+def slot_ports():
+    """Yield the ports of a free slot; its first port guards it until exit."""
     for slot in range(SLOT_COUNT):
         first = FIRST_PORT + slot * PORTS_PER_SLOT
-        guard = socket.socket()
-        try:
-            guard.bind(("127.0.0.1", first))
-            guard.listen()
-        except OSError:
-            guard.close()
-            continue
-        return guard, itertools.cycle(range(first + 1, first + PORTS_PER_SLOT))
+        with socket.socket() as guard:
+            try:
+                guard.bind(("127.0.0.1", first))
+                guard.listen()
+            except OSError:
+                continue
+            yield from itertools.cycle(range(first + 1,
+                                             first + PORTS_PER_SLOT))
     raise OSError("no free ports: too many soaks run at the same time")
 
 
-GUARD, PORTS = take_slot()
+PORTS = slot_ports()
 
 
 def free_port():
