--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -138,9 +138,9 @@
     static int jobs = 0;
 
     for (int64_t passed = 0; passed < ms; passed += TURN_MS) {
-        sched_submit(core.sched, make_job("b" + std::to_string(jobs++),
-                                          {.count = 3, .cpu = 2000},
-                                          LONG_ALLOWANCE_MS));
+        sched_submit(core.sched,
+                     make_job("b" + std::to_string(jobs++),
+                              {.count = 3, .cpu = 2000}, LONG_ALLOWANCE_MS));
         agent.turn();
         agent.finish_others("l.0.0.0");
     }
@@ -170,8 +170,8 @@
 {
     Core core;
     Agent agent(core, 4000);
-    Teasel__JobSpec *spec = make_job("l", {.cpu = 2000, .long_running = true},
-                                     SHORT_ALLOWANCE_MS);
+    Teasel__JobSpec *spec =
+        make_job("l", {.cpu = 2000, .long_running = true}, SHORT_ALLOWANCE_MS);
 
     spec->priority = 1;
     sched_submit(core.sched, spec);
