Test that a lone leader grants no lease after a pause, and list the proofs

That a fenced leader does nothing more is not seen by a test: its writes are refused, and it is released in the next turn.

--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -270,6 +270,23 @@
     EXPECT_EQ(agent.report(), 0U);
 }
 
+// Guards against the same of a leader that knows no other scheduler, as one
+// may have started during the pause.
+TEST_F(Leader, GrantsNoLeaseAfterAPauseIfItKnowsNoOtherScheduler)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    alone = true;
+    start();
+    Agent agent(this);
+    EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    view.silent = true;
+    fake_clock_advance_ms(&fake, LEASE_MS + 100);
+    EXPECT_EQ(agent.report(), 0U);
+}
+
 // Guards against leases that outlast a leadership which ended before the
 // answer to a repeated write: the store answers a repeat as it answered the
 // first.
