Split the placement of waiting tasks by job

sched_run.c held timers, single placements, steps, gangs, restarts and the order of a pass in 641 lines.

Checked: the sched tests, job_order_test, placement_test and run_model_test pass.

--- /dev/null
+++ b/libteasel/sched/pass_step.c
@@ -0,0 +1,192 @@
+/* Places the tasks of a step that is no gang. */
+
+#include "base/events.h"
+#include "sched/candidates.h"
+#include "sched/job_order.h"
+#include "sched/pass.h"
+
+enum {
+    /* A lasting task without a run for this long goes before trials, which
+       may follow each other without end. */
+    OVERDUE_MS = 3000,
+};
+
+void
+pass_log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms)
+{
+    const sched_job_t *job = step->occurrence->job;
+
+    if (placed > 0) {
+        event_log(EVENT_STEP_PLACED,
+                  "job=%s occurrence=%u step=%u placed=%u waiting=%u "
+                  "filler=%d target_ms=%u age_ms=%" G_GINT64_FORMAT,
+                  job->spec->id, step->occurrence->number, step->number,
+                  placed, step->waiting, step->spec->filler,
+                  step->spec->latency_target_ms, now_ms - job->known_since_ms);
+    }
+}
+
+bool
+pass_is_placeable(const sched_task_t *task, int64_t now_ms)
+{
+    return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
+}
+
+/* Tasks that avoid an executor have costs of their own. So have tasks that may
+   overcommit one; the first task of an idle job ends the idle time by its
+   placement. A task on trial keeps other tasks away from its executor. */
+static bool
+is_special(const pass_t *pass, const sched_task_t *task)
+{
+    if (pass->scope != PASS_ALL &&
+        sched_task_is_suspect(task) != (pass->scope == PASS_SUSPECTS)) {
+        return false;
+    }
+    return task->avoided != NULL || sched_task_is_suspect(task) ||
+           sched_may_overcommit(pass->sched, task, pass->now_ms);
+}
+
+static bool
+place_special_tasks(pass_t *pass, sched_step_t *step)
+{
+    bool found = true;
+
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        sched_task_t *task = &step->tasks[i];
+        bool overcommits =
+            sched_may_overcommit(pass->sched, task, pass->now_ms);
+        sched_executor_t *executor;
+
+        /* Where one task finds no executor, only one that may overcommit can
+           find one. */
+        if (!pass_is_placeable(task, pass->now_ms) ||
+            !is_special(pass, task) || (!found && !overcommits)) {
+            continue;
+        }
+        executor = sched_choose_executor(pass->sched, task, NULL);
+        if (executor != NULL) {
+            sched_place_task(pass->sched, task, executor, task->run + 1);
+            continue;
+        }
+        if (overcommits) {
+            return false;
+        }
+        found = false;
+    }
+    return found;
+}
+
+static bool
+place_equal_tasks(pass_t *pass, sched_step_t *step)
+{
+    sched_placement_t placement =
+        sched_new_placement(pass->sched, step->occurrence->job, NULL);
+    sched_candidates_t *candidates = sched_candidates_new(&placement, step);
+    bool found = true;
+
+    for (uint32_t i = 0; i < step->spec->count && found; i++) {
+        sched_task_t *task = &step->tasks[i];
+        sched_executor_t *executor;
+
+        if (!pass_is_placeable(task, pass->now_ms) ||
+            sched_task_is_suspect(task)) {
+            continue;
+        }
+        executor = sched_candidates_get_best(candidates);
+        found = executor != NULL;
+        if (found) {
+            sched_place_task(pass->sched, task, executor, task->run + 1);
+            sched_candidates_update_best(candidates);
+        }
+    }
+    sched_candidates_free(candidates);
+    return found;
+}
+
+void
+pass_count_start(sched_t *sched, sched_job_t *job)
+{
+    if (!job->counted_start && job->outlook != JOB_OUTLOOK_TOO_LATE) {
+        job->counted_start = true;
+        size_share_add_start(sched->size_share, job->spec->queue,
+                             (size_class_t)job->size_class);
+    }
+}
+
+static bool
+has_overcommitting_task(const pass_t *pass, const sched_step_t *step)
+{
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        const sched_task_t *task = &step->tasks[i];
+
+        if (pass_is_placeable(task, pass->now_ms) && is_special(pass, task) &&
+            sched_may_overcommit(pass->sched, task, pass->now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Checks whether a trial keeps a task from an executor with room for it. */
+static bool
+is_held_up_by_trial(const pass_t *pass, const sched_task_t *task)
+{
+    sched_placement_t placement =
+        sched_new_placement(pass->sched, sched_task_get_job(task), NULL);
+
+    placement.may_overcommit =
+        sched_may_overcommit(pass->sched, task, pass->now_ms);
+    placement.ignore_trials = true;
+    LIST_FOREACH (executor, &pass->sched->executor_list, sched_executor_t,
+                  link) {
+        if (executor->trials > 0 &&
+            sched_placement_check(&placement, executor, task->step) ==
+                SCHED_REFUSAL_NONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+has_overdue_task(const pass_t *pass, const sched_step_t *step)
+{
+    if (!step->spec->long_running || step->waiting == 0 || pass->overdue) {
+        return false;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        const sched_task_t *task = &step->tasks[i];
+
+        if (pass_is_placeable(task, pass->now_ms) &&
+            !sched_task_is_suspect(task) &&
+            pass->now_ms - sched_get_idle_since_ms(pass->sched, task) >
+                OVERDUE_MS) {
+            return is_held_up_by_trial(pass, task);
+        }
+    }
+    return false;
+}
+
+void
+pass_place_tasks(pass_t *pass, sched_step_t *step)
+{
+    sched_job_t *job = step->occurrence->job;
+    uint32_t waiting = step->waiting;
+
+    if (demand_list_covers(pass->failed, step,
+                           has_overcommitting_task(pass, step))) {
+        pass->overdue |= has_overdue_task(pass, step);
+        return;
+    }
+    if (!place_special_tasks(pass, step) ||
+        (step->waiting > 0 && pass->scope != PASS_SUSPECTS &&
+         !place_equal_tasks(pass, step))) {
+        demand_list_add(pass->failed, step,
+                        has_overcommitting_task(pass, step));
+    }
+    pass->overdue |= has_overdue_task(pass, step);
+    if (step->waiting == 0) {
+        pass_count_start(pass->sched, job);
+    }
+    pass_log_placed(step, waiting - step->waiting, pass->now_ms);
+}
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -2,6 +2,7 @@
 #define TEASEL_SCHED_SCHED_INTERNAL_H
 
 #include "sched/interference.h"
+#include "sched/placement.h"
 #include "sched/run_view.h"
 #include "sched/sched.h"
 #include "sched/size_share.h"
@@ -112,6 +113,44 @@
  */
 void sched_add_due_occurrences(sched_t *sched, sched_job_t *job);
 
+/**
+ * sched_check_timers() - handle what is due: leases, evacuations, stalled
+ * runs, migrations, start times and the removal of old jobs
+ */
+void sched_check_timers(sched_t *sched, int64_t now_ms);
+
+/**
+ * sched_may_overcommit() - check whether a best-effort task has waited for so
+ * long that it may overcommit an executor
+ */
+bool sched_may_overcommit(const sched_t *sched, const sched_task_t *task,
+                          int64_t now_ms);
+
+/**
+ * sched_new_placement() - return the inputs of a decision for a task of a job
+ * @rack: only executors in this rack; NULL for any
+ */
+sched_placement_t sched_new_placement(const sched_t *sched,
+                                      const sched_job_t *job,
+                                      const char *rack);
+
+/**
+ * sched_choose_executor() - choose the best executor for a task
+ * @rack: only executors in this rack; NULL for any
+ *
+ * Return: the executor, or NULL if none has the resources.
+ */
+sched_executor_t *sched_choose_executor(const sched_t *sched,
+                                        const sched_task_t *task,
+                                        const char *rack);
+
+/**
+ * sched_place_task() - begin a run of a task on an executor
+ * @run: number of the run
+ */
+void sched_place_task(sched_t *sched, sched_task_t *task,
+                      sched_executor_t *executor, uint32_t run);
+
 /**
  * sched_stage_order() - queue a start or stop to be sent after the task's
  * record is stored
