Restart all lasting tasks before later short work

A trial closes its executor to others, so a suspect goes first only after 3 s without a run.

Before: three new tests fail (not at work 9 s after the failure).

--- a/libteasel/sched/pass_gang.c
+++ b/libteasel/sched/pass_gang.c
@@ -42,14 +42,24 @@
     return try_reserve_gang(sched, step, NULL);
 }
 
-/* All members of a gang have the same run number and checkpoint. */
+/* All members of a gang have the same run number. */
+static bool
+is_taken(const pass_t *pass, const sched_step_t *step)
+{
+    bool restart = step->spec->long_running && step->tasks[0].run > 0;
+
+    return step->waiting == step->spec->count &&
+           pass->scope != PASS_SUSPECTS && (!pass->restarts || restart);
+}
+
+/* All members have the same checkpoint. */
 void
-pass_place_gang(sched_t *sched, sched_step_t *step)
+pass_place_gang(const pass_t *pass, sched_step_t *step)
 {
     const char *checkpoint = NULL;
     uint32_t run = 0;
 
-    if (step->waiting < step->spec->count || !reserve_gang(sched, step)) {
+    if (!is_taken(pass, step) || !reserve_gang(pass->sched, step)) {
         return;
     }
     for (uint32_t i = 0; i < step->spec->count; i++) {
@@ -66,7 +76,7 @@
         sched_executor_detach(task);
         g_free(task->checkpoint);
         task->checkpoint = g_strdup(checkpoint);
-        sched_place_task(sched, task, executor, run + 1);
+        sched_place_task(pass->sched, task, executor, run + 1);
     }
     g_free((char *)checkpoint);
 }
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -7,12 +7,13 @@
 
 enum {
     /* A lasting task without a run for this long goes before trials, which
-       may follow each other without end. */
+       may follow each other without end; one that needs a trial itself goes
+       before work that has not begun. */
     OVERDUE_MS = 3000,
 };
 
-void
-pass_log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms)
+static void
+log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms)
 {
     const sched_job_t *job = step->occurrence->job;
 
@@ -26,10 +27,56 @@
     }
 }
 
-bool
-pass_is_placeable(const sched_task_t *task, int64_t now_ms)
+static bool
+is_overdue(const pass_t *pass, const sched_task_t *task)
+{
+    return pass->now_ms - sched_get_idle_since_ms(pass->sched, task) >
+           OVERDUE_MS;
+}
+
+/* A trial closes its executor to others, so it comes first only when it is
+   due. */
+static bool
+is_restart(const pass_t *pass, const sched_task_t *task)
+{
+    return task->step->spec->long_running && task->run > 0 &&
+           (!sched_task_is_suspect(task) || is_overdue(pass, task));
+}
+
+static bool
+is_in_scope(const pass_t *pass, const sched_task_t *task)
+{
+    return pass->scope == PASS_ALL ||
+           sched_task_is_suspect(task) == (pass->scope == PASS_SUSPECTS);
+}
+
+static bool
+is_placeable(const pass_t *pass, const sched_task_t *task)
+{
+    return task->phase == SCHED_TASK_WAITING &&
+           pass->now_ms >= task->not_before_ms;
+}
+
+/* Checks whether a task is to be placed in this pass. */
+static bool
+is_taken(const pass_t *pass, const sched_task_t *task)
 {
-    return task->phase == SCHED_TASK_WAITING && now_ms >= task->not_before_ms;
+    return is_placeable(pass, task) && is_in_scope(pass, task) &&
+           (!pass->restarts || is_restart(pass, task));
+}
+
+static bool
+has_taken_task(const pass_t *pass, const sched_step_t *step)
+{
+    if (pass->restarts && !step->spec->long_running) {
+        return false;
+    }
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        if (is_taken(pass, &step->tasks[i])) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Tasks that avoid an executor have costs of their own. So have tasks that may
@@ -38,10 +85,6 @@
 static bool
 is_special(const pass_t *pass, const sched_task_t *task)
 {
-    if (pass->scope != PASS_ALL &&
-        sched_task_is_suspect(task) != (pass->scope == PASS_SUSPECTS)) {
-        return false;
-    }
     return task->avoided != NULL || sched_task_is_suspect(task) ||
            sched_may_overcommit(pass->sched, task, pass->now_ms);
 }
@@ -59,8 +102,8 @@
 
         /* Where one task finds no executor, only one that may overcommit can
            find one. */
-        if (!pass_is_placeable(task, pass->now_ms) ||
-            !is_special(pass, task) || (!found && !overcommits)) {
+        if (!is_taken(pass, task) || !is_special(pass, task) ||
+            (!found && !overcommits)) {
             continue;
         }
         executor = sched_choose_executor(pass->sched, task, NULL);
@@ -88,8 +131,7 @@
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
 
-        if (!pass_is_placeable(task, pass->now_ms) ||
-            sched_task_is_suspect(task)) {
+        if (!is_taken(pass, task) || sched_task_is_suspect(task)) {
             continue;
         }
         executor = sched_candidates_get_best(candidates);
@@ -103,8 +145,8 @@
     return found;
 }
 
-void
-pass_count_start(sched_t *sched, sched_job_t *job)
+static void
+count_start(sched_t *sched, sched_job_t *job)
 {
     if (!job->counted_start && job->outlook != JOB_OUTLOOK_TOO_LATE) {
         job->counted_start = true;
@@ -119,7 +161,7 @@
     for (uint32_t i = 0; i < step->spec->count; i++) {
         const sched_task_t *task = &step->tasks[i];
 
-        if (pass_is_placeable(task, pass->now_ms) && is_special(pass, task) &&
+        if (is_taken(pass, task) && is_special(pass, task) &&
             sched_may_overcommit(pass->sched, task, pass->now_ms)) {
             return true;
         }
@@ -157,10 +199,8 @@
     for (uint32_t i = 0; i < step->spec->count; i++) {
         const sched_task_t *task = &step->tasks[i];
 
-        if (pass_is_placeable(task, pass->now_ms) &&
-            !sched_task_is_suspect(task) &&
-            pass->now_ms - sched_get_idle_since_ms(pass->sched, task) >
-                OVERDUE_MS) {
+        if (is_placeable(pass, task) && !sched_task_is_suspect(task) &&
+            is_overdue(pass, task)) {
             return is_held_up_by_trial(pass, task);
         }
     }
@@ -173,6 +213,9 @@
     sched_job_t *job = step->occurrence->job;
     uint32_t waiting = step->waiting;
 
+    if (!has_taken_task(pass, step)) {
+        return;
+    }
     if (demand_list_covers(pass->failed, step,
                            has_overcommitting_task(pass, step))) {
         pass->overdue |= has_overdue_task(pass, step);
@@ -186,7 +229,7 @@
     }
     pass->overdue |= has_overdue_task(pass, step);
     if (step->waiting == 0) {
-        pass_count_start(pass->sched, job);
+        count_start(pass->sched, job);
     }
-    pass_log_placed(step, waiting - step->waiting, pass->now_ms);
+    log_placed(step, waiting - step->waiting, pass->now_ms);
 }
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -35,13 +35,28 @@
             if (!step->spec->gang) {
                 pass_place_tasks(pass, step);
             }
-            else if (pass->scope != PASS_SUSPECTS) {
-                pass_place_gang(pass->sched, step);
+            else {
+                pass_place_gang(pass, step);
             }
         }
     }
 }
 
+/* A lasting task that was at work goes before all work of its priority that
+   has not begun. Otherwise short tasks would take each piece of room that
+   becomes free on full executors, for as long as new ones arrive. */
+static void
+place_restarts(pass_t *pass, uint32_t priority)
+{
+    pass->restarts = true;
+    LIST_FOREACH (job, &pass->sched->active_jobs, sched_job_t, link) {
+        if (job->spec->priority == priority) {
+            place_job(pass, job);
+        }
+    }
+    pass->restarts = false;
+}
+
 static void
 place_in_scope(pass_t *pass, pass_scope_t scope)
 {
@@ -50,9 +65,9 @@
     pass->scope = scope;
     LIST_FOREACH (job, &pass->sched->active_jobs, sched_job_t, link) {
         /* Jobs that arrived after the last sort may be out of order. */
-        if (scope != PASS_SUSPECTS && job->spec->priority > last_priority) {
+        if (job->spec->priority > last_priority) {
             last_priority = job->spec->priority;
-            pass_place_restarts(pass, job->spec->priority);
+            place_restarts(pass, job->spec->priority);
         }
         place_job(pass, job);
     }
--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -56,10 +56,10 @@
     }
     /* Ends the runs of all jobs but one. */
     void
-    finish_others(const std::string &task)
+    finish_others(const std::string &job)
     {
         for (auto it = running.begin(); it != running.end();) {
-            if (it->first == task) {
+            if (it->first.rfind(job + ".", 0) == 0) {
                 ++it;
                 continue;
             }
@@ -133,16 +133,17 @@
 
 /* Keeps more short work than fits waiting, and ends what runs of it. */
 void
-run_short_work(Core &core, Agent &agent, int64_t ms)
+run_short_work(Core &core, Agent &agent, int64_t ms, uint32_t memory_mb = 100)
 {
     static int jobs = 0;
 
     for (int64_t passed = 0; passed < ms; passed += TURN_MS) {
         sched_submit(core.sched,
                      make_job("b" + std::to_string(jobs++),
-                              {.count = 3, .cpu = 2000}, LONG_ALLOWANCE_MS));
+                              {.count = 3, .cpu = 2000, .memory = memory_mb},
+                              LONG_ALLOWANCE_MS));
         agent.turn();
-        agent.finish_others("l.0.0.0");
+        agent.finish_others("l");
     }
 }
 
@@ -164,6 +165,64 @@
     EXPECT_TRUE(agent.runs("l.0.0.0"));
 }
 
+// Guards against a task that lasts and waits behind all later short work after
+// its executor has crashed twice, as it may be the cause and needs a trial.
+TEST(SchedLasting, RestartsASuspectBeforeLaterShortWorkOnAFullExecutor)
+{
+    Core core;
+    Agent agent(core, 4000);
+
+    sched_submit(core.sched, make_job("l", {.cpu = 2000, .long_running = true},
+                                      SHORT_ALLOWANCE_MS));
+    run_short_work(core, agent, WAIT_MS);
+    for (int crashes = 0; crashes < 2; crashes++) {
+        ASSERT_TRUE(agent.runs("l.0.0.0"));
+        agent.crash();
+        run_short_work(core, agent, WAIT_MS);
+    }
+    EXPECT_TRUE(agent.runs("l.0.0.0"));
+}
+
+// Guards against a best-effort task that lasts and waits behind all later
+// short work for memory.
+TEST(SchedLasting, RestartsABestEffortTaskBeforeLaterShortWork)
+{
+    constexpr uint32_t HALF_MEMORY_MB = 50000;
+    Core core;
+    Agent agent(core, 16000);
+
+    sched_submit(core.sched, make_job("l",
+                                      {.cpu = 1000,
+                                       .memory = HALF_MEMORY_MB,
+                                       .long_running = true,
+                                       .best_effort = true},
+                                      SHORT_ALLOWANCE_MS));
+    run_short_work(core, agent, WAIT_MS, HALF_MEMORY_MB);
+    ASSERT_TRUE(agent.runs("l.0.0.0"));
+    agent.fail("l.0.0.0");
+    run_short_work(core, agent, WAIT_MS, HALF_MEMORY_MB);
+    EXPECT_TRUE(agent.runs("l.0.0.0"));
+}
+
+// Guards against a gang that lasts and waits behind all later short work.
+TEST(SchedLasting, RestartsAGangBeforeLaterShortWork)
+{
+    Core core;
+    Agent agent(core, 4000);
+
+    sched_submit(
+        core.sched,
+        make_job("l",
+                 {.count = 2, .cpu = 1000, .gang = true, .long_running = true},
+                 SHORT_ALLOWANCE_MS));
+    run_short_work(core, agent, WAIT_MS);
+    ASSERT_TRUE(agent.runs("l.0.0.0") && agent.runs("l.0.0.1"));
+    agent.fail("l.0.0.0");
+    agent.fail("l.0.0.1");
+    run_short_work(core, agent, WAIT_MS);
+    EXPECT_TRUE(agent.runs("l.0.0.0") && agent.runs("l.0.0.1"));
+}
+
 // Guards against a task that lasts and goes before work of a higher priority
 // when it is started again.
 TEST(SchedLasting, RestartsBehindWorkOfAHigherPriority)
