--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -209,15 +209,18 @@
 
 /* Keeps more small tasks than fit waiting, which end one by one. */
 void
-run_small_work(Core &core, std::vector<Agent> &agents, int64_t ms)
+run_small_work(Core &core, std::vector<Agent> &agents, int64_t ms,
+               uint32_t priority = 0)
 {
     static int jobs = 0;
 
     for (int64_t passed = 0; passed < ms; passed += TURN_MS) {
         for (size_t i = 0; i < 2 * agents.size(); i++) {
-            sched_submit(core.sched,
-                         make_job("p" + std::to_string(jobs++), {.cpu = 250},
-                                  LONG_ALLOWANCE_MS));
+            Teasel__JobSpec *spec = make_job("p" + std::to_string(jobs++),
+                                             {.cpu = 250}, LONG_ALLOWANCE_MS);
+
+            spec->priority = priority;
+            sched_submit(core.sched, spec);
         }
         turn_all(core, agents);
         for (auto &agent : agents) {
@@ -229,13 +232,14 @@
 /* Fails all runs of the job l three times, so that their restart is delayed.
  */
 void
-fail_three_times(Core &core, std::vector<Agent> &agents)
+fail_three_times(Core &core, std::vector<Agent> &agents, uint32_t priority = 0)
 {
     for (int failures = 0; failures < 3; failures++) {
         for (auto &agent : agents) {
             agent.fail_job("l");
         }
-        run_small_work(core, agents, failures < 2 ? 2 * WAIT_MS : TURN_MS);
+        run_small_work(core, agents, failures < 2 ? 2 * WAIT_MS : TURN_MS,
+                       priority);
     }
 }
 
@@ -323,6 +327,28 @@
     EXPECT_GE(agents[0].running.size(), 12U);
 }
 
+// Guards against urgent work that waits for an executor which is held for a
+// lasting task of a lower priority.
+TEST(SchedLasting, PlacesUrgentWorkOnAHeldExecutorAtOnce)
+{
+    constexpr int64_t HELD_MS = 3500;
+    constexpr uint32_t PRIORITY = 1;
+    Core core;
+    std::vector<Agent> agents(1, Agent(core, 4000));
+    Teasel__JobSpec *lasting =
+        make_job("l", {.cpu = 4000, .long_running = true}, SHORT_ALLOWANCE_MS);
+
+    lasting->priority = PRIORITY;
+    sched_submit(core.sched, lasting);
+    turn_all(core, agents);
+    fail_three_times(core, agents, PRIORITY);
+    run_small_work(core, agents, HELD_MS, PRIORITY);
+    ASSERT_EQ(count_held(core), 1U);
+    sched_submit(core.sched, make_job("u", {.cpu = 250}, LONG_ALLOWANCE_MS));
+    turn_all(core, agents);
+    EXPECT_TRUE(agents[0].runs("u.0.0.0"));
+}
+
 // Guards against short work that loses most executors at once to lasting tasks
 // that wait for room.
 TEST(SchedLasting, HoldsFewExecutorsAtATime)
