Judge no run by the time of a leader's pause

Callers would have lost work: a leader that stood still for 8 s and was not replaced stopped its short tasks as "no progress" when it went on, though their reports waited in its sockets; it expired executors whose agents were about to connect again, and started tasks a second time that were done.

Cause: progress was judged by a clock that ran on. The same holds for an agent that is away: a run whose executor isn't connected was stopped after 6 s.

The leader detects its pauses with the freeze guard of the agents, which moves to base/. After one it leaves the pause out where it judges progress and slowdowns, and decides nothing new for 0.5 s, so that agents can report. Runs of an executor that isn't connected are left to its lease, and the time of its absence doesn't count.

Before: leader_test StopsNoRunForAPauseOfItsOwn (a stop), TakesEndsAfterAPauseBeforeItExpiresLeases (a second start) and sched_test JudgesNoProgressWhileTheAgentIsAway fail. After: these, the rest of both, the sched model and lasting tests and deployment_test pass. StopsARunWithoutProgressAfterAPause guards the mend itself: a first form counted one pause twice.

--- a/libteasel/agent/freeze_guard.h
+++ b/libteasel/base/freeze_guard.h
@@ -1,5 +1,5 @@
-#ifndef TEASEL_AGENT_FREEZE_GUARD_H
-#define TEASEL_AGENT_FREEZE_GUARD_H
+#ifndef TEASEL_BASE_FREEZE_GUARD_H
+#define TEASEL_BASE_FREEZE_GUARD_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -142,6 +142,19 @@
     }
 }
 
+void
+sched_executor_skip_time(sched_executor_t *executor, int64_t skipped_ms,
+                         int64_t now_ms)
+{
+    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
+        task->progress_ms = MIN(now_ms, task->progress_ms + skipped_ms);
+        if (task->slowed_since_ms != 0) {
+            task->slowed_since_ms =
+                MIN(now_ms, task->slowed_since_ms + skipped_ms);
+        }
+    }
+}
+
 static sched_resources_t
 get_size(const Teasel__StepSpec *spec)
 {
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -167,6 +167,14 @@
                            const Teasel__ExecutorReport *report,
                            int64_t now_ms);
 
+/**
+ * sched_executor_skip_time() - leave out time without reports where the
+ * progress and the slowdown of the runs are judged
+ * @skipped_ms: length of this time, which ends now
+ */
+void sched_executor_skip_time(sched_executor_t *executor, int64_t skipped_ms,
+                              int64_t now_ms);
+
 /**
  * sched_executor_attach() - assign a task to an executor and reserve its
  * resources
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -128,6 +128,13 @@
  */
 void sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run);
 
+/**
+ * sched_note_pause() - note that the caller has just stood still
+ * @pause_ms: how long; no report was applied in this time, so no run is judged
+ *     by it
+ */
+void sched_note_pause(sched_t *sched, int64_t pause_ms);
+
 /**
  * sched_disconnect() - mark the executors of a node as disconnected
  */
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -532,6 +532,18 @@
              executor->capacity.accelerators != capacity->accelerators));
 }
 
+/* Its runs are not judged by the time in which it was not heard of. */
+static void
+skip_absence(const sched_t *sched, sched_executor_t *executor)
+{
+    int64_t now_ms = sched_now_ms(sched);
+
+    if (executor->heard_ms > 0) {
+        sched_executor_skip_time(executor, now_ms - executor->heard_ms,
+                                 now_ms);
+    }
+}
+
 void
 sched_apply_report(sched_t *sched, const char *node,
                    const Teasel__ExecutorReport *report)
@@ -545,6 +557,7 @@
         return;
     }
     if (!executor->connected) {
+        skip_absence(sched, executor);
         sched_replace_incarnations(sched, executor, report->predecessor);
     }
     if (changed || report->listed) {
--- a/libteasel/sched/sched_timers.c
+++ b/libteasel/sched/sched_timers.c
@@ -40,13 +40,16 @@
     }
 }
 
+/* Nothing is known of a run whose executor is not connected; its lease ends
+   it. */
 static bool
 is_stalled(const sched_task_t *task, int64_t now_ms)
 {
     const Teasel__StepSpec *spec = task->step->spec;
 
-    return task->phase == SCHED_TASK_RUNNING && !spec->long_running &&
-           !spec->gang && now_ms - task->progress_ms > STALL_TIMEOUT_MS;
+    return task->executor->connected && task->phase == SCHED_TASK_RUNNING &&
+           !spec->long_running && !spec->gang &&
+           now_ms - task->progress_ms > STALL_TIMEOUT_MS;
 }
 
 /* A throttled best-effort task is migrated if it writes checkpoints and there
@@ -108,6 +111,16 @@
     }
 }
 
+void
+sched_note_pause(sched_t *sched, int64_t pause_ms)
+{
+    LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
+        if (executor->connected) {
+            sched_executor_skip_time(executor, pause_ms, sched_now_ms(sched));
+        }
+    }
+}
+
 static void
 remove_expired_jobs(sched_t *sched)
 {
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -32,6 +32,11 @@
        would not count for it. */
     FIRST_ASK_MS = 2,
     ASK_INTERVAL_MS = 50,
+    /* A longer gap between two ticks is a pause of the process. */
+    PAUSE_MIN_MS = 1000,
+    /* After a pause, agents connect again and send their lists within this
+       time. Until then nothing is judged by the reports that have come. */
+    RESUME_MS = 500,
 };
 
 int64_t
@@ -310,6 +315,25 @@
     }
 }
 
+static void
+on_resume(loop_timer_t *timer)
+{
+    leader_schedule_flush(timer->data);
+}
+
+void
+leader_check_pause(leader_t *leader)
+{
+    uint64_t gap_ms = freeze_guard_check(&leader->freeze_guard);
+
+    if (gap_ms == 0) {
+        return;
+    }
+    event_log(EVENT_LEADER_PAUSED, "gap_ms=%" G_GUINT64_FORMAT, gap_ms);
+    sched_note_pause(leader->sched, (int64_t)gap_ms);
+    loop_timer_start(&leader->resume, RESUME_MS);
+}
+
 static void
 on_flush(loop_timer_t *timer)
 {
@@ -322,7 +346,10 @@
         leader_send_orders(leader);
         return;
     }
-    sched_run(leader->sched);
+    leader_check_pause(leader);
+    if (!loop_timer_is_active(&leader->resume)) {
+        sched_run(leader->sched);
+    }
     write_changes(leader);
     if (leader_needs_proof(leader)) {
         renew_leadership(leader);
@@ -350,6 +377,7 @@
         return;
     }
     loop_timer_start(timer, TICK_MS);
+    leader_check_pause(leader);
     leader_expire_calls(leader);
     if (is_write_pending(leader) &&
         leader_now_ms(leader) - leader->write_began_ms > WRITE_SLOW_MS) {
@@ -491,6 +519,8 @@
     loop_timer_init(&leader->flush, opts->loop, on_flush, leader);
     loop_timer_init(&leader->retry, opts->loop, on_retry, leader);
     loop_timer_init(&leader->ask, opts->loop, on_ask, leader);
+    loop_timer_init(&leader->resume, opts->loop, on_resume, leader);
+    freeze_guard_init(&leader->freeze_guard, opts->clock, PAUSE_MIN_MS);
     loop_timer_start(&leader->tick, TICK_MS);
     begin_write(leader);
     return leader;
@@ -506,6 +536,7 @@
     loop_timer_stop(&leader->flush);
     loop_timer_stop(&leader->retry);
     loop_timer_stop(&leader->ask);
+    loop_timer_stop(&leader->resume);
     leader_free_calls(leader);
     leader_free_sessions(leader);
     g_hash_table_unref(leader->sessions_by_node);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -1,6 +1,7 @@
 #ifndef TEASEL_SCHEDULER_LEADER_INTERNAL_H
 #define TEASEL_SCHEDULER_LEADER_INTERNAL_H
 
+#include "base/freeze_guard.h"
 #include "base/histogram.h"
 #include "base/list.h"
 #include "scheduler/cancelled_ids.h"
@@ -71,7 +72,9 @@
     loop_timer_t tick;
     loop_timer_t flush;
     loop_timer_t retry;
-    loop_timer_t ask; /* asks the other schedulers for a proof */
+    loop_timer_t ask;    /* asks the other schedulers for a proof */
+    loop_timer_t resume; /* runs after a pause, until reports have arrived */
+    freeze_guard_t freeze_guard;
     char *load_after;
 
     GPtrArray *changes; /* of the pending write, or NULL */
@@ -113,6 +116,12 @@
  */
 int64_t leader_get_proof_age_ms(const leader_t *leader);
 
+/**
+ * leader_check_pause() - detect that the process has stood still; called
+ * before a timer or a report is handled
+ */
+void leader_check_pause(leader_t *leader);
+
 /**
  * leader_schedule_flush() - schedule one pass that makes decisions, writes
  * changes and sends orders in the next turn of the loop
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -63,6 +63,7 @@
     if (leader->stage != LEADER_READY) {
         return;
     }
+    leader_check_pause(leader);
     if (session->lists_received || is_complete(report)) {
         session->lists_received = true;
         session->echo_us = MAX(session->echo_us, report->sent_us);
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 #include "fake_store.h"
 #include "loop_wait.h"
 #include "sched_fixture.h"
@@ -18,6 +20,7 @@
     DONE_MS = 1000, /* less than the time after which a call is abandoned */
     LEASE_MS = 1000,
     SILENCE_MS = 60000,
+    PAUSE_MS = 8000, /* longer than a run may be without progress */
 };
 
 struct Leader : public testing::Test {
@@ -177,6 +180,7 @@
 /* A node agent that is connected to the leader. */
 struct Agent {
     Leader *test;
+    const char *node;
     peer_handler_t handler = {nullptr, on_orders, on_close};
     peer_opts_t opts = {};
     peer_listener_t *listener = nullptr;
@@ -186,11 +190,12 @@
     std::vector<size_t> starts;   /* number of starts, of each message */
     std::vector<size_t> stops;    /* number of stops, of each message */
 
-    Agent(Leader *test) : test(test)
+    Agent(Leader *test, const char *node = "node", uint16_t port = 12)
+        : test(test), node(node)
     {
         char address[32];
 
-        test_address(address, 12);
+        test_address(address, port);
         opts = {test->loop, clock_system(), &handler,      this,
                 1 << 20,    SILENCE_MS,     SILENCE_MS / 2};
         listener = peer_listen(&opts, address, on_accept, nullptr);
@@ -233,6 +238,17 @@
     {
         ADD_FAILURE() << reason;
     }
+    /* Number of starts that it has received. */
+    size_t
+    count_starts() const
+    {
+        return std::accumulate(starts.begin(), starts.end(), size_t{0});
+    }
+    size_t
+    count_stops() const
+    {
+        return std::accumulate(stops.begin(), stops.end(), size_t{0});
+    }
     uint64_t sent_us = 0;
     std::vector<Teasel__ExecutorReport *> executors;
     /* Sends a report; returns the lease that the leader grants. */
@@ -245,13 +261,69 @@
         report.sent_us = ++sent_us;
         report.n_executors = executors.size();
         report.executors = executors.data();
-        leader_handle_report(test->leader, leader, "node", &report);
+        leader_handle_report(test->leader, leader, node, &report);
         g_assert(loop_wait(test->loop, DONE_MS,
                            [&] { return leases.size() > before; }));
         return leases.back();
     }
 };
 
+/* An executor with room for one run of a step of 1000 milli-CPU, as an agent
+   reports it. */
+struct Executor {
+    Teasel__Capacity capacity = TEASEL__CAPACITY__INIT;
+    Teasel__ExecutorReport report = TEASEL__EXECUTOR_REPORT__INIT;
+    Teasel__RunStatus status = TEASEL__RUN_STATUS__INIT;
+    Teasel__RunStatus *running[1] = {&status};
+    Teasel__RunEnd end = TEASEL__RUN_END__INIT;
+    Teasel__RunEnd *ended[1] = {&end};
+
+    Executor(const char *key)
+    {
+        capacity.cpu_milli = 1000;
+        capacity.memory_mb = 100000;
+        report.key = const_cast<char *>(key);
+        report.service = const_cast<char *>("service");
+        report.data_centre = const_cast<char *>("dc");
+        report.rack = const_cast<char *>("r");
+        report.capacity = &capacity;
+        report.listed = true;
+    }
+    Executor(const Executor &) = delete;
+    void
+    run(const char *task)
+    {
+        status.task = const_cast<char *>(task);
+        status.run = 1;
+        report.n_running = 1;
+        report.running = running;
+    }
+    void
+    end_as_done(const char *task)
+    {
+        end.number = 1;
+        end.task = const_cast<char *>(task);
+        end.run = 1;
+        end.how = SCHED_END_DONE;
+        report.n_running = 0;
+        report.n_ended = 1;
+        report.ended = ended;
+    }
+};
+
+/* Begins a run of job j, and reports it. */
+void
+begin_run(Agent &agent, Executor &executor)
+{
+    agent.executors = {&executor.report};
+    agent.report();
+    ASSERT_EQ(agent.test->submit("j", {{}}), JOB_OUTCOME_DONE);
+    ASSERT_TRUE(loop_wait(agent.test->loop, DONE_MS,
+                          [&] { return agent.count_starts() == 1; }));
+    executor.run("j.0.0.0");
+    agent.report();
+}
+
 // Guards against a leader that extends leases after a pause, while a later one
 // counts them as expired and starts their tasks elsewhere.
 TEST_F(Leader, GrantsNoLeaseAfterAPauseBeyondItsLeadership)
@@ -612,4 +684,55 @@
     teasel__job_spec__free_unpacked(spec, nullptr);
 }
 
+// Guards against work that is stopped as without progress after a pause of the
+// leader, though its reports wait in the leader's sockets.
+TEST_F(Leader, StopsNoRunForAPauseOfItsOwn)
+{
+    fake_clock_t fake;
+    Executor executor("127.0.0.1:1/e/1");
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    Agent agent(this);
+    begin_run(agent, executor);
+    fake_clock_advance_ms(&fake, PAUSE_MS);
+    loop_run_ms(loop, 300);
+    executor.status.percent = 50;
+    agent.report();
+    loop_run_ms(loop, 1000);
+    EXPECT_EQ(agent.count_stops(), 0U);
+}
+
+// Guards against a second run of a task that was done when the leader stood
+// still: its lease has expired meanwhile, and its end waits for the agent to
+// connect again.
+TEST_F(Leader, TakesEndsAfterAPauseBeforeItExpiresLeases)
+{
+    fake_clock_t fake;
+    Executor executor("127.0.0.1:1/e/1");
+    Executor idle("127.0.0.1:2/f/1");
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    {
+        Agent agent(this);
+        begin_run(agent, executor);
+    }
+    Agent other(this, "other", 13);
+    other.executors = {&idle.report};
+    other.report();
+    fake_clock_advance_ms(&fake, PAUSE_MS);
+    loop_run_ms(loop, 200);
+    Agent agent(this);
+    executor.end_as_done("j.0.0.0");
+    agent.executors = {&executor.report};
+    agent.report();
+    loop_run_ms(loop, 1000);
+    EXPECT_EQ(other.count_starts(), 0U);
+    EXPECT_EQ(sched_job_get_visible_state(sched_find(leader->sched, "j")),
+              SCHED_JOB_COMPLETED);
+}
+
 } // namespace
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -1249,6 +1249,66 @@
     EXPECT_EQ(core.orders(A).starts.size(), 1U);
 }
 
+/* Begins a run of job j on A, and reports it. */
+void
+begin_run(Core &core, Report &report, int64_t lease_ms)
+{
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    report.runs({"j.0.0.0", 1});
+    core.report(report);
+    core.run_and_commit();
+    sched_extend_leases(core.sched, "node",
+                        timespec_to_ms(core.clock.now) + lease_ms);
+}
+
+// Guards against work that is stopped as without progress although nothing
+// could be heard of it: its agent was away.
+TEST(Sched, JudgesNoProgressWhileTheAgentIsAway)
+{
+    Core core;
+    Report report(A);
+
+    begin_run(core, report, 10000);
+    sched_disconnect(core.sched, "node");
+    for (int i = 0; i < 80; i++) {
+        fake_clock_advance_ms(&core.clock, 100);
+        core.run_and_commit();
+    }
+    core.report(report);
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders(A).stops.empty());
+    for (int i = 0; i < 70; i++) {
+        fake_clock_advance_ms(&core.clock, 100);
+        core.run_and_commit();
+    }
+    EXPECT_EQ(core.orders(A).stops.size(), 1U);
+}
+
+// Guards against a run without progress that is never stopped, as one pause
+// counts twice: once for the leader, once for the agent that connects again.
+TEST(Sched, StopsARunWithoutProgressAfterAPause)
+{
+    constexpr int64_t PAUSE_MS = 20000;
+    Core core;
+    Report report(A);
+
+    begin_run(core, report, 2 * PAUSE_MS);
+    fake_clock_advance_ms(&core.clock, PAUSE_MS);
+    sched_note_pause(core.sched, PAUSE_MS);
+    sched_disconnect(core.sched, "node");
+    core.report(report);
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders(A).stops.empty());
+    for (int i = 0; i < 70; i++) {
+        fake_clock_advance_ms(&core.clock, 100);
+        core.run_and_commit();
+    }
+    EXPECT_EQ(core.orders(A).stops.size(), 1U);
+}
+
 // Guards against a job without a running task for more than 3 s although there
 // is capacity, because the duration of a stop is not counted as idle time.
 // Reported once, as LOST in scenario leafpress trouble-1.
