Say when a refusal speaks of its call only

Callers saw 503 "not accepted, try again" from a scheduler without a leader, or from a leader that still loads, also when an earlier call for the same job had been accepted.

Cause: one outcome stood for two statements. JOB_OUTCOME_CALL_REFUSED is new: this call has no effect, an earlier one may have. The status stays 503 with Retry-After; the body and event 7012 (outcome=call-refused) say what it means. A refusal of a sent-again call stays 504.

--- a/libteasel/scheduler/gateway.c
+++ b/libteasel/scheduler/gateway.c
@@ -68,7 +68,8 @@
 {
     /* A refusal is only valid if no earlier leader can have accepted the
        call. */
-    return !(answer->outcome == JOB_OUTCOME_REFUSED && pending->resent);
+    return !pending->resent || (answer->outcome != JOB_OUTCOME_REFUSED &&
+                                answer->outcome != JOB_OUTCOME_CALL_REFUSED);
 }
 
 void
@@ -118,16 +119,17 @@
 {
     Teasel__JobAnswer answer = TEASEL__JOB_ANSWER__INIT;
 
-    answer.outcome = pending->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_REFUSED;
+    answer.outcome =
+        pending->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_CALL_REFUSED;
     answer.retry_after_ms = RETRY_AFTER_MS;
     event_log(EVENT_CALL_UNANSWERED,
               "job=%s verb=%u waited_ms=%" G_GINT64_FORMAT
               " outcome=%s reason=\"%s\"",
               pending->call->id, pending->call->verb,
               now_ms(pending->gateway) - pending->received_ms,
-              pending->sent ? "unknown" : "refused",
+              job_outcome_to_string((job_outcome_t)answer.outcome),
               pending->sent ? "no answer from leader"
-                            : "no connection to a leader");
+                            : "no connection to a leader" JOB_CALL_ONLY_TEXT);
     finish(pending, &answer);
 }
 
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -38,7 +38,8 @@
 static void
 send_answer(job_answer_fn answer, void *owner, Teasel__JobAnswer *message)
 {
-    if (message->outcome == JOB_OUTCOME_REFUSED) {
+    if (message->outcome == JOB_OUTCOME_REFUSED ||
+        message->outcome == JOB_OUTCOME_CALL_REFUSED) {
         message->retry_after_ms = RETRY_AFTER_MS;
     }
     answer(message, owner);
@@ -254,10 +255,11 @@
         return;
     }
     event_log(EVENT_CALL_UNANSWERED,
-              "job=%s verb=%u waited_ms=0 outcome=refused "
-              "reason=\"too many cancelled jobs\"",
-              call->id, call->verb);
-    answer_request(request, JOB_OUTCOME_REFUSED);
+              "job=%s verb=%u waited_ms=0 outcome=%s "
+              "reason=\"too many cancelled jobs" JOB_CALL_ONLY_TEXT "\"",
+              call->id, call->verb,
+              job_outcome_to_string(JOB_OUTCOME_CALL_REFUSED));
+    answer_request(request, JOB_OUTCOME_CALL_REFUSED);
 }
 
 /* A final state that is stored never changes. */
@@ -473,7 +475,7 @@
     int64_t acked_ms;
 
     if (waiting->wait == CALL_WAITS_FOR_JOBS) {
-        return JOB_OUTCOME_REFUSED;
+        return JOB_OUTCOME_CALL_REFUSED;
     }
     if (waiting->wait == CALL_WAITS_FOR_WRITE &&
         (waiting->verb != JOB_VERB_SUBMIT || !withdraw(leader, waiting))) {
@@ -513,13 +515,13 @@
             continue;
         }
         outcome = abandon_call(leader, waiting);
-        event_log(EVENT_CALL_UNANSWERED,
-                  "job=%s verb=%d waited_ms=%" G_GINT64_FORMAT
-                  " outcome=%s reason=\"no %s\"",
-                  waiting->job_id, waiting->verb,
-                  now_ms - waiting->received_ms,
-                  outcome == JOB_OUTCOME_REFUSED ? "refused" : "unknown",
-                  wait_names[waiting->wait]);
+        event_log(
+            EVENT_CALL_UNANSWERED,
+            "job=%s verb=%d waited_ms=%" G_GINT64_FORMAT
+            " outcome=%s reason=\"no %s%s\"",
+            waiting->job_id, waiting->verb, now_ms - waiting->received_ms,
+            job_outcome_to_string(outcome), wait_names[waiting->wait],
+            outcome == JOB_OUTCOME_CALL_REFUSED ? JOB_CALL_ONLY_TEXT : "");
         answer_waiting(waiting, outcome);
         free_waiting(waiting);
     }
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -735,4 +735,17 @@
               SCHED_JOB_COMPLETED);
 }
 
+// Guards against a caller that gives up a job which an earlier call has
+// submitted: the leader that refused the repeat did not know the jobs yet.
+TEST_F(Leader, SpeaksOfTheCallOnlyWhileItLoads)
+{
+    start();
+    ASSERT_EQ(submit("j", {{}}), JOB_OUTCOME_DONE);
+    leader_free(leader);
+    loop_run_ms(loop, 50);
+    view.silent = true;
+    begin();
+    EXPECT_EQ(submit("j", {{}}), JOB_OUTCOME_CALL_REFUSED);
+}
+
 } // namespace
