Close the clients' connections before the soak's loop ends

Runs of the soak ended with tracebacks "Event loop is closed" from StreamWriter.__del__. The writers were connections to schedulers of the client that asks for the number of pending jobs: it keeps them open and was cancelled without closing them. If garbage collection freed it only after the loop had ended, each open connection printed a traceback. The clients also closed connections of callers whose last call had not ended: asyncio.wait_for() drops a cancelling that meets its result.

The client closes its connections now, and the soak waits for the ends of the tasks that it cancels. After the end of all parts, a connection, server or task that is open, and any error that nobody could catch, is a finding (LEFT).

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from leftovers import cancel
 from system import HOST, PREFIX
 from wire import call, read_head
 
@@ -215,7 +216,7 @@
         try:
             await asyncio.gather(*calls)
         finally:
-            watching.cancel()
+            await cancel([watching])
             for caller in callers:
                 caller.close()
 
@@ -226,14 +227,17 @@
     async def ask_counts(self):
         """Ask for the number of pending jobs from time to time."""
         caller = Caller(self.system, True)
-        while True:
-            await asyncio.sleep(0.7)
-            status, answer = await caller.call(self.pick_scheduler(), "GET",
-                                               "")
-            self.counts_seen.append((self.system.record.now_s(), status,
-                                     answer))
+        try:
+            while True:
+                await asyncio.sleep(0.7)
+                status, answer = await caller.call(self.pick_scheduler(),
+                                                   "GET", "")
+                self.counts_seen.append((self.system.record.now_s(), status,
+                                         answer))
+        finally:
+            caller.close()
 
     async def play_all(self):
         counting = asyncio.create_task(self.ask_counts())
         await asyncio.gather(*(self.play(job) for job in self.jobs.values()))
-        counting.cancel()
+        await cancel([counting])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 from clients import Caller, Clients
 from deployment import Deployment
 from faults import Faults
+from leftovers import Errors, cancel_others, find_open
 from rules import check, state_of
 
 SETTLE_S = 12.0
@@ -89,12 +90,15 @@
     return [(rule, "", text) for rule, text in findings] + broken
 
 
-async def play_and_end(system, options, seed):
+async def play_and_end(system, options, seed, errors):
     """Play one seed and end all parts within the event loop."""
+    errors.watch_loop()
     try:
         return await play(system, options, seed)
     finally:
         await system.end()
+        await cancel_others()
+        errors.found += [f"left open: {text}" for text in find_open()]
 
 
 def print_findings(findings, events):
@@ -123,8 +127,12 @@
     with tempfile.TemporaryDirectory() as folder:
         system = Deployment(folder)
         findings = None
+        errors = Errors()
         try:
-            findings = asyncio.run(play_and_end(system, options, seed))
+            findings = asyncio.run(
+                play_and_end(system, options, seed, errors))
+            if findings is not None:
+                findings += [("LEFT", "", text) for text in errors.collect()]
         except Exception:
             traceback.print_exc()
         finally:
