Take the store away from all processes in the soak

The soak disturbed the connections to the store one process at a time, or those of the leader, so no run showed what happens while nobody reaches it. A lane of its own now holds back, refuses or resets all of them at once for up to 7 s, beside the other faults. It takes each proxy as soon as no other fault has it.

Checked: tests of a proxy that refuses and of all proxies at once.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -119,6 +119,9 @@
             await executor.start(first_heartbeat_s=0.05 * i)
         return await self.wait_ready()
 
+    def store_proxies(self):
+        return [each for each in self.proxies if each.name.endswith("-store")]
+
     def processes(self):
         return self.schedulers + self.nodes
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,9 +6,13 @@
 
 LEAVE_S = 10.0
 PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
+STORE_FAULTS = ("silence", "refuse", "reset")
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
 LANES = ((3, 0), (2, 2), (1, 4))
+# Pause before a fault of a lane, and of one whose faults disturb all at once.
+PAUSE_S = (0.05, 1.2)
+LONG_PAUSE_S = (2.0, 12.0)
 ADDRESS_IN_USE = '"event":9003,'
 
 
@@ -34,17 +38,21 @@
                  for i in range(signals)]
         lanes += [self.play_lane(10 + i, self.disturb_link)
                   for i in range(links)]
+        lanes.append(self.play_lane(20, self.disturb_store, LONG_PAUSE_S))
         await asyncio.gather(*lanes)
 
-    async def play_lane(self, lane, disturb):
+    async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
         pick = random.Random(f"faults {self.seed} {lane}")
         end_s = self.system.record.now_s() + self.seconds
         while self.system.record.now_s() < end_s:
-            await asyncio.sleep(pick.uniform(0.05, 1.2))
+            await asyncio.sleep(pick.uniform(*pause_s))
             began_s = self.system.record.now_s()
             what = await disturb(pick)
             self.spans.append((began_s, self.system.record.now_s(), what))
 
+    def count(self, fault):
+        self.counts[fault] = self.counts.get(fault, 0) + 1
+
     def pick_process(self, pick):
         """Pick a process that nothing else disturbs, the leader most often."""
         leader = self.system.find_leader()
@@ -64,7 +72,7 @@
         if process is None:
             return "nothing"
         self.system.busy.add(process)
-        self.counts[fault] = self.counts.get(fault, 0) + 1
+        self.count(fault)
         try:
             await getattr(self, fault)(process, seconds)
         finally:
@@ -121,7 +129,7 @@
         resets = pick.random() < 0.5
         names = " ".join(proxy.name for proxy in proxies)
         self.system.busy.update(proxies)
-        self.counts[fault] = self.counts.get(fault, 0) + 1
+        self.count(fault)
         self.system.record("link", f"{names} {fault} for {seconds:.2f} s")
         for proxy in proxies:
             self.begin_link_fault(proxy, fault, delay_s)
@@ -144,6 +152,40 @@
         else:
             proxy.hold(("up", "down") if fault == "silence" else (fault,))
 
+    async def disturb_store(self, pick):
+        """Take the store away from all processes at once."""
+        fault = pick.choice(STORE_FAULTS)
+        seconds = pick.uniform(0.3, 7)
+        proxies = self.system.store_proxies()
+        waiting = set(proxies)
+        while waiting:
+            free = waiting - self.system.busy
+            self.system.busy.update(free)
+            waiting -= free
+            await asyncio.sleep(0.02)
+        self.count(f"store {fault}")
+        self.system.record("link", f"the store is away for {seconds:.2f} s: "
+                                   f"{fault}")
+        for proxy in proxies:
+            self.take_away(proxy, fault)
+        await asyncio.sleep(seconds)
+        for proxy in proxies:
+            proxy.heal()
+            await proxy.start()
+        self.system.busy.difference_update(proxies)
+        self.system.record("link", "the store is back")
+        return f"store {fault}"
+
+    @staticmethod
+    def take_away(proxy, fault):
+        if fault == "silence":
+            proxy.hold(("up", "down"))
+        elif fault == "refuse":
+            proxy.refuse()
+        else:
+            proxy.resets = True
+            proxy.reset()
+
     async def watch_exits(self):
         """Report and restart processes that ended by themselves."""
         while True:
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -4,12 +4,14 @@
 import contextlib
 import types
 import unittest
+from unittest import mock
 
 from faults import Faults
 from proxy import Proxy
 from wire import free_port
 
 SHORT_S = 0.15
+RECORD = mock.Mock(**{"now_s.return_value": 1.0})
 
 
 async def echo(reader, writer):
@@ -63,16 +65,61 @@
         with self.assertRaises(ConnectionError):
             await self.reader.read(1)
 
+    async def connect(self):
+        """Return what comes of a new connection through the proxy."""
+        host, _, port = self.proxy.address.rpartition(":")
+        try:
+            self.reader, self.writer = await asyncio.open_connection(host,
+                                                                     port)
+            return await self.is_answered()
+        except ConnectionError as error:
+            return type(error)
+
+    async def test_takes_the_store_away_and_back(self):
+        for fault, seen in (("silence", False),
+                            ("refuse", ConnectionRefusedError),
+                            ("reset", ConnectionResetError)):
+            Faults.take_away(self.proxy, fault)
+            self.writer.close()
+            self.assertIs(await self.connect(), seen)
+            self.writer.close()
+            self.proxy.heal()
+            await self.proxy.start()
+            self.assertIs(await self.connect(), True)
+
+
+class StoreFaultTest(unittest.IsolatedAsyncioTestCase):
+    """The store is away for all processes at the same time, and comes back."""
+
+    async def test_all_at_once(self):
+        proxies = [Proxy(f"p{i}-store", free_port(), "127.0.0.1:1")
+                   for i in range(3)]
+        for proxy in proxies:
+            self.addCleanup(proxy.stop)
+            await proxy.start()
+        system = types.SimpleNamespace(
+            record=RECORD, busy={proxies[0]}, store_proxies=lambda: proxies)
+        faults = Faults(system, 1, 1.0, [])
+        pick = types.SimpleNamespace(choice=lambda each: "refuse",
+                                     uniform=lambda low, high: 0.2)
+        task = asyncio.create_task(faults.disturb_store(pick))
+        await asyncio.sleep(0.05)
+        self.assertTrue(all(proxy.server for proxy in proxies))
+        system.busy.discard(proxies[0])
+        await asyncio.sleep(0.1)
+        self.assertFalse(any(proxy.server for proxy in proxies))
+        await task
+        self.assertTrue(all(proxy.server for proxy in proxies))
+        self.assertEqual(system.busy, set())
+        self.assertEqual(faults.counts, {"store refuse": 1})
+
 
 class ExitTest(unittest.TestCase):
     """A process that ends by itself is a finding, with its last lines."""
 
     def report(self, code, log):
         findings = []
-        system = types.SimpleNamespace(
-            record=type("Record", (), {
-                "now_s": lambda self: 1.0,
-                "__call__": lambda self, kind, text: None})())
+        system = types.SimpleNamespace(record=RECORD)
         process = types.SimpleNamespace(
             name="side-0", read_log=lambda: log,
             child=types.SimpleNamespace(poll=lambda: code, returncode=code))
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -20,30 +20,48 @@
 class Proxy:
     """Forwards connections to a target address.
 
-    It can delay what it forwards, reset its connections, and hold back one
-    way ("up" is towards the target) or both. What is held back goes on when
-    the way is opened again, as TCP would repeat it.
+    It can delay what it forwards, reset its connections, once or as soon as
+    they are open, refuse them, and hold back one way ("up" is towards the
+    target) or both. What is held back goes on when the way is opened again, as
+    TCP would repeat it.
     """
 
     def __init__(self, name, port, target):
         self.name = name
         self.target = target
         self.delay_s = 0.0
+        self.resets = False
         self.open = {way: asyncio.Event() for way in WAYS}
         self.writers = set()
         self.pumps = set()
         self.server = None
-        # Listens at once, so that a program can connect before start().
-        self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(("127.0.0.1", port))
-        self.socket.listen(128)
+        self.port = port
         self.address = f"127.0.0.1:{port}"
+        # Listens at once, so that a program can connect before start().
+        self.socket = self.listen()
         self.heal()
 
+    def listen(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(128)
+        return listener
+
     async def start(self):
+        """Accept connections, also after refuse()."""
+        if self.server is not None:
+            return
+        if self.socket is None:
+            self.socket = self.listen()
         self.server = await asyncio.start_server(self.serve, sock=self.socket)
 
+    def refuse(self):
+        """Refuse connections until start()."""
+        self.server.close()
+        self.server = self.socket = None
+        self.reset()
+
     def stop(self):
         if self.server is not None:
             self.server.close()
@@ -52,6 +70,7 @@
     def heal(self):
         """Forward everything without delay."""
         self.delay_s = 0.0
+        self.resets = False
         for event in self.open.values():
             event.set()
 
@@ -68,6 +87,9 @@
             reset(writer)
 
     async def serve(self, reader, writer):
+        if self.resets:
+            reset(writer)
+            return
         host, _, port = self.target.rpartition(":")
         self.writers.add(writer)
         task = asyncio.current_task()
