Crash, replace and hang executors in the soak

The executors of the soak lived from its start to its end. A lane now crashes one, which comes back after 0.2 to 3 s under its id or a new one, or lets it accept calls and answer nothing for up to 7 s, with its heartbeats or without them; its runs go on until its own clock ends their lease.

Checked: tests of each fault and of a lease that ends amid a hang.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -19,6 +19,18 @@
         self.link = system.add_proxy(f"to-{name}", self.server.address)
         self.listed_ms = {}
         self.lapsed_ms = 0
+        self.place = name
+        self.lives = 0
+
+    async def start(self, first_heartbeat_s=0.0, name=None):
+        self.listed_ms = {}
+        self.lapsed_ms = 0
+        self.lives += 1
+        await super().start(first_heartbeat_s, name)
+
+    def next_name(self):
+        """Return the id of an executor that replaces this one."""
+        return f"{self.place}-{self.lives}"
 
     def describe(self):
         return {**super().describe(), "Address": self.link}
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -64,6 +64,7 @@
         self.state = "ready"
         self.remaining_ms = 0
         self.hangs = False
+        self.beats = True
         self.server = Server("127.0.0.1", free_port(), self.handle)
         self.life = None
         self.tasks = []
@@ -95,7 +96,10 @@
         self.log("crash", self.name)
 
     def hang(self, hangs):
-        """Leave all calls without an effect and without an answer."""
+        """Leave all calls without an effect and without an answer.
+
+        Heartbeats go on meanwhile if @beats is set.
+        """
         self.hangs = hangs
         self.log("hang" if hangs else "answers", self.name)
 
@@ -132,8 +136,9 @@
     async def send_heartbeats(self, delay_s):
         await asyncio.sleep(delay_s)
         while True:
-            await call(self.control, "PUT", f"/api/executors/{self.name}",
-                       self.describe(), timeout=1.0)
+            if self.beats or not self.hangs:
+                await call(self.control, "PUT", f"/api/executors/{self.name}",
+                           self.describe(), timeout=1.0)
             await asyncio.sleep(self.heartbeat_s)
 
     def describe(self):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,8 @@
 LEAVE_S = 10.0
 PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
 STORE_FAULTS = ("silence", "refuse", "reset")
+# An executor crashes and comes back, with another id if it is replaced.
+EXECUTOR_FAULTS = ("crash", "replace", "hang")
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
 LANES = ((3, 0), (2, 2), (1, 4))
@@ -39,6 +41,7 @@
         lanes += [self.play_lane(10 + i, self.disturb_link)
                   for i in range(links)]
         lanes.append(self.play_lane(20, self.disturb_store, LONG_PAUSE_S))
+        lanes.append(self.play_lane(30, self.disturb_executor))
         await asyncio.gather(*lanes)
 
     async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
@@ -186,6 +189,22 @@
             proxy.resets = True
             proxy.reset()
 
+    async def disturb_executor(self, pick):
+        executor = pick.choice(self.system.executors)
+        fault = pick.choice(EXECUTOR_FAULTS)
+        self.count(f"executor {fault}")
+        if fault == "hang":
+            executor.beats = pick.random() < 0.5
+            executor.hang(True)
+            await asyncio.sleep(pick.uniform(0.3, 7))
+            executor.hang(False)
+        else:
+            executor.crash()
+            await asyncio.sleep(pick.uniform(0.2, 3))
+            await executor.start(name=executor.next_name()
+                                 if fault == "replace" else None)
+        return f"{fault} {executor.name}"
+
     async def watch_exits(self):
         """Report and restart processes that ended by themselves."""
         while True:
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -6,9 +6,11 @@
 import unittest
 from unittest import mock
 
+from deployment import SoakExecutor
 from faults import Faults
+from leftovers import cancel_others
 from proxy import Proxy
-from wire import free_port
+from wire import call, free_port
 
 SHORT_S = 0.15
 RECORD = mock.Mock(**{"now_s.return_value": 1.0})
@@ -114,6 +116,64 @@
         self.assertEqual(faults.counts, {"store refuse": 1})
 
 
+class ExecutorFaultTest(unittest.IsolatedAsyncioTestCase):
+    """An executor that crashes or hangs is away, and its runs end or go on."""
+
+    async def asyncSetUp(self):
+        self.events = []
+        self.proxies = []
+        self.executor = SoakExecutor("i-0", self, types.SimpleNamespace(
+            jobs={}, work=lambda task, run: (None, None)), "127.0.0.1:1")
+        self.executors = [self.executor]
+        await self.executor.start(first_heartbeat_s=9)
+
+    async def asyncTearDown(self):
+        self.executor.crash()
+        await cancel_others()
+
+    def record(self, kind, text):
+        self.events.append((kind, text))
+
+    def add_proxy(self, name, target):
+        return target
+
+    async def post(self, path, **body):
+        return (await call(self.executor.link, "POST", path, body,
+                           timeout=SHORT_S))[0]
+
+    async def play(self, fault):
+        """Start a run; return the answers amid the fault and after it."""
+        self.assertEqual(await self.post("/api/run-start", Task="a.0.0.0",
+                                         Run=1, DeadlineMs=5000), 200)
+        pick = types.SimpleNamespace(
+            choice=lambda each: fault if fault in each else each[0],
+            uniform=lambda low, high: 3 * SHORT_S, random=lambda: 0)
+        faults = Faults(self, 1, 1.0, [])
+        playing = asyncio.create_task(faults.disturb_executor(pick))
+        await asyncio.sleep(SHORT_S)
+        amid = await self.post("/api/hold")
+        await playing
+        self.assertEqual(faults.counts, {f"executor {fault}": 1})
+        return amid, await self.post("/api/hold")
+
+    async def test_crash_and_hang(self):
+        for fault, name in (("hang", "i-0"), ("crash", "i-0"),
+                            ("replace", "i-0-2")):
+            life = self.executor.life
+            self.assertEqual(await self.play(fault), (0, 200))
+            self.assertEqual(self.executor.name, name)
+            self.assertIs(self.executor.life is life, fault == "hang")
+            self.assertEqual(self.executor.life.running != {},
+                             fault == "hang")
+
+    async def test_lease_lapses_amid_a_hang(self):
+        await self.post("/api/run-start", Task="a.0.0.0", Run=1,
+                        DeadlineMs=self.executor.life.clock_ms() + 100)
+        self.executor.hang(True)
+        await asyncio.sleep(2 * SHORT_S)
+        self.assertIn(("lapsed", "a.0.0.0 run=1 on i-0"), self.events)
+
+
 class ExitTest(unittest.TestCase):
     """A process that ends by itself is a finding, with its last lines."""
 
