Send SIGHUP to the programs in the soak

A lane sends SIGHUP to schedulers and agents that have run for 2 s, half of the times after numbers of their settings file were replaced. A program that doesn't log the reading of its settings (event 9004) within 5 s is a finding (HUP), and one that ends is one as before (EXIT).

Checked: tests with and without a change, without the event, and of a process that is too young.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,18 +3,28 @@
 import asyncio
 import random
 import signal
+import time
 
 LEAVE_S = 10.0
 PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
 STORE_FAULTS = ("silence", "refuse", "reset")
 # An executor crashes and comes back, with another id if it is replaced.
 EXECUTOR_FAULTS = ("crash", "replace", "hang")
+# Numbers of the settings that SIGHUP changes, by program, and their bounds.
+NUMBERS = {
+    "teasel-scheduler": {"status_ms": (100, 300), "silence_ms": (600, 1200)},
+    "teasel-node": {"report_ms": (300, 700), "poll_wait_ms": (100, 900)},
+}
+# Time from the start of a process until it surely handles SIGHUP.
+HANDLER_S = 2.0
+RELOAD_S = 5.0
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
 LANES = ((3, 0), (2, 2), (1, 4))
 # Pause before a fault of a lane, and of one whose faults disturb all at once.
 PAUSE_S = (0.05, 1.2)
 LONG_PAUSE_S = (2.0, 12.0)
+SETTINGS_RELOADED = '"event":9004,'
 ADDRESS_IN_USE = '"event":9003,'
 
 
@@ -42,6 +52,7 @@
                   for i in range(links)]
         lanes.append(self.play_lane(20, self.disturb_store, LONG_PAUSE_S))
         lanes.append(self.play_lane(30, self.disturb_executor))
+        lanes.append(self.play_lane(40, self.hang_up))
         await asyncio.gather(*lanes)
 
     async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
@@ -205,6 +216,39 @@
                                  if fault == "replace" else None)
         return f"{fault} {executor.name}"
 
+    async def hang_up(self, pick):
+        """Send SIGHUP, after a change of the settings half of the time."""
+        process = self.pick_process(pick)
+        changes = pick.random() < 0.5
+        if (process is None or process.child.poll() is not None or
+                time.monotonic() < process.began + HANDLER_S):
+            return "nothing"
+        self.system.busy.add(process)
+        self.count("hup changed" if changes else "hup")
+        try:
+            if changes:
+                process.change_settings({
+                    key: pick.randint(*bounds)
+                    for key, bounds in NUMBERS[process.program].items()})
+            await self.reload(process)
+        finally:
+            self.system.busy.discard(process)
+        return f"hup {process.name}"
+
+    async def reload(self, process):
+        """Send SIGHUP and wait until the settings are read."""
+        count = process.read_log().count(SETTINGS_RELOADED)
+        end_s = self.system.record.now_s() + RELOAD_S
+        process.signal(signal.SIGHUP)
+        while process.child.poll() is None:
+            if process.read_log().count(SETTINGS_RELOADED) > count:
+                return
+            if self.system.record.now_s() > end_s:
+                self.findings.append(("HUP", f"{process.name} did not read "
+                                             f"its settings in {RELOAD_S} s"))
+                return
+            await asyncio.sleep(0.02)
+
     async def watch_exits(self):
         """Report and restart processes that ended by themselves."""
         while True:
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
+import time
 import types
 import unittest
 from unittest import mock
@@ -174,6 +177,37 @@
         self.assertIn(("lapsed", "a.0.0.0 run=1 on i-0"), self.events)
 
 
+class HangUpTest(unittest.TestCase):
+    """SIGHUP reaches a process, with a changed number or without."""
+
+    def hang_up(self, chance, logs, began=0.0):
+        """Return the counts, the broken rules and the changed numbers."""
+        process = mock.Mock(program="teasel-node", began=began)
+        process.child.poll.return_value = None
+        process.read_log.side_effect = logs
+        system = mock.Mock(busy=set(), nodes=[process], schedulers=[process])
+        system.find_leader.return_value = None
+        system.record.now_s.side_effect = itertools.count()
+        faults = Faults(system, 1, 1.0, [])
+        pick = random.Random(1)
+        pick.random = lambda: chance
+        asyncio.run(faults.hang_up(pick))
+        self.assertEqual(process.signal.called, "hup" in str(faults.counts))
+        return (faults.counts, [rule for rule, _ in faults.findings],
+                [sorted(made[0][0])
+                 for made in process.change_settings.call_args_list])
+
+    def test_reads_settings_or_is_reported(self):
+        log = '{"event":9004,"level":"info"}'
+        self.assertEqual(self.hang_up(0.9, ["", log]), ({"hup": 1}, [], []))
+        self.assertEqual(self.hang_up(0.1, [log, log, 2 * log]),
+                         ({"hup changed": 1}, [],
+                          [["poll_wait_ms", "report_ms"]]))
+        self.assertEqual(self.hang_up(0.9, itertools.repeat(log)),
+                         ({"hup": 1}, ["HUP"], []))
+        self.assertEqual(self.hang_up(0.9, [], time.monotonic()), ({}, [], []))
+
+
 class ExitTest(unittest.TestCase):
     """A process that ends by itself is a finding, with its last lines."""
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -65,6 +65,7 @@
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(settings)
         self.child = None
+        self.began = 0.0
         self.start()
 
     def start(self):
@@ -78,6 +79,7 @@
                 [os.path.join(BUILD, self.program), "--config", self.path],
                 cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 env=environment)
+        self.began = time.monotonic()
         self.system.record("process", f"{self.name} started")
 
     def signal(self, number):
@@ -85,6 +87,17 @@
         self.system.record(
             "signal", f"{self.name} {signal.Signals(number).name}")
 
+    def change_settings(self, numbers):
+        """Replace numbers of the settings file at once."""
+        with open(self.path, encoding="utf-8") as file:
+            settings = json.load(file)
+        settings.update(numbers)
+        fresh = self.path + ".new"
+        with open(fresh, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        os.replace(fresh, self.path)
+        self.system.record("settings", f"{self.name} {numbers}")
+
     def read_log(self):
         path = os.path.join(self.system.folder, f"{self.name}.log")
         with open(path, encoding="utf-8") as log:
