Submit gangs in the soak, and check them

No job of the soak was a gang. GANG is broken if members of a run are at work in part at the end, or if one waits in vain for the others in calm times; TWICE if a member starts after an end done of its gang was taken note of; LOST, as for other jobs, if an accepted one isn't completed at the end. The ends `broken` and `alone` didn't count as ends in checks.py, which only gangs have.

Checked: a test of each rule.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,6 +1,6 @@
 """Checks of the rules, over the events that the executors recorded."""
 
-ENDS = ("done", "failed", "stopped", "lapsed", "gone")
+ENDS = ("done", "failed", "stopped", "lapsed", "gone", "broken", "alone")
 
 
 def split(text):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from gang import Gangs
 from leftovers import cancel
 from system import HOST, PREFIX
 from wire import call, read_head
@@ -18,14 +19,16 @@
 
     work_s: seconds of work of each task, or None if the tasks last
     cancel_s: time from the first submission to the cancelling, or None
+    gangs: the gangs of its runs, or None if its tasks work by themselves
     """
 
-    def __init__(self, job_id, counts, work_s, begin_s, cancel_s):
+    def __init__(self, job_id, counts, work_s, begin_s, cancel_s, gangs=None):
         self.id = job_id
         self.counts = counts
         self.work_s = work_s
         self.begin_s = begin_s
         self.cancel_s = cancel_s
+        self.gangs = gangs
         self.calls = []
         self.cancelled_s = None
 
@@ -36,6 +39,8 @@
         for i, step in enumerate(steps):
             if self.work_s is None:
                 step["LongRunning"] = True
+            if self.gangs is not None:
+                step["Gang"] = True
             if i > 0:
                 step["After"] = [i - 1]
         return {"Spec": self.spec(), "Phases": steps}
@@ -131,11 +136,12 @@
         self.counts_seen = []
         self.plan(seconds)
 
-    def add(self, counts, work_s, seconds, cancel_s=None):
+    def add(self, counts, work_s, seconds, cancel_s=None, gangs=None):
         self.count += 1
         job_id = f"{self.random.getrandbits(40):010x}{self.count:06x}"
         begin_s = self.random.uniform(0, seconds)
-        self.jobs[job_id] = Job(job_id, counts, work_s, begin_s, cancel_s)
+        self.jobs[job_id] = Job(job_id, counts, work_s, begin_s, cancel_s,
+                                gangs)
 
     def plan(self, seconds):
         pick = self.random
@@ -150,6 +156,18 @@
         for _ in range(6):
             self.add([pick.randint(1, 4), 2], pick.uniform(0.2, 1.5), seconds,
                      pick.choice((None, None, pick.uniform(0.01, 3.0))))
+        for _ in range(6):
+            count, work_s = pick.randint(2, 5), pick.uniform(0.2, 2.0)
+            self.add([count], work_s, seconds,
+                     pick.choice((None, None, pick.uniform(0.01, 3.0))),
+                     Gangs(count, work_s))
+
+    def gang_of(self, task, number):
+        """Return the gang of a run, or None (see Executor)."""
+        job = self.jobs.get(task.split(".")[0])
+        if job is None or job.gangs is None:
+            return None
+        return job.gangs.get(task, number)
 
     def work(self, task, _):
         """Return how long a task works and how it ends (see Executor)."""
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -14,7 +14,8 @@
     """An executor behind a proxy that checks what it is told to start."""
 
     def __init__(self, name, system, clients, control):
-        super().__init__(name, control, system.record, clients.work)
+        super().__init__(name, control, system.record, clients.work,
+                         gang_of=clients.gang_of)
         self.jobs = clients.jobs
         self.link = system.add_proxy(f"to-{name}", self.server.address)
         self.listed_ms = {}
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -126,7 +126,8 @@
         self.events = []
         self.proxies = []
         self.executor = SoakExecutor("i-0", self, types.SimpleNamespace(
-            jobs={}, work=lambda task, run: (None, None)), "127.0.0.1:1")
+            jobs={}, work=lambda task, run: (None, None),
+            gang_of=lambda task, run: None), "127.0.0.1:1")
         self.executors = [self.executor]
         await self.executor.start(first_heartbeat_s=9)
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -2,7 +2,8 @@
 
 import json
 
-from checks import find_parallel_runs, get_running, split
+from checks import ENDS, find_parallel_runs, get_running, split
+from gang import GANG_TIMEOUT_S
 
 CANCEL_S = 3.0
 CONTACT_S = 4.0
@@ -141,6 +142,35 @@
     return found
 
 
+def find_gangs(events, jobs, spans):
+    """Return gangs that are at work in part, wait in vain or start again."""
+    gangs = {job.id: job for job in jobs.values() if job.gangs is not None}
+    running, done, found = {}, set(), []
+    noted = {split(text)[:2] for _, kind, text in events
+             if kind == "noted" and text.endswith("how=done")}
+    for at_s, kind, text in events:
+        job = gangs.get(job_of(text))
+        if job is None or kind not in ("start", *ENDS):
+            continue
+        task, number, _ = split(text)
+        members = running.setdefault((job.id, number), set())
+        if kind == "start" and job.id in done:
+            found.append(("TWICE", job.id, f"{at_s:.3f} s: {text} starts "
+                                           f"after its gang was done"))
+        elif (kind == "alone" and at_s < (job.cancelled_s or at_s + 1) and
+              is_calm(spans, at_s - GANG_TIMEOUT_S - CONTACT_S, at_s)):
+            found.append(("GANG", job.id, f"{at_s:.3f} s: {text} waited in "
+                                          f"vain for the others"))
+        (members.add if kind == "start" else members.discard)(task)
+        if (task, number) in noted and kind == "done":
+            done.add(job.id)
+    return found + [
+        ("GANG", job_id, f"at the end run {number} is at work in part: "
+                         f"{', '.join(sorted(members))}")
+        for (job_id, number), members in running.items()
+        if members and members != gangs[job_id].tasks()]
+
+
 def find_counts(counts, jobs):
     """Return the answered numbers of pending jobs that cannot be."""
     found = []
@@ -166,4 +196,5 @@
             find_refused_starts(events, jobs) +
             find_wrong_answers(events, jobs) +
             find_lost_jobs(events, jobs, states) +
+            find_gangs(events, jobs, spans) +
             find_counts(clients.counts_seen, jobs))
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from clients import Job
+from gang import Gangs
 from rules import check
 
 GOOD = [(1.0, "start", "a.0.0.0 run=1 on i-0 born=1"),
@@ -13,9 +14,13 @@
 
 
 def play(calls, events, cancelled_s=None, state="completed", work_s=1.0,
-         spans=(), counts=()):
-    """Return the rules that a run with one job `a` of one task breaks."""
-    job = Job("a", [1], work_s, 0.0, cancelled_s)
+         spans=(), counts=(), gang=0):
+    """Return the rules that a run with one job `a` of one task breaks.
+
+    gang: number of tasks, if they are a gang
+    """
+    job = Job("a", [gang or 1], work_s, 0.0, cancelled_s,
+              Gangs(gang, work_s) if gang else None)
     job.calls = calls
     job.cancelled_s = cancelled_s
     clients = types.SimpleNamespace(jobs={"a": job}, counts_seen=counts)
@@ -80,6 +85,27 @@
                               counts=[(1.0, 200, b'{"Pending":2}')]),
                          ["MIXED"])
 
+    def play_gang(self, events, **options):
+        """Return the rules that a job which is a gang of two breaks."""
+        events = [(at_s, kind, f"a.0.0.{i} run={number} on i-{i}{rest}")
+                  for at_s, kind, i, number, rest in events]
+        return play([post(200)], events, gang=2, **options)
+
+    def test_gang(self):
+        whole = [(1.0, "start", 0, 1, ""), (1.1, "start", 1, 1, "")]
+        done = [(2.0, "done", 0, 1, ""), (2.0, "done", 1, 1, ""),
+                (2.1, "noted", 0, 1, " how=done")]
+        alone = [(1.0, "start", 0, 1, ""), (20.0, "alone", 0, 1, "")]
+        self.assertEqual(self.play_gang(whole + done), [])
+        self.assertEqual(self.play_gang(whole), [])
+        self.assertEqual(self.play_gang(whole[:1]), ["GANG"])
+        self.assertEqual(self.play_gang(whole + [(2.0, "broken", 1, 1, "")]),
+                         ["GANG"])
+        self.assertEqual(self.play_gang(alone), ["GANG"])
+        self.assertEqual(self.play_gang(alone, spans=[(14.0, 15.0, "")]), [])
+        again = [(3.0, "start", 1, 2, ""), (4.0, "done", 1, 2, "")]
+        self.assertEqual(self.play_gang(whole + done + again), ["TWICE"])
+
 
 if __name__ == "__main__":
     unittest.main()
