Let gangs end on one executor of the soak

An executor of the soak that two members of a gang ran on failed with KeyError on each later hold: the end of one ends the others before its own number was noted. Such an executor never reported its ends again. The number is noted first now. The same error is reported once, no longer at each call.

A test of two members on one executor failed before and passes now. Some lines of the tests are shorter.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -45,12 +45,12 @@
         return await super().run_start(life, body)
 
     def end(self, life, run, how):
-        held = life.running.get(run.task) is run
-        super().end(life, run, how)
-        if held:
-            self.listed_ms[life.end_number] = life.clock_ms()
+        # Before super(), which may end other members of a gang.
+        if life.running.get(run.task) is run:
+            self.listed_ms[life.end_number + 1] = life.clock_ms()
             if how == "lapsed":
                 self.lapsed_ms = life.clock_ms()
+        super().end(life, run, how)
 
     async def hold(self, life, body):
         """Answer a hold; an end after which the lease lapsed is not noted."""
@@ -132,9 +132,6 @@
             await executor.start(first_heartbeat_s=0.05 * i)
         return await self.wait_ready()
 
-    def store_proxies(self):
-        return [each for each in self.proxies if each.name.endswith("-store")]
-
     def processes(self):
         return self.schedulers + self.nodes
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,15 +8,13 @@
 LEAVE_S = 10.0
 PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
 STORE_FAULTS = ("silence", "refuse", "reset")
-# An executor crashes and comes back, with another id if it is replaced.
 EXECUTOR_FAULTS = ("crash", "replace", "hang")
-# Numbers of the settings that SIGHUP changes, by program, and their bounds.
+# Bounds of the numbers that change before SIGHUP.
 NUMBERS = {
     "teasel-scheduler": {"status_ms": (100, 300), "silence_ms": (600, 1200)},
     "teasel-node": {"report_ms": (300, 700), "poll_wait_ms": (100, 900)},
 }
-# Time from the start of a process until it surely handles SIGHUP.
-HANDLER_S = 2.0
+HANDLER_S = 2.0  # a process surely handles SIGHUP after so long
 RELOAD_S = 5.0
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
@@ -170,7 +168,8 @@
         """Take the store away from all processes at once."""
         fault = pick.choice(STORE_FAULTS)
         seconds = pick.uniform(0.3, 7)
-        proxies = self.system.store_proxies()
+        proxies = [each for each in self.system.proxies
+                   if each.name.endswith("-store")]
         waiting = set(proxies)
         while waiting:
             free = waiting - self.system.busy
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -11,6 +11,7 @@
 
 from deployment import SoakExecutor
 from faults import Faults
+from gang import Gangs
 from leftovers import cancel_others
 from proxy import Proxy
 from wire import call, free_port
@@ -103,7 +104,7 @@
             self.addCleanup(proxy.stop)
             await proxy.start()
         system = types.SimpleNamespace(
-            record=RECORD, busy={proxies[0]}, store_proxies=lambda: proxies)
+            record=RECORD, busy={proxies[0]}, proxies=proxies)
         faults = Faults(system, 1, 1.0, [])
         pick = types.SimpleNamespace(choice=lambda each: "refuse",
                                      uniform=lambda low, high: 0.2)
@@ -127,7 +128,7 @@
         self.proxies = []
         self.executor = SoakExecutor("i-0", self, types.SimpleNamespace(
             jobs={}, work=lambda task, run: (None, None),
-            gang_of=lambda task, run: None), "127.0.0.1:1")
+            gang_of=Gangs(3, 9.0).get), "127.0.0.1:1")
         self.executors = [self.executor]
         await self.executor.start(first_heartbeat_s=9)
 
@@ -177,6 +178,15 @@
         await asyncio.sleep(2 * SHORT_S)
         self.assertIn(("lapsed", "a.0.0.0 run=1 on i-0"), self.events)
 
+    async def test_gang_that_ends_on_one_executor(self):
+        for task in ("a.0.0.0", "a.0.0.1"):
+            await self.post("/api/run-start", Task=task, Run=1,
+                            DeadlineMs=5000)
+        life = self.executor.life
+        self.executor.end(life, life.running["a.0.0.0"], "stopped")
+        self.assertEqual(life.running, {})
+        self.assertEqual(await self.post("/api/hold", AckCursor=2), 200)
+
 
 class HangUpTest(unittest.TestCase):
     """SIGHUP reaches a process, with a changed number or without."""
--- a/tests/soak/leftovers.py
+++ b/tests/soak/leftovers.py
@@ -61,6 +61,6 @@
                           f"{context.get('exception')!r}")
 
     def collect(self):
-        """Return the errors, also of objects that are only freed now."""
+        """Return each error once, also of objects that are only freed now."""
         gc.collect()
-        return self.found
+        return sorted(set(self.found))
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -15,10 +15,7 @@
 
 def play(calls, events, cancelled_s=None, state="completed", work_s=1.0,
          spans=(), counts=(), gang=0):
-    """Return the rules that a run with one job `a` of one task breaks.
-
-    gang: number of tasks, if they are a gang
-    """
+    """Return the rules that a run with one job `a` of one task breaks."""
     job = Job("a", [gang or 1], work_s, 0.0, cancelled_s,
               Gangs(gang, work_s) if gang else None)
     job.calls = calls
