--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -14,11 +14,24 @@
     """An executor behind a proxy that checks what it is told to start."""
 
     def __init__(self, name, system, clients, control):
-        super().__init__(name, control, system.record, clients.work)
+        super().__init__(name, control, system.record, clients.work,
+                         gang_of=clients.gang_of)
         self.jobs = clients.jobs
         self.link = system.add_proxy(f"to-{name}", self.server.address)
         self.listed_ms = {}
         self.lapsed_ms = 0
+        self.place = name
+        self.lives = 0
+
+    async def start(self, first_heartbeat_s=0.0, name=None):
+        self.listed_ms = {}
+        self.lapsed_ms = 0
+        self.lives += 1
+        await super().start(first_heartbeat_s, name)
+
+    def next_name(self):
+        """Return the id of an executor that replaces this one."""
+        return f"{self.place}-{self.lives}"
 
     def describe(self):
         return {**super().describe(), "Address": self.link}
@@ -32,12 +45,12 @@
         return await super().run_start(life, body)
 
     def end(self, life, run, how):
-        held = life.running.get(run.task) is run
-        super().end(life, run, how)
-        if held:
-            self.listed_ms[life.end_number] = life.clock_ms()
+        # Before super(), which may end other members of a gang.
+        if life.running.get(run.task) is run:
+            self.listed_ms[life.end_number + 1] = life.clock_ms()
             if how == "lapsed":
                 self.lapsed_ms = life.clock_ms()
+        super().end(life, run, how)
 
     async def hold(self, life, body):
         """Answer a hold; an end after which the lease lapsed is not noted."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,12 +3,26 @@
 import asyncio
 import random
 import signal
+import time
 
 LEAVE_S = 10.0
 PROCESS_FAULTS = ("pause", "pause", "pause", "kill", "term")
+STORE_FAULTS = ("silence", "refuse", "reset")
+EXECUTOR_FAULTS = ("crash", "replace", "hang")
+# Bounds of the numbers that change before SIGHUP.
+NUMBERS = {
+    "teasel-scheduler": {"status_ms": (100, 300), "silence_ms": (600, 1200)},
+    "teasel-node": {"report_ms": (300, 700), "poll_wait_ms": (100, 900)},
+}
+HANDLER_S = 2.0  # a process surely handles SIGHUP after so long
+RELOAD_S = 5.0
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
 LANES = ((3, 0), (2, 2), (1, 4))
+# Pause before a fault of a lane, and of one whose faults disturb all at once.
+PAUSE_S = (0.05, 1.2)
+LONG_PAUSE_S = (2.0, 12.0)
+SETTINGS_RELOADED = '"event":9004,'
 ADDRESS_IN_USE = '"event":9003,'
 
 
@@ -34,17 +48,23 @@
                  for i in range(signals)]
         lanes += [self.play_lane(10 + i, self.disturb_link)
                   for i in range(links)]
+        lanes.append(self.play_lane(20, self.disturb_store, LONG_PAUSE_S))
+        lanes.append(self.play_lane(30, self.disturb_executor))
+        lanes.append(self.play_lane(40, self.hang_up))
         await asyncio.gather(*lanes)
 
-    async def play_lane(self, lane, disturb):
+    async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
         pick = random.Random(f"faults {self.seed} {lane}")
         end_s = self.system.record.now_s() + self.seconds
         while self.system.record.now_s() < end_s:
-            await asyncio.sleep(pick.uniform(0.05, 1.2))
+            await asyncio.sleep(pick.uniform(*pause_s))
             began_s = self.system.record.now_s()
             what = await disturb(pick)
             self.spans.append((began_s, self.system.record.now_s(), what))
 
+    def count(self, fault):
+        self.counts[fault] = self.counts.get(fault, 0) + 1
+
     def pick_process(self, pick):
         """Pick a process that nothing else disturbs, the leader most often."""
         leader = self.system.find_leader()
@@ -64,7 +84,7 @@
         if process is None:
             return "nothing"
         self.system.busy.add(process)
-        self.counts[fault] = self.counts.get(fault, 0) + 1
+        self.count(fault)
         try:
             await getattr(self, fault)(process, seconds)
         finally:
@@ -121,7 +141,7 @@
         resets = pick.random() < 0.5
         names = " ".join(proxy.name for proxy in proxies)
         self.system.busy.update(proxies)
-        self.counts[fault] = self.counts.get(fault, 0) + 1
+        self.count(fault)
         self.system.record("link", f"{names} {fault} for {seconds:.2f} s")
         for proxy in proxies:
             self.begin_link_fault(proxy, fault, delay_s)
@@ -144,6 +164,90 @@
         else:
             proxy.hold(("up", "down") if fault == "silence" else (fault,))
 
+    async def disturb_store(self, pick):
+        """Take the store away from all processes at once."""
+        fault = pick.choice(STORE_FAULTS)
+        seconds = pick.uniform(0.3, 7)
+        proxies = [each for each in self.system.proxies
+                   if each.name.endswith("-store")]
+        waiting = set(proxies)
+        while waiting:
+            free = waiting - self.system.busy
+            self.system.busy.update(free)
+            waiting -= free
+            await asyncio.sleep(0.02)
+        self.count(f"store {fault}")
+        self.system.record("link", f"the store is away for {seconds:.2f} s: "
+                                   f"{fault}")
+        for proxy in proxies:
+            self.take_away(proxy, fault)
+        await asyncio.sleep(seconds)
+        for proxy in proxies:
+            proxy.heal()
+            await proxy.start()
+        self.system.busy.difference_update(proxies)
+        self.system.record("link", "the store is back")
+        return f"store {fault}"
+
+    @staticmethod
+    def take_away(proxy, fault):
+        if fault == "silence":
+            proxy.hold(("up", "down"))
+        elif fault == "refuse":
+            proxy.refuse()
+        else:
+            proxy.resets = True
+            proxy.reset()
+
+    async def disturb_executor(self, pick):
+        executor = pick.choice(self.system.executors)
+        fault = pick.choice(EXECUTOR_FAULTS)
+        self.count(f"executor {fault}")
+        if fault == "hang":
+            executor.beats = pick.random() < 0.5
+            executor.hang(True)
+            await asyncio.sleep(pick.uniform(0.3, 7))
+            executor.hang(False)
+        else:
+            executor.crash()
+            await asyncio.sleep(pick.uniform(0.2, 3))
+            await executor.start(name=executor.next_name()
+                                 if fault == "replace" else None)
+        return f"{fault} {executor.name}"
+
+    async def hang_up(self, pick):
+        """Send SIGHUP, after a change of the settings half of the time."""
+        process = self.pick_process(pick)
+        changes = pick.random() < 0.5
+        if (process is None or process.child.poll() is not None or
+                time.monotonic() < process.began + HANDLER_S):
+            return "nothing"
+        self.system.busy.add(process)
+        self.count("hup changed" if changes else "hup")
+        try:
+            if changes:
+                process.change_settings({
+                    key: pick.randint(*bounds)
+                    for key, bounds in NUMBERS[process.program].items()})
+            await self.reload(process)
+        finally:
+            self.system.busy.discard(process)
+        return f"hup {process.name}"
+
+    async def reload(self, process):
+        """Send SIGHUP and wait until the settings are read."""
+        count = process.read_log().count(SETTINGS_RELOADED)
+        end_s = self.system.record.now_s() + RELOAD_S
+        process.signal(signal.SIGHUP)
+        while process.child.poll() is None:
+            if process.read_log().count(SETTINGS_RELOADED) > count:
+                return
+            if self.system.record.now_s() > end_s:
+                self.findings.append(("HUP", f"{process.name} did not read "
+                                             f"its settings in {RELOAD_S} s"))
+                return
+            await asyncio.sleep(0.02)
+
     async def watch_exits(self):
         """Report and restart processes that ended by themselves."""
         while True:
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
+import time
 import types
 import unittest
+from unittest import mock
 
+from deployment import SoakExecutor
 from faults import Faults
+from gang import Gangs
+from leftovers import cancel_others
 from proxy import Proxy
-from wire import free_port
+from wire import call, free_port
 
 SHORT_S = 0.15
+RECORD = mock.Mock(**{"now_s.return_value": 1.0})
 
 
 async def echo(reader, writer):
@@ -63,16 +71,160 @@
         with self.assertRaises(ConnectionError):
             await self.reader.read(1)
 
+    async def connect(self):
+        """Return what comes of a new connection through the proxy."""
+        host, _, port = self.proxy.address.rpartition(":")
+        try:
+            self.reader, self.writer = await asyncio.open_connection(host,
+                                                                     port)
+            return await self.is_answered()
+        except ConnectionError as error:
+            return type(error)
+
+    async def test_takes_the_store_away_and_back(self):
+        for fault, seen in (("silence", False),
+                            ("refuse", ConnectionRefusedError),
+                            ("reset", ConnectionResetError)):
+            Faults.take_away(self.proxy, fault)
+            self.writer.close()
+            self.assertIs(await self.connect(), seen)
+            self.writer.close()
+            self.proxy.heal()
+            await self.proxy.start()
+            self.assertIs(await self.connect(), True)
+
+
+class StoreFaultTest(unittest.IsolatedAsyncioTestCase):
+    """The store is away for all processes at the same time, and comes back."""
+
+    async def test_all_at_once(self):
+        proxies = [Proxy(f"p{i}-store", free_port(), "127.0.0.1:1")
+                   for i in range(3)]
+        for proxy in proxies:
+            self.addCleanup(proxy.stop)
+            await proxy.start()
+        system = types.SimpleNamespace(
+            record=RECORD, busy={proxies[0]}, proxies=proxies)
+        faults = Faults(system, 1, 1.0, [])
+        pick = types.SimpleNamespace(choice=lambda each: "refuse",
+                                     uniform=lambda low, high: 0.2)
+        task = asyncio.create_task(faults.disturb_store(pick))
+        await asyncio.sleep(0.05)
+        self.assertTrue(all(proxy.server for proxy in proxies))
+        system.busy.discard(proxies[0])
+        await asyncio.sleep(0.1)
+        self.assertFalse(any(proxy.server for proxy in proxies))
+        await task
+        self.assertTrue(all(proxy.server for proxy in proxies))
+        self.assertEqual(system.busy, set())
+        self.assertEqual(faults.counts, {"store refuse": 1})
+
+
+class ExecutorFaultTest(unittest.IsolatedAsyncioTestCase):
+    """An executor that crashes or hangs is away, and its runs end or go on."""
+
+    async def asyncSetUp(self):
+        self.events = []
+        self.proxies = []
+        self.executor = SoakExecutor("i-0", self, types.SimpleNamespace(
+            jobs={}, work=lambda task, run: (None, None),
+            gang_of=Gangs(3, 9.0).get), "127.0.0.1:1")
+        self.executors = [self.executor]
+        await self.executor.start(first_heartbeat_s=9)
+
+    async def asyncTearDown(self):
+        self.executor.crash()
+        await cancel_others()
+
+    def record(self, kind, text):
+        self.events.append((kind, text))
+
+    def add_proxy(self, name, target):
+        return target
+
+    async def post(self, path, **body):
+        return (await call(self.executor.link, "POST", path, body,
+                           timeout=SHORT_S))[0]
+
+    async def play(self, fault):
+        """Start a run; return the answers amid the fault and after it."""
+        self.assertEqual(await self.post("/api/run-start", Task="a.0.0.0",
+                                         Run=1, DeadlineMs=5000), 200)
+        pick = types.SimpleNamespace(
+            choice=lambda each: fault if fault in each else each[0],
+            uniform=lambda low, high: 3 * SHORT_S, random=lambda: 0)
+        faults = Faults(self, 1, 1.0, [])
+        playing = asyncio.create_task(faults.disturb_executor(pick))
+        await asyncio.sleep(SHORT_S)
+        amid = await self.post("/api/hold")
+        await playing
+        self.assertEqual(faults.counts, {f"executor {fault}": 1})
+        return amid, await self.post("/api/hold")
+
+    async def test_crash_and_hang(self):
+        for fault, name in (("hang", "i-0"), ("crash", "i-0"),
+                            ("replace", "i-0-2")):
+            life = self.executor.life
+            self.assertEqual(await self.play(fault), (0, 200))
+            self.assertEqual(self.executor.name, name)
+            self.assertIs(self.executor.life is life, fault == "hang")
+            self.assertEqual(self.executor.life.running != {},
+                             fault == "hang")
+
+    async def test_lease_lapses_amid_a_hang(self):
+        await self.post("/api/run-start", Task="a.0.0.0", Run=1,
+                        DeadlineMs=self.executor.life.clock_ms() + 100)
+        self.executor.hang(True)
+        await asyncio.sleep(2 * SHORT_S)
+        self.assertIn(("lapsed", "a.0.0.0 run=1 on i-0"), self.events)
+
+    async def test_gang_that_ends_on_one_executor(self):
+        for task in ("a.0.0.0", "a.0.0.1"):
+            await self.post("/api/run-start", Task=task, Run=1,
+                            DeadlineMs=5000)
+        life = self.executor.life
+        self.executor.end(life, life.running["a.0.0.0"], "stopped")
+        self.assertEqual(life.running, {})
+        self.assertEqual(await self.post("/api/hold", AckCursor=2), 200)
+
+
+class HangUpTest(unittest.TestCase):
+    """SIGHUP reaches a process, with a changed number or without."""
+
+    def hang_up(self, chance, logs, began=0.0):
+        """Return the counts, the broken rules and the changed numbers."""
+        process = mock.Mock(program="teasel-node", began=began)
+        process.child.poll.return_value = None
+        process.read_log.side_effect = logs
+        system = mock.Mock(busy=set(), nodes=[process], schedulers=[process])
+        system.find_leader.return_value = None
+        system.record.now_s.side_effect = itertools.count()
+        faults = Faults(system, 1, 1.0, [])
+        pick = random.Random(1)
+        pick.random = lambda: chance
+        asyncio.run(faults.hang_up(pick))
+        self.assertEqual(process.signal.called, "hup" in str(faults.counts))
+        return (faults.counts, [rule for rule, _ in faults.findings],
+                [sorted(made[0][0])
+                 for made in process.change_settings.call_args_list])
+
+    def test_reads_settings_or_is_reported(self):
+        log = '{"event":9004,"level":"info"}'
+        self.assertEqual(self.hang_up(0.9, ["", log]), ({"hup": 1}, [], []))
+        self.assertEqual(self.hang_up(0.1, [log, log, 2 * log]),
+                         ({"hup changed": 1}, [],
+                          [["poll_wait_ms", "report_ms"]]))
+        self.assertEqual(self.hang_up(0.9, itertools.repeat(log)),
+                         ({"hup": 1}, ["HUP"], []))
+        self.assertEqual(self.hang_up(0.9, [], time.monotonic()), ({}, [], []))
+
 
 class ExitTest(unittest.TestCase):
     """A process that ends by itself is a finding, with its last lines."""
 
     def report(self, code, log):
         findings = []
-        system = types.SimpleNamespace(
-            record=type("Record", (), {
-                "now_s": lambda self: 1.0,
-                "__call__": lambda self, kind, text: None})())
+        system = types.SimpleNamespace(record=RECORD)
         process = types.SimpleNamespace(
             name="side-0", read_log=lambda: log,
             child=types.SimpleNamespace(poll=lambda: code, returncode=code))
