--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -83,9 +83,6 @@
  * @consecutive_failures: number of different jobs that failed in a row
  * @last_failed_job: sequence number of the latest of these jobs
  * @probation_ms: no new tasks are placed here before this time
- * @held_until_ms: no new short tasks are placed here before this time, so that
- *     room for a lasting task becomes free
- * @held_priority: of that task; short tasks of a higher priority are placed
  */
 struct sched_executor {
     list_t link;
@@ -123,8 +120,6 @@
     uint32_t consecutive_failures;
     uint64_t last_failed_job;
     int64_t probation_ms;
-    int64_t held_until_ms;
-    uint32_t held_priority;
 };
 
 /*
--- a/libteasel/sched/pass.h
+++ b/libteasel/sched/pass.h
@@ -19,8 +19,6 @@
  * struct pass - a pass over the waiting tasks
  * @restarts: only lasting tasks that have run before
  * @failed: demands that no executor could meet in this pass
- * @not_held: demands for which no executor could be held in this pass
- * @may_hold: this pass renews the holds of executors and begins new ones
  * @overdue: a trial keeps a lasting task that is no suspect from its executor,
  *     and the task has waited for long
  */
@@ -30,8 +28,6 @@
     pass_scope_t scope;
     bool restarts;
     demand_list_t *failed;
-    demand_list_t *not_held;
-    bool may_hold;
     bool overdue;
 } pass_t;
 
@@ -46,16 +42,4 @@
  */
 void pass_place_gang(const pass_t *pass, sched_step_t *step);
 
-/**
- * pass_begin_holds() - decide whether a pass holds executors
- */
-void pass_begin_holds(pass_t *pass);
-
-/**
- * pass_hold_room() - keep short tasks from an executor on which they take the
- * room of a lasting task
- * @task: no executor has room for it
- */
-void pass_hold_room(pass_t *pass, const sched_task_t *task);
-
 #endif
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -207,24 +207,6 @@
     return false;
 }
 
-/* Holds room for a lasting task that has run before and has waited for
-   long. */
-static void
-hold_room(pass_t *pass, const sched_step_t *step)
-{
-    if (!pass->restarts) {
-        return;
-    }
-    for (uint32_t i = 0; i < step->spec->count; i++) {
-        const sched_task_t *task = &step->tasks[i];
-
-        if (is_taken(pass, task) && is_overdue(pass, task)) {
-            pass_hold_room(pass, task);
-            return;
-        }
-    }
-}
-
 void
 pass_place_tasks(pass_t *pass, sched_step_t *step)
 {
@@ -237,7 +219,6 @@
     if (demand_list_covers(pass->failed, step,
                            has_overcommitting_task(pass, step))) {
         pass->overdue |= has_overdue_task(pass, step);
-        hold_room(pass, step);
         return;
     }
     if (!place_special_tasks(pass, step) ||
@@ -247,7 +228,6 @@
                         has_overcommitting_task(pass, step));
     }
     pass->overdue |= has_overdue_task(pass, step);
-    hold_room(pass, step);
     if (step->waiting == 0) {
         count_start(pass->sched, job);
     }
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -39,7 +39,6 @@
     [SCHED_REFUSAL_DRAINING] = "draining",
     [SCHED_REFUSAL_TRIAL] = "trial",
     [SCHED_REFUSAL_PROBATION] = "probation",
-    [SCHED_REFUSAL_HELD] = "held",
     [SCHED_REFUSAL_RESOURCES] = "resources",
     [SCHED_REFUSAL_CONSTRAINTS] = "constraints",
 };
@@ -52,10 +51,10 @@
 
 static bool
 has_resources(const sched_placement_t *placement,
-              const sched_executor_t *executor,
-              const sched_resources_t *reserved, const Teasel__StepSpec *step)
+              const sched_executor_t *executor, const Teasel__StepSpec *step)
 {
     const sched_resources_t *capacity = &executor->capacity;
+    const sched_resources_t *reserved = &executor->reserved;
     uint64_t cpu = reserved->cpu_milli + step->cpu_milli;
 
     /* Best-effort tasks use the CPU that other tasks leave unused, so they
@@ -100,19 +99,10 @@
     return placement->now_ms < executor->probation_ms;
 }
 
-static bool
-is_held(const sched_placement_t *placement, const sched_executor_t *executor,
-        const sched_step_t *step)
-{
-    return !step->spec->long_running &&
-           placement->now_ms < executor->held_until_ms &&
-           step->occurrence->job->spec->priority >= executor->held_priority;
-}
-
-/* Checks an executor as if @reserved were reserved there. */
-static sched_refusal_t
-check(const sched_placement_t *placement, const sched_executor_t *executor,
-      const sched_resources_t *reserved, const sched_step_t *step)
+sched_refusal_t
+sched_placement_check(const sched_placement_t *placement,
+                      const sched_executor_t *executor,
+                      const sched_step_t *step)
 {
     const Teasel__JobSpec *job = step->occurrence->job->spec;
 
@@ -131,10 +121,7 @@
     if (!step->spec->long_running && is_on_probation(placement, executor)) {
         return SCHED_REFUSAL_PROBATION;
     }
-    if (is_held(placement, executor, step)) {
-        return SCHED_REFUSAL_HELD;
-    }
-    if (!has_resources(placement, executor, reserved, step->spec)) {
+    if (!has_resources(placement, executor, step->spec)) {
         return SCHED_REFUSAL_RESOURCES;
     }
     if (!meets_constraints(executor, step) ||
@@ -145,35 +132,6 @@
     return SCHED_REFUSAL_NONE;
 }
 
-sched_refusal_t
-sched_placement_check(const sched_placement_t *placement,
-                      const sched_executor_t *executor,
-                      const sched_step_t *step)
-{
-    return check(placement, executor, &executor->reserved, step);
-}
-
-bool
-sched_placement_can_clear(const sched_placement_t *placement,
-                          const sched_executor_t *executor,
-                          const sched_step_t *step)
-{
-    sched_resources_t reserved = executor->reserved;
-    uint32_t priority = step->occurrence->job->spec->priority;
-
-    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
-        const Teasel__StepSpec *spec = task->step->spec;
-
-        if (!spec->long_running &&
-            sched_task_get_job(task)->spec->priority >= priority) {
-            reserved.cpu_milli -= spec->filler ? 0 : spec->cpu_milli;
-            reserved.memory_mb -= spec->memory_mb;
-            reserved.accelerators -= spec->accelerators;
-        }
-    }
-    return check(placement, executor, &reserved, step) == SCHED_REFUSAL_NONE;
-}
-
 static double
 get_load(const sched_executor_t *executor, const Teasel__StepSpec *step)
 {
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -38,7 +38,6 @@
     SCHED_REFUSAL_DRAINING,
     SCHED_REFUSAL_TRIAL, /* a task on trial there has to start alone */
     SCHED_REFUSAL_PROBATION,
-    SCHED_REFUSAL_HELD, /* room for a lasting task has to become free there */
     SCHED_REFUSAL_RESOURCES,
     SCHED_REFUSAL_CONSTRAINTS, /* label, rack, or siblings of the task */
     SCHED_REFUSAL_COUNT,
@@ -53,14 +52,6 @@
                                       const sched_executor_t *executor,
                                       const sched_step_t *step);
 
-/**
- * sched_placement_can_clear() - check whether an executor would take a task of
- * a step if its short tasks of no higher priority had ended
- */
-bool sched_placement_can_clear(const sched_placement_t *placement,
-                               const sched_executor_t *executor,
-                               const sched_step_t *step);
-
 /**
  * sched_placement_get_cost() - return the cost of an executor for a task of a
  * step
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -30,7 +30,6 @@
  * @check_needed: an executor changed, so its timers must be checked at once
  * @last_check_ms: when the timers of executors and jobs were last checked
  * @last_placement_ms: time of the last placement
- * @last_hold_ms: when executors were last held for lasting tasks
  * @learned_dirty: the learned estimates changed since their last record
  * @learned_written_ms: when that record was made
  * @learned_left_out: number of values that did not fit into that record
@@ -63,7 +62,6 @@
     bool check_needed;
     int64_t last_check_ms;
     int64_t last_placement_ms;
-    int64_t last_hold_ms;
     bool learned_dirty;
     int64_t learned_written_ms;
     guint learned_left_out;
--- a/libteasel/sched/sched_place.c
+++ b/libteasel/sched/sched_place.c
@@ -73,9 +73,6 @@
     task->tail_effect =
         interference_get_effect(sched->interference, executor, task->step);
     sched_executor_attach(executor, task);
-    if (task->step->spec->long_running) {
-        executor->held_until_ms = 0;
-    }
     job->idle_since_ms = 0;
     sched_mark_dirty(sched, job);
     sched_stage_order(sched, task);
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -79,8 +79,6 @@
     pass_t pass = {.sched = sched, .now_ms = now_ms};
 
     pass.failed = demand_list_new();
-    pass.not_held = demand_list_new();
-    pass_begin_holds(&pass);
     if (sched->lasting_overdue) {
         place_in_scope(&pass, PASS_OTHERS);
         place_in_scope(&pass, PASS_SUSPECTS);
@@ -89,7 +87,6 @@
         place_in_scope(&pass, PASS_ALL);
     }
     sched->lasting_overdue = pass.overdue;
-    demand_list_free(pass.not_held);
     demand_list_free(pass.failed);
 }
 
