Let other work begin between trials of lasting suspects

After a trial that failed, other work now has its turn on that executor for 1 s before the next suspect may go first there. A restart walk builds no list of candidates for a step that has no task for it, either.

--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -68,6 +68,7 @@
  * @serving_cpu: CPU share that these reserve, in milli-CPU
  * @stopping: number of tasks in phase SCHED_TASK_STOPPING
  * @trials: number of tasks on it that are on trial
+ * @trial_failed_ms: when a trial on it last ended with its run
  * @slowdown: highest slowdown of a best-effort task on it, in percent
  * @end_seen: number of the newest run end that was processed
  * @end_pending: value of @end_seen when the pending write was prepared
@@ -107,6 +108,7 @@
     uint64_t serving_cpu;
     uint32_t stopping;
     uint32_t trials;
+    int64_t trial_failed_ms;
     uint32_t slowdown;
     uint64_t end_seen;
     uint64_t end_pending;
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -10,6 +10,9 @@
        may follow each other without end; one that needs a trial itself goes
        before work that has not begun. */
     OVERDUE_MS = 3000,
+    /* After a trial that failed, other work has its turn on the executor for
+       this long before the next one goes first there. */
+    TRIAL_PAUSE_MS = 1000,
 };
 
 static void
@@ -89,28 +92,57 @@
            sched_may_overcommit(pass->sched, task, pass->now_ms);
 }
 
+/* Suspects that go first may find no executor only because trials have just
+   failed there, so they do not count as a demand that cannot be met. */
+static bool
+is_tried_first(const pass_t *pass, const sched_task_t *task)
+{
+    return pass->restarts && sched_task_is_suspect(task);
+}
+
+/* An executor whose trials follow each other takes no other work. */
+static sched_executor_t *
+choose_executor(const pass_t *pass, const sched_task_t *task)
+{
+    sched_placement_t placement =
+        sched_new_placement(pass->sched, sched_task_get_job(task), NULL);
+
+    placement.may_overcommit =
+        sched_may_overcommit(pass->sched, task, pass->now_ms);
+    if (is_tried_first(pass, task)) {
+        placement.no_trial_since_ms = pass->now_ms - TRIAL_PAUSE_MS;
+    }
+    return sched_placement_choose(&placement, task);
+}
+
 static bool
 place_special_tasks(pass_t *pass, sched_step_t *step)
 {
     bool found = true;
+    bool suspect_found = true;
 
     for (uint32_t i = 0; i < step->spec->count; i++) {
         sched_task_t *task = &step->tasks[i];
         bool overcommits =
             sched_may_overcommit(pass->sched, task, pass->now_ms);
+        bool tried_first = is_tried_first(pass, task);
         sched_executor_t *executor;
 
         /* Where one task finds no executor, only one that may overcommit can
            find one. */
         if (!is_taken(pass, task) || !is_special(pass, task) ||
-            (!found && !overcommits)) {
+            (!found && !overcommits) || (tried_first && !suspect_found)) {
             continue;
         }
-        executor = sched_choose_executor(pass->sched, task, NULL);
+        executor = choose_executor(pass, task);
         if (executor != NULL) {
             sched_place_task(pass->sched, task, executor, task->run + 1);
             continue;
         }
+        if (tried_first) {
+            suspect_found = false;
+            continue;
+        }
         if (overcommits) {
             return false;
         }
@@ -119,6 +151,18 @@
     return found;
 }
 
+static bool
+has_equal_task(const pass_t *pass, const sched_step_t *step)
+{
+    for (uint32_t i = 0; i < step->spec->count; i++) {
+        if (is_taken(pass, &step->tasks[i]) &&
+            !sched_task_is_suspect(&step->tasks[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 place_equal_tasks(pass_t *pass, sched_step_t *step)
 {
@@ -222,8 +266,7 @@
         return;
     }
     if (!place_special_tasks(pass, step) ||
-        (step->waiting > 0 && pass->scope != PASS_SUSPECTS &&
-         !place_equal_tasks(pass, step))) {
+        (has_equal_task(pass, step) && !place_equal_tasks(pass, step))) {
         demand_list_add(pass->failed, step,
                         has_overcommitting_task(pass, step));
     }
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -115,7 +115,9 @@
     if (executor->draining) {
         return SCHED_REFUSAL_DRAINING;
     }
-    if (executor->trials > 0 && !placement->ignore_trials) {
+    if ((executor->trials > 0 && !placement->ignore_trials) ||
+        (placement->no_trial_since_ms > 0 &&
+         executor->trial_failed_ms >= placement->no_trial_since_ms)) {
         return SCHED_REFUSAL_TRIAL;
     }
     if (!step->spec->long_running && is_on_probation(placement, executor)) {
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -231,6 +231,9 @@
     update_executor_health(sched, task, decision->how);
     task->ended_ms = get_end_ms(sched, task, decision->how);
     list_remove(&task->order_link);
+    if (task->on_trial) {
+        task->executor->trial_failed_ms = sched_now_ms(sched);
+    }
     sched_executor_detach(task);
     sched_mark_dirty(sched, sched_task_get_job(task));
     task->on_trial = false;
