Take no order for an executor that the leader doesn't know anew

An agent gave an executor up that had answered nothing until its lease had expired, and reported it as gone. The executor answered again under the same key. A start that the leader had sent before it received that report arrived now, and the agent carried it out, while the leader had ended the run as lapsed and started the task elsewhere.

The first report on an executor is a complete list, after which the leader repeats the orders that it lacks.

Before: the new test of node_test fails.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -166,6 +166,27 @@
     }
 }
 
+/* The leader may have ordered before it received that an executor had been
+   given up, and have ended the runs there since; the executor may answer again
+   under the same key. Orders count once the leader knows it anew; it repeats
+   what the first list of the executor lacks. */
+static void
+apply_orders(node_t *node, const Teasel__ExecutorOrders *orders,
+             uint64_t echo_us)
+{
+    node_executor_t *executor = find_executor(node, orders->key);
+
+    if (executor == NULL) {
+        return;
+    }
+    if (!node_executor_is_known(executor, echo_us)) {
+        event_log(EVENT_ORDERS_DROPPED, "executor=%s starts=%zu stops=%zu",
+                  executor->key, orders->n_starts, orders->n_stops);
+        return;
+    }
+    node_executor_order(executor, orders);
+}
+
 static void
 on_orders(const Teasel__NodeOrders *orders, void *data)
 {
@@ -184,12 +205,7 @@
         request_full_report(node);
     }
     for (size_t i = 0; i < orders->n_executors; i++) {
-        node_executor_t *executor =
-            find_executor(node, orders->executors[i]->key);
-
-        if (executor != NULL) {
-            node_executor_order(executor, orders->executors[i]);
-        }
+        apply_orders(node, orders->executors[i], orders->echo_us);
     }
     if (is_first_epoch) {
         LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -276,11 +276,17 @@
     return executor->restarted_ms == 0;
 }
 
+bool
+node_executor_is_known(const node_executor_t *executor, uint64_t echo_us)
+{
+    return executor->heartbeat_us != 0 && echo_us >= executor->heartbeat_us;
+}
+
 void
 node_executor_renew_lease(node_executor_t *executor, uint64_t echo_us,
                           uint32_t lease_ms)
 {
-    if (executor->heartbeat_us == 0 || echo_us < executor->heartbeat_us) {
+    if (!node_executor_is_known(executor, echo_us)) {
         return;
     }
     executor->lease_until_ms =
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -248,6 +248,12 @@
 void node_executor_order(node_executor_t *executor,
                          const Teasel__ExecutorOrders *orders);
 
+/**
+ * node_executor_is_known() - whether the leader knows of an executor
+ * @echo_us: newest heartbeat that the leader has received
+ */
+bool node_executor_is_known(const node_executor_t *executor, uint64_t echo_us);
+
 /**
  * node_executor_renew_lease() - extend the lease of an executor
  * @echo_us: heartbeat from which the lease is counted; without effect if it
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -633,6 +633,32 @@
     EXPECT_EQ(gone, std::set<std::string>());
 }
 
+// Guards against a second run of a task whose start was on its way when its
+// executor was reported as gone, and which arrives when it answers again.
+TEST_F(Node, TakesNoOrderFromBeforeTheLeaderKnowsThatAnExecutorAnswersAgain)
+{
+    uint64_t before_us;
+
+    longest_lease_ms = 500;
+    join();
+    grant(heartbeat_us, 500);
+    before_us = heartbeat_us;
+    executor.unresponsive = true;
+    ASSERT_TRUE(wait([&] { return gone.size() == 1; }));
+    executor.unresponsive = false;
+    executor.work_ms = -1;
+    heartbeat.clear();
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    ASSERT_EQ(gone.count(heartbeat[0]), 1U);
+    grant(before_us, 500, {{"j.0.0.0", 1}});
+    grant(heartbeat_us, 500);
+    run_ms(300);
+    EXPECT_EQ(executor.starts.count("j.0.0.0"), 0U);
+    grant(heartbeat_us, 500, {{"j.0.0.1", 1}});
+    EXPECT_TRUE(wait([&] { return executor.starts.count("j.0.0.1") == 1; }));
+}
+
 // Guards against a second run of the tasks of a live executor that seems to be
 // older than the one whose end is reported again, as the clock was set back.
 TEST_F(Node, ReportsNoEndAgainWhereALaterIncarnationAnswers)
