Fill the cell in half of the soak's seeds

The soak had room for all at any time. Executors of odd seeds have room for five tasks each now, and 16 more lasting jobs of three tasks are submitted: 66 tasks that last for 55 places, beside the short ones. FULL is broken if the cell isn't full 12 s after the load, LIMIT if a start brings an executor over its capacity, LOST if a task that lasts hasn't run for 9 s in calm time (no fault for 7 s) though an executor has had room for two for 3 s. Then the added jobs are cancelled, so that the earlier checks of the end hold as they are.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -12,6 +12,12 @@
 TIMEOUT_S = 3.0
 REFUSALS = (429, 503)
 TASK_COUNTS = (3, 6, 12)
+TASK_CPU = 300
+CPU = 16000  # per executor
+# In a full cell: lasting jobs of three tasks, more than fit on 11 executors.
+FULL_CPU = 1500
+FILLING_JOBS = 16
+FILLING_TRIES = 1000
 
 
 class Job:
@@ -34,8 +40,8 @@
 
     def body(self):
         """Return the body of the submission."""
-        steps = [{"Count": count, "Cpu": 300, "MemMb": 64, "EstimatedMs": 800}
-                 for count in self.counts]
+        steps = [{"Count": count, "Cpu": TASK_CPU, "MemMb": 64,
+                  "EstimatedMs": 800} for count in self.counts]
         for i, step in enumerate(steps):
             if self.work_s is None:
                 step["LongRunning"] = True
@@ -134,7 +140,9 @@
         self.jobs = {}
         self.count = 0
         self.counts_seen = []
+        self.cpu = FULL_CPU if seed % 2 else CPU
         self.plan(seconds)
+        self.filling = self.fill(seconds) if seed % 2 else []
 
     def add(self, counts, work_s, seconds, cancel_s=None, gangs=None):
         self.count += 1
@@ -142,6 +150,7 @@
         begin_s = self.random.uniform(0, seconds)
         self.jobs[job_id] = Job(job_id, counts, work_s, begin_s, cancel_s,
                                 gangs)
+        return self.jobs[job_id]
 
     def plan(self, seconds):
         pick = self.random
@@ -162,6 +171,10 @@
                      pick.choice((None, None, pick.uniform(0.01, 3.0))),
                      Gangs(count, work_s))
 
+    def fill(self, seconds):
+        """Add lasting jobs that fill the cell; return them."""
+        return [self.add([3], None, seconds) for _ in range(FILLING_JOBS)]
+
     def gang_of(self, task, number):
         """Return the gang of a run, or None (see Executor)."""
         job = self.jobs.get(task.split(".")[0])
@@ -226,6 +239,8 @@
         callers = [Caller(self.system, self.random.random() < 0.6)
                    for _ in range(3)]
         patience = self.random.choice((1, 4))
+        if job in self.filling:
+            patience = FILLING_TRIES
         await asyncio.sleep(job.begin_s)
         watching = asyncio.create_task(self.watch(callers[0], job))
         calls = [self.submit(callers[1], job, patience)]
@@ -242,6 +257,14 @@
         await asyncio.sleep(job.cancel_s)
         await self.cancel(caller, job)
 
+    async def cancel_filling(self):
+        """Cancel the jobs that fill the cell."""
+        caller = Caller(self.system, False)
+        for job in self.filling:
+            job.cancel_s = self.system.record.now_s() - job.begin_s
+        await asyncio.gather(*(self.cancel(caller, job)
+                               for job in self.filling))
+
     async def ask_counts(self):
         """Ask for the number of pending jobs from time to time."""
         caller = Caller(self.system, True)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,7 +15,7 @@
 
     def __init__(self, name, system, clients, control):
         super().__init__(name, control, system.record, clients.work,
-                         gang_of=clients.gang_of)
+                         cpu=clients.cpu, gang_of=clients.gang_of)
         self.jobs = clients.jobs
         self.link = system.add_proxy(f"to-{name}", self.server.address)
         self.listed_ms = {}
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -127,7 +127,7 @@
         self.events = []
         self.proxies = []
         self.executor = SoakExecutor("i-0", self, types.SimpleNamespace(
-            jobs={}, work=lambda task, run: (None, None),
+            jobs={}, cpu=1000, work=lambda task, run: (None, None),
             gang_of=Gangs(3, 9.0).get), "127.0.0.1:1")
         self.executors = [self.executor]
         await self.executor.start(first_heartbeat_s=9)
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -3,10 +3,16 @@
 import json
 
 from checks import ENDS, find_parallel_runs, get_running, split
+from clients import TASK_CPU
 from gang import GANG_TIMEOUT_S
 
 CANCEL_S = 3.0
 CONTACT_S = 4.0
+# A task that lasts may wait, and room for it may be left, for so long, in
+# times that have been calm for CALM_S.
+WAIT_S = 9.0
+ROOM_S = 3.0
+CALM_S = 7.0
 
 
 def starts(events):
@@ -171,6 +177,81 @@
         if members and members != gangs[job_id].tasks()]
 
 
+class Cell:
+    """What runs where, as the events tell one after the other."""
+
+    def __init__(self, places):
+        self.places = places
+        self.used = {}
+        self.crowded_s = {}
+        self.ended_s = {}
+        self.running = set()
+
+    def has_room(self, at_s):
+        """Return whether room for two was somewhere for ROOM_S."""
+        return any(self.places - used >= 2 and
+                   at_s - self.crowded_s[executor] >= ROOM_S
+                   for executor, used in self.used.items())
+
+    def add(self, at_s, kind, text):
+        """Apply an event; return whether an executor holds too much by it."""
+        if kind == "up":
+            executor = text.split(" ")[0]
+            self.used[executor], self.crowded_s[executor] = 0, at_s
+        elif kind == "crash":
+            self.used.pop(text, None)
+        elif kind == "start" or kind in ENDS:
+            return self.add_run(at_s, kind, *split(text))
+        return False
+
+    def add_run(self, at_s, kind, task, number, executor):
+        if kind == "start":
+            self.running.add((task, number, executor))
+        else:
+            self.running.discard((task, number, executor))
+            self.ended_s[task] = at_s
+        if executor not in self.used:
+            return False
+        if self.places - self.used[executor] < 2:
+            self.crowded_s[executor] = at_s
+        self.used[executor] += 1 if kind == "start" else -1
+        if self.places - self.used[executor] < 2:
+            self.crowded_s[executor] = at_s
+        return kind == "start" and self.used[executor] > self.places
+
+
+def find_full(events, clients, spans):
+    """Return starts where no room was, and tasks that wait beside room.
+
+    The latter are tasks that are to last, in calm times.
+    """
+    places = clients.cpu // TASK_CPU
+    calm_s = max((ended_s for _, ended_s, _ in spans), default=0) + CALM_S
+    lasting = [job for job in clients.jobs.values()
+               if job.work_s is None and job.accepted_s() is not None]
+    cell, found, lost = Cell(places), [], set()
+    for at_s, kind, text in events:
+        if at_s >= calm_s and cell.has_room(at_s):
+            for job in lasting:
+                lost |= find_waiting(job, cell, at_s)
+        if cell.add(at_s, kind, text):
+            found.append(("LIMIT", job_of(split(text)[0]),
+                          f"{at_s:.3f} s: {text} starts, though {places} run"))
+    return found + [("LOST", job_of(task), f"{task} is to last and doesn't "
+                                           f"run, with room for it")
+                    for task in sorted(lost)]
+
+
+def find_waiting(job, cell, at_s):
+    """Return the tasks of a job that have not run for WAIT_S."""
+    deletes = [sent_s for sent_s, *_ in job.answers("DELETE")]
+    if job.accepted_s() > at_s - WAIT_S or min(deletes, default=at_s) < at_s:
+        return set()
+    running = {task for task, _, _ in cell.running}
+    return {task for task in job.tasks() - running
+            if cell.ended_s.get(task, 0) <= at_s - WAIT_S}
+
+
 def find_counts(counts, jobs):
     """Return the answered numbers of pending jobs that cannot be."""
     found = []
@@ -197,4 +278,5 @@
             find_wrong_answers(events, jobs) +
             find_lost_jobs(events, jobs, states) +
             find_gangs(events, jobs, spans) +
+            find_full(events, clients, spans) +
             find_counts(clients.counts_seen, jobs))
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -3,7 +3,7 @@
 import types
 import unittest
 
-from clients import Job
+from clients import TASK_CPU, Job
 from gang import Gangs
 from rules import check
 
@@ -14,13 +14,18 @@
 
 
 def play(calls, events, cancelled_s=None, state="completed", work_s=1.0,
-         spans=(), counts=(), gang=0):
-    """Return the rules that a run with one job `a` of one task breaks."""
+         spans=(), counts=(), gang=0, places=9):
+    """Return the rules that a run with one job `a` of one task breaks.
+
+    gang: number of tasks, if they are a gang
+    places: number of tasks for which an executor has room
+    """
     job = Job("a", [gang or 1], work_s, 0.0, cancelled_s,
               Gangs(gang, work_s) if gang else None)
     job.calls = calls
     job.cancelled_s = cancelled_s
-    clients = types.SimpleNamespace(jobs={"a": job}, counts_seen=counts)
+    clients = types.SimpleNamespace(jobs={"a": job}, counts_seen=counts,
+                                    cpu=places * TASK_CPU)
     found = check(events, clients, list(spans), {"a": state})
     return sorted({rule for rule, _, _ in found})
 
@@ -103,6 +108,31 @@
         again = [(3.0, "start", 1, 2, ""), (4.0, "done", 1, 2, "")]
         self.assertEqual(self.play_gang(whole + done + again), ["TWICE"])
 
+    def test_limit(self):
+        up = [(0.1, "up", "i-0 born=1")]
+        self.assertEqual(play([post(200)], up + GOOD, places=1), [])
+        self.assertEqual(play([post(200)], up + GOOD, places=0), ["LIMIT"])
+
+    def test_lost_with_room(self):
+        def wait(until_s, events=(), **options):
+            """Return what is broken if the task runs from a time on."""
+            up = [(0.1, "up", "i-0 born=1"), (0.2, "up", "i-1 born=1")]
+            later = [(until_s, *RUNS[0][1:])]
+            return play([post(200)], up + list(events) + later, work_s=None,
+                        state="running", **options)
+        self.assertEqual(wait(9.8), [])
+        self.assertEqual(wait(10.0), ["LOST"])
+        self.assertEqual(wait(10.0, places=1), [])
+        self.assertEqual(wait(10.0, spans=[(2.0, 3.1, "")]), [])
+        self.assertEqual(wait(10.2, spans=[(2.0, 3.1, "")]), ["LOST"])
+        gone = [(5.0, "crash", "i-0"), (6.0, "crash", "i-1"),
+                (7.5, "up", "i-1 born=2")]
+        self.assertEqual(wait(10.0, gone), [])
+        self.assertEqual(wait(10.6, gone), ["LOST"])
+        ran = [(1.2, *RUNS[0][1:]), (5.0, "lapsed", "a.0.0.0 run=1 on i-0")]
+        self.assertEqual(wait(13.9, ran), [])
+        self.assertEqual(wait(14.1, ran), ["LOST"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,17 +19,31 @@
 import tempfile
 import traceback
 
-from clients import Caller, Clients
+from checks import get_running
+from clients import TASK_CPU, Caller, Clients
 from deployment import Deployment
 from faults import Faults
 from leftovers import Errors, cancel_others, find_open
 from rules import check, state_of
 
 SETTLE_S = 12.0
+EMPTY_S = 9.0  # from the end of a full cell until all that fits has to run
 FINISH_S = 20.0
 SEEDS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "seeds.txt")
 
 
+def find_room_left(system, clients):
+    """Return a finding if the cell that is to be full is not."""
+    running = len(get_running(system.record.events))
+    places = clients.cpu // TASK_CPU
+    print(f"full cell: {running} runs in {len(system.executors)} x {places} "
+          f"places")
+    if running >= len(system.executors) * (places - 1):
+        return []
+    return [("FULL", f"only {running} runs in {len(system.executors)} x "
+                     f"{places} places")]
+
+
 async def ask_states(system, clients):
     """Return the states of all jobs at the end."""
     states = {}
@@ -79,6 +93,10 @@
     await asyncio.gather(faults.play(), clients.play_all())
     system.record("note", "faults and clients have ended")
     await asyncio.sleep(SETTLE_S)
+    if clients.filling:
+        findings += find_room_left(system, clients)
+        await clients.cancel_filling()
+        await asyncio.sleep(EMPTY_S)
     await wait_finished(system, clients)
     states = await ask_states(system, clients)
     watching.cancel()
