Keep the waiting calls of a leader in their own file

leader_calls.c held the calls that wait beside the handling of calls in 544 lines. A waiting call now keeps its request with a copy of the call, and not also id, verb and number; abandon_call() has one branch a kind of wait; load_record() compares the key of learned values once. Equal behaviour, but for one more copy of a submission that waits for its write.

Checked: leader_test, cancelled_ids_test, node_test, run_model_test and deployment_test pass.

--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -412,45 +412,40 @@
     leader_schedule_flush(leader);
 }
 
-/* Returns whether the record could be read. */
-static bool
-load_other_record(leader_t *leader, const store_record_t *record)
+static void
+load_job(leader_t *leader, const store_record_t *record)
 {
-    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
-        return sched_load_learned(leader->sched, record->value,
-                                  record->length);
-    }
-    return cancelled_ids_load(leader->cancelled_ids, record);
-}
+    g_autoptr(GError) error = NULL;
 
-static bool
-is_job_record(const store_record_t *record)
-{
-    return strcmp(record->key, SCHED_LEARNED_KEY) != 0 &&
-           !g_str_has_prefix(record->key, CANCELLED_KEY_PREFIX);
+    if (!sched_load(leader->sched, record->key, record->value, record->length,
+                    &error)) {
+        event_log(EVENT_JOB_RECORD_INVALID,
+                  "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
+                  record->key, record->offset, error->message);
+    }
 }
 
 static void
 load_record(leader_t *leader, const store_record_t *record)
 {
-    g_autoptr(GError) error = NULL;
+    bool readable = true;
 
     if (record->value == NULL) {
         return;
     }
-    if (!is_job_record(record)) {
-        if (!load_other_record(leader, record)) {
-            event_log(EVENT_RECORD_MALFORMED,
-                      "topic=%s offset=%" G_GUINT64_FORMAT, JOBS_TOPIC,
-                      record->offset);
-        }
-        return;
+    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
+        readable =
+            sched_load_learned(leader->sched, record->value, record->length);
     }
-    if (!sched_load(leader->sched, record->key, record->value, record->length,
-                    &error)) {
-        event_log(EVENT_JOB_RECORD_INVALID,
-                  "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
-                  record->key, record->offset, error->message);
+    else if (g_str_has_prefix(record->key, CANCELLED_KEY_PREFIX)) {
+        readable = cancelled_ids_load(leader->cancelled_ids, record);
+    }
+    else {
+        load_job(leader, record);
+    }
+    if (!readable) {
+        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
+                  JOBS_TOPIC, record->offset);
     }
 }
 
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -35,23 +35,15 @@
 } call_wait_t;
 
 /**
- * struct waiting_call - call that cannot be answered yet
- * @call: NULL if it waits for a write
- * @needed_attempt: number of the first attempt of a write that was made after
- *     the call arrived
+ * struct request - call that is being handled
+ * @proven: no other scheduler led when the call arrived
  */
-typedef struct waiting_call {
-    list_t link;
-    call_wait_t wait;
-    uint64_t call_id;
-    job_verb_t verb;
-    char *job_id;
-    Teasel__JobCall *call;
-    uint64_t needed_attempt;
-    int64_t received_ms;
+typedef struct request {
+    const Teasel__JobCall *call;
     job_answer_fn answer;
     void *owner;
-} waiting_call_t;
+    bool proven;
+} request_t;
 
 typedef enum leader_stage {
     LEADER_FENCING, /* sets the epoch in the store */
@@ -138,6 +130,28 @@
  */
 void leader_seek_proof(leader_t *leader);
 
+/**
+ * leader_handle_request() - answer a call, or let it wait
+ */
+void leader_handle_request(leader_t *leader, const request_t *request);
+void leader_answer_request(const request_t *request, job_outcome_t outcome);
+
+/**
+ * leader_is_final() - return whether a job has a stored final state, which
+ * never changes
+ */
+bool leader_is_final(const sched_job_t *job);
+
+/**
+ * leader_add_waiting() - keep a call that cannot be answered yet
+ */
+void leader_add_waiting(leader_t *leader, const request_t *request,
+                        call_wait_t wait);
+
+/**
+ * leader_has_unproven_calls() - return whether a call waits for a proof that
+ * no other scheduler led when it arrived
+ */
 bool leader_has_unproven_calls(const leader_t *leader);
 
 /**
