Log why a process could not start

An agent ended with exit code 1 after a restart and its log said nothing: the cause went to standard error only. Event 9003 listen-failed was in the catalogue and never logged, though the soak looks for it.

socket_listen() logs 9003 with the address and the error; a process that can't start logs 9008 process-failed before it exits with code 1.

Before: http_test LogsAnAddressInUse fails.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -134,6 +134,7 @@
           "settings-refused")                                                 \
     EVENT(EVENT_LOG_DROPPED, 9006, G_LOG_LEVEL_WARNING, "log-dropped")        \
     EVENT(EVENT_LOG_SUPPRESSED, 9007, G_LOG_LEVEL_WARNING, "log-suppressed")  \
+    EVENT(EVENT_PROCESS_FAILED, 9008, G_LOG_LEVEL_CRITICAL, "process-failed") \
     EVENT(EVENT_CONFIG_TICKET_ACCEPTED, 5001, G_LOG_LEVEL_MESSAGE,            \
           "config-ticket-accepted")                                           \
     EVENT(EVENT_CONFIG_TICKET_REFUSED, 5002, G_LOG_LEVEL_WARNING,             \
--- a/libteasel/base/program.c
+++ b/libteasel/base/program.c
@@ -65,6 +65,7 @@
     }
     code = opts->run(opts->settings, &error);
     if (error != NULL) {
+        event_log(EVENT_PROCESS_FAILED, "error=\"%s\"", error->message);
         fprintf(stderr, "%s: %s\n", opts->name, error->message);
     }
     opts->clear_settings(opts->settings);
--- a/libteasel/base/socket.c
+++ b/libteasel/base/socket.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "base/events.h"
 #include "base/settings.h"
 
 enum {
@@ -35,6 +36,7 @@
     struct sockaddr_in name;
     const char *step = "socket";
     int on = 1;
+    int failure;
     int fd;
 
     if (!socket_resolve(address, &name, error)) {
@@ -51,9 +53,12 @@
             }
         }
     }
+    failure = errno;
+    event_log(EVENT_LISTEN_FAILED, "address=%s error=\"%s: %s\"", address,
+              step, g_strerror(failure));
     g_set_error(error, TEASEL_ERROR, ERROR_INVALID,
                 "cannot listen on %s: %s: %s", address, step,
-                g_strerror(errno));
+                g_strerror(failure));
     if (fd >= 0) {
         close(fd);
     }
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -1,12 +1,16 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <unistd.h>
+#include <vector>
 
 extern "C" {
 #include "base/http_client.h"
 #include "base/http_server.h"
+#include "base/socket.h"
 }
 
+#include "log_lines.h"
 #include "test_address.h"
 
 namespace {
@@ -198,4 +202,23 @@
     EXPECT_EQ(status, 503);
 }
 
+// Guards against a process that ends as its address is in use, and leaves no
+// line in its log.
+TEST(HttpServer, LogsAnAddressInUse)
+{
+    char address[32];
+    g_autoptr(GError) error = nullptr;
+
+    keep_log_lines();
+    test_address(address, 2);
+    int first = socket_listen(address, nullptr);
+    ASSERT_GE(first, 0);
+    EXPECT_EQ(socket_listen(address, &error), -1);
+    EXPECT_EQ(lines_of("listen-failed"),
+              (std::vector<std::string>{
+                  "listen-failed address=" + std::string(address) +
+                  " error=\"bind: Address already in use\""}));
+    close(first);
+}
+
 } // namespace
