--- a/tests/unit/sched_lasting_test.cc
+++ b/tests/unit/sched_lasting_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "sched_fixture.h"
 
 extern "C" {
@@ -50,6 +52,13 @@
         }
         return false;
     }
+    bool
+    runs_any_of(const std::string &job) const
+    {
+        return std::any_of(running.begin(), running.end(), [&](auto &run) {
+            return run.first.rfind(job + ".", 0) == 0;
+        });
+    }
     void
     fail(const std::string &task)
     {
@@ -106,7 +115,7 @@
     }
     /* Crashes the executor while all its runs are starting. */
     void
-    crash()
+    crash(bool unconfirmed = false)
     {
         Report gone(key());
 
@@ -116,6 +125,7 @@
 
             crashed.task = name.data();
             crashed.run = run;
+            crashed.unconfirmed = unconfirmed;
             sched_apply_crash(core.sched, &crashed);
         }
         gone.message.gone = true;
@@ -340,6 +350,35 @@
     EXPECT_TRUE(begun);
 }
 
+// Guards against short work that never begins, as suspects that last crash
+// their executor one after the other before it answers their start.
+TEST(SchedLasting, StartsShortWorkBetweenTrialsThatCrash)
+{
+    constexpr uint32_t SUSPECTS = 8;
+    constexpr int64_t RUN_MS = 1000;
+    Core core;
+    Agent agent(core, 16000);
+    bool begun = false;
+
+    sched_submit(core.sched,
+                 make_spec("s", {{.count = SUSPECTS, .long_running = true}}));
+    agent.turn();
+    agent.crash();
+    agent.turn();
+    agent.crash();
+    for (int64_t passed = 0; passed < 4 * WAIT_MS; passed += RUN_MS) {
+        if (passed == 2 * WAIT_MS) {
+            sched_submit(core.sched, make_job("b", {}, LONG_ALLOWANCE_MS));
+        }
+        agent.run_for(RUN_MS);
+        begun |= agent.runs("b.0.0.0");
+        if (agent.runs_any_of("s")) {
+            agent.crash(true);
+        }
+    }
+    EXPECT_TRUE(begun);
+}
+
 constexpr int64_t HOLD_BEGUN_MS = 3500;
 
 // Guards against a trial that closes an executor to short work before the
