Test that a scheduler killed before it registered is forgotten

Fails at (not alone 10 s later): a name in the strangers is removed only by its record, the removal of that or a status that says that it leaves. Not mended here.

--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -356,6 +356,30 @@
         schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
 }
 
+// Guards against all work that ends in each later outage of the store, because
+// a scheduler that was killed before it could register counts for ever.
+TEST(Cluster, ForgetsASchedulerThatWasKilledBeforeItRegistered)
+{
+    Schedulers schedulers({WEAK_MILLI, WEAK_MILLI});
+    auto &first = *schedulers.processes[0];
+    auto &second = *schedulers.processes[1];
+
+    schedulers.kill(1);
+    schedulers.store.remove(CONTROL_TOPIC,
+                            CONTROL_SCHEDULER_PREFIX + second.name);
+    ASSERT_TRUE(schedulers.wait([&] {
+        return cluster_is_leading(first.cluster) &&
+               cluster_is_alone(first.cluster);
+    }));
+    schedulers.start(1);
+    loop_timer_stop(&second.cluster->register_timer);
+    ASSERT_TRUE(
+        schedulers.wait([&] { return !cluster_is_alone(first.cluster); }));
+    schedulers.kill(1);
+    EXPECT_TRUE(
+        schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
+}
+
 // Guards against a scheduler that others cannot find, because the removal by
 // its predecessor took effect after its registration.
 TEST(Cluster, RegistersAgainAfterALateRemoval)
