--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -724,6 +724,34 @@
               SCHED_JOB_COMPLETED);
 }
 
+// Guards against a leader that is paused again and again, for example by a
+// limit on its CPU, and never places anything, as each pause starts the wait
+// for reports anew.
+TEST_F(Leader, StartsTasksBetweenPausesThatFollowEachOther)
+{
+    constexpr int PAUSES = 12;
+    constexpr int SHORT_PAUSE_MS = 1100;
+    fake_clock_t fake;
+    Executor executor("127.0.0.1:1/e/1");
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    Agent agent(this);
+    agent.executors = {&executor.report};
+    agent.report();
+    for (int i = 0; i < PAUSES; i++) {
+        fake_clock_advance_ms(&fake, SHORT_PAUSE_MS);
+        if (i == 0) {
+            send_submission("j");
+        }
+        loop_run_ms(loop, 300);
+        agent.report();
+    }
+    /* The reports lack the run, so the start is repeated. */
+    EXPECT_GT(agent.count_starts(), 0U);
+}
+
 // Guards against a caller that gives up a job which an earlier call has
 // submitted: the leader that refused the repeat did not know the jobs yet.
 TEST_F(Leader, SpeaksOfTheCallOnlyWhileItLoads)
