--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -189,6 +189,7 @@
     std::vector<uint32_t> leases; /* of the orders received, in ms */
     std::vector<size_t> starts;   /* number of starts, of each message */
     std::vector<size_t> stops;    /* number of stops, of each message */
+    uint64_t ordered_echo_us = 0; /* of the newest message with an executor */
 
     Agent(Leader *test, const char *node = "node", uint16_t port = 12)
         : test(test), node(node)
@@ -232,6 +233,9 @@
         self->starts.push_back(starts);
         self->stops.push_back(stops);
         self->leases.push_back(orders->lease_ms);
+        if (orders->n_executors > 0) {
+            self->ordered_echo_us = orders->echo_us;
+        }
     }
     static void
     on_close(peer_t *peer, const char *reason, void *data)
@@ -752,6 +756,48 @@
     EXPECT_GT(agent.count_starts(), 0U);
 }
 
+// Guards against a stop that is lost, as the agent took no order for an
+// executor that the leader did not know anew yet.
+TEST_F(Leader, RepeatsAStopOnceItKnowsAnExecutorAnew)
+{
+    Executor executor("127.0.0.1:1/e/1");
+
+    start();
+    Agent agent(this);
+    begin_run(agent, executor);
+    send(JOB_VERB_CANCEL, "j");
+    ASSERT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return agent.count_stops() == 1; }));
+    agent.report();
+    EXPECT_EQ(agent.count_stops(), 2U);
+    EXPECT_EQ(agent.ordered_echo_us, agent.sent_us);
+}
+
+// Guards against orders that no agent takes: those of a later leader, or on a
+// later connection, before it has received the lists.
+TEST_F(Leader, OrdersNothingBeforeItKnowsTheExecutorsOfAConnection)
+{
+    Executor executor("127.0.0.1:1/e/1");
+
+    start();
+    {
+        Agent agent(this);
+        begin_run(agent, executor);
+    }
+    send(JOB_VERB_CANCEL, "j");
+    Agent agent(this);
+    agent.executors = {&executor.report};
+    executor.report.listed = false;
+    agent.report();
+    loop_run_ms(loop, DONE_MS);
+    EXPECT_EQ(agent.ordered_echo_us, 0U);
+    EXPECT_EQ(agent.count_stops(), 0U);
+    executor.report.listed = true;
+    agent.report();
+    EXPECT_EQ(agent.count_stops(), 1U);
+    EXPECT_EQ(agent.ordered_echo_us, agent.sent_us);
+}
+
 // Guards against a caller that gives up a job which an earlier call has
 // submitted: the leader that refused the repeat did not know the jobs yet.
 TEST_F(Leader, SpeaksOfTheCallOnlyWhileItLoads)
