--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -13,6 +13,8 @@
     /* Older statuses say nothing reliable about the current state. */
     STATUS_MAX_AGE_MS = 700,
     PROBE_INTERVAL_MS = 300,
+    /* A scheduler that lives registers within some hundred ms. */
+    STRANGER_TIMEOUT_MS = 5000,
     MAX_QUEUED_BYTES = 8 * 1024 * 1024,
 };
 
@@ -243,6 +245,24 @@
     }
 }
 
+static gboolean
+is_stale(gpointer name G_GNUC_UNUSED, gpointer status_ms, gpointer now_ms)
+{
+    return *(const int64_t *)now_ms - *(const int64_t *)status_ms >
+           STRANGER_TIMEOUT_MS;
+}
+
+/* One that lives and reaches the store registers. While this process cannot
+   read the store, it would not learn of that. */
+static void
+forget_strangers(cluster_t *cluster, int64_t now_ms)
+{
+    if (follower_is_caught_up(cluster->follower) &&
+        follower_is_available(cluster->follower)) {
+        g_hash_table_foreach_remove(cluster->strangers, is_stale, &now_ms);
+    }
+}
+
 static void
 on_tick(loop_timer_t *timer)
 {
@@ -254,6 +274,7 @@
         cluster->status_sent_ms = now_ms;
         cluster_send_status(cluster);
     }
+    forget_strangers(cluster, now_ms);
     cluster_check_leader(cluster);
 }
 
@@ -296,7 +317,7 @@
     cluster->started_ms = cluster_now_ms(cluster);
     list_init(&cluster->members);
     cluster->strangers =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     loop_timer_init(&cluster->tick, opts->loop, on_tick, cluster);
     loop_timer_init(&cluster->register_timer, opts->loop,
                     cluster_update_registration, cluster);
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -55,7 +55,8 @@
     peer_listener_t *listener;
     list_t members;
     GHashTable *strangers; /* names of schedulers that have connected, while
-                              their record has not been read */
+                              their record has not been read -> int64_t, time
+                              of the last status */
     loop_timer_t tick;
     loop_timer_t register_timer;
     int64_t started_ms;
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -343,6 +343,8 @@
 note_stranger(cluster_t *cluster, const char *name,
               const Teasel__PeerStatus *status)
 {
+    int64_t *status_ms;
+
     if (name == NULL || cluster_find_member(cluster, name) != NULL) {
         return;
     }
@@ -350,7 +352,9 @@
         g_hash_table_remove(cluster->strangers, name);
         return;
     }
-    g_hash_table_add(cluster->strangers, g_strdup(name));
+    status_ms = g_new(int64_t, 1);
+    *status_ms = cluster_now_ms(cluster);
+    g_hash_table_insert(cluster->strangers, g_strdup(name), status_ms);
 }
 
 static void
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -68,7 +68,8 @@
  * @serving_cpu: CPU share that these reserve, in milli-CPU
  * @stopping: number of tasks in phase SCHED_TASK_STOPPING
  * @trials: number of tasks on it that are on trial
- * @trial_failed_ms: when a trial on it last ended with its run
+ * @trial_failed_ms: when a trial on it last ended with its run; at first when
+ * it became known, as a trial may have crashed its predecessor
  * @slowdown: highest slowdown of a best-effort task on it, in percent
  * @end_seen: number of the newest run end that was processed
  * @end_pending: value of @end_seen when the pending write was prepared
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -154,6 +154,7 @@
     if (executor == NULL) {
         executor = sched_executor_new(key);
         executor->number = ++sched->last_executor;
+        executor->trial_failed_ms = sched_now_ms(sched);
         executor->expiry_ms =
             sched_now_ms(sched) + sched->opts.predecessor_lease_ms;
         g_hash_table_insert(sched->executors, executor->key, executor);
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -318,7 +318,10 @@
 static void
 on_resume(loop_timer_t *timer)
 {
-    leader_schedule_flush(timer->data);
+    leader_t *leader = timer->data;
+
+    leader->pass_due = true;
+    leader_schedule_flush(leader);
 }
 
 void
@@ -331,7 +334,9 @@
     }
     event_log(EVENT_LEADER_PAUSED, "gap_ms=%" G_GUINT64_FORMAT, gap_ms);
     sched_note_pause(leader->sched, (int64_t)gap_ms);
-    loop_timer_start(&leader->resume, RESUME_MS);
+    if (!loop_timer_is_active(&leader->resume)) {
+        loop_timer_start(&leader->resume, RESUME_MS);
+    }
 }
 
 static void
@@ -347,7 +352,9 @@
         return;
     }
     leader_check_pause(leader);
-    if (!loop_timer_is_active(&leader->resume)) {
+    /* Pauses that follow each other don't put off all passes. */
+    if (leader->pass_due || !loop_timer_is_active(&leader->resume)) {
+        leader->pass_due = false;
         sched_run(leader->sched);
     }
     write_changes(leader);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -66,6 +66,7 @@
     loop_timer_t retry;
     loop_timer_t ask;    /* asks the other schedulers for a proof */
     loop_timer_t resume; /* runs after a pause, until reports have arrived */
+    bool pass_due;       /* it has ended, and no pass has followed yet */
     freeze_guard_t freeze_guard;
     char *load_after;
 
