Build the inputs of a task's placement in one place

Three callers made the placement of a job and then set may_overcommit from the task; one function does so now. The condition on equal tasks stood in two loops and has a name. Equal behaviour.

--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -104,11 +104,8 @@
 static sched_executor_t *
 choose_executor(const pass_t *pass, const sched_task_t *task)
 {
-    sched_placement_t placement =
-        sched_new_placement(pass->sched, sched_task_get_job(task), NULL);
+    sched_placement_t placement = sched_new_task_placement(pass->sched, task);
 
-    placement.may_overcommit =
-        sched_may_overcommit(pass->sched, task, pass->now_ms);
     if (is_tried_first(pass, task)) {
         placement.no_trial_since_ms = pass->now_ms - TRIAL_PAUSE_MS;
     }
@@ -151,12 +148,18 @@
     return found;
 }
 
+/* Suspects are placed one by one, as special tasks. */
+static bool
+is_equal(const pass_t *pass, const sched_task_t *task)
+{
+    return is_taken(pass, task) && !sched_task_is_suspect(task);
+}
+
 static bool
 has_equal_task(const pass_t *pass, const sched_step_t *step)
 {
     for (uint32_t i = 0; i < step->spec->count; i++) {
-        if (is_taken(pass, &step->tasks[i]) &&
-            !sched_task_is_suspect(&step->tasks[i])) {
+        if (is_equal(pass, &step->tasks[i])) {
             return true;
         }
     }
@@ -167,7 +170,7 @@
 place_equal_tasks(pass_t *pass, sched_step_t *step)
 {
     sched_placement_t placement =
-        sched_new_placement(pass->sched, step->occurrence->job, NULL);
+        sched_new_placement(pass->sched, step->occurrence->job);
     sched_candidates_t *candidates = sched_candidates_new(&placement, step);
     bool found = true;
 
@@ -175,7 +178,7 @@
         sched_task_t *task = &step->tasks[i];
         sched_executor_t *executor;
 
-        if (!is_taken(pass, task) || sched_task_is_suspect(task)) {
+        if (!is_equal(pass, task)) {
             continue;
         }
         executor = sched_candidates_get_best(candidates);
@@ -217,11 +220,8 @@
 static bool
 is_held_up_by_trial(const pass_t *pass, const sched_task_t *task)
 {
-    sched_placement_t placement =
-        sched_new_placement(pass->sched, sched_task_get_job(task), NULL);
+    sched_placement_t placement = sched_new_task_placement(pass->sched, task);
 
-    placement.may_overcommit =
-        sched_may_overcommit(pass->sched, task, pass->now_ms);
     placement.ignore_trials = true;
     LIST_FOREACH (executor, &pass->sched->executor_list, sched_executor_t,
                   link) {
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -127,12 +127,17 @@
                           int64_t now_ms);
 
 /**
- * sched_new_placement() - return the inputs of a decision for a task of a job
- * @rack: only executors in this rack; NULL for any
+ * sched_new_placement() - return the inputs of a decision for the tasks of a
+ * job
  */
 sched_placement_t sched_new_placement(const sched_t *sched,
-                                      const sched_job_t *job,
-                                      const char *rack);
+                                      const sched_job_t *job);
+
+/**
+ * sched_new_task_placement() - return the inputs of a decision for one task
+ */
+sched_placement_t sched_new_task_placement(const sched_t *sched,
+                                           const sched_task_t *task);
 
 /**
  * sched_choose_executor() - choose the best executor for a task
--- a/libteasel/sched/sched_place.c
+++ b/libteasel/sched/sched_place.c
@@ -32,13 +32,11 @@
 }
 
 sched_placement_t
-sched_new_placement(const sched_t *sched, const sched_job_t *job,
-                    const char *rack)
+sched_new_placement(const sched_t *sched, const sched_job_t *job)
 {
     sched_placement_t placement = {
         .executors = &sched->executor_list,
         .interference = sched->interference,
-        .rack = rack,
         .now_ms = sched_now_ms(sched),
     };
 
@@ -46,15 +44,24 @@
     return placement;
 }
 
-sched_executor_t *
-sched_choose_executor(const sched_t *sched, const sched_task_t *task,
-                      const char *rack)
+sched_placement_t
+sched_new_task_placement(const sched_t *sched, const sched_task_t *task)
 {
     sched_placement_t placement =
-        sched_new_placement(sched, sched_task_get_job(task), rack);
+        sched_new_placement(sched, sched_task_get_job(task));
 
     placement.may_overcommit =
         sched_may_overcommit(sched, task, placement.now_ms);
+    return placement;
+}
+
+sched_executor_t *
+sched_choose_executor(const sched_t *sched, const sched_task_t *task,
+                      const char *rack)
+{
+    sched_placement_t placement = sched_new_task_placement(sched, task);
+
+    placement.rack = rack;
     return sched_placement_choose(&placement, task);
 }
 
