--- a/tests/support/sched_world.h
+++ b/tests/support/sched_world.h
@@ -111,9 +111,13 @@
     {
         return id + ".0.0." + std::to_string(index);
     }
+    /* The id of no job before there is one. */
     std::string
     random_job()
     {
+        if (steps.empty()) {
+            return "none";
+        }
         return "j" + std::to_string(draw((unsigned)steps.size()));
     }
 
