tests: recount the room of runs without a task

SchedWorld::recount_executor() compared what the leader has reserved on an executor with the sizes of its tasks alone. The leader also reserves room for runs that belong to no task until they have ended, as executor.h says.

--- a/tests/support/sched_world.h
+++ b/tests/support/sched_world.h
@@ -395,6 +395,15 @@
             serving_cpu += spec->latency_target_ms > 0 ? spec->cpu_milli : 0;
             expect(task->executor == executor, "task of another executor");
         }
+        /* The leader keeps the room of runs that it is stopping. */
+        for (guint i = 0; i < executor->orphans->len; i++) {
+            auto orphan = static_cast<const sched_orphan_t *>(
+                g_ptr_array_index(executor->orphans, i));
+
+            (orphan->best_effort ? best_effort_cpu : cpu) +=
+                orphan->size.cpu_milli;
+            memory_mb += orphan->size.memory_mb;
+        }
         expect(executor->trials == trials, "trials");
         expect(executor->stopping == stopping, "stopping");
         expect(executor->serving == serving, "serving");
