node: conclude nothing from a list of ends that may be cut

While the store was down, more ends waited on an executor than the 500 that it lists at a time. A run whose end was behind them is in neither list; the agent took it for lost, stopped it, which an executor confirms for an ended run too, and reported it as rejected. The leader may place a rejected run's task again at once.

Ruled out: ends lost between agent and leader (the test of the agent alone fails), a cursor that passes ends before they are stored (the record notes them after the second start).

The answer to a poll now says whether further ends may follow, and nothing is concluded from a missing run while they may.

Before: Node.RejectsNoRunWhoseEndMayFollowTheListedOnes, Node.RejectsAStoppedRunOnceAllEndsAreListed and OddAnswers.AFullListOfEndsMayBeCut fail.

--- a/libteasel/node/executor_api.h
+++ b/libteasel/node/executor_api.h
@@ -61,6 +61,8 @@
 /**
  * struct executor_poll_reply - running and ended runs of an executor
  * @clock_ms: clock of the executor at the time of the answer
+ * @more_ends: further ends may follow those listed; a run in neither list may
+ *     have ended
  */
 typedef struct executor_poll_reply {
     int64_t clock_ms;
@@ -68,6 +70,7 @@
     size_t running_count;
     Teasel__RunEnd **ended;
     size_t ended_count;
+    bool more_ends;
 } executor_poll_reply_t;
 
 /*
--- a/libteasel/node/node_lists.c
+++ b/libteasel/node/node_lists.c
@@ -69,8 +69,8 @@
     text_replace(&run->checkpoint, status->checkpoint);
 }
 
-/* A run that existed when the poll was sent, and is listed neither as running
-   nor as ended, does not exist. */
+/* A run that existed when the poll was sent, and is in neither of the complete
+   lists, does not exist. */
 static void
 check_unlisted_runs(node_executor_t *executor, int64_t now_ms)
 {
@@ -100,5 +100,8 @@
     for (size_t i = 0; i < reply->running_count; i++) {
         handle_running(executor, reply->running[i], now_ms);
     }
-    check_unlisted_runs(executor, now_ms);
+    /* The end of an unlisted run may follow once those listed are stored. */
+    if (!reply->more_ends) {
+        check_unlisted_runs(executor, now_ms);
+    }
 }
--- a/tests/support/fake_executor.cc
+++ b/tests/support/fake_executor.cc
@@ -170,7 +170,7 @@
     for (auto &end : executor->ends) {
         Teasel__RunEnd entry = TEASEL__RUN_END__INIT;
 
-        if (end.number <= cursor) {
+        if (end.number <= cursor || reply.more_ends) {
             continue;
         }
         entry.number = end.number;
@@ -179,6 +179,7 @@
         entry.how = end.how;
         entry.checkpoint = const_cast<char *>(end.checkpoint.c_str());
         ended.push_back(entry);
+        reply.more_ends = ended.size() >= executor->ends_per_answer;
     }
     for (auto &status : running) {
         running_list.push_back(&status);
--- a/tests/support/fake_executor.h
+++ b/tests/support/fake_executor.h
@@ -46,11 +46,12 @@
     std::string endless;         /* if set, prefix of tasks that never end */
     bool unresponsive = false;   /* calls get no answer and have no effect */
     bool gone = false;           /* calls cannot be sent */
-    int lose_starts = 0;      /* next starts to carry out without an answer */
-    int lose_stops = 0;       /* the same of stops */
-    int lose_polls = 0;       /* the same of polls */
-    int busy_starts = 0;      /* next starts to refuse with EXECUTOR_BUSY */
-    int64_t poll_ms = 15;     /* time until a poll is answered */
+    int lose_starts = 0;  /* next starts to carry out without an answer */
+    int lose_stops = 0;   /* the same of stops */
+    int lose_polls = 0;   /* the same of polls */
+    int busy_starts = 0;  /* next starts to refuse with EXECUTOR_BUSY */
+    int64_t poll_ms = 15; /* time until a poll is answered */
+    size_t ends_per_answer = 500;
     int64_t answered_ms = 0;  /* time of the last answer to a poll */
     std::string deadly_task;  /* crashes the executor just after its start */
     int deadly_starts = 1000; /* next starts of it that do so */
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -63,6 +63,7 @@
     std::map<TaskRun, bool> running;    /* reported; whether settled */
     std::set<TaskRun> begun;            /* reported as no longer pending */
     std::set<TaskRun> ended;            /* reported */
+    std::set<TaskRun> rejected;         /* reported */
     uint64_t end_cursor = 0;            /* sent with orders */
     uint64_t sequence = 0;              /* of the newest announcement */
     bool draining = false;              /* announced */
@@ -150,6 +151,10 @@
         for (size_t i = 0; i < report->n_ended; i++) {
             ended.insert({report->ended[i]->task, report->ended[i]->run});
         }
+        for (size_t i = 0; i < report->n_rejected; i++) {
+            rejected.insert(
+                {report->rejected[i]->task, report->rejected[i]->run});
+        }
         if (report->gone) {
             gone.insert(report->key);
         }
@@ -703,6 +708,48 @@
     EXPECT_TRUE(wait([&] { return running[run]; }));
 }
 
+// Guards against tasks that run again though they are done: the leader cannot
+// store their ends, and the executor lists only the first ones of these.
+TEST_F(Node, RejectsNoRunWhoseEndMayFollowTheListedOnes)
+{
+    const TaskRun first = {"j.0.0.0", 1};
+    const TaskRun second = {"j.0.0.1", 1};
+
+    executor.ends_per_answer = 1;
+    join();
+    grant(heartbeat_us, 60000, {first, second});
+    ASSERT_TRUE(wait([&] { return executor.done.size() == 2; }));
+    ASSERT_TRUE(wait([&] { return ended.size() == 1; }));
+    run_ms(2500); /* longer than a run may be missing in a complete list */
+    EXPECT_EQ(rejected, std::set<TaskRun>());
+    end_cursor = 1;
+    grant(heartbeat_us, 60000);
+    EXPECT_TRUE(wait([&] { return ended.size() == 2; }));
+    EXPECT_EQ(rejected, std::set<TaskRun>());
+}
+
+// Guards against a task that waits for ever for a run that does not exist, as
+// the executor could not list all ends when the run was stopped.
+TEST_F(Node, RejectsAStoppedRunOnceAllEndsAreListed)
+{
+    const TaskRun ends = {"j.0.0.0", 1};
+    const TaskRun lost = {"j.0.0.1", 1};
+
+    executor.ends_per_answer = 1;
+    join();
+    grant(heartbeat_us, 60000, {ends});
+    ASSERT_TRUE(wait([&] { return executor.done.size() == 1; }));
+    executor.work_ms = -1;
+    grant(heartbeat_us, 60000, {lost});
+    ASSERT_TRUE(wait([&] { return executor.running.count(lost.first) == 1; }));
+    executor.running.clear();
+    run_ms(2500);
+    EXPECT_EQ(rejected, std::set<TaskRun>());
+    end_cursor = 1;
+    grant(heartbeat_us, 60000);
+    EXPECT_TRUE(wait([&] { return rejected.count(lost) == 1; }));
+}
+
 // Guards against an end that is discarded unread, so that its task runs again:
 // the executor has restarted since a poll without answer, and is told that the
 // ends of its earlier incarnation are stored.
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -432,6 +432,7 @@
     int64_t clock_ms = 0;
     std::vector<std::string> running;
     std::vector<std::string> ended;
+    bool more_ends = false;
 
     void
     SetUp() override
@@ -467,6 +468,7 @@
             return;
         }
         self->clock_ms = reply->clock_ms;
+        self->more_ends = reply->more_ends;
         for (size_t i = 0; i < reply->running_count; i++) {
             self->running.push_back(reply->running[i]->task);
         }
@@ -510,6 +512,28 @@
     }
 };
 
+// Guards against a list of ends that is taken for complete though the executor
+// has cut it, also if some of its rows cannot be read: runs whose ends follow
+// would count as never started.
+TEST_F(OddAnswers, AFullListOfEndsMayBeCut)
+{
+    std::string row = "[1,\"j.0.0.0\",1,\"done\",\"\"]";
+    std::string rows = "7";
+
+    for (int i = 1; i < 499; i++) {
+        rows += "," + row;
+    }
+    EXPECT_EQ(poll(lists("7", "1700000000000", "[]", "[" + rows + "]")),
+              EXECUTOR_OK);
+    EXPECT_EQ(ended.size(), 498U);
+    EXPECT_FALSE(more_ends);
+    EXPECT_EQ(
+        poll(lists("7", "1700000000000", "[]", "[" + rows + "," + row + "]")),
+        EXECUTOR_OK);
+    EXPECT_EQ(ended.size(), 499U);
+    EXPECT_TRUE(more_ends);
+}
+
 // Guards against an odd start time that is taken for another incarnation: the
 // agent then gives up the executor, and its tasks run a second time elsewhere.
 TEST_F(OddAnswers, AnOddStartTimeIsNoOtherIncarnation)
