sched: wait for the longest lease that a restarted executor may hold

Seen by reading after: an executor that keeps no connection open, or an agent of an earlier version, can still pass the lease of a former incarnation on to the next one, which shortens it to the longest that it accepts.

The agent now counts the longest lease for as long as an executor that has restarted is young, and reports how long the lease may be held, if that is longer than any leader grants. The leader waits for it. A new leader that has only the record of a young executor waits as long; the start time is in its key. The scheduler's default of max_lease_ms is now that of the agent (10000 for 600000), as it is waited for; deployments set both from one bound.

Before (each mend switched off): Sched.WaitsForTheLeaseThatAnAgentReports, Sched.WaitsForTheLongestLeaseOfAYoungExecutorAfterAHandOver and Node.ReportsTheLeaseThatARestartedExecutorMayHold fail; after: they pass.

--- a/libteasel/base/http_client.c
+++ b/libteasel/base/http_client.c
@@ -144,15 +144,21 @@
     call_free(call);
 }
 
-/* The transport frees itself after the callback that calls this function. */
 static void
-finish(http_call_t *call, bool ok, error_kind_t kind, const char *detail)
+set_result(http_call_t *call, bool ok, error_kind_t kind, const char *detail)
 {
     call->transport = NULL;
     call->finished = true;
     call->response.ok = ok;
     call->response.kind = kind;
     call->response.detail = detail;
+}
+
+/* The transport frees itself after the callback that calls this function. */
+static void
+finish(http_call_t *call, bool ok, error_kind_t kind, const char *detail)
+{
+    set_result(call, ok, kind, detail);
     if (!call->starting) {
         deliver(call);
     }
@@ -329,7 +335,7 @@
         }
         h2o_http1client_cancel(call->transport);
     }
-    finish(call, false, ERROR_CONNECT, "no connection is idle");
+    set_result(call, false, ERROR_CONNECT, "no connection is idle");
 }
 
 http_call_t *
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -176,6 +176,17 @@
            passed_ms > add_clock_error(lease_ms);
 }
 
+uint32_t
+node_executor_get_held_ms(const node_executor_t *executor)
+{
+    const node_t *node = executor->node;
+    int64_t clock_ms =
+        executor->clock_ms + node_now_ms(node) - executor->clock_read_ms;
+    int64_t held_ms = executor->deadline_ms - clock_ms;
+
+    return held_ms > node->longest_lease_ms ? (uint32_t)held_ms : 0;
+}
+
 static unsigned
 count_starting(const node_executor_t *executor)
 {
@@ -309,6 +320,13 @@
                executor->node->longest_lease_ms);
 }
 
+static bool
+is_young(const node_executor_t *executor)
+{
+    return executor->clock_ms <
+           YOUNG_LEASES * executor->node->opts.settings->max_lease_ms;
+}
+
 /* Returns the longest lease that an earlier agent process may have passed on.
    An executor that has restarted under its id has a new clock: it may have
    taken a time on the clock of its predecessor for the end of its lease, which
@@ -318,11 +336,9 @@
 get_inherited_lease_ms(const node_executor_t *executor)
 {
     const node_t *node = executor->node;
-    int64_t max_lease_ms = node->opts.settings->max_lease_ms;
 
-    return executor->clock_ms < YOUNG_LEASES * max_lease_ms
-               ? max_lease_ms
-               : node->longest_lease_ms;
+    return is_young(executor) ? node->opts.settings->max_lease_ms
+                              : node->longest_lease_ms;
 }
 
 static void
@@ -335,6 +351,12 @@
             executor->clock_ms + get_inherited_lease_ms(executor);
         return;
     }
+    /* Calls for its predecessor may arrive yet, if they are not bound to the
+       connections of that one. */
+    if (executor->predecessor != NULL && is_young(executor)) {
+        executor->deadline_ms = executor->clock_ms + max_lease_ms;
+        return;
+    }
     /* The executor has shortened a longer lease. */
     executor->deadline_ms =
         MIN(executor->deadline_ms, executor->clock_ms + max_lease_ms);
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -262,6 +262,14 @@
 void node_executor_renew_lease(node_executor_t *executor, uint64_t echo_us,
                                uint32_t lease_ms);
 
+/**
+ * node_executor_get_held_ms() - return how long the executor may hold its
+ * lease yet
+ *
+ * Return: 0 unless that is longer than any leader grants.
+ */
+uint32_t node_executor_get_held_ms(const node_executor_t *executor);
+
 /**
  * node_executor_get_deadline() - return the end of the lease on the executor's
  * clock
--- a/libteasel/node/node_report.c
+++ b/libteasel/node/node_report.c
@@ -72,6 +72,7 @@
     /* Nothing can be started until the later incarnation is known. */
     message->draining = executor->draining || executor->restarted_ms != 0;
     message->remaining_ms = (uint32_t)MAX(0, left_ms);
+    message->held_ms = node_executor_get_held_ms(executor);
 }
 
 static void
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -4,14 +4,21 @@
 
 #include "base/text.h"
 
+enum {
+    /* Clocks of executors may be slow by 2%; the rest and the margin cover
+       message delays. */
+    DRIFT_PERCENT = 4,
+    LEASE_MARGIN_MS = 300,
+};
+
 char *
 sched_executor_key(const char *address, const char *id, int64_t started_ms)
 {
     return g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, address, id, started_ms);
 }
 
-static int64_t
-get_started_ms(const char *key)
+int64_t
+sched_executor_key_started_ms(const char *key)
 {
     const char *last = strrchr(key, '/');
 
@@ -24,7 +31,8 @@
     size_t address = strcspn(older, "/");
 
     return strncmp(later, older, address + 1) == 0 &&
-           get_started_ms(later) > get_started_ms(older);
+           sched_executor_key_started_ms(later) >
+               sched_executor_key_started_ms(older);
 }
 
 bool
@@ -142,6 +150,13 @@
     }
 }
 
+int64_t
+sched_executor_get_lease_end_ms(int64_t now_ms, int64_t lease_ms)
+{
+    return now_ms + lease_ms + lease_ms * DRIFT_PERCENT / 100 +
+           LEASE_MARGIN_MS;
+}
+
 void
 sched_executor_skip_time(sched_executor_t *executor, int64_t skipped_ms,
                          int64_t now_ms)
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -138,6 +138,12 @@
 char *sched_executor_key(const char *address, const char *id,
                          int64_t started_ms);
 
+/**
+ * sched_executor_key_started_ms() - return the wall-clock time at which an
+ * incarnation started
+ */
+int64_t sched_executor_key_started_ms(const char *key);
+
 /**
  * sched_executor_key_replaces() - check for a later incarnation
  *
@@ -170,6 +176,13 @@
                            const Teasel__ExecutorReport *report,
                            int64_t now_ms);
 
+/**
+ * sched_executor_get_lease_end_ms() - return the time by which a lease has
+ * surely ended on the clock of an executor
+ * @now_ms: time from which it is counted
+ */
+int64_t sched_executor_get_lease_end_ms(int64_t now_ms, int64_t lease_ms);
+
 /**
  * sched_executor_skip_time() - leave out time without reports where the
  * progress and the slowdown of the runs are judged
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -8,6 +8,8 @@
 enum {
     /* A write ends with the record with which it reaches this size. */
     MAX_WRITE_BYTES = 1024 * 1024,
+    /* Number of longest leases for which an executor is young. */
+    YOUNG_LEASES = 2,
 };
 
 static void
@@ -146,6 +148,21 @@
     list_insert_before(position, &job->link);
 }
 
+/* Returns the longest time for which an executor holds a lease from before
+   this leader knew of it. One that has started a short time ago, under the id
+   of an earlier incarnation, may have taken the lease of that one, see
+   get_inherited_lease_ms() of the agent. */
+static int64_t
+get_unknown_lease_ms(const sched_t *sched, const char *key)
+{
+    int64_t age_ms = sched_wall_ms(sched) - sched_executor_key_started_ms(key);
+    bool young = age_ms < YOUNG_LEASES * sched->opts.max_lease_ms;
+
+    return young ? MAX(sched->opts.max_lease_ms,
+                       sched->opts.predecessor_lease_ms)
+                 : sched->opts.predecessor_lease_ms;
+}
+
 sched_executor_t *
 sched_get_executor(sched_t *sched, const char *key)
 {
@@ -156,7 +173,7 @@
         executor->number = ++sched->last_executor;
         executor->trial_failed_ms = sched_now_ms(sched);
         executor->expiry_ms =
-            sched_now_ms(sched) + sched->opts.predecessor_lease_ms;
+            sched_now_ms(sched) + get_unknown_lease_ms(sched, key);
         g_hash_table_insert(sched->executors, executor->key, executor);
         list_append(&sched->executor_list, &executor->link);
     }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -26,6 +26,8 @@
  * @predecessor_lease_ms: longest time for which a lease from an earlier leader
  *     may last; after it, all runs on an executor that is known only from the
  *     store have ended
+ * @max_lease_ms: the same on an executor that may hold the longest lease that
+ * it accepts; see docs/design.md, section 14
  * @retain_ms: a final job is removed after this time
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
@@ -33,6 +35,7 @@
 typedef struct sched_opts {
     const clock_source_t *clock;
     int64_t predecessor_lease_ms;
+    int64_t max_lease_ms;
     int64_t retain_ms;
     int64_t stop_ms;
     size_t record_bytes;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -547,6 +547,18 @@
     }
 }
 
+/* The executor may hold a lease that no leader has granted. */
+static void
+apply_held_lease(sched_t *sched, sched_executor_t *executor,
+                 const Teasel__ExecutorReport *report)
+{
+    if (report->held_ms > 0) {
+        executor->expiry_ms = MAX(executor->expiry_ms,
+                                  sched_executor_get_lease_end_ms(
+                                      sched_now_ms(sched), report->held_ms));
+    }
+}
+
 void
 sched_apply_report(sched_t *sched, const char *node,
                    const Teasel__ExecutorReport *report)
@@ -571,6 +583,7 @@
     sched->check_needed |= changed;
     executor->connected = true;
     executor->heard_ms = sched_now_ms(sched);
+    apply_held_lease(sched, executor, report);
     apply_lists(sched, executor, report);
     if (report->has_figures) {
         sched_executor_update_slowdown(executor);
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -496,15 +496,21 @@
                leader);
 }
 
+/* Returns how long a lease from before this leader may last. */
+static int64_t
+add_clock_error(int64_t lease_ms)
+{
+    return lease_ms + lease_ms * DRIFT_PERCENT / 100 + EXPIRY_MARGIN_MS;
+}
+
 leader_t *
 leader_new(const leader_opts_t *opts)
 {
     leader_t *leader = g_new0(leader_t, 1);
     sched_opts_t sched_opts = {
         .clock = opts->clock,
-        .predecessor_lease_ms = opts->lease_ms +
-                                opts->lease_ms * DRIFT_PERCENT / 100 +
-                                EXPIRY_MARGIN_MS,
+        .predecessor_lease_ms = add_clock_error(opts->lease_ms),
+        .max_lease_ms = add_clock_error(opts->max_lease_ms),
         .retain_ms = opts->retain_ms,
         .stop_ms = opts->stop_ms,
         .record_bytes = opts->record_bytes,
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -28,7 +28,8 @@
 /**
  * struct leader_opts - options of leader_new()
  * @epoch: epoch that fences the writes of earlier leaders
- * @lease_ms: longest lease of an executor
+ * @lease_ms: longest lease that a leader grants for an executor
+ * @max_lease_ms: longest lease that an executor accepts
  * @retain_ms: retention period of final jobs
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
@@ -46,6 +47,7 @@
     store_t *store;
     uint64_t epoch;
     int64_t lease_ms;
+    int64_t max_lease_ms;
     int64_t retain_ms;
     int64_t stop_ms;
     size_t record_bytes;
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -5,13 +5,6 @@
 #include "base/events.h"
 #include "scheduler/leader_internal.h"
 
-enum {
-    /* Clocks of executors may be slow by 2%; the rest and the margin cover
-       message delays. */
-    DRIFT_PERCENT = 4,
-    LEASE_MARGIN_MS = 300,
-};
-
 static void
 free_session(leader_t *leader, session_t *session)
 {
@@ -112,9 +105,9 @@
     orders->lease_ms = (uint32_t)lease_ms;
     orders->longest_lease_ms = (uint32_t)leader->opts.lease_ms;
     orders->echo_us = session->echo_us;
-    sched_extend_leases(leader->sched, session->node,
-                        leader_now_ms(leader) + lease_ms +
-                            lease_ms * DRIFT_PERCENT / 100 + LEASE_MARGIN_MS);
+    sched_extend_leases(
+        leader->sched, session->node,
+        sched_executor_get_lease_end_ms(leader_now_ms(leader), lease_ms));
 }
 
 static void
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -97,6 +97,7 @@
         .store = scheduler->opts.store,
         .epoch = epoch,
         .lease_ms = settings->lease_ms,
+        .max_lease_ms = settings->max_lease_ms,
         .retain_ms = settings->retain_ms,
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
--- a/libteasel/scheduler/scheduler_settings.c
+++ b/libteasel/scheduler/scheduler_settings.c
@@ -22,7 +22,7 @@
     {FIELD(store_address), .type = SETTING_ADDRESS, .required = true},
     {FIELD(cpu_share), .type = SETTING_STRING},
     INTEGER(lease_ms, 500, 600000, 6000),
-    INTEGER(max_lease_ms, 500, 600000, 600000),
+    INTEGER(max_lease_ms, 500, 600000, 10000),
     INTEGER(retain_ms, 1000, 86400000, 600000),
     INTEGER(stop_run_ms, 0, 60000, 1000),
     INTEGER(record_bytes, 1024, 1024 * 1024 * 1024, 256 * 1024),
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -3076,7 +3076,7 @@
   (ProtobufCMessageInit) teasel__rejected_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[15] =
+static const ProtobufCFieldDescriptor teasel__executor_report__field_descriptors[16] =
 {
   {
     "key",
@@ -3258,6 +3258,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ExecutorReport, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__executor_report__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -3266,6 +3278,7 @@
   10,   /* field[10] = ended */
   7,   /* field[7] = gone */
   13,   /* field[13] = has_figures */
+  15,   /* field[15] = held_ms */
   0,   /* field[0] = key */
   3,   /* field[3] = labels */
   8,   /* field[8] = listed */
@@ -3279,7 +3292,7 @@
 static const ProtobufCIntRange teasel__executor_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor teasel__executor_report__descriptor =
 {
@@ -3289,7 +3302,7 @@
   "Teasel__ExecutorReport",
   "teasel",
   sizeof(Teasel__ExecutorReport),
-  15,
+  16,
   teasel__executor_report__field_descriptors,
   teasel__executor_report__field_indices_by_name,
   1,  teasel__executor_report__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -473,10 +473,15 @@
    * key of the life before, under the same id
    */
   char *predecessor;
+  /*
+   * How long the executor may hold its lease yet; 0 unless that is longer than
+   * the longest lease of a leader.
+   */
+  uint32_t held_ms;
 };
 #define TEASEL__EXECUTOR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__executor_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Teasel__Capacity
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -178,6 +178,7 @@
     std::vector<std::pair<std::string, std::string>> pending_changes;
     bool writing = false;
     size_t record_bytes;
+    int64_t max_lease_ms = 0;
 
     Core(size_t record_bytes = 262144) : record_bytes(record_bytes)
     {
@@ -196,6 +197,7 @@
 
         opts.clock = &clock.clock;
         opts.predecessor_lease_ms = 6000;
+        opts.max_lease_ms = max_lease_ms;
         opts.retain_ms = 600000;
         opts.stop_ms = 500;
         opts.record_bytes = record_bytes;
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -64,6 +64,7 @@
     std::set<TaskRun> begun;            /* reported as no longer pending */
     std::set<TaskRun> ended;            /* reported */
     std::set<TaskRun> rejected;         /* reported */
+    uint32_t held_ms = 0;               /* of the executor reported last */
     uint64_t end_cursor = 0;            /* sent with orders */
     uint64_t sequence = 0;              /* of the newest announcement */
     bool draining = false;              /* announced */
@@ -157,7 +158,9 @@
         }
         if (report->gone) {
             gone.insert(report->key);
+            return;
         }
+        held_ms = report->held_ms;
     }
     static void
     on_message(peer_t *, const Teasel__Envelope *message, void *data)
@@ -494,6 +497,31 @@
     EXPECT_TRUE(wait([&] { return !gone.empty(); }));
 }
 
+// Guards against a leader that counts a shorter lease than a restarted
+// executor holds: a call for its predecessor may extend it at any time while
+// it is young.
+TEST_F(Node, ReportsTheLeaseThatARestartedExecutorMayHold)
+{
+    settings.max_lease_ms = 30000;
+    longest_lease_ms = 1000;
+    executor.clock_offset_ms = 3600 * 1000;
+    join();
+    grant(heartbeat_us, 1000);
+    run_ms(300);
+    EXPECT_EQ(held_ms, 0U);
+    executor.restart(200);
+    executor.clock_offset_ms = -FakeExecutor::now_ms();
+    ASSERT_TRUE(wait([&] {
+        announce_as(executor.id, executor.born_ms);
+        return held_ms > 0;
+    }));
+    run_ms(2000);
+    EXPECT_GT(held_ms, 29000U);
+    clock.leap_ms += 61000;
+    executor.clock_offset_ms += 61000;
+    ASSERT_TRUE(wait([&] { return held_ms == 0; }));
+}
+
 // Guards against a job that is given up for crashes under a run that never
 // began: its start had no answer, and the agent reported it as begun while it
 // waited for the confirmation of the stop.
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -413,6 +413,58 @@
     }
 }
 
+// Guards against a second run beside one whose executor holds a longer lease
+// than this leader has granted: it has restarted, and took the lease of a call
+// that was meant for the incarnation before.
+TEST(Sched, WaitsForTheLeaseThatAnAgentReports)
+{
+    Core core;
+    Report report(A);
+    int64_t now_ms = (int64_t)timespec_to_ms(core.clock.now);
+
+    report.message.held_ms = 10000;
+    connect(core, A);
+    core.report(report);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    sched_extend_leases(core.sched, "node", now_ms + 6500);
+    sched_disconnect(core.sched, "node");
+    connect(core, B);
+    fake_clock_advance_ms(&core.clock, 10100);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(B).starts.size(), 0U);
+    fake_clock_advance_ms(&core.clock, 800);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(B).starts.size(), 1U);
+}
+
+// Guards against the same where a new leader has only the record, and no agent
+// to tell it of the lease: the start time says that the executor is young.
+TEST(Sched, WaitsForTheLongestLeaseOfAYoungExecutorAfterAHandOver)
+{
+    for (int64_t age_ms : {3000, 60000}) {
+        SCOPED_TRACE(age_ms);
+        Core core;
+        int64_t started_ms = (int64_t)timespec_to_ms(core.clock.now) - age_ms;
+        std::string young = "10.0.0.9:80/y/" + std::to_string(started_ms);
+
+        core.max_lease_ms = 10000;
+        connect(core, young.c_str());
+        sched_submit(core.sched, make_spec("j", {{}}));
+        core.run_and_commit();
+        core.orders(young);
+        core.restart();
+        connect(core, B);
+        fake_clock_advance_ms(&core.clock, 6100);
+        core.run_and_commit();
+        EXPECT_EQ(core.orders(B).starts.size(), age_ms == 3000 ? 0U : 1U);
+        fake_clock_advance_ms(&core.clock, 4000);
+        core.run_and_commit();
+        EXPECT_EQ(core.orders(B).starts.size(), age_ms == 3000 ? 1U : 0U);
+    }
+}
+
 // Guards against waiting for the lease to expire after a power loss: the
 // restarted agent has no record of the old incarnation, so the report of a
 // later one at the same address has to end it. Seen in scenario scale-2 of the
