--- a/tests/unit/executor_http_test.cc
+++ b/tests/unit/executor_http_test.cc
@@ -34,6 +34,8 @@
     char address[32];
     int64_t born_ms = BORN_MS;
     int status = 200;
+    bool hold = false; /* the next call gets no answer */
+    http_exchange_t *held = nullptr;
     std::vector<Call> calls; /* that the server has received */
     size_t most_connections = 0;
     std::vector<executor_result_t> results;
@@ -51,6 +53,11 @@
              std::string(exchange->body, exchange->body_length)});
         self->most_connections = std::max(
             self->most_connections, http_server_get_connections(self->server));
+        if (self->hold) {
+            self->hold = false;
+            self->held = exchange;
+            return;
+        }
         http_exchange_reply(exchange, self->status, nullptr, 0, body.data(),
                             body.size());
     }
@@ -251,6 +258,43 @@
     EXPECT_LE(most_connections, starts);
 }
 
+// Guards against connections that are closed and checked anew with each call
+// that an executor leaves unanswered, though it answers others.
+TEST_F(ExecutorHttp, KeepsConnectionsThatWereAnsweredMeanwhile)
+{
+    start();
+    EXPECT_EQ(wait(), EXECUTOR_OK);
+    hold = true;
+    start();
+    loop_run_ms(loop, 20);
+    poll(486000, 0);
+    EXPECT_EQ(wait(), EXECUTOR_OK);
+    EXPECT_EQ(wait(), EXECUTOR_NO_ANSWER);
+    http_exchange_reply(held, 200, nullptr, 0, "{}", 2);
+    calls.clear();
+    start();
+    EXPECT_EQ(wait(), EXECUTOR_OK);
+    EXPECT_EQ(targets(), Targets({"/api/run-start"}));
+}
+
+// Guards against calls that go on to time out on connections that have all
+// fallen silent.
+TEST_F(ExecutorHttp, ClosesIdleConnectionsWhenNothingIsAnswered)
+{
+    start();
+    start();
+    EXPECT_TRUE(loop_wait(loop, 5000, [&] { return results.size() == 2; }));
+    loop_run_ms(loop, 20);
+    hold = true;
+    start();
+    EXPECT_EQ(wait(), EXECUTOR_NO_ANSWER);
+    http_exchange_reply(held, 200, nullptr, 0, "{}", 2);
+    calls.clear();
+    start();
+    EXPECT_EQ(wait(), EXECUTOR_OK);
+    EXPECT_EQ(targets(), Targets({"/api/hold", "/api/run-start"}));
+}
+
 // Guards against an executor that never gets a call as it keeps no connection
 // open.
 TEST_F(ExecutorHttp, CallsAnExecutorThatClosesItsConnections)
