soak: executors that lose power and are back under their ids

Calls that are sent meanwhile wait in the link and reach the next incarnation. Executors accept longer leases than leaders grant, as in the users' deployments. The new lane has random numbers of its own, so the plans of the other lanes stay as they are but where both would disturb the same executor.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -13,6 +13,8 @@
 class SoakExecutor(Executor):
     """An executor behind a proxy that checks what it is told to start."""
 
+    HOLD_MAX_MS = 10000  # longer than the lease of 6 s that a leader grants
+
     def __init__(self, name, system, clients, control):
         super().__init__(name, control, system.record, clients.work,
                          cpu=clients.cpu, gang_of=clients.gang_of)
@@ -101,6 +103,8 @@
         fields = super().fields(name)
         store = self.add_proxy(f"{name}-store", self.store.server.address)
         fields["platform"] = {**fields["platform"], "Address": store}
+        fields["Bounds"] = {**fields["Bounds"],
+                            "HoldMaxMs": SoakExecutor.HOLD_MAX_MS}
         return fields
 
     def add_proxy(self, name, target):
@@ -109,6 +113,9 @@
         self.proxies.append(proxy)
         return proxy.address
 
+    def find_proxy(self, address):
+        return next(each for each in self.proxies if each.address == address)
+
     def start_scheduler(self, name):
         super().start_scheduler(name)
         with open(self.schedulers[-1].path, encoding="utf-8") as file:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -51,6 +51,7 @@
         lanes.append(self.play_lane(20, self.disturb_store, LONG_PAUSE_S))
         lanes.append(self.play_lane(30, self.disturb_executor))
         lanes.append(self.play_lane(40, self.hang_up))
+        lanes.append(self.play_lane(50, self.lose_power))
         await asyncio.gather(*lanes)
 
     async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
@@ -202,6 +203,9 @@
     async def disturb_executor(self, pick):
         executor = pick.choice(self.system.executors)
         fault = pick.choice(EXECUTOR_FAULTS)
+        if executor in self.system.busy:
+            return "nothing"
+        self.system.busy.add(executor)
         self.count(f"executor {fault}")
         if fault == "hang":
             executor.beats = pick.random() < 0.5
@@ -213,8 +217,29 @@
             await asyncio.sleep(pick.uniform(0.2, 3))
             await executor.start(name=executor.next_name()
                                  if fault == "replace" else None)
+        self.system.busy.discard(executor)
         return f"{fault} {executor.name}"
 
+    async def lose_power(self, pick):
+        """Take an executor away with its link, and start it under its id.
+
+        Calls that are sent meanwhile wait, and reach the next incarnation.
+        """
+        executor = pick.choice(self.system.executors)
+        seconds = pick.uniform(0.2, 1.4)
+        proxy = self.system.find_proxy(executor.link)
+        if self.system.busy & {executor, proxy}:
+            return "nothing"
+        self.system.busy.update({executor, proxy})
+        self.count("executor without power")
+        proxy.hold(("up", "down"))
+        executor.crash()
+        await asyncio.sleep(seconds)
+        await executor.start(first_heartbeat_s=pick.uniform(0.05, 0.4))
+        proxy.heal()
+        self.system.busy.difference_update({executor, proxy})
+        return f"without power {executor.name}"
+
     async def hang_up(self, pick):
         """Send SIGHUP, after a change of the settings half of the time."""
         process = self.pick_process(pick)
