--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -148,10 +148,8 @@
     list_insert_before(position, &job->link);
 }
 
-/* Returns the longest time for which an executor holds a lease from before
-   this leader knew of it. One that has started a short time ago, under the id
-   of an earlier incarnation, may have taken the lease of that one, see
-   get_inherited_lease_ms() of the agent. */
+/* Returns how long a lease from before this leader may last. A young executor
+   may have taken that of an earlier incarnation under its id. */
 static int64_t
 get_unknown_lease_ms(const sched_t *sched, const char *key)
 {
