--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -130,6 +130,7 @@
             jobs={}, cpu=1000, work=lambda task, run: (None, None),
             gang_of=Gangs(3, 9.0).get), "127.0.0.1:1")
         self.executors = [self.executor]
+        self.busy = set()
         await self.executor.start(first_heartbeat_s=9)
 
     async def asyncTearDown(self):
@@ -171,6 +172,28 @@
             self.assertEqual(self.executor.life.running != {},
                              fault == "hang")
 
+    async def test_a_call_waits_for_an_executor_without_power(self):
+        proxy = Proxy("p", free_port(), self.executor.server.address)
+        await proxy.start()
+        self.find_proxy = lambda address: proxy
+        pick = types.SimpleNamespace(choice=lambda each: each[0],
+                                     uniform=lambda low, high: SHORT_S)
+        faults = Faults(self, 1, 1.0, [])
+        life = self.executor.life
+        self.busy.add(self.executor)
+        self.assertEqual(await faults.lose_power(pick), "nothing")
+        self.busy.clear()
+        playing = asyncio.create_task(faults.lose_power(pick))
+        await asyncio.sleep(SHORT_S / 3)
+        self.assertIsNone(self.executor.life)
+        status, _ = await call(proxy.address, "POST", "/api/hold", {},
+                               timeout=9 * SHORT_S)
+        await playing
+        proxy.stop()
+        self.assertEqual(status, 200)
+        self.assertIsNot(self.executor.life, life)
+        self.assertEqual(self.busy, set())
+
     async def test_lease_lapses_amid_a_hang(self):
         await self.post("/api/run-start", Task="a.0.0.0", Run=1,
                         DeadlineMs=self.executor.life.clock_ms() + 100)
