soak: end the heartbeats of an executor with its incarnation

Timeline, read from the code before the change: an executor crashes while a heartbeat waits; the answer is there in the same turn of the loop as the cancelling; asyncio.wait_for() returns the answer and drops the cancelling (Python 3.11; leftovers.py already repeats cancellings for it). The task sleeps for 1.1 s and sends a heartbeat of self.life, which is None while the executor is away for longer, or another incarnation. The new fault "executor without power" crashes executors several times as often, which is why it shows now.

Ruled out: a crash of an executor that is already away (disturb_executor() and lose_power() exclude each other by `busy`); drain() (no soak uses it).

Reproduced: the new test fails without the change (9 heartbeats instead of 1).

Change: a heartbeat task ends when its incarnation has.

--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -134,8 +134,9 @@
         self.crash()
 
     async def send_heartbeats(self, delay_s):
+        life = self.life
         await asyncio.sleep(delay_s)
-        while True:
+        while self.life is life:
             if self.beats or not self.hangs:
                 await call(self.control, "PUT", f"/api/executors/{self.name}",
                            self.describe(), timeout=1.0)
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -194,6 +194,27 @@
         self.assertIsNot(self.executor.life, life)
         self.assertEqual(self.busy, set())
 
+    async def test_no_heartbeat_of_a_former_life(self):
+        # Some versions of asyncio.wait_for() drop a cancelling that meets
+        # its result, as here the one of a crash and the answer.
+        for away_s in (0, SHORT_S):
+            answered = asyncio.get_running_loop().create_future()
+            send = mock.Mock(side_effect=lambda *args, **options:
+                             asyncio.wait_for(answered, SHORT_S))
+            with mock.patch("executor.call", send):
+                self.executor.heartbeat_s = SHORT_S / 9
+                self.executor.crash()
+                await self.executor.start()
+                beating = self.executor.tasks[0]
+                await asyncio.sleep(SHORT_S / 9)
+                answered.set_result((200, b""))
+                self.executor.crash()
+                await asyncio.sleep(away_s)
+                await self.executor.start(first_heartbeat_s=9)
+                await asyncio.wait([beating], timeout=SHORT_S)
+            self.assertEqual(send.call_count, 1)
+            self.assertTrue(beating.cancelled() or not beating.exception())
+
     async def test_lease_lapses_amid_a_hang(self):
         await self.post("/api/run-start", Task="a.0.0.0", Run=1,
                         DeadlineMs=self.executor.life.clock_ms() + 100)
