base: run timers on the monotonic clock

Most agents and the schedulers that don't lead log nothing for 14 s.

Cause: loop.c used h2o's timeouts, whose clock is gettimeofday(). After a step back each active timer runs out as much later, so that heartbeats, polls that extend leases, ticks and time limits stand still; after a step ahead all run out at once.

Ruled out: leases by the time of day (all times of the product are read from clock_get_monotonic(), and steady_ms went on evenly in the logs).

Change: timers of the loop's own, ordered by the time at which they run out, on clock_get_monotonic(). loop_new_on() takes the clock, for tests. The wait for events is at most 1 s, as it doesn't count the suspension of the machine. Delays are exact now; the lists of h2o needed them rounded up by up to 10%.

--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -9,16 +9,17 @@
 #include "base/error.h"
 #include "base/events.h"
 
-/* h2o keeps one list of timers per distinct delay and visits every list in
-   each iteration, so delays are rounded up to bound the number of lists. */
-typedef struct delay_class {
-    h2o_timeout_t timeout;
-    uint64_t ms;
-} delay_class_t;
+enum {
+    /* The wait for events doesn't count the suspension of the machine, so that
+       it has to be short for timers to run out soon after. */
+    MAX_WAIT_MS = 1000,
+};
 
 struct loop {
     h2o_loop_t *h2o;
-    GHashTable *delays; /* ms -> delay_class_t */
+    const clock_source_t *clock;
+    GSequence *timers; /* loop_timer_t, by the time at which they run out */
+    uint64_t started;  /* number of timers that were started */
     bool stopped;
     h2o_socket_t *signal_socket;
     loop_signal_cb signal_cb;
@@ -26,49 +27,104 @@
 };
 
 loop_t *
-loop_new(void)
+loop_new_on(const clock_source_t *clock)
 {
     loop_t *loop = g_new0(loop_t, 1);
 
     loop->h2o = h2o_evloop_create();
-    loop->delays = g_hash_table_new(g_int64_hash, g_int64_equal);
+    loop->clock = clock;
+    loop->timers = g_sequence_new(NULL);
     return loop;
 }
 
+loop_t *
+loop_new(void)
+{
+    return loop_new_on(clock_system());
+}
+
+static void
+forget_place(gpointer timer, gpointer data)
+{
+    ((loop_timer_t *)timer)->place = NULL;
+}
+
 void
 loop_free(loop_t *loop)
 {
-    GHashTableIter iter;
-    gpointer value;
-
     if (loop == NULL) {
         return;
     }
     if (loop->signal_socket != NULL) {
         h2o_socket_close(loop->signal_socket);
     }
-    g_hash_table_iter_init(&iter, loop->delays);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        delay_class_t *delay = value;
-
-        h2o_linklist_unlink(&delay->timeout._entries);
-        h2o_linklist_init_anchor(&delay->timeout._entries);
-        h2o_timeout_dispose(loop->h2o, &delay->timeout);
-        g_free(delay);
-    }
-    g_hash_table_destroy(loop->delays);
+    g_sequence_foreach(loop->timers, forget_place, NULL);
+    g_sequence_free(loop->timers);
     /* h2o 2.2 frees closed sockets in the next iteration of the loop. */
     h2o_evloop_run(loop->h2o, 0);
     g_free(loop);
 }
 
+static int64_t
+get_now_us(const loop_t *loop)
+{
+    struct timespec now = clock_get_monotonic(loop->clock);
+
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+static loop_timer_t *
+get_first_timer(loop_t *loop)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
+
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+static int
+get_wait_ms(loop_t *loop, int max_wait_ms)
+{
+    const loop_timer_t *first = get_first_timer(loop);
+    int64_t left_us;
+
+    if (first == NULL) {
+        return max_wait_ms;
+    }
+    left_us = first->due_us - get_now_us(loop);
+    return (int)CLAMP((left_us + 999) / 1000, 0, max_wait_ms);
+}
+
+/* Timers that are started meanwhile wait for the next iteration, so that
+   sockets get their turn. */
+static void
+run_timers(loop_t *loop)
+{
+    uint64_t started = loop->started;
+    int64_t now_us = get_now_us(loop);
+    loop_timer_t *first = get_first_timer(loop);
+
+    while (first != NULL && first->due_us <= now_us &&
+           first->number <= started) {
+        loop_timer_stop(first);
+        first->cb(first);
+        first = get_first_timer(loop);
+    }
+}
+
+void
+loop_run_once(loop_t *loop, int max_wait_ms)
+{
+    h2o_evloop_run(loop->h2o, get_wait_ms(loop, max_wait_ms));
+    run_timers(loop);
+}
+
 void
 loop_run(loop_t *loop)
 {
     loop->stopped = false;
     events_use_loop(loop);
     while (!loop->stopped) {
-        h2o_evloop_run(loop->h2o, INT32_MAX);
+        loop_run_once(loop, MAX_WAIT_MS);
     }
     events_use_loop(NULL);
 }
@@ -79,12 +135,6 @@
     loop->stopped = true;
 }
 
-void
-loop_run_once(loop_t *loop, int max_wait_ms)
-{
-    h2o_evloop_run(loop->h2o, max_wait_ms);
-}
-
 h2o_loop_t *
 loop_get_h2o(loop_t *loop)
 {
@@ -134,39 +184,6 @@
     return true;
 }
 
-static uint64_t
-round_delay(uint64_t ms)
-{
-    uint64_t step = 1;
-
-    while (ms / step >= 20) {
-        step *= 2;
-    }
-    return (ms + step - 1) / step * step;
-}
-
-static h2o_timeout_t *
-get_delay_class(loop_t *loop, uint64_t ms)
-{
-    delay_class_t *delay = g_hash_table_lookup(loop->delays, &ms);
-
-    if (delay == NULL) {
-        delay = g_new0(delay_class_t, 1);
-        delay->ms = ms;
-        h2o_timeout_init(loop->h2o, &delay->timeout, ms);
-        g_hash_table_insert(loop->delays, &delay->ms, delay);
-    }
-    return &delay->timeout;
-}
-
-static void
-on_timeout(h2o_timeout_entry_t *entry)
-{
-    loop_timer_t *timer = H2O_STRUCT_FROM_MEMBER(loop_timer_t, entry, entry);
-
-    timer->cb(timer);
-}
-
 void
 loop_timer_init(loop_timer_t *timer, loop_t *loop, loop_timer_cb cb,
                 void *data)
@@ -175,28 +192,43 @@
     timer->loop = loop;
     timer->cb = cb;
     timer->data = data;
-    timer->entry.cb = on_timeout;
+}
+
+static gint
+compare_timers(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const loop_timer_t *left = a;
+    const loop_timer_t *right = b;
+
+    if (left->due_us != right->due_us) {
+        return left->due_us < right->due_us ? -1 : 1;
+    }
+    return left->number < right->number ? -1 : left->number > right->number;
 }
 
 void
 loop_timer_start(loop_timer_t *timer, uint64_t ms)
 {
-    h2o_timeout_t *timeout = get_delay_class(timer->loop, round_delay(ms));
+    loop_t *loop = timer->loop;
 
     loop_timer_stop(timer);
-    h2o_timeout_link(timer->loop->h2o, timeout, &timer->entry);
+    timer->due_us = get_now_us(loop) + (int64_t)ms * 1000;
+    timer->number = ++loop->started;
+    timer->place =
+        g_sequence_insert_sorted(loop->timers, timer, compare_timers, NULL);
 }
 
 void
 loop_timer_stop(loop_timer_t *timer)
 {
-    if (h2o_timeout_is_linked(&timer->entry)) {
-        h2o_timeout_unlink(&timer->entry);
+    if (timer->place != NULL) {
+        g_sequence_remove(timer->place);
+        timer->place = NULL;
     }
 }
 
 bool
 loop_timer_is_active(const loop_timer_t *timer)
 {
-    return h2o_linklist_is_linked((h2o_linklist_t *)&timer->entry._link);
+    return timer->place != NULL;
 }
--- a/libteasel/base/loop.h
+++ b/libteasel/base/loop.h
@@ -6,6 +6,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/clock.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -21,13 +23,24 @@
  * @data: for use by the owner
  */
 struct loop_timer {
-    h2o_timeout_entry_t entry;
     loop_t *loop;
     loop_timer_cb cb;
     void *data;
+    GSequenceIter *place; /* among the active timers; NULL if not active */
+    int64_t due_us;
+    uint64_t number; /* the order in which timers were started */
 };
 
+/**
+ * loop_new() - create a loop whose timers follow the monotonic clock of the
+ * system, whatever becomes of the time of day
+ */
 loop_t *loop_new(void);
+
+/**
+ * loop_new_on() - like loop_new(), with another clock for the timers
+ */
+loop_t *loop_new_on(const clock_source_t *clock);
 void loop_free(loop_t *loop);
 
 /**
@@ -56,7 +69,7 @@
 
 /**
  * loop_timer_start() - start or restart a timer
- * @ms: delay; from 20 ms, rounded up by less than 10%
+ * @ms: delay; the timer never runs out before
  */
 void loop_timer_start(loop_timer_t *timer, uint64_t ms);
 void loop_timer_stop(loop_timer_t *timer);
