base, entry, agent: drop what made up for rounded delays

Timers of the loop are exact, so the forwarder and the lease of the runner no longer end their long waits early to go on with a precise one; the stand-ins neither.

--- a/libteasel/agent/task_lease.c
+++ b/libteasel/agent/task_lease.c
@@ -5,8 +5,6 @@
     /* Subtracted from the lease that is passed on to the worker, to allow for
        the delay of the call. */
     WORKER_LEASE_MARGIN_MS = 500,
-    /* Loop timers round longer delays up by up to a tenth. */
-    EXACT_TIMER_DELAY_MS = 20,
 };
 
 bool
@@ -59,11 +57,8 @@
 static void
 start_lease_timer(task_runner_t *runner)
 {
-    uint64_t remaining_ms = lease_get_remaining_ms(&runner->lease);
-
-    loop_timer_start(&runner->lease_timer, remaining_ms > EXACT_TIMER_DELAY_MS
-                                               ? remaining_ms * 10 / 11
-                                               : remaining_ms);
+    loop_timer_start(&runner->lease_timer,
+                     lease_get_remaining_ms(&runner->lease));
 }
 
 static void
--- a/libteasel/entry/forwarder.c
+++ b/libteasel/entry/forwarder.c
@@ -172,19 +172,13 @@
     finish_without_answer(forward);
 }
 
-/* The loop rounds long timers up by as much as a tenth. A long wait is
-   therefore split: the first timer ends early, and on_timer() starts a precise
-   one for the rest. */
 static void
 start_timer(forward_t *forward, struct timespec end)
 {
     struct timespec now = clock_get_monotonic(forward->owner->opts.clock);
     int64_t ms = timespec_diff_us(end, now) / 1000 + 1;
 
-    if (ms < 0) {
-        ms = 0;
-    }
-    loop_timer_start(&forward->timer, (uint64_t)(ms < 20 ? ms : ms - ms / 8));
+    loop_timer_start(&forward->timer, (uint64_t)MAX(ms, 0));
 }
 
 static struct timespec
--- a/tests/standins/executord.c
+++ b/tests/standins/executord.c
@@ -6,9 +6,6 @@
 
 enum {
     MAX_ANSWER = 16 * 1024 * 1024,
-    /* Loop timers round longer delays up, so that a longer service time is
-       waited for in several shorter steps. */
-    MAX_EXACT_DELAY_MS = 20,
 };
 
 typedef struct execution {
@@ -125,10 +122,7 @@
 {
     int64_t remaining_ms = (execution->end_us - get_now_us() + 999) / 1000;
 
-    if (remaining_ms > MAX_EXACT_DELAY_MS) {
-        remaining_ms = remaining_ms * 10 / 11;
-    }
-    loop_timer_start(&execution->timer, (uint64_t)remaining_ms);
+    loop_timer_start(&execution->timer, (uint64_t)MAX(remaining_ms, 0));
 }
 
 static void
--- a/tests/standins/workerd/task.c
+++ b/tests/standins/workerd/task.c
@@ -1,8 +1,6 @@
 #include "task.h"
 
 enum {
-    /* Loop timers round longer delays up by up to a tenth. */
-    MAX_EXACT_DELAY_MS = 20,
     FAIL_ALL_RUN_MS = 20,
     DEFAULT_CHECKPOINT_MS = 1000,
 };
@@ -121,11 +119,7 @@
     }
     left = ((double)task->run_ms - task->progress_ms) * FULL_SPEED /
            (double)task->throttle;
-    /* A longer delay is shortened by the rounding error; the timer is then
-       started again for the rest. */
-    loop_timer_start(
-        &task->timer,
-        (uint64_t)(left > MAX_EXACT_DELAY_MS ? left * 10 / 11 : left + 0.999));
+    loop_timer_start(&task->timer, (uint64_t)(left + 0.999));
 }
 
 void
@@ -192,9 +186,7 @@
     int64_t left = worker.lease_end_ms - standin_now_ms();
 
     if (left > 0) {
-        loop_timer_start(
-            timer,
-            (uint64_t)(left > MAX_EXACT_DELAY_MS ? left * 10 / 11 : left));
+        loop_timer_start(timer, (uint64_t)left);
     }
     else {
         suspend_all();
