base: no limit of h2o follows the time of day where it decides

Seen: by the tests only. A step ahead of the time of day by 10 s ends every connection on which a request is arriving or none is, so that callers can't know what has become of their calls; one by an hour ends all calls in flight. On a machine that begins in 1970 no call is answered for the first hour.

Cause: h2o's own limits follow gettimeofday(), and one that is longer than the time since 1970 counts as passed (found by trying: 10 years work, 100 years end each call at once). Same class as the timers of the loop.

Change: the server has a timer of its own for the arrival of a request, with the limit that h2o had. Limits of h2o are half the time since 1970 and don't decide any more. The idle connections of the client stay with h2o: a step makes them end early, or be checked before they are used later.

Before: RawConnections.TakesARequestWhoseHalvesAreBeforeAndAfterAStepAhead, Fixture.WaitsForAnAnswerAcrossAStepAhead, UnknownTimeOfDay.CallsAreAnswered fail. After: they pass.

--- a/libteasel/base/http_client.c
+++ b/libteasel/base/http_client.c
@@ -7,10 +7,10 @@
 #include "base/socket.h"
 
 enum {
-    /* The client closes connections that are idle for this long. */
+    /* The client closes connections that are idle for this long. h2o counts by
+       the time of day: after a step ahead connections are made anew, after a
+       step back idle ones stay for longer. */
     IDLE_TIMEOUT_MS = 5000,
-    /* Each call has its own timeout; that of h2o only has to be longer. */
-    IO_TIMEOUT_MS = 3600 * 1000,
 };
 
 /* Pool of idle connections. A replaced pool is freed after the last call that
@@ -109,7 +109,9 @@
     client->name = name;
     client->max_connections = opts->max_connections;
     client->pool = pool_new(client);
-    h2o_timeout_init(loop, &client->io_timeout, IO_TIMEOUT_MS);
+    /* Each call has its own timeout. */
+    h2o_timeout_init(loop, &client->io_timeout,
+                     loop_get_h2o_limit_ms(opts->loop));
     client->context.loop = loop;
     client->context.io_timeout = &client->io_timeout;
     return client;
--- a/libteasel/base/http_server.c
+++ b/libteasel/base/http_server.c
@@ -15,13 +15,17 @@
 /* Limit per loop iteration, so that a burst of new connections does not delay
    the established ones. */
 enum {
-    MAX_ACCEPTS_PER_ITERATION = 16
+    MAX_ACCEPTS_PER_ITERATION = 16,
+    /* From the last answer, or the begin of the connection, until a request
+       has arrived whole. */
+    REQUEST_TIMEOUT_MS = 10000,
 };
 
 typedef struct connection {
     list_t link;
     http_server_t *server;
     h2o_socket_t *sock;
+    loop_timer_t request_timer; /* while no request is pending */
 } connection_t;
 
 struct http_server {
@@ -44,7 +48,8 @@
 
 /* Allocated in the memory pool of the request, to detect when h2o frees it. */
 typedef struct request_guard {
-    http_exchange_t *exchange;
+    connection_t *connection;
+    http_exchange_t *exchange; /* NULL after the reply */
 } request_guard_t;
 
 typedef struct exchange_state {
@@ -61,6 +66,7 @@
     http_exchange_t *exchange = guard->exchange;
     exchange_state_t *state;
 
+    loop_timer_start(&guard->connection->request_timer, REQUEST_TIMEOUT_MS);
     if (exchange == NULL) {
         return;
     }
@@ -93,6 +99,12 @@
     }
 }
 
+static connection_t *
+get_connection(const h2o_req_t *req)
+{
+    return req->conn->callbacks->get_socket(req->conn)->on_close.data;
+}
+
 static http_exchange_t *
 exchange_new(http_server_t *server, h2o_req_t *req)
 {
@@ -105,7 +117,9 @@
     state->strings = g_string_chunk_new(512);
     state->guard = h2o_mem_alloc_shared(&req->pool, sizeof(*state->guard),
                                         on_request_disposed);
+    state->guard->connection = get_connection(req);
     state->guard->exchange = exchange;
+    loop_timer_stop(&state->guard->connection->request_timer);
     if (req->input.query_at != SIZE_MAX) {
         path_length = req->input.query_at;
     }
@@ -162,11 +176,26 @@
 {
     connection_t *connection = data;
 
+    loop_timer_stop(&connection->request_timer);
     list_remove(&connection->link);
     connection->server->connection_count--;
     g_free(connection);
 }
 
+/* h2o reads the end of the stream then, and closes the connection at once if
+   it is idle, else after its response. */
+static void
+end_requests(connection_t *connection)
+{
+    shutdown(h2o_socket_get_fd(connection->sock), SHUT_RD);
+}
+
+static void
+on_request_timeout(loop_timer_t *timer)
+{
+    end_requests(timer->data);
+}
+
 static void
 on_accept(h2o_socket_t *listener, const char *err)
 {
@@ -189,6 +218,9 @@
         server->connection_count++;
         sock->on_close.cb = on_connection_closed;
         sock->on_close.data = connection;
+        loop_timer_init(&connection->request_timer, server->opts.loop,
+                        on_request_timeout, connection);
+        loop_timer_start(&connection->request_timer, REQUEST_TIMEOUT_MS);
         h2o_accept(&server->accept_ctx, sock);
     }
 }
@@ -222,6 +254,7 @@
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("teaselhaven"));
     server->config.max_request_entity_size = opts->max_body;
     server->config.http1.upgrade_to_http2 = 0;
+    server->config.http1.req_timeout = loop_get_h2o_limit_ms(opts->loop);
     register_handler(server);
     h2o_context_init(&server->context, loop_get_h2o(opts->loop),
                      &server->config);
@@ -254,9 +287,7 @@
 {
     server->shutting_down = true;
     LIST_FOREACH (connection, &server->connections, connection_t, link) {
-        /* h2o reads the end of the stream and closes an idle connection now,
-           and a busy one after its response. */
-        shutdown(h2o_socket_get_fd(connection->sock), SHUT_RD);
+        end_requests(connection);
     }
 }
 
--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -58,10 +58,10 @@
     if (loop->signal_socket != NULL) {
         h2o_socket_close(loop->signal_socket);
     }
-    g_sequence_foreach(loop->timers, forget_place, NULL);
-    g_sequence_free(loop->timers);
     /* h2o 2.2 frees closed sockets in the next iteration of the loop. */
     h2o_evloop_run(loop->h2o, 0);
+    g_sequence_foreach(loop->timers, forget_place, NULL);
+    g_sequence_free(loop->timers);
     g_free(loop);
 }
 
@@ -141,6 +141,12 @@
     return loop->h2o;
 }
 
+uint64_t
+loop_get_h2o_limit_ms(const loop_t *loop)
+{
+    return h2o_now(loop->h2o) / 2;
+}
+
 static void
 on_signal_readable(h2o_socket_t *sock, const char *err)
 {
--- a/libteasel/base/loop.h
+++ b/libteasel/base/loop.h
@@ -57,6 +57,15 @@
 
 h2o_loop_t *loop_get_h2o(loop_t *loop);
 
+/**
+ * loop_get_h2o_limit_ms() - return a time limit for h2o itself, so long that
+ * timers of the loop decide
+ *
+ * h2o counts its limits by the time of day, and takes one that is longer than
+ * the time since 1970 as passed. Half of that time remains.
+ */
+uint64_t loop_get_h2o_limit_ms(const loop_t *loop);
+
 /**
  * loop_on_signals() - call @cb from the loop on SIGTERM, SIGINT and SIGHUP,
  * and ignore SIGPIPE
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
 #include <string>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -10,8 +12,10 @@
 #include "base/socket.h"
 }
 
+#include "fake_clock.h"
 #include "log_lines.h"
 #include "test_address.h"
+#include "time_of_day.h"
 
 namespace {
 
@@ -202,6 +206,173 @@
     EXPECT_EQ(status, 503);
 }
 
+/* Connections that the test writes to and reads from by itself. */
+struct RawConnections : public Fixture {
+    int fd = -1;
+
+    int
+    open()
+    {
+        struct sockaddr_in name;
+        char address[32];
+
+        test_address(address, 1);
+        socket_resolve(address, &name, nullptr);
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(connect(fd, (struct sockaddr *)&name, sizeof(name)), 0);
+        run();
+        return fd;
+    }
+
+    void
+    run()
+    {
+        for (int i = 0; i < 5; i++) {
+            loop_run_once(loop, 5);
+        }
+    }
+
+    void
+    put(const std::string &text)
+    {
+        ASSERT_EQ(::send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+                  (ssize_t)text.size());
+        run();
+    }
+
+    /* Return what has arrived; "end" at the end of the stream. */
+    std::string
+    get()
+    {
+        char text[1024];
+        ssize_t length = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+
+        return length == 0 ? "end" : std::string(text, MAX(length, 0));
+    }
+
+    void
+    TearDown() override
+    {
+        close(fd);
+        run();
+        time_of_day_offset_ms = 0;
+        Fixture::TearDown();
+    }
+};
+
+const std::string HALF = "POST /echo HTTP/1.1\r\nhost: a\r\n"
+                         "content-length: 5\r\n\r\nhe";
+
+// Guards against a step of the time of day that ends a connection while a
+// request arrives, so that the caller can't know what has become of it.
+TEST_F(RawConnections, TakesARequestWhoseHalvesAreBeforeAndAfterAStepAhead)
+{
+    open();
+    put(HALF);
+    time_of_day_offset_ms = 15000;
+    run();
+    put("llo");
+    EXPECT_NE(get().find("hello"), std::string::npos);
+    time_of_day_offset_ms = 30000;
+    run();
+    EXPECT_EQ(http_server_get_connections(server), 1U);
+}
+
+// Guards against a step of the time of day that ends all calls in flight.
+TEST_F(Fixture, WaitsForAnAnswerAcrossAStepAhead)
+{
+    send("/hold/a", "x", false, 5000);
+    while (held == nullptr) {
+        loop_run_once(loop, 5);
+    }
+    time_of_day_offset_ms = 2 * 3600 * 1000;
+    loop_run_once(loop, 5);
+    loop_run_once(loop, 5);
+    http_exchange_reply_text(held, 200, "text/plain", "late");
+    wait_for_responses(1);
+    time_of_day_offset_ms = 0;
+    EXPECT_TRUE(ok);
+    EXPECT_EQ(body, "late");
+}
+
+/* A machine without a battery for its clock begins in 1970. */
+struct UnknownTimeOfDay : public RawConnections {
+    UnknownTimeOfDay()
+    {
+        struct timespec now = clock_get_wall(clock_system());
+
+        time_of_day_offset_ms = 60000 - (int64_t)timespec_to_ms(now);
+        loop_free(loop);
+        loop = loop_new();
+    }
+};
+
+// Guards against limits that count as passed while the time of day is small.
+TEST_F(UnknownTimeOfDay, CallsAreAnswered)
+{
+    send("/echo", "hello", false, 5000);
+    wait_for_responses(1);
+    EXPECT_TRUE(ok);
+    open();
+    put(HALF);
+    put("llo");
+    EXPECT_NE(get().find("hello"), std::string::npos);
+}
+
+struct SlowClients : public RawConnections {
+    fake_clock_t clock;
+
+    SlowClients()
+    {
+        fake_clock_init(&clock);
+        loop_free(loop);
+        loop = loop_new_on(&clock.clock);
+    }
+
+    void
+    pass(int64_t ms)
+    {
+        fake_clock_advance_ms(&clock, ms);
+        run();
+    }
+};
+
+// Guards against clients that hold connections without a use for them.
+TEST_F(SlowClients, EndsConnectionsWithoutACompleteRequest)
+{
+    for (std::string text : {"", "POST", HALF.c_str()}) {
+        open();
+        put(text);
+        pass(9000);
+        EXPECT_EQ(get(), "");
+        put("l");
+        pass(2000);
+        EXPECT_EQ(get(), "end");
+        close(fd);
+        run();
+        EXPECT_EQ(http_server_get_connections(server), 0U);
+    }
+}
+
+// Guards against a limit for requests that ends the wait for an answer.
+TEST_F(SlowClients, KeepsAConnectionThatWaitsForItsAnswer)
+{
+    open();
+    put("GET /hold/a HTTP/1.1\r\nhost: a\r\n\r\n");
+    ASSERT_NE(held, nullptr);
+    pass(60000);
+    http_exchange_reply_text(held, 200, "text/plain", "late");
+    run();
+    EXPECT_NE(get().find("late"), std::string::npos);
+    pass(9000);
+    put(HALF + "llo");
+    EXPECT_NE(get().find("hello"), std::string::npos);
+    pass(9000);
+    EXPECT_EQ(http_server_get_connections(server), 1U);
+    pass(2000);
+    EXPECT_EQ(get(), "end");
+}
+
 // Guards against a process that ends as its address is in use, and leaves no
 // line in its log.
 TEST(HttpServer, LogsAnAddressInUse)
