soak: let the clocks of processes step

The soak had no fault of the time of day, so it couldn't see that all timers followed it. A library that is preloaded into each program lets its time of day be ahead or back, by 15 s at once or by 0.3 s ten times in a row; the other clocks stay as they are. One process at a time, the leader most often.

Test: ClockTest asks a real process for its clocks amid the fault.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import json
+import os
+import sys
 
 from executor import Executor
 from proxy import Proxy
 from store import Store
-from system import System
+from system import BUILD, System
 from wire import free_port
 
 
+CLOCK_BYTES = 8
+CLOCKS = os.path.join(BUILD, "libtime_of_day.so")
+
+
 class SoakExecutor(Executor):
     """An executor behind a proxy that checks what it is told to start."""
 
@@ -99,6 +105,23 @@
         self.executors = []
         self.busy = set()
 
+    def environment(self, name):
+        if not os.path.exists(self.clock_path(name)):
+            self.set_clock(name, 0)
+        return {"LD_PRELOAD": CLOCKS,
+                "TIME_OF_DAY_OFFSET": self.clock_path(name)}
+
+    def clock_path(self, name):
+        return os.path.join(self.folder, f"{name}.clock")
+
+    def set_clock(self, name, ahead_ms):
+        """Let the time of day of a process be ahead."""
+        with open(self.clock_path(name), "ab") as file:
+            file.truncate(CLOCK_BYTES)
+        with open(self.clock_path(name), "r+b") as file:
+            file.write(ahead_ms.to_bytes(CLOCK_BYTES, sys.byteorder,
+                                         signed=True))
+
     def fields(self, name):
         fields = super().fields(name)
         store = self.add_proxy(f"{name}-store", self.store.server.address)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,8 @@
 }
 HANDLER_S = 2.0  # a process surely handles SIGHUP after so long
 RELOAD_S = 5.0
+# Steps of a clock, and milliseconds of each.
+CLOCK_STEPS = ((1, 15000), (10, 300))
 LINK_FAULTS = ("delay", "reset", "up", "down", "silence")
 # Lanes of process faults and of link faults; each disturbs one thing at a time.
 LANES = ((3, 0), (2, 2), (1, 4))
@@ -52,6 +54,7 @@
         lanes.append(self.play_lane(30, self.disturb_executor))
         lanes.append(self.play_lane(40, self.hang_up))
         lanes.append(self.play_lane(50, self.lose_power))
+        lanes.append(self.play_lane(60, self.step_clock))
         await asyncio.gather(*lanes)
 
     async def play_lane(self, lane, disturb, pause_s=PAUSE_S):
@@ -240,6 +243,22 @@
         self.system.busy.difference_update({executor, proxy})
         return f"without power {executor.name}"
 
+    async def step_clock(self, pick):
+        """Let the clock of a process step ahead or back, and home again."""
+        leader = self.system.find_leader()
+        process = pick.choice(self.system.processes())
+        if pick.random() < 0.4 and leader is not None:
+            process = self.system.schedulers[leader]
+        steps, step_ms = pick.choice(CLOCK_STEPS)
+        sign = pick.choice((-1, 1))
+        seconds = pick.uniform(0.3, 7)
+        self.count("clock ahead" if sign > 0 else "clock back")
+        for i in range(1, steps + 1):
+            self.system.set_clock(process.name, sign * i * step_ms)
+            await asyncio.sleep(seconds / steps)
+        self.system.set_clock(process.name, 0)
+        return f"clock {process.name}"
+
     async def hang_up(self, pick):
         """Send SIGHUP, after a change of the settings half of the time."""
         process = self.pick_process(pick)
--- a/tests/soak/faults_test.py
+++ b/tests/soak/faults_test.py
@@ -3,13 +3,17 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import random
+import subprocess
+import sys
+import tempfile
 import time
 import types
 import unittest
 from unittest import mock
 
-from deployment import SoakExecutor
+from deployment import Deployment, SoakExecutor
 from faults import Faults
 from gang import Gangs
 from leftovers import cancel_others
@@ -232,6 +236,50 @@
         self.assertEqual(await self.post("/api/hold", AckCursor=2), 200)
 
 
+class ClockTest(unittest.IsolatedAsyncioTestCase):
+    """The time of day of a process steps, and its other clocks don't."""
+
+    CODE = """
+import time
+while input() != "end":
+    print(time.time(), time.monotonic(), flush=True)
+"""
+
+    def ask(self):
+        print(file=self.child.stdin, flush=True)
+        return [float(word) for word in self.child.stdout.readline().split()]
+
+    async def test_steps_and_is_back(self):
+        with tempfile.TemporaryDirectory() as folder:
+            system = Deployment(folder)
+            self.child = subprocess.Popen(
+                [sys.executable, "-c", self.CODE], text=True,
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                env={**os.environ, **system.environment("side-0")})
+            system.nodes = [types.SimpleNamespace(name="side-0")]
+            faults = Faults(system, 1, 1.0, [])
+            pick = types.SimpleNamespace(
+                choice=lambda each: each[-1], random=lambda: 0,
+                uniform=lambda low, high: 10 * SHORT_S)
+            wall, steady = self.ask()
+            playing = asyncio.create_task(faults.step_clock(pick))
+            await asyncio.sleep(SHORT_S / 2)
+            self.assert_near(self.ask(), wall + 0.3, steady)
+            await asyncio.sleep(SHORT_S)
+            self.assert_near(self.ask(), wall + 0.6, steady)
+            await playing
+            self.assert_near(self.ask(), wall, steady)
+            self.assertEqual(faults.counts, {"clock ahead": 1})
+            self.child.communicate("end\n")
+            system.nodes = []
+            system.stop()
+            system.record.file.close()
+
+    def assert_near(self, clocks, wall, steady):
+        passed = clocks[1] - steady
+        self.assertAlmostEqual(clocks[0] - passed, wall, delta=0.05)
+
+
 class HangUpTest(unittest.TestCase):
     """SIGHUP reaches a process, with a changed number or without."""
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -74,6 +74,7 @@
             name: os.environ[name] for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
+        environment.update(self.system.environment(self.name))
         with open(log_path, "a", encoding="utf-8") as log:
             self.child = subprocess.Popen(
                 [os.path.join(BUILD, self.program), "--config", self.path],
@@ -115,6 +116,10 @@
         self.schedulers = []
         self.nodes = []
 
+    def environment(self, name):
+        """Return what a process gets in its environment besides."""
+        return {}
+
     async def start_store(self, queue=None):
         await self.store.server.start()
         route = {
