sched: take no crashes of one worker for a proof against a task

A lasting job has one task on each of eight workers; one worker goes down by itself four times in a row. The job is shown as failed, and its tasks on the seven other workers are stopped.

Cause: a crash in a trial counted as the proof that the task is the cause, though all crashes in the row were of the same worker, which looks the same when it goes down by itself. Jobs that don't last were given up in the same way, also without a proof.

Ruled out: counted runs that were not starting (the crash under the settled run 1 counted nothing); a trial that was not alone (nothing else was there).

Without a proof five crashes on several workers or ten on one end a job that doesn't last. A lasting job never fails for crashes: after a proof its task waits for 5 s, and twice as long after each further one. A task goes rather to a worker that has not just crashed under it.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -105,6 +105,7 @@
     EVENT(EVENT_RECORD_FULL, 7026, G_LOG_LEVEL_WARNING, "record-full")        \
     EVENT(EVENT_JOB_UNKNOWN, 7027, G_LOG_LEVEL_MESSAGE, "job-unknown")        \
     EVENT(EVENT_LEADER_PAUSED, 7028, G_LOG_LEVEL_WARNING, "leader-paused")    \
+    EVENT(EVENT_TASK_CONTAINED, 7029, G_LOG_LEVEL_WARNING, "task-contained")  \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -234,6 +234,7 @@
     Teasel__CrashedRun *run = data;
 
     g_free(run->task);
+    g_free(run->executor);
     g_free(run);
 }
 
--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -199,7 +199,7 @@
 }
 
 static Teasel__CrashedRun *
-new_crashed_run(const run_t *run, bool alone)
+new_crashed_run(const node_executor_t *executor, const run_t *run, bool alone)
 {
     Teasel__CrashedRun *crashed = g_new(Teasel__CrashedRun, 1);
 
@@ -208,6 +208,7 @@
     crashed->run = run->run;
     crashed->alone = alone;
     crashed->unconfirmed = !run->state.confirmed;
+    crashed->executor = g_strdup(executor->key);
     return crashed;
 }
 
@@ -226,7 +227,8 @@
     alone = count_starting(executor) == 1 && !has_lease_expired(executor);
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         if (run_is_starting(run)) {
-            notice_list_add(node->crashes, new_crashed_run(run, alone),
+            notice_list_add(node->crashes,
+                            new_crashed_run(executor, run, alone),
                             node_now_ms(node));
         }
     }
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -1,6 +1,7 @@
 #include "sched/executor.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/text.h"
 
@@ -25,6 +26,19 @@
     return last != NULL ? g_ascii_strtoll(last + 1, NULL, 10) : 0;
 }
 
+uint32_t
+sched_executor_key_worker(const char *key)
+{
+    size_t length = strcspn(key, "/");
+
+    if (length == 0) {
+        return 0;
+    }
+    return SCHED_FIRST_WORKER +
+           XXH32(key, length, 0) %
+               (SCHED_LAST_WORKER - SCHED_FIRST_WORKER + 1);
+}
+
 bool
 sched_executor_key_replaces(const char *later, const char *older)
 {
@@ -82,6 +96,7 @@
     sched_executor_t *executor = g_new0(sched_executor_t, 1);
 
     executor->key = g_strdup(key);
+    executor->worker = sched_executor_key_worker(key);
     executor->run_time_ratio = 1.0;
     executor->orphans = g_ptr_array_new_with_free_func(free_orphan);
     list_init(&executor->link);
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -63,6 +63,7 @@
  * @capacity: resources that it offers
  * @reserved: resources of the tasks that may run on it, and of the orphans,
  *     without the CPU share of best-effort ones
+ * @worker: number of the worker, see sched_executor_key_worker()
  * @best_effort_cpu: CPU share that the best-effort ones request, in milli-CPU
  * @serving: number of tasks on it with a latency target
  * @serving_cpu: CPU share that these reserve, in milli-CPU
@@ -91,6 +92,7 @@
     list_t node_link;
     char *key;
     uint64_t number;
+    uint32_t worker;
     sched_node_t *node;
     char *service;
     char *data_centre;
@@ -144,6 +146,22 @@
  */
 int64_t sched_executor_key_started_ms(const char *key);
 
+/* Numbers of workers; the first one stands for several in a record. */
+enum {
+    SCHED_SEVERAL_WORKERS = 1,
+    SCHED_FIRST_WORKER,
+    SCHED_LAST_WORKER = 127, /* has one byte in a record */
+};
+
+/**
+ * sched_executor_key_worker() - return a number of the worker that an
+ * incarnation runs on, which is what has its address
+ *
+ * Return: the number, or 0 if @key is empty. Two workers have the same one by
+ * chance once in 126.
+ */
+uint32_t sched_executor_key_worker(const char *key);
+
 /**
  * sched_executor_key_replaces() - check for a later incarnation
  *
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -74,6 +74,9 @@
  *     started the task
  * @unconfirmed_crashes: the same for runs whose start was not confirmed, and
  *     which may not have begun
+ * @crashed_worker: the worker of the newest one of @crashes; 0 if none is
+ * known
+ * @crashed_apart: @crashes contains crashes of different workers
  * @crashed_run: newest run that is included in one of the two
  * @done_before: an earlier run has ended as done, and the latest one is being
  *     stopped
@@ -109,6 +112,8 @@
     uint32_t failures;
     uint32_t crashes;
     uint32_t unconfirmed_crashes;
+    uint32_t crashed_worker;
+    bool crashed_apart;
     uint32_t crashed_run;
     sched_executor_t *executor;
     char *checkpoint;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -78,6 +78,8 @@
     record->crashes = task->crashes;
     record->unconfirmed_crashes = task->unconfirmed_crashes;
     record->crashed_run = task->crashed_run;
+    record->crashed_worker =
+        task->crashed_apart ? SCHED_SEVERAL_WORKERS : task->crashed_worker;
     record->stopping = stored_stopping(task);
     record->place = add_executor(executors, task->executor);
 }
@@ -249,6 +251,7 @@
            task->failures <= MAX_COUNT && task->crashes <= MAX_COUNT &&
            task->unconfirmed_crashes <= MAX_COUNT &&
            task->crashed_run <= task->run &&
+           task->crashed_worker <= SCHED_LAST_WORKER &&
            task->stopping <= STOPPING_AS_DONE_BEFORE;
 }
 
@@ -356,6 +359,8 @@
     task->crashes = record->crashes;
     task->unconfirmed_crashes = record->unconfirmed_crashes;
     task->crashed_run = record->crashed_run;
+    task->crashed_apart = record->crashed_worker == SCHED_SEVERAL_WORKERS;
+    task->crashed_worker = task->crashed_apart ? 0 : record->crashed_worker;
     task->done_before = record->stopping == STOPPING_AS_DONE_BEFORE;
     if (record->checkpoint[0] != '\0') {
         task->checkpoint = g_strdup(record->checkpoint);
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -88,7 +88,8 @@
 static bool
 is_special(const pass_t *pass, const sched_task_t *task)
 {
-    return task->avoided != NULL || sched_task_is_suspect(task) ||
+    return task->avoided != NULL || task->crashed_worker != 0 ||
+           sched_task_is_suspect(task) ||
            sched_may_overcommit(pass->sched, task, pass->now_ms);
 }
 
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -225,6 +225,15 @@
     return cost;
 }
 
+/* Returns how many runs of a task speak against an executor, whose predecessor
+   may have crashed under it. */
+static guint
+count_bad_runs(const sched_task_t *task, const sched_executor_t *executor)
+{
+    return avoid_list_count(task->avoided, executor->number) +
+           (task->crashed_worker == executor->worker);
+}
+
 sched_executor_t *
 sched_placement_choose(const sched_placement_t *placement,
                        const sched_task_t *task)
@@ -235,8 +244,7 @@
     LIST_FOREACH (executor, placement->executors, sched_executor_t, link) {
         double cost =
             sched_placement_get_cost(placement, executor, task->step) +
-            COST_FAILED_HERE *
-                avoid_list_count(task->avoided, executor->number);
+            COST_FAILED_HERE * count_bad_runs(task, executor);
 
         if (cost < best_cost) {
             best = executor;
--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -4,8 +4,11 @@
  * ran beside the cause. A run that outlives its start clears its task. After
  * some crashes in a row a task is put on trial: it starts while no other run
  * is starting on its executor, so that a crash then proves that it is the
- * cause. A start without answer may not have begun: a crash after it leads to
- * a trial, but never to the end of the job. The leader itself counts the
+ * cause, if an earlier one was on another worker: one that goes down by itself
+ * looks the same. A start without answer may not have begun: a crash after it
+ * leads to a trial, but never to the end of the job. A lasting task that is
+ * the cause is contained: it waits for longer and longer before it is tried
+ * again. The leader itself counts the
  * crashes that an agent cannot report, as it was killed.
  */
 
@@ -18,19 +21,36 @@
     TRIAL_TIMEOUT_MS = 5000,
     /* From this number of crashes in a row on, a task is put on trial. */
     SUSPECT_CRASHES = 2,
-    /* A crash in a trial is a proof only if it is not the first one that is
-       confirmed, as an executor may also crash by itself. */
-    MIN_CRASHES_BEFORE_PROOF = 1,
     /* A task is given up after this number of crashes without a proof, as the
-       proof may be lost with its agent. Long-running tasks have no limit on
-       their runs, and need the proof. */
+       proof may be lost with its agent, and no other worker may take the task.
+       Long-running tasks have no limit on their runs. */
     MAX_CRASHES = 5,
+    MAX_CRASHES_ON_ONE_WORKER = 10,
+    /* Wait of a lasting task after a proof; each further one doubles it. */
+    CONTAINED_MS = 5000,
+    MAX_CONTAINED_MS = 640000,
 };
 
 static bool
 has_crashed_too_often(const sched_task_t *task)
 {
-    return task->crashes >= MAX_CRASHES && !task->step->spec->long_running;
+    uint32_t limit =
+        task->crashed_apart ? MAX_CRASHES : MAX_CRASHES_ON_ONE_WORKER;
+
+    return task->crashes >= limit && !task->step->spec->long_running;
+}
+
+/* The first proof is the third crash or a later one. */
+static void
+contain(sched_t *sched, sched_task_t *task, const char *name)
+{
+    uint32_t doublings = MIN(task->crashes - MIN(task->crashes, 3), 7);
+    int64_t wait_ms = MIN(CONTAINED_MS << doublings, MAX_CONTAINED_MS);
+
+    event_log(EVENT_TASK_CONTAINED,
+              "task=%s crashes=%u wait_ms=%" G_GINT64_FORMAT, name,
+              task->crashes, wait_ms);
+    task->not_before_ms = sched_now_ms(sched) + wait_ms;
 }
 
 static void
@@ -53,29 +73,55 @@
            run <= task->run && run > task->crashed_run;
 }
 
-static bool
-is_proof(const sched_task_t *task, const Teasel__CrashedRun *run)
+/* Agents of earlier versions don't name the executor. */
+static uint32_t
+get_worker(const sched_task_t *task, const Teasel__CrashedRun *run)
 {
-    return run->alone && !run->unconfirmed && sched_task_is_suspect(task) &&
-           task->crashes >= MIN_CRASHES_BEFORE_PROOF;
+    if (run->executor[0] == '\0' && run->run == task->run &&
+        task->executor != NULL) {
+        return task->executor->worker;
+    }
+    return sched_executor_key_worker(run->executor);
+}
+
+static void
+note_worker(sched_task_t *task, uint32_t worker)
+{
+    if (worker == 0) {
+        return;
+    }
+    task->crashed_apart |=
+        task->crashed_worker != 0 && task->crashed_worker != worker;
+    task->crashed_worker = worker;
 }
 
 static void
 count_crash(sched_t *sched, sched_task_t *task, const Teasel__CrashedRun *run)
 {
-    bool proven = is_proof(task, run);
+    bool was_suspect = sched_task_is_suspect(task);
+    bool proven;
 
     if (!is_new_crash(task, run->run)) {
         return;
     }
     task->crashed_run = run->run;
-    task->crashes += !run->unconfirmed;
-    task->unconfirmed_crashes += run->unconfirmed;
+    if (run->unconfirmed) {
+        task->unconfirmed_crashes++;
+    }
+    else {
+        task->crashes++;
+        note_worker(task, get_worker(task, run));
+    }
+    proven =
+        was_suspect && run->alone && !run->unconfirmed && task->crashed_apart;
     sched_mark_dirty(sched, sched_task_get_job(task));
     event_log(EVENT_CRASH_COUNTED,
               "task=%s run=%u crashes=%u alone=%d unconfirmed=%u", run->task,
               run->run, task->crashes, run->alone, task->unconfirmed_crashes);
-    if (proven || has_crashed_too_often(task)) {
+    if (proven && task->step->spec->long_running) {
+        contain(sched, task, run->task);
+    }
+    else if (proven || has_crashed_too_often(task)) {
         give_up(sched, task, run->task);
     }
 }
@@ -163,6 +209,8 @@
     if (task->crashes > 0 || task->unconfirmed_crashes > 0) {
         task->crashes = 0;
         task->unconfirmed_crashes = 0;
+        task->crashed_worker = 0;
+        task->crashed_apart = false;
         sched_mark_dirty(sched, sched_task_get_job(task));
     }
 }
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1662,7 +1662,7 @@
   (ProtobufCMessageInit) teasel__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor teasel__task_record__field_descriptors[10] =
 {
   {
     "state",
@@ -1772,10 +1772,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_worker",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__TaskRecord, crashed_worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   7,   /* field[7] = crashed_run */
+  9,   /* field[9] = crashed_worker */
   6,   /* field[6] = crashes */
   3,   /* field[3] = failures */
   2,   /* field[2] = place */
@@ -1787,7 +1800,7 @@
 static const ProtobufCIntRange teasel__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor teasel__task_record__descriptor =
 {
@@ -1797,7 +1810,7 @@
   "Teasel__TaskRecord",
   "teasel",
   sizeof(Teasel__TaskRecord),
-  9,
+  10,
   teasel__task_record__field_descriptors,
   teasel__task_record__field_indices_by_name,
   1,  teasel__task_record__number_ranges,
@@ -3437,7 +3450,7 @@
   (ProtobufCMessageInit) teasel__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[4] =
+static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[5] =
 {
   {
     "task",
@@ -3487,9 +3500,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "executor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__CrashedRun, executor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__crashed_run__field_indices_by_name[] = {
   2,   /* field[2] = alone */
+  4,   /* field[4] = executor */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
   3,   /* field[3] = unconfirmed */
@@ -3497,7 +3523,7 @@
 static const ProtobufCIntRange teasel__crashed_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor teasel__crashed_run__descriptor =
 {
@@ -3507,7 +3533,7 @@
   "Teasel__CrashedRun",
   "teasel",
   sizeof(Teasel__CrashedRun),
-  4,
+  5,
   teasel__crashed_run__field_descriptors,
   teasel__crashed_run__field_indices_by_name,
   1,  teasel__crashed_run__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -156,10 +156,14 @@
    * the same without a confirmed start
    */
   uint32_t unconfirmed_crashes;
+  /*
+   * of the confirmed ones; 1: several
+   */
+  uint32_t crashed_worker;
 };
 #define TEASEL__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__task_record__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Teasel__OccurrenceRecord
@@ -526,10 +530,14 @@
    * its start had no answer, so it may not have begun
    */
   protobuf_c_boolean unconfirmed;
+  /*
+   * key; empty from agents of earlier versions
+   */
+  char *executor;
 };
 #define TEASEL__CRASHED_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__crashed_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Teasel__StartOrder
