--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -8,8 +8,8 @@
  * looks the same. A start without answer may not have begun: a crash after it
  * leads to a trial, but never to the end of the job. A lasting task that is
  * the cause is contained: it waits for longer and longer before it is tried
- * again. The leader itself counts the
- * crashes that an agent cannot report, as it was killed.
+ * again. The leader itself counts the crashes that an agent cannot report, as
+ * it was killed.
  */
 
 #include "base/events.h"
@@ -40,7 +40,7 @@
     return task->crashes >= limit && !task->step->spec->long_running;
 }
 
-/* The first proof is the third crash or a later one. */
+/* Most first proofs are the third crash of a row. */
 static void
 contain(sched_t *sched, sched_task_t *task, const char *name)
 {
