--- a/tests/unit/executor_http_test.cc
+++ b/tests/unit/executor_http_test.cc
@@ -8,6 +8,7 @@
 #include "log_lines.h"
 #include "loop_wait.h"
 #include "test_address.h"
+#include "test_server.h"
 
 extern "C" {
 #include "base/http_server.h"
@@ -66,16 +67,9 @@
     {
         static const http_route_t routes[] = {{"/", on_request},
                                               {nullptr, nullptr}};
-        http_server_opts_t opts = {};
-        GError *error = nullptr;
 
-        opts.loop = loop;
-        opts.listen = address;
-        opts.max_body = 65536;
-        opts.routes = routes;
-        opts.data = this;
-        server = http_server_new(&opts, &error);
-        ASSERT_NE(server, nullptr) << error->message;
+        server = new_test_server(loop, address, 65536, routes, this);
+        ASSERT_NE(server, nullptr);
     }
     void
     SetUp() override
--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -15,6 +15,7 @@
 #include "fake_clock.h"
 #include "log_lines.h"
 #include "test_address.h"
+#include "test_server.h"
 #include "time_of_day.h"
 
 namespace {
@@ -74,19 +75,13 @@
                                               {"/hold/", on_hold},
                                               {"/abort", on_abort},
                                               {nullptr, nullptr}};
-        http_server_opts_t server_opts = {};
         http_client_opts_t client_opts = {};
         char address[32];
         GError *error = nullptr;
 
         test_address(address, 1);
-        server_opts.loop = loop;
-        server_opts.listen = address;
-        server_opts.max_body = 1024;
-        server_opts.routes = routes;
-        server_opts.data = this;
-        server = http_server_new(&server_opts, &error);
-        ASSERT_NE(server, nullptr) << error->message;
+        server = new_test_server(loop, address, 1024, routes, this);
+        ASSERT_NE(server, nullptr);
         client_opts.loop = loop;
         client_opts.address = address;
         client_opts.max_connections = 8;
--- a/tests/unit/odd_entries_test.cc
+++ b/tests/unit/odd_entries_test.cc
@@ -24,6 +24,7 @@
 #include "fake_store.h"
 #include "log_lines.h"
 #include "test_address.h"
+#include "test_server.h"
 
 namespace {
 
@@ -390,18 +391,11 @@
     {
         static const http_route_t routes[] = {{"/", on_request},
                                               {nullptr, nullptr}};
-        http_server_opts_t opts = {};
-        GError *error = nullptr;
 
         LoopTest::SetUp();
         test_address(address, PORT + 1);
-        opts.loop = loop;
-        opts.listen = address;
-        opts.max_body = 65536;
-        opts.routes = routes;
-        opts.data = this;
-        server = http_server_new(&opts, &error);
-        ASSERT_NE(server, nullptr) << error->message;
+        server = new_test_server(loop, address, 65536, routes, this);
+        ASSERT_NE(server, nullptr);
     }
     void
     TearDown() override
--- a/tests/unit/plog_http_test.cc
+++ b/tests/unit/plog_http_test.cc
@@ -9,6 +9,7 @@
 }
 
 #include "test_address.h"
+#include "test_server.h"
 
 namespace {
 
@@ -70,19 +71,13 @@
     {
         static const http_route_t routes[] = {{"/streams/", on_request},
                                               {nullptr, nullptr}};
-        http_server_opts_t server_opts = {};
         plog_http_opts_t opts = {};
         GError *error = nullptr;
         char address[32];
 
         test_address(address, 310);
-        server_opts.loop = loop;
-        server_opts.listen = address;
-        server_opts.max_body = 1024;
-        server_opts.routes = routes;
-        server_opts.data = this;
-        server = http_server_new(&server_opts, &error);
-        ASSERT_NE(server, nullptr) << error->message;
+        server = new_test_server(loop, address, 1024, routes, this);
+        ASSERT_NE(server, nullptr);
         opts.loop = loop;
         opts.address = address;
         opts.append_timeout_ms = 100;
