--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -116,9 +116,9 @@
 
     def set_clock(self, name, ahead_ms):
         """Let the time of day of a process be ahead."""
-        with open(self.clock_path(name), "ab") as file:
-            file.truncate(CLOCK_BYTES)
-        with open(self.clock_path(name), "r+b") as file:
+        # Without truncation, as the process has mapped the file.
+        clock = os.open(self.clock_path(name), os.O_WRONLY | os.O_CREAT)
+        with open(clock, "wb") as file:
             file.write(ahead_ms.to_bytes(CLOCK_BYTES, sys.byteorder,
                                          signed=True))
 
--- a/tests/soak/time_of_day.c
+++ b/tests/soak/time_of_day.c
@@ -8,9 +8,10 @@
 #include <sys/mman.h>
 #include <sys/syscall.h>
 #include <sys/time.h>
-#include <time.h>
 #include <unistd.h>
 
+#include "base/clock.h"
+
 static volatile const int64_t *offset_ms;
 
 __attribute__((constructor)) static void
@@ -36,18 +37,7 @@
     long result = syscall(SYS_clock_gettime, clock_id, tp);
 
     if (clock_id == CLOCK_REALTIME && offset_ms != NULL) {
-        int64_t ms = *offset_ms;
-
-        tp->tv_sec += ms / 1000;
-        tp->tv_nsec += ms % 1000 * 1000000;
-        if (tp->tv_nsec < 0) {
-            tp->tv_sec -= 1;
-            tp->tv_nsec += 1000000000;
-        }
-        else if (tp->tv_nsec >= 1000000000) {
-            tp->tv_sec += 1;
-            tp->tv_nsec -= 1000000000;
-        }
+        *tp = timespec_add_ms(*tp, *offset_ms);
     }
     return (int)result;
 }
