--- a/bench/loadgen.c
+++ b/bench/loadgen.c
@@ -64,9 +64,7 @@
 static int64_t
 get_now_us(void)
 {
-    struct timespec now = clock_get_monotonic(clock_system());
-
-    return now.tv_sec * 1000000 + now.tv_nsec / 1000;
+    return timespec_to_us(clock_get_monotonic(clock_system()));
 }
 
 /* Returns a uniform random number in (0, 1], from splitmix64. */
--- a/libteasel/base/clock.h
+++ b/libteasel/base/clock.h
@@ -84,6 +84,12 @@
     return a.tv_sec != b.tv_sec ? a.tv_sec < b.tv_sec : a.tv_nsec < b.tv_nsec;
 }
 
+static inline int64_t
+timespec_to_us(struct timespec time)
+{
+    return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
 static inline uint64_t
 timespec_to_ms(struct timespec time)
 {
--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -68,9 +68,7 @@
 static int64_t
 get_now_us(const loop_t *loop)
 {
-    struct timespec now = clock_get_monotonic(loop->clock);
-
-    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+    return timespec_to_us(clock_get_monotonic(loop->clock));
 }
 
 static loop_timer_t *
