--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -26,9 +26,12 @@
        Long-running tasks have no limit on their runs. */
     MAX_CRASHES = 5,
     MAX_CRASHES_ON_ONE_WORKER = 10,
-    /* Wait of a lasting task after a proof; each further one doubles it. */
+    /* Wait of a lasting task after a proof; each further crash doubles it, up
+       to 640 s. */
     CONTAINED_MS = 5000,
-    MAX_CONTAINED_MS = 640000,
+    MAX_CONTAINED_DOUBLINGS = 7,
+    /* The number of crashes up to which it isn't doubled. */
+    FIRST_PROOF_CRASHES = 3,
 };
 
 static bool
@@ -40,12 +43,12 @@
     return task->crashes >= limit && !task->step->spec->long_running;
 }
 
-/* Most first proofs are the third crash of a row. */
 static void
 contain(sched_t *sched, sched_task_t *task, const char *name)
 {
-    uint32_t doublings = MIN(task->crashes - MIN(task->crashes, 3), 7);
-    int64_t wait_ms = MIN(CONTAINED_MS << doublings, MAX_CONTAINED_MS);
+    int64_t further = (int64_t)task->crashes - FIRST_PROOF_CRASHES;
+    int64_t wait_ms = (int64_t)CONTAINED_MS
+                      << CLAMP(further, 0, MAX_CONTAINED_DOUBLINGS);
 
     event_log(EVENT_TASK_CONTAINED,
               "task=%s crashes=%u wait_ms=%" G_GINT64_FORMAT, name,
