--- a/libteasel/node/node_executor.c
+++ b/libteasel/node/node_executor.c
@@ -15,8 +15,6 @@
     CLOCK_DRIFT_PERCENT = 3,
     EXPIRY_MARGIN_MS = 200,
     SILENT_AFTER_MS = 1500,
-    /* Number of longest leases for which an executor is young. */
-    YOUNG_LEASES = 2,
     /* Several times the interval of announcements. */
     ANNOUNCEMENT_VALID_MS = 10000,
 };
@@ -326,7 +324,7 @@
 is_young(const node_executor_t *executor)
 {
     return executor->clock_ms <
-           YOUNG_LEASES * executor->node->opts.settings->max_lease_ms;
+           SCHED_YOUNG_LEASES * executor->node->opts.settings->max_lease_ms;
 }
 
 /* Returns the longest lease that an earlier agent process may have passed on.
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -146,6 +146,11 @@
  */
 int64_t sched_executor_key_started_ms(const char *key);
 
+/* Number of longest leases for which an executor is young. */
+enum {
+    SCHED_YOUNG_LEASES = 2
+};
+
 /* Numbers of workers; the first one stands for several in a record. */
 enum {
     SCHED_SEVERAL_WORKERS = 1,
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -8,8 +8,6 @@
 enum {
     /* A write ends with the record with which it reaches this size. */
     MAX_WRITE_BYTES = 1024 * 1024,
-    /* Number of longest leases for which an executor is young. */
-    YOUNG_LEASES = 2,
 };
 
 static void
@@ -154,7 +152,7 @@
 get_unknown_lease_ms(const sched_t *sched, const char *key)
 {
     int64_t age_ms = sched_wall_ms(sched) - sched_executor_key_started_ms(key);
-    bool young = age_ms < YOUNG_LEASES * sched->opts.max_lease_ms;
+    bool young = age_ms < SCHED_YOUNG_LEASES * sched->opts.max_lease_ms;
 
     return young ? MAX(sched->opts.max_lease_ms,
                        sched->opts.predecessor_lease_ms)
