sched: give up a task after crashes of one worker as before

Cause: asked for crashes of different workers before a job that doesn't last is given up. On a full cell the worker that has just crashed is the only one with room, so that a task that does crash workers goes back there.

Change: jobs that don't last are given up by the former rule. Lasting ones still never fail for crashes, and wait only after a proof whose crashes were on different workers; the preference for other workers stays.

--- a/libteasel/sched/sched_crash.c
+++ b/libteasel/sched/sched_crash.c
@@ -4,11 +4,11 @@
  * ran beside the cause. A run that outlives its start clears its task. After
  * some crashes in a row a task is put on trial: it starts while no other run
  * is starting on its executor, so that a crash then proves that it is the
- * cause, if an earlier one was on another worker: one that goes down by itself
- * looks the same. A start without answer may not have begun: a crash after it
- * leads to a trial, but never to the end of the job. A lasting task that is
- * the cause is contained: it waits for longer and longer before it is tried
- * again. The leader itself counts the crashes that an agent cannot report, as
+ * cause. A start without answer may not have begun: a crash after it leads to
+ * a trial, but never to the end of the job. A lasting task is not given up but
+ * contained: it waits for longer and longer before it is tried again, if its
+ * crashes were on several workers. One that goes down by itself looks the
+ * same. The leader itself counts the crashes that an agent cannot report, as
  * it was killed.
  */
 
@@ -21,11 +21,13 @@
     TRIAL_TIMEOUT_MS = 5000,
     /* From this number of crashes in a row on, a task is put on trial. */
     SUSPECT_CRASHES = 2,
+    /* A crash in a trial is a proof only if it is not the first one that is
+       confirmed, as an executor may also crash by itself. */
+    MIN_CRASHES_BEFORE_PROOF = 1,
     /* A task is given up after this number of crashes without a proof, as the
-       proof may be lost with its agent, and no other worker may take the task.
-       Long-running tasks have no limit on their runs. */
+       proof may be lost with its agent. Long-running tasks have no limit on
+       their runs. */
     MAX_CRASHES = 5,
-    MAX_CRASHES_ON_ONE_WORKER = 10,
     /* Wait of a lasting task after a proof; each further crash doubles it, up
        to 640 s. */
     CONTAINED_MS = 5000,
@@ -34,15 +36,6 @@
     FIRST_PROOF_CRASHES = 3,
 };
 
-static bool
-has_crashed_too_often(const sched_task_t *task)
-{
-    uint32_t limit =
-        task->crashed_apart ? MAX_CRASHES : MAX_CRASHES_ON_ONE_WORKER;
-
-    return task->crashes >= limit && !task->step->spec->long_running;
-}
-
 static void
 contain(sched_t *sched, sched_task_t *task, const char *name)
 {
@@ -115,16 +108,18 @@
         task->crashes++;
         note_worker(task, get_worker(task, run));
     }
-    proven =
-        was_suspect && run->alone && !run->unconfirmed && task->crashed_apart;
+    proven = was_suspect && run->alone && !run->unconfirmed &&
+             task->crashes > MIN_CRASHES_BEFORE_PROOF;
     sched_mark_dirty(sched, sched_task_get_job(task));
     event_log(EVENT_CRASH_COUNTED,
               "task=%s run=%u crashes=%u alone=%d unconfirmed=%u", run->task,
               run->run, task->crashes, run->alone, task->unconfirmed_crashes);
-    if (proven && task->step->spec->long_running) {
-        contain(sched, task, run->task);
+    if (task->step->spec->long_running) {
+        if (proven && task->crashed_apart) {
+            contain(sched, task, run->task);
+        }
     }
-    else if (proven || has_crashed_too_often(task)) {
+    else if (proven || task->crashes >= MAX_CRASHES) {
         give_up(sched, task, run->task);
     }
 }
