node: cut best-effort tasks at once to a speed that meets the latency target

The agent cut the effects to no less than 0.3 of their sum in an interval, while the tail latency was often three times the target and more, so that a second interval passed over the target; and by no more than 0.85, which took several intervals for a small excess. Best-effort tasks run for about two seconds, so a second interval is most of their life.

The bounds of a cut are 0.03 and 0.7 now, and the choice of the limit is a module of its own without I/O.

--- a/libteasel/node/throttle.c
+++ b/libteasel/node/throttle.c
@@ -7,9 +7,8 @@
  * tasks with the largest effects are slowed down first.
  */
 
-#include <math.h>
-
 #include "base/events.h"
+#include "node/effect_limit.h"
 #include "node/effect_split.h"
 #include "node/node_internal.h"
 
@@ -17,29 +16,20 @@
     /* Measured values are averages over 500 ms, and a throttle takes effect
        after 100 ms. */
     THROTTLE_INTERVAL_MS = 600,
-    /* Best-effort tasks are paused after a target was missed for this long. */
-    PAUSE_AFTER_MISS_MS = 1500,
     PAUSED_PERCENT = 0,
     /* Work below this speed is not worth its memory; the tasks are paused. */
     MIN_USEFUL_PERCENT = 8,
-    /* Share of the target below which best-effort tasks may speed up. */
-    HEADROOM_PERCENT = 85,
 };
 
-/* Ratio of tail latency to target that counts as missed. */
-static const double MISSED_RATIO = 1.0;
-
 typedef struct tail {
     bool has_target;    /* a serving task with a target runs */
-    bool missed;        /* a target is missed */
-    bool headroom;      /* all tails are below HEADROOM_PERCENT */
     double worst_ratio; /* highest ratio of tail latency to target */
 } tail_t;
 
 static tail_t
 read_tail(node_executor_t *executor)
 {
-    tail_t tail = {.headroom = true};
+    tail_t tail = {0};
 
     LIST_FOREACH (run, &executor->runs, run_t, link) {
         double ratio;
@@ -50,8 +40,6 @@
         ratio = (double)run->measured / run->latency_target_ms;
         tail.has_target = true;
         tail.worst_ratio = MAX(tail.worst_ratio, ratio);
-        tail.missed |= ratio > MISSED_RATIO;
-        tail.headroom &= ratio * 100 < HEADROOM_PERCENT;
     }
     return tail;
 }
@@ -92,27 +80,6 @@
                                   on_throttled, call);
 }
 
-/* Bounds of the rise of the limit per interval, as a share of the effects at
-   full speed. */
-static const double MIN_RAISE = 0.1;
-static const double MAX_RAISE = 0.3;
-/* Bounds of the factor by which the limit is cut per interval. */
-static const double MIN_CUT = 0.3;
-static const double MAX_CUT = 0.85;
-/* Typical ratio of tail latency to target without best-effort tasks. */
-static const double BASELINE_RATIO = 0.45;
-/* Ratio of tail latency to target that the throttle aims at. */
-static const double TARGET_RATIO = 0.9;
-
-/* Returns the factor for the effects of the best-effort tasks, to which the
-   excess over BASELINE_RATIO is assumed to be proportional. */
-static double
-get_speed_factor(double worst_ratio)
-{
-    return (TARGET_RATIO - BASELINE_RATIO) /
-           MAX(0.05, worst_ratio - BASELINE_RATIO);
-}
-
 /**
  * struct effects - best-effort runs of an executor
  * @total: sum of their effects at full speed
@@ -134,34 +101,22 @@
     effects->current += run->tail_effect * run->throttle_percent / 100.0;
 }
 
-static double
-raise_limit(const effects_t *effects, double worst_ratio)
-{
-    double limit = CLAMP(effects->current * get_speed_factor(worst_ratio),
-                         effects->current + MIN_RAISE * effects->total,
-                         effects->current + MAX_RAISE * effects->total);
-
-    return limit < effects->total ? limit : INFINITY;
-}
-
 static double
 choose_limit(const node_executor_t *executor, const effects_t *effects,
              const tail_t *tail, int64_t now_ms)
 {
-    if (!tail->has_target) {
-        return INFINITY;
-    }
-    if (tail->missed) {
-        return now_ms - executor->target_missed_since_ms >= PAUSE_AFTER_MISS_MS
-                   ? 0
-                   : effects->current *
-                         CLAMP(get_speed_factor(tail->worst_ratio), MIN_CUT,
-                               MAX_CUT);
-    }
-    if (tail->headroom) {
-        return raise_limit(effects, tail->worst_ratio);
+    effect_limit_input_t input = {
+        .has_target = tail->has_target,
+        .worst_ratio = tail->worst_ratio,
+        .limit = executor->effect_limit,
+        .current = effects->current,
+        .total = effects->total,
+    };
+
+    if (executor->target_missed_since_ms != 0) {
+        input.missed_ms = now_ms - executor->target_missed_since_ms;
     }
-    return executor->effect_limit;
+    return effect_limit_choose(&input);
 }
 
 static uint32_t
@@ -188,7 +143,7 @@
 static void
 update_miss(node_executor_t *executor, const tail_t *tail, int64_t now_ms)
 {
-    if (!tail->missed) {
+    if (!effect_limit_is_missed(tail->worst_ratio)) {
         executor->target_missed_since_ms = 0;
     }
     else if (executor->target_missed_since_ms == 0) {
