sched: start nothing in evacuated data centres

Tasks were started on the executors of a data centre that the operator had asked to evacuate, as the scheduler had no notion of it. A set of evacuated data centres, owned by the caller, is now part of the options of the scheduler. No executor there takes a task (refusal "evacuated"), runs whose start was not sent are released, runs that are not known to run are stopped, also in place of a repeated start, and sched_take_orders() keeps starts back until then. Runs at work go on. A leader places nothing and sends no start before the set is known, and names the set in its orders, in a message of its own so that an agent can tell an empty set from an unknown one.

A stalled run in an evacuated data centre is stopped only for a place elsewhere, and executors there don't count when probations are limited.

The repeat of orders and the metrics of the leader moved to files of their own, unchanged but for the log line of a start that is not repeated. The stops on a leaving executor are no longer called an evacuation.

The test of the idle log names the new refusal among the others.

--- a/bench/sched_turn.c
+++ b/bench/sched_turn.c
@@ -141,7 +141,8 @@
 {
     LIST_FOREACH (executor, sched_get_executors(world->sched),
                   sched_executor_t, link) {
-        Teasel__ExecutorOrders *orders = sched_take_orders(executor);
+        Teasel__ExecutorOrders *orders =
+            sched_take_orders(world->sched, executor);
 
         if (orders != NULL) {
             sched_orders_free(orders);
--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -106,6 +106,15 @@
     EVENT(EVENT_JOB_UNKNOWN, 7027, G_LOG_LEVEL_MESSAGE, "job-unknown")        \
     EVENT(EVENT_LEADER_PAUSED, 7028, G_LOG_LEVEL_WARNING, "leader-paused")    \
     EVENT(EVENT_TASK_CONTAINED, 7029, G_LOG_LEVEL_WARNING, "task-contained")  \
+    EVENT(EVENT_EVACUATION_BEGUN, 7030, G_LOG_LEVEL_MESSAGE,                  \
+          "evacuation-begun")                                                 \
+    EVENT(EVENT_EVACUATION_ENDED, 7031, G_LOG_LEVEL_MESSAGE,                  \
+          "evacuation-ended")                                                 \
+    EVENT(EVENT_EVACUATION_INVALID, 7032, G_LOG_LEVEL_WARNING,                \
+          "evacuation-invalid")                                               \
+    EVENT(EVENT_RUNS_EVACUATED, 7033, G_LOG_LEVEL_MESSAGE, "runs-evacuated")  \
+    EVENT(EVENT_EVACUATION_UNMATCHED, 7034, G_LOG_LEVEL_WARNING,              \
+          "evacuation-unmatched")                                             \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
@@ -132,6 +141,8 @@
     EVENT(EVENT_ORDERS_DROPPED, 8015, G_LOG_LEVEL_MESSAGE, "orders-dropped")  \
     EVENT(EVENT_CONNECTIONS_CLOSED, 8016, G_LOG_LEVEL_WARNING,                \
           "connections-closed")                                               \
+    EVENT(EVENT_EVACUATION_CHANGED, 8017, G_LOG_LEVEL_MESSAGE,                \
+          "evacuation-changed")                                               \
     EVENT(EVENT_SETTINGS_RELOADED, 9004, G_LOG_LEVEL_MESSAGE,                 \
           "settings-reloaded")                                                \
     EVENT(EVENT_SETTINGS_REFUSED, 9005, G_LOG_LEVEL_WARNING,                  \
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -36,6 +36,7 @@
     [SCHED_REFUSAL_NONE] = "none",
     [SCHED_REFUSAL_SERVICE] = "service",
     [SCHED_REFUSAL_DISCONNECTED] = "disconnected",
+    [SCHED_REFUSAL_EVACUATED] = "evacuated",
     [SCHED_REFUSAL_DRAINING] = "draining",
     [SCHED_REFUSAL_TRIAL] = "trial",
     [SCHED_REFUSAL_PROBATION] = "probation",
@@ -112,6 +113,9 @@
     if (g_strcmp0(executor->service, job->service) != 0) {
         return SCHED_REFUSAL_SERVICE;
     }
+    if (evacuation_covers(placement->evacuation, executor->data_centre)) {
+        return SCHED_REFUSAL_EVACUATED;
+    }
     if (executor->draining) {
         return SCHED_REFUSAL_DRAINING;
     }
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -2,6 +2,7 @@
 #define TEASEL_SCHED_PLACEMENT_H
 
 #include "base/list.h"
+#include "sched/evacuation.h"
 #include "sched/executor.h"
 #include "sched/interference.h"
 #include "sched/job.h"
@@ -14,6 +15,7 @@
  * struct sched_placement - inputs of a placement decision
  * @executors: list of sched_executor_t
  * @interference: model of the effect of best-effort tasks on serving tasks
+ * @evacuation: no executor in these data centres; NULL for none
  * @rack: only executors in this rack; NULL for any
  * @may_overcommit: a best-effort task has waited for so long that it may be
  *     placed where no processor time is left, or where it raises tail
@@ -26,6 +28,7 @@
 typedef struct sched_placement {
     const list_t *executors;
     const interference_t *interference;
+    const evacuation_t *evacuation;
     const char *rack;
     bool may_overcommit;
     bool ignore_trials;
@@ -38,6 +41,7 @@
     SCHED_REFUSAL_NONE = 0,
     SCHED_REFUSAL_SERVICE,      /* it serves another service */
     SCHED_REFUSAL_DISCONNECTED, /* its agent has not listed its runs */
+    SCHED_REFUSAL_EVACUATED,    /* its data centre is evacuated */
     SCHED_REFUSAL_DRAINING,
     SCHED_REFUSAL_TRIAL, /* a task on trial there has to start alone */
     SCHED_REFUSAL_PROBATION,
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "sched/evacuation.h"
 #include "sched/executor.h"
 #include "sched/job.h"
 
@@ -31,6 +32,9 @@
  * @retain_ms: a final job is removed after this time
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
+ * @evacuation: data centres in which no run may be started; owned by the
+ *     caller, which calls sched_note_evacuation() after a change. Nothing is
+ *     placed before the set is known. NULL for none.
  */
 typedef struct sched_opts {
     const clock_source_t *clock;
@@ -39,6 +43,7 @@
     int64_t retain_ms;
     int64_t stop_ms;
     size_t record_bytes;
+    const evacuation_t *evacuation;
 } sched_opts_t;
 
 /**
@@ -138,6 +143,25 @@
  */
 void sched_note_pause(sched_t *sched, int64_t pause_ms);
 
+/**
+ * sched_note_evacuation() - note that the set of evacuated data centres has
+ * changed
+ */
+void sched_note_evacuation(sched_t *sched);
+
+/**
+ * struct sched_evacuation_counts - runs that were taken from executors in
+ * evacuated data centres
+ * @released: runs whose start had not been sent
+ * @stopped: runs that were ordered to stop, as they were not known to run
+ */
+typedef struct sched_evacuation_counts {
+    uint64_t released;
+    uint64_t stopped;
+} sched_evacuation_counts_t;
+
+sched_evacuation_counts_t sched_count_evacuated(const sched_t *sched);
+
 /**
  * sched_disconnect() - mark the executors of a node as disconnected
  */
@@ -177,10 +201,14 @@
 /**
  * sched_take_orders() - return the orders for an executor that may be sent now
  *
+ * Starts for an evacuated data centre are kept back until sched_run() has
+ * ended or stopped these runs.
+ *
  * Return: the message, to be freed with sched_orders_free(), or NULL if there
  * is nothing to send.
  */
-Teasel__ExecutorOrders *sched_take_orders(sched_executor_t *executor);
+Teasel__ExecutorOrders *sched_take_orders(const sched_t *sched,
+                                          sched_executor_t *executor);
 void sched_orders_free(Teasel__ExecutorOrders *orders);
 
 /**
--- a/libteasel/sched/sched_idle_log.c
+++ b/libteasel/sched/sched_idle_log.c
@@ -63,6 +63,7 @@
     sched_placement_t placement = {
         .executors = &sched->executor_list,
         .interference = sched->interference,
+        .evacuation = sched->opts.evacuation,
         .now_ms = sched_now_ms(sched),
     };
     unsigned counts[SCHED_REFUSAL_COUNT] = {0};
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -38,6 +38,9 @@
  * @last_executor: number of the newest executor
  * @last_report: number of the newest report on an executor
  * @created_ms: when this leader began
+ * @evacuated: runs taken from executors in evacuated data centres
+ * @names_checked: number of records of evacuations whose data centres were
+ *     compared with those of the executors: offset of the newest one plus 1
  */
 struct sched {
     sched_opts_t opts;
@@ -70,6 +73,8 @@
     uint64_t last_executor;
     uint64_t last_report;
     int64_t created_ms;
+    sched_evacuation_counts_t evacuated;
+    uint64_t names_checked;
 };
 
 /**
@@ -114,11 +119,30 @@
 void sched_add_due_occurrences(sched_t *sched, sched_job_t *job);
 
 /**
- * sched_check_timers() - handle what is due: leases, evacuations, stalled
- * runs, migrations, start times and the removal of old jobs
+ * sched_check_timers() - handle what is due: leases, evacuations, leaving
+ * executors, stalled runs, migrations, start times and the removal of old jobs
  */
 void sched_check_timers(sched_t *sched, int64_t now_ms);
 
+/**
+ * sched_is_evacuated() - return whether no run may be started on an executor,
+ * as its data centre is evacuated
+ */
+bool sched_is_evacuated(const sched_t *sched,
+                        const sched_executor_t *executor);
+
+/**
+ * sched_evacuate_runs() - end or stop the runs that have not begun in
+ * evacuated data centres
+ */
+void sched_evacuate_runs(sched_t *sched);
+
+/**
+ * sched_repeat_orders() - repeat the orders that a complete list of an agent
+ * shows to be lost, perhaps
+ */
+void sched_repeat_orders(sched_t *sched, sched_executor_t *executor);
+
 /**
  * sched_may_overcommit() - check whether a best-effort task has waited for so
  * long that it may overcommit an executor
--- a/libteasel/sched/sched_orders.c
+++ b/libteasel/sched/sched_orders.c
@@ -97,6 +97,26 @@
     sched_task_set_view(task, &decision.view);
 }
 
+/* Returns whether an order is a start that must not be sent. */
+static bool
+is_kept_back(const sched_t *sched, const sched_task_t *task)
+{
+    return task->phase != SCHED_TASK_STOPPING &&
+           (!evacuation_is_known(sched->opts.evacuation) ||
+            sched_is_evacuated(sched, task->executor));
+}
+
+static bool
+has_orders(const sched_t *sched, const sched_executor_t *executor)
+{
+    LIST_FOREACH (task, &executor->orders, sched_task_t, order_link) {
+        if (!is_kept_back(sched, task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 has_orphan_stops(const sched_executor_t *executor)
 {
@@ -125,14 +145,14 @@
 }
 
 Teasel__ExecutorOrders *
-sched_take_orders(sched_executor_t *executor)
+sched_take_orders(const sched_t *sched, sched_executor_t *executor)
 {
     GPtrArray *starts;
     GPtrArray *stops;
     GPtrArray *traits;
     Teasel__ExecutorOrders *orders;
 
-    if (list_is_empty(&executor->orders) && !has_orphan_stops(executor) &&
+    if (!has_orders(sched, executor) && !has_orphan_stops(executor) &&
         !executor->traits_unsent &&
         executor->end_sent == executor->end_stored) {
         return NULL;
@@ -141,12 +161,11 @@
     stops = g_ptr_array_new();
     traits = g_ptr_array_new();
     add_traits(executor, traits);
-    while (!list_is_empty(&executor->orders)) {
-        sched_task_t *task =
-            LIST_ENTRY(executor->orders.next, sched_task_t, order_link);
-
-        list_remove(&task->order_link);
-        add_order(task, starts, stops);
+    LIST_FOREACH_SAFE (task, &executor->orders, sched_task_t, order_link) {
+        if (!is_kept_back(sched, task)) {
+            list_remove(&task->order_link);
+            add_order(task, starts, stops);
+        }
     }
     add_orphan_stops(executor, stops);
     executor->end_sent = executor->end_stored;
--- a/libteasel/sched/sched_place.c
+++ b/libteasel/sched/sched_place.c
@@ -37,6 +37,7 @@
     sched_placement_t placement = {
         .executors = &sched->executor_list,
         .interference = sched->interference,
+        .evacuation = sched->opts.evacuation,
         .now_ms = sched_now_ms(sched),
     };
 
--- a/libteasel/sched/sched_probation.c
+++ b/libteasel/sched/sched_probation.c
@@ -39,7 +39,7 @@
     unsigned on_probation = 1;
 
     LIST_FOREACH (other, &sched->executor_list, sched_executor_t, link) {
-        if (other->connected &&
+        if (other->connected && !sched_is_evacuated(sched, other) &&
             g_strcmp0(other->service, executor->service) == 0) {
             executors++;
             on_probation += now_ms < other->probation_ms;
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -435,7 +435,8 @@
     }
 }
 
-/* A rejection guarantees that the run does not exist and will never start. */
+/* A rejection guarantees that the run does not exist and will never start. One
+   for an evacuation says nothing of the executor. */
 static void
 apply_rejection(sched_t *sched, sched_executor_t *executor,
                 const Teasel__RejectedStart *rejected)
@@ -447,58 +448,10 @@
 
     release_orphan(sched, executor, rejected->task, rejected->run);
     if (decision.action != RUN_VIEW_NONE) {
-        avoid_list_add(&task->avoided, executor->number);
-        end_run(sched, task, &decision, NULL);
-    }
-}
-
-/* An order whose job has no change to write is sent with the next message, so
-   that a lease does not go out before a stop. */
-static void
-add_repeated_order(sched_t *sched, sched_task_t *task)
-{
-    const sched_job_t *job = sched_task_get_job(task);
-
-    if (!list_is_empty(&job->dirty_link) || job->write_pending) {
-        sched_stage_order(sched, task);
-        return;
-    }
-    list_remove(&task->order_link);
-    list_append(&task->executor->orders, &task->order_link);
-}
-
-static void
-repeat_order(sched_t *sched, sched_task_t *task)
-{
-    char name[SCHED_TASK_NAME_SIZE];
-
-    sched_task_format_name(task, name);
-    event_log(EVENT_ORDER_REPEATED, "order=%s task=%s run=%u executor=%s",
-              task->phase == SCHED_TASK_STOPPING ? "stop" : "start", name,
-              task->run, task->executor->key);
-    add_repeated_order(sched, task);
-}
-
-static run_view_decision_t
-decide_list(const sched_t *sched, const sched_task_t *task)
-{
-    bool is_listed = task->report == sched->last_report;
-
-    return sched_task_decide(
-        task, (run_view_event_t){.kind = is_listed ? RUN_VIEW_LISTED
-                                                   : RUN_VIEW_UNLISTED});
-}
-
-/* The agent and the executor ignore repeated orders. */
-static void
-repeat_orders(sched_t *sched, sched_executor_t *executor)
-{
-    LIST_FOREACH (task, &executor->tasks, sched_task_t, executor_link) {
-        task->tail_effect =
-            interference_get_effect(sched->interference, executor, task->step);
-        if (decide_list(sched, task).action == RUN_VIEW_REPEAT) {
-            repeat_order(sched, task);
+        if (strcmp(rejected->reason, EVACUATION_REASON) != 0) {
+            avoid_list_add(&task->avoided, executor->number);
         }
+        end_run(sched, task, &decision, NULL);
     }
 }
 
@@ -594,6 +547,6 @@
         executor->listed = true;
         executor->end_sent = 0;
         executor->traits_unsent = true;
-        repeat_orders(sched, executor);
+        sched_repeat_orders(sched, executor);
     }
 }
--- a/libteasel/sched/sched_run.c
+++ b/libteasel/sched/sched_run.c
@@ -96,6 +96,9 @@
     int64_t now_ms = sched_now_ms(sched);
 
     sched_check_timers(sched, now_ms);
+    if (!evacuation_is_known(sched->opts.evacuation)) {
+        return;
+    }
     if (!sched->placement_needed &&
         now_ms - sched->last_placement_ms < PLACE_INTERVAL_MS) {
         return;
--- a/libteasel/sched/sched_timers.c
+++ b/libteasel/sched/sched_timers.c
@@ -1,4 +1,5 @@
-/* Handles timers: leases, evacuations, stalled runs, due times, old jobs. */
+/* Handles timers: leases, leaving executors, stalled runs, due times, old
+   jobs. */
 
 #include "sched/sched_internal.h"
 
@@ -7,8 +8,8 @@
        another executor. */
     STALL_TIMEOUT_MS = 6000,
     MIGRATE_AFTER_MS = 1000,
-    /* Allows for the delay of the messages of an evacuation. */
-    EVACUATE_MARGIN_MS = 500,
+    /* Allows for the delay of the messages of a stop. */
+    LEAVE_MARGIN_MS = 500,
     /* Reports arrive more often than the timers need to be checked. */
     CHECK_INTERVAL_MS = 50,
 };
@@ -28,10 +29,10 @@
    long-running ones at once, because nothing of them is kept; others at the
    last moment that leaves time to write a checkpoint. */
 static void
-evacuate(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
+stop_before_leaving(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
 {
-    bool stop_now = now_ms >= executor->leaves_ms - sched->opts.stop_ms -
-                                  EVACUATE_MARGIN_MS;
+    bool stop_now =
+        now_ms >= executor->leaves_ms - sched->opts.stop_ms - LEAVE_MARGIN_MS;
 
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, executor_link) {
         if (task->step->spec->long_running || stop_now) {
@@ -52,6 +53,15 @@
            now_ms - task->progress_ms > STALL_TIMEOUT_MS;
 }
 
+/* In an evacuated data centre a run is not started again, so that it is
+   stopped only for a place elsewhere. */
+static bool
+may_stop_stalled(const sched_t *sched, const sched_task_t *task)
+{
+    return !sched_is_evacuated(sched, task->executor) ||
+           sched_choose_executor(sched, task, NULL) != NULL;
+}
+
 /* A throttled best-effort task is migrated if it writes checkpoints and there
    is another executor where it keeps tail latencies within target. */
 static bool
@@ -83,7 +93,8 @@
 static void
 migrate_best_effort_task(sched_t *sched, int64_t now_ms)
 {
-    if (is_any_stopping(sched)) {
+    if (is_any_stopping(sched) ||
+        !evacuation_is_known(sched->opts.evacuation)) {
         return;
     }
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
@@ -100,11 +111,11 @@
 check_executor(sched_t *sched, sched_executor_t *executor, int64_t now_ms)
 {
     if (executor->draining) {
-        evacuate(sched, executor, now_ms);
+        stop_before_leaving(sched, executor, now_ms);
     }
     LIST_FOREACH_SAFE (task, &executor->tasks, sched_task_t, executor_link) {
         sched_check_trial(sched, task, now_ms);
-        if (is_stalled(task, now_ms)) {
+        if (is_stalled(task, now_ms) && may_stop_stalled(sched, task)) {
             avoid_list_add(&task->avoided, executor->number);
             sched_stop_task(sched, task, "no progress");
         }
@@ -150,6 +161,7 @@
     sched->check_needed = false;
     sched->last_check_ms = now_ms;
     expire_executors(sched, now_ms);
+    sched_evacuate_runs(sched);
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
         check_executor(sched, executor, now_ms);
     }
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/events.h"
-#include "base/metrics.h"
 #include "scheduler/leader_internal.h"
 
 enum {
@@ -514,6 +513,7 @@
         .retain_ms = opts->retain_ms,
         .stop_ms = opts->stop_ms,
         .record_bytes = opts->record_bytes,
+        .evacuation = opts->evacuation,
     };
 
     leader->opts = *opts;
@@ -560,33 +560,3 @@
     g_free(leader->write_us);
     g_free(leader);
 }
-
-void
-leader_write_metrics(const leader_t *leader, GString *out)
-{
-    metrics_write_counter(out, "teasel_jobs_accepted_total", "Jobs accepted.",
-                          leader->accepted);
-    metrics_write_counter(out, "teasel_jobs_refused_total",
-                          "Jobs refused while the store does not answer.",
-                          leader->refused);
-    metrics_write_counter(out, "teasel_calls_awaiting_proof_total",
-                          "Calls that waited until the leader knew that no "
-                          "other scheduler led when they arrived.",
-                          leader->proof_waits);
-    metrics_write_counter(out, "teasel_calls_unproven_total",
-                          "Calls for which that was not known in time.",
-                          leader->unproven);
-    metrics_write_counter(out, "teasel_store_writes_total",
-                          "Writes of job records and renewals.",
-                          leader->writes);
-    metrics_write_counter(out, "teasel_store_write_retries_total",
-                          "Repeated writes.", leader->write_retries);
-    g_string_append_printf(
-        out,
-        "# HELP teasel_store_write_seconds Time of a write to the store.\n"
-        "# TYPE teasel_store_write_seconds summary\n"
-        "teasel_store_write_seconds{quantile=\"0.5\"} %.6f\n"
-        "teasel_store_write_seconds{quantile=\"0.99\"} %.6f\n",
-        (double)histogram_get_quantile(leader->write_us, 0.5) / 1e6,
-        (double)histogram_get_quantile(leader->write_us, 0.99) / 1e6);
-}
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -33,6 +33,7 @@
  * @retain_ms: retention period of final jobs
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
+ * @evacuation: evacuated data centres, see sched_opts_t
  * @get_acked_ms: see cluster_get_acked_ms()
  * @is_alone: whether no other scheduler is known
  * @request_acks: ask the other schedulers to confirm that they follow this
@@ -51,6 +52,7 @@
     int64_t retain_ms;
     int64_t stop_ms;
     size_t record_bytes;
+    const evacuation_t *evacuation;
     int64_t (*get_acked_ms)(void *data);
     bool (*is_alone)(void *data);
     void (*request_acks)(void *data);
@@ -102,6 +104,12 @@
  */
 void leader_remove_peer(leader_t *leader, peer_t *peer);
 
+/**
+ * leader_note_evacuation() - pass a change of the evacuated data centres on to
+ * the agents, and end or stop the runs there that have not begun
+ */
+void leader_note_evacuation(leader_t *leader);
+
 /**
  * leader_is_idle() - return whether no store call is pending
  */
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -128,7 +128,8 @@
     }
     LIST_FOREACH (executor, &node->executors, sched_executor_t, node_link) {
         Teasel__ExecutorOrders *orders =
-            executor->listed ? sched_take_orders(executor) : NULL;
+            executor->listed ? sched_take_orders(leader->sched, executor)
+                             : NULL;
 
         if (orders != NULL) {
             g_ptr_array_add(executor_orders, orders);
@@ -137,11 +138,31 @@
     return executor_orders;
 }
 
+/* The caller frees the array of names. An agent keeps what it knows of
+   evacuations while the leader does not know them. */
+static void
+add_evacuation(const leader_t *leader, Teasel__Evacuation *message,
+               Teasel__NodeOrders *orders)
+{
+    const evacuation_t *evacuation = leader->opts.evacuation;
+
+    if (!evacuation_is_known(evacuation)) {
+        return;
+    }
+    message->n_data_centres = evacuation_count(evacuation);
+    message->data_centres = g_new(char *, message->n_data_centres);
+    for (guint i = 0; i < message->n_data_centres; i++) {
+        message->data_centres[i] = (char *)evacuation_get_name(evacuation, i);
+    }
+    orders->evacuation = message;
+}
+
 static void
 send_session_orders(leader_t *leader, session_t *session)
 {
     g_autoptr(GPtrArray) executor_orders = take_orders(leader, session);
     Teasel__NodeOrders orders = TEASEL__NODE_ORDERS__INIT;
+    Teasel__Evacuation evacuation = TEASEL__EVACUATION__INIT;
     Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
 
     if (executor_orders->len == 0 && !session->lease_due) {
@@ -153,9 +174,11 @@
     orders.n_executors = executor_orders->len;
     orders.executors = (Teasel__ExecutorOrders **)executor_orders->pdata;
     grant_lease(leader, session, &orders);
+    add_evacuation(leader, &evacuation, &orders);
     envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
     envelope.node_orders = &orders;
     peer_send(session->peer, &envelope);
+    g_free(evacuation.data_centres);
 }
 
 void
@@ -166,6 +189,16 @@
     }
 }
 
+void
+leader_note_evacuation(leader_t *leader)
+{
+    LIST_FOREACH (session, &leader->sessions, session_t, link) {
+        session->lease_due = true;
+    }
+    sched_note_evacuation(leader->sched);
+    leader_schedule_flush(leader);
+}
+
 void
 leader_free_sessions(leader_t *leader)
 {
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &teasel__executor_orders__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__evacuation__init
+                     (Teasel__Evacuation         *message)
+{
+  static const Teasel__Evacuation init_value = TEASEL__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t teasel__evacuation__get_packed_size
+                     (const Teasel__Evacuation *message)
+{
+  assert(message->base.descriptor == &teasel__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__evacuation__pack
+                     (const Teasel__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__evacuation__pack_to_buffer
+                     (const Teasel__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__Evacuation *
+       teasel__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__Evacuation *)
+     protobuf_c_message_unpack (&teasel__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   teasel__evacuation__free_unpacked
+                     (Teasel__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__node_orders__init
                      (Teasel__NodeOrders         *message)
 {
@@ -3862,7 +3907,45 @@
   (ProtobufCMessageInit) teasel__executor_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__node_orders__field_descriptors[6] =
+static const ProtobufCFieldDescriptor teasel__evacuation__field_descriptors[1] =
+{
+  {
+    "data_centres",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Teasel__Evacuation, n_data_centres),
+    offsetof(Teasel__Evacuation, data_centres),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = data_centres */
+};
+static const ProtobufCIntRange teasel__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor teasel__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.Evacuation",
+  "Evacuation",
+  "Teasel__Evacuation",
+  "teasel",
+  sizeof(Teasel__Evacuation),
+  1,
+  teasel__evacuation__field_descriptors,
+  teasel__evacuation__field_indices_by_name,
+  1,  teasel__evacuation__number_ranges,
+  (ProtobufCMessageInit) teasel__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor teasel__node_orders__field_descriptors[7] =
 {
   {
     "epoch",
@@ -3936,10 +4019,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__NodeOrders, evacuation),
+    &teasel__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__node_orders__field_indices_by_name[] = {
   1,   /* field[1] = echo_us */
   0,   /* field[0] = epoch */
+  6,   /* field[6] = evacuation */
   3,   /* field[3] = executors */
   2,   /* field[2] = lease_ms */
   5,   /* field[5] = longest_lease_ms */
@@ -3948,7 +4044,7 @@
 static const ProtobufCIntRange teasel__node_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor teasel__node_orders__descriptor =
 {
@@ -3958,7 +4054,7 @@
   "Teasel__NodeOrders",
   "teasel",
   sizeof(Teasel__NodeOrders),
-  6,
+  7,
   teasel__node_orders__field_descriptors,
   teasel__node_orders__field_indices_by_name,
   1,  teasel__node_orders__number_ranges,
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Teasel__StartOrder Teasel__StartOrder;
 typedef struct Teasel__RunTraits Teasel__RunTraits;
 typedef struct Teasel__ExecutorOrders Teasel__ExecutorOrders;
+typedef struct Teasel__Evacuation Teasel__Evacuation;
 typedef struct Teasel__NodeOrders Teasel__NodeOrders;
 
 
@@ -608,6 +609,20 @@
     , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * The data centres in which no run may be started.
+ */
+struct  Teasel__Evacuation
+{
+  ProtobufCMessage base;
+  size_t n_data_centres;
+  char **data_centres;
+};
+#define TEASEL__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__evacuation__descriptor) \
+    , 0,NULL }
+
+
 struct  Teasel__NodeOrders
 {
   ProtobufCMessage base;
@@ -627,10 +642,14 @@
    * No leader grants a longer lease; 0 from earlier versions.
    */
   uint32_t longest_lease_ms;
+  /*
+   * Missing if the leader does not know it yet, and from earlier versions.
+   */
+  Teasel__Evacuation *evacuation;
 };
 #define TEASEL__NODE_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__node_orders__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, NULL }
 
 
 /* Teasel__StepSpec methods */
@@ -1127,6 +1146,25 @@
 void   teasel__executor_orders__free_unpacked
                      (Teasel__ExecutorOrders *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__Evacuation methods */
+void   teasel__evacuation__init
+                     (Teasel__Evacuation         *message);
+size_t teasel__evacuation__get_packed_size
+                     (const Teasel__Evacuation   *message);
+size_t teasel__evacuation__pack
+                     (const Teasel__Evacuation   *message,
+                      uint8_t             *out);
+size_t teasel__evacuation__pack_to_buffer
+                     (const Teasel__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__Evacuation *
+       teasel__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__evacuation__free_unpacked
+                     (Teasel__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__NodeOrders methods */
 void   teasel__node_orders__init
                      (Teasel__NodeOrders         *message);
@@ -1226,6 +1264,9 @@
 typedef void (*Teasel__ExecutorOrders_Closure)
                  (const Teasel__ExecutorOrders *message,
                   void *closure_data);
+typedef void (*Teasel__Evacuation_Closure)
+                 (const Teasel__Evacuation *message,
+                  void *closure_data);
 typedef void (*Teasel__NodeOrders_Closure)
                  (const Teasel__NodeOrders *message,
                   void *closure_data);
@@ -1261,6 +1302,7 @@
 extern const ProtobufCMessageDescriptor teasel__start_order__descriptor;
 extern const ProtobufCMessageDescriptor teasel__run_traits__descriptor;
 extern const ProtobufCMessageDescriptor teasel__executor_orders__descriptor;
+extern const ProtobufCMessageDescriptor teasel__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor teasel__node_orders__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -133,12 +133,13 @@
         return *this;
     }
     Report &
-    rejects(const TaskRun &run)
+    rejects(const TaskRun &run, const std::string &reason = "")
     {
         Teasel__RejectedStart start = TEASEL__REJECTED_START__INIT;
 
         start.task = text(run.first);
         start.run = run.second;
+        start.reason = text(reason);
         rejected.push_back(start);
         return *this;
     }
@@ -179,6 +180,7 @@
     bool writing = false;
     size_t record_bytes;
     int64_t max_lease_ms = 0;
+    const evacuation_t *evacuation = nullptr; /* from the next leader on */
 
     Core(size_t record_bytes = 262144) : record_bytes(record_bytes)
     {
@@ -201,6 +203,7 @@
         opts.retain_ms = 600000;
         opts.stop_ms = 500;
         opts.record_bytes = record_bytes;
+        opts.evacuation = evacuation;
         return sched_new(&opts);
     }
     /* Replaces the leader by one that loads the stored records. */
@@ -303,7 +306,7 @@
             if (key != executor->key) {
                 continue;
             }
-            orders = sched_take_orders(executor);
+            orders = sched_take_orders(sched, executor);
             if (orders == nullptr) {
                 return out;
             }
--- a/tests/support/sched_world.h
+++ b/tests/support/sched_world.h
@@ -7,6 +7,7 @@
  * turn recounts what the leader keeps on them.
  */
 
+#include <functional>
 #include <random>
 
 #include "sched_fixture.h"
@@ -37,6 +38,7 @@
     std::string id = "id";
     int64_t started = 100;
     std::string predecessor;
+    std::string data_centre = "dc";
     uint32_t cpu = FULL_CPU;
     bool lost = false;      /* runs nothing, and its agent does not know it */
     bool connected = false; /* its agent, to the leader */
@@ -69,6 +71,9 @@
     std::set<std::string> done;
     std::vector<std::string> violations;
     bool fault_free = false;
+    evacuation_t *evacuation = nullptr; /* or the evacuated data centres */
+    std::function<void(const Executor &, const TaskRun &, bool alone)>
+        on_start_order;
     int64_t lease_ms = 3000;
     int64_t lease_expiry_ms = 3300; /* lease and drift */
 
@@ -208,6 +213,22 @@
         }
         executor.pending[order.first] = {order.second, now(), alone};
     }
+    /* The agent does not send the starts that it holds. */
+    void
+    reject_pending(Executor &executor)
+    {
+        for (auto &[task, run] : executor.pending) {
+            executor.finished[task] =
+                std::max(executor.finished[task], run.run);
+            executor.rejected.emplace_back(task, run.run);
+        }
+        executor.pending.clear();
+    }
+    bool
+    is_evacuated(const Executor &executor) const
+    {
+        return evacuation_covers(evacuation, executor.data_centre.c_str());
+    }
     void
     deliver(Executor &executor)
     {
@@ -217,6 +238,12 @@
             return;
         }
         orders = core.orders(executor.key());
+        for (auto &order : orders.starts) {
+            if (on_start_order) {
+                on_start_order(executor, order,
+                               orders.alone.count(order) != 0);
+            }
+        }
         if (chance(5)) {
             /* The messages are lost with the connection. */
             disconnect(executor);
@@ -232,6 +259,9 @@
         for (auto &order : orders.starts) {
             start(executor, order, orders.alone.count(order) != 0);
         }
+        if (is_evacuated(executor)) {
+            reject_pending(executor);
+        }
         begin_pending(executor);
     }
     void
@@ -253,6 +283,7 @@
 
         message.message.listed = !executor.connected || !executor.listed;
         message.message.predecessor = message.text(executor.predecessor);
+        message.message.data_centre = message.text(executor.data_centre);
         message.message.draining = executor.drains_until_ms != 0;
         message.message.remaining_ms =
             (uint32_t)std::max<int64_t>(0, executor.drains_until_ms - now());
@@ -430,6 +461,28 @@
                task->phase == SCHED_TASK_RUNNING ||
                task->phase == SCHED_TASK_STOPPING;
     }
+    /* Returns the number of running tasks. */
+    uint32_t
+    recount_step(const sched_job_t *job, const sched_step_t *step)
+    {
+        uint32_t running = 0;
+        uint32_t waiting = 0;
+        uint32_t finished = 0;
+
+        for (uint32_t i = 0; i < step->spec->count; i++) {
+            const sched_task_t *task = &step->tasks[i];
+
+            waiting += task->phase == SCHED_TASK_WAITING;
+            finished += task->phase == SCHED_TASK_DONE;
+            running += task->phase == SCHED_TASK_RUNNING;
+            expect(is_placed(task) == (task->executor != nullptr),
+                   "phase and executor");
+            expect(!task->on_trial || is_placed(task), "on_trial");
+        }
+        expect(step->done == finished, "done");
+        expect(step->waiting == waiting || sched_job_is_final(job), "waiting");
+        return running;
+    }
     void
     recount_job(const sched_job_t *job)
     {
@@ -437,23 +490,9 @@
 
         LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t,
                       link) {
-            const sched_step_t *step = &occurrence->steps[0];
-            uint32_t waiting = 0;
-            uint32_t finished = 0;
-
-            for (uint32_t i = 0; i < step->spec->count; i++) {
-                const sched_task_t *task = &step->tasks[i];
-
-                waiting += task->phase == SCHED_TASK_WAITING;
-                finished += task->phase == SCHED_TASK_DONE;
-                running += task->phase == SCHED_TASK_RUNNING;
-                expect(is_placed(task) == (task->executor != nullptr),
-                       "phase and executor");
-                expect(!task->on_trial || is_placed(task), "on_trial");
+            for (size_t i = 0; i < job->spec->n_steps; i++) {
+                running += recount_step(job, &occurrence->steps[i]);
             }
-            expect(step->done == finished, "done");
-            expect(step->waiting == waiting || sched_job_is_final(job),
-                   "waiting");
         }
         expect(job->running == running, "running");
     }
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -36,6 +36,7 @@
     bool alone = false;   /* no other scheduler is known */
     int64_t acked_ms = 0; /* send time of what all others acknowledged */
     int asked = 0;        /* requests for acknowledgements */
+    evacuation_t *evacuation = evacuation_new();
 
     int64_t
     now_ms()
@@ -62,6 +63,7 @@
         opts.retain_ms = 60000;
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
+        opts.evacuation = evacuation;
         opts.get_acked_ms = [](void *data) {
             return static_cast<Leader *>(data)->acked_ms;
         };
@@ -80,9 +82,15 @@
     TearDown() override
     {
         leader_free(leader);
+        evacuation_free(evacuation);
         loop_run_ms(loop, 50); /* the view must outlive its last call */
         loop_free(loop);
     }
+    void
+    SetUp() override
+    {
+        g_ptr_array_unref(evacuation_finish_listing(evacuation));
+    }
     static void
     on_answer(const Teasel__JobAnswer *answer, void *data)
     {
@@ -190,6 +198,7 @@
     std::vector<size_t> starts;   /* number of starts, of each message */
     std::vector<size_t> stops;    /* number of stops, of each message */
     uint64_t ordered_echo_us = 0; /* of the newest message with an executor */
+    std::string evacuated = "unknown"; /* in the newest message */
 
     Agent(Leader *test, const char *node = "node", uint16_t port = 12)
         : test(test), node(node)
@@ -233,6 +242,7 @@
         self->starts.push_back(starts);
         self->stops.push_back(stops);
         self->leases.push_back(orders->lease_ms);
+        self->note_evacuation(orders->evacuation);
         if (orders->n_executors > 0) {
             self->ordered_echo_us = orders->echo_us;
         }
@@ -242,6 +252,15 @@
     {
         ADD_FAILURE() << reason;
     }
+    void
+    note_evacuation(const Teasel__Evacuation *message)
+    {
+        evacuated = message == nullptr ? "unknown" : "";
+        for (size_t i = 0; message != nullptr && i < message->n_data_centres;
+             i++) {
+            evacuated += std::string(message->data_centres[i]) + " ";
+        }
+    }
     /* Number of starts that it has received. */
     size_t
     count_starts() const
@@ -811,4 +830,74 @@
     EXPECT_EQ(submit("j", {{}}), JOB_OUTCOME_CALL_REFUSED);
 }
 
+// Guards against a new leader that starts work, or ends evacuations at the
+// agents, before its scheduler has listed the evacuations.
+TEST_F(Leader, StartsNothingBeforeItKnowsTheEvacuations)
+{
+    evacuation_free(evacuation);
+    evacuation = evacuation_new();
+    start();
+    Agent agent(this);
+    Executor executor("10.0.0.1:80/id/1");
+    agent.executors = {&executor.report};
+    agent.report();
+    ASSERT_EQ(submit("j", {{}}), JOB_OUTCOME_DONE);
+    loop_run_ms(loop, 300);
+    agent.report();
+    EXPECT_EQ(agent.count_starts(), 0U);
+    EXPECT_EQ(agent.evacuated, "unknown");
+    g_ptr_array_unref(evacuation_finish_listing(evacuation));
+    leader_note_evacuation(leader);
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return agent.count_starts() == 1; }));
+    EXPECT_EQ(agent.evacuated, "");
+}
+
+// Guards against agents that learn of an evacuation only with the next lease,
+// and against a start that follows it.
+TEST_F(Leader, NamesEvacuatedDataCentresToItsAgentsAtOnce)
+{
+    start();
+    Agent agent(this);
+    Executor executor("10.0.0.1:80/id/1");
+    agent.executors = {&executor.report};
+    agent.report();
+    evacuation_begin(evacuation, "dc", 1, false);
+    evacuation_begin(evacuation, "other", 2, false);
+    leader_note_evacuation(leader);
+    ASSERT_TRUE(loop_wait(loop, DONE_MS,
+                          [&] { return agent.evacuated == "dc other "; }));
+    ASSERT_EQ(submit("j", {{}}), JOB_OUTCOME_DONE);
+    loop_run_ms(loop, 300);
+    EXPECT_EQ(agent.count_starts(), 0U);
+    evacuation_end(evacuation, "dc", 3);
+    leader_note_evacuation(leader);
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return agent.count_starts() == 1; }));
+    EXPECT_EQ(agent.evacuated, "other ");
+}
+
+// Guards against a start of a run that an earlier leader has placed, and that
+// the agent does not list.
+TEST_F(Leader, RepeatsNoStartOfAnEarlierLeaderInAnEvacuatedDataCentre)
+{
+    start();
+    {
+        Agent agent(this);
+        Executor executor("10.0.0.1:80/id/1");
+
+        begin_run(agent, executor);
+    }
+    leader_free(leader);
+    evacuation_begin(evacuation, "dc", 1, false);
+    start();
+    Agent agent(this);
+    Executor executor("10.0.0.1:80/id/1");
+    agent.executors = {&executor.report};
+    agent.report();
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return agent.count_stops() == 1; }));
+    EXPECT_EQ(agent.count_starts(), 0U);
+}
+
 } // namespace
--- a/tests/unit/sched_idle_test.cc
+++ b/tests/unit/sched_idle_test.cc
@@ -70,9 +70,10 @@
     auto lines = get_lines_after(core, IDLE_MS);
 
     ASSERT_EQ(lines.size(), 1U);
-    EXPECT_NE(lines[0].find("idle_ms=5000 delay_ms=0 none=0 service=0 "
-                            "disconnected=0 draining=1 trial=0 probation=0 "
-                            "resources=1 constraints=0"),
+    EXPECT_NE(lines[0].find(
+                  "idle_ms=5000 delay_ms=0 none=0 service=0 "
+                  "disconnected=0 evacuated=0 draining=1 trial=0 probation=0 "
+                  "resources=1 constraints=0"),
               std::string::npos)
         << lines[0];
 }
