node: reject the starts that it holds for evacuated data centres

An agent sent starts that waited for a trial, a lease or a retry whenever they became possible, also after the data centre of the executor had been evacuated. It now keeps the evacuated data centres that the leader names with its orders, and rejects these starts with the reason "evacuated". A start without answer is not resent; the run is stopped. Orders without the message, from a leader that does not know the evacuations, change nothing.

The tests fail without the check, and if a missing message clears the set.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -142,6 +142,49 @@
                                  : max_lease_ms;
 }
 
+bool
+node_is_evacuated(const node_t *node, const char *data_centre)
+{
+    return node->evacuated != NULL &&
+           g_strv_contains((const char *const *)node->evacuated, data_centre);
+}
+
+static bool
+names_evacuated(const node_t *node, const Teasel__Evacuation *evacuation)
+{
+    if (node->evacuated == NULL ||
+        g_strv_length(node->evacuated) != evacuation->n_data_centres) {
+        return false;
+    }
+    for (size_t i = 0; i < evacuation->n_data_centres; i++) {
+        if (!node_is_evacuated(node, evacuation->data_centres[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A leader that does not know the evacuations changes none, and orders no
+   starts. */
+static void
+learn_evacuation(node_t *node, const Teasel__Evacuation *evacuation)
+{
+    size_t count = evacuation != NULL ? evacuation->n_data_centres : 0;
+    bool any = count > 0 || node->evacuated != NULL;
+    g_autofree char *names = NULL;
+
+    if (evacuation == NULL || !any || names_evacuated(node, evacuation)) {
+        return;
+    }
+    g_strfreev(node->evacuated);
+    node->evacuated = g_new0(char *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        node->evacuated[i] = g_strdup(evacuation->data_centres[i]);
+    }
+    names = g_strjoinv(",", node->evacuated);
+    event_log(EVENT_EVACUATION_CHANGED, "data_centres=\"%s\"", names);
+}
+
 static void
 drop_unsent_starts(node_executor_t *executor)
 {
@@ -198,6 +241,7 @@
     }
     node->epoch = MAX(node->epoch, orders->epoch);
     learn_longest_lease(node, orders);
+    learn_evacuation(node, orders->evacuation);
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
         node_executor_renew_lease(executor, orders->echo_us, orders->lease_ms);
     }
@@ -281,6 +325,7 @@
     }
     notice_list_free(node->ended_keys);
     notice_list_free(node->crashes);
+    g_strfreev(node->evacuated);
     g_free(node);
 }
 
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -162,6 +162,8 @@
  * @epoch: highest epoch of a leader that sent orders
  * @longest_lease_ms: no leader grants a longer lease, also not to an earlier
  *     agent process
+ * @evacuated: names of the evacuated data centres, NULL before any leader has
+ *     named them
  * @heartbeat_us: time of the last heartbeat, which differs from that of every
  *     other one
  * @reported_ms: time of the last heartbeat
@@ -176,6 +178,7 @@
     loop_timer_t flush;
     uint64_t epoch;
     int64_t longest_lease_ms;
+    char **evacuated;
     uint64_t heartbeat_us;
     int64_t reported_ms;
     uint64_t starts;
@@ -193,6 +196,11 @@
 void node_schedule_report(node_t *node);
 void node_send_report(node_t *node, bool heartbeat);
 
+/**
+ * node_is_evacuated() - return whether no run may be started in a data centre
+ */
+bool node_is_evacuated(const node_t *node, const char *data_centre);
+
 /**
  * node_end_older_incarnations() - end the incarnations that an executor has
  * replaced, as it has the id or the address of each
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -319,6 +319,16 @@
                               begin_call(run));
 }
 
+static run_event_t
+get_due_event(const node_executor_t *executor)
+{
+    if (node_is_evacuated(executor->node, executor->data_centre)) {
+        return RUN_EVENT_CALL_DUE_EVACUATED;
+    }
+    return executor->draining ? RUN_EVENT_CALL_DUE_LEAVING
+                              : RUN_EVENT_CALL_DUE;
+}
+
 void
 run_check(run_t *run)
 {
@@ -328,8 +338,7 @@
     if (run->call_pending || node_now_ms(executor->node) < run->retry_ms) {
         return;
     }
-    decision = run_apply(run, executor->draining ? RUN_EVENT_CALL_DUE_LEAVING
-                                                 : RUN_EVENT_CALL_DUE);
+    decision = run_apply(run, get_due_event(executor));
     switch (decision.action) {
     case RUN_ACTION_SEND_START:
         send_start(run);
--- a/libteasel/node/run_state.c
+++ b/libteasel/node/run_state.c
@@ -4,6 +4,8 @@
 
 #include <stddef.h>
 
+#include "sched/evacuation.h"
+
 enum {
     /* Unanswered start calls after which the run is rejected or stopped. */
     MAX_START_ATTEMPTS = 2,
@@ -75,8 +77,9 @@
     return act(state, RUN_ACTION_SEND_STOP);
 }
 
+/* The reason is NULL unless a start that is due must not be sent. */
 static run_decision_t
-on_call_due(run_state_t state, bool is_leaving)
+on_call_due(run_state_t state, const char *reason)
 {
     if (state.stop_requested && state.phase != RUN_STOPPED) {
         return on_stop_due(state);
@@ -84,8 +87,8 @@
     if (state.phase != RUN_QUEUED && state.phase != RUN_STARTING) {
         return keep(state);
     }
-    if (is_leaving) {
-        return reject_or_stop(state, "the executor is leaving");
+    if (reason != NULL) {
+        return reject_or_stop(state, reason);
     }
     return act(state, RUN_ACTION_SEND_START);
 }
@@ -170,8 +173,11 @@
     case RUN_EVENT_STOP_ORDER:
         return on_stop_order(state);
     case RUN_EVENT_CALL_DUE:
+        return on_call_due(state, NULL);
     case RUN_EVENT_CALL_DUE_LEAVING:
-        return on_call_due(state, event == RUN_EVENT_CALL_DUE_LEAVING);
+        return on_call_due(state, "the executor is leaving");
+    case RUN_EVENT_CALL_DUE_EVACUATED:
+        return on_call_due(state, EVACUATION_REASON);
     case RUN_EVENT_START_SENT:
         return on_start_sent(state);
     case RUN_EVENT_START_CONFIRMED:
--- a/libteasel/node/run_state.h
+++ b/libteasel/node/run_state.h
@@ -46,6 +46,7 @@
     RUN_EVENT_STOP_ORDER,
     RUN_EVENT_CALL_DUE,         /* no call is in progress */
     RUN_EVENT_CALL_DUE_LEAVING, /* the same, on an executor that is leaving */
+    RUN_EVENT_CALL_DUE_EVACUATED, /* the same, in an evacuated data centre */
     RUN_EVENT_START_SENT,
     RUN_EVENT_START_CONFIRMED,
     RUN_EVENT_START_REFUSED,    /* this call had no effect */
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -60,10 +60,13 @@
     std::set<std::string> gone;         /* executors reported as such */
     uint32_t longest_lease_ms = 0;      /* that any leader grants */
     bool send_lists = false;            /* asked for with orders */
+    bool knows_evacuation = false;      /* the leader; named with orders */
+    std::vector<std::string> evacuated; /* data centres */
     std::map<TaskRun, bool> running;    /* reported; whether settled */
     std::set<TaskRun> begun;            /* reported as no longer pending */
     std::set<TaskRun> ended;            /* reported */
     std::set<TaskRun> rejected;         /* reported */
+    std::set<std::string> reasons;      /* of these */
     uint32_t held_ms = 0;               /* of the executor reported last */
     uint64_t end_cursor = 0;            /* sent with orders */
     uint64_t sequence = 0;              /* of the newest announcement */
@@ -155,6 +158,7 @@
         for (size_t i = 0; i < report->n_rejected; i++) {
             rejected.insert(
                 {report->rejected[i]->task, report->rejected[i]->run});
+            reasons.insert(report->rejected[i]->reason);
         }
         if (report->gone) {
             gone.insert(report->key);
@@ -316,6 +320,8 @@
         Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
         std::vector<Teasel__StartOrder> messages(starts.size());
         std::vector<Teasel__StartOrder *> pointers;
+        Teasel__Evacuation evacuation = TEASEL__EVACUATION__INIT;
+        std::vector<char *> names;
 
         for (size_t i = 0; i < starts.size(); i++) {
             teasel__start_order__init(&messages[i]);
@@ -336,6 +342,12 @@
         orders.lease_ms = lease_ms;
         orders.longest_lease_ms = longest_lease_ms;
         orders.send_lists = send_lists;
+        for (std::string &name : evacuated) {
+            names.push_back(name.data());
+        }
+        evacuation.n_data_centres = names.size();
+        evacuation.data_centres = names.data();
+        orders.evacuation = knows_evacuation ? &evacuation : nullptr;
         envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_ORDERS;
         envelope.node_orders = &orders;
         peer_send(peer, &envelope);
@@ -966,4 +978,73 @@
     }
 }
 
+void
+evacuate(Node &test, const std::vector<std::string> &names)
+{
+    test.knows_evacuation = true;
+    test.evacuated = names;
+    test.grant(test.heartbeat_us, 60000);
+}
+
+// Guards against a start that waits at the agent, here for the first lease of
+// its executor, and is sent after the evacuation has begun.
+TEST_F(Node, RejectsAHeldStartInAnEvacuatedDataCentre)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    grant(heartbeat_us, 0);
+    announce();
+    ASSERT_TRUE(wait([&] { return !heartbeat.empty(); }));
+    grant(heartbeat_us, 0, {{"j.0.0.0", 1}});
+    run_ms(200);
+    ASSERT_EQ(rejected.count({"j.0.0.0", 1}), 0U);
+    evacuate(*this, {"other", "dc"});
+    EXPECT_TRUE(wait([&] { return rejected.count({"j.0.0.0", 1}) == 1; }));
+    EXPECT_EQ(reasons, std::set<std::string>({"evacuated"}));
+    EXPECT_TRUE(executor.starts.empty());
+}
+
+// Guards against the same of an order that follows, against a leader without
+// knowledge that ends an evacuation, and against one that is never ended.
+TEST_F(Node, StartsAgainOnceAnEvacuationIsWithdrawn)
+{
+    join();
+    executor.work_ms = -1;
+    evacuate(*this, {"dc"});
+    knows_evacuation = false;
+    epoch++;
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 1}});
+    EXPECT_TRUE(wait([&] { return rejected.count({"j.0.0.0", 1}) == 1; }));
+    evacuate(*this, {});
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 2}});
+    EXPECT_TRUE(wait([&] { return executor.starts["j.0.0.0"] == 1; }));
+}
+
+// Guards against a start without an answer that is sent once more in an
+// evacuated data centre, and against its run, which may begin late.
+TEST_F(Node, StopsInsteadOfResendingAStart)
+{
+    join();
+    executor.work_ms = -1;
+    executor.late_starts = 1;
+    executor.late_ms = 5000;
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 1}});
+    run_ms(20);
+    evacuate(*this, {"dc"});
+    EXPECT_TRUE(wait([&] { return rejected.count({"j.0.0.0", 1}) == 1; }));
+    EXPECT_EQ(executor.starts.count("j.0.0.0"), 0U);
+}
+
+// Guards against the end of work that was begun before.
+TEST_F(Node, KeepsRunsAtWorkInAnEvacuatedDataCentre)
+{
+    join();
+    executor.work_ms = -1;
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return begun.count({"j.0.0.0", 1}) == 1; }));
+    evacuate(*this, {"dc"});
+    run_ms(500);
+    EXPECT_TRUE(executor.is_running("j.0.0.0"));
+    EXPECT_TRUE(rejected.empty());
+}
+
 } // namespace
--- a/tests/unit/run_state_test.cc
+++ b/tests/unit/run_state_test.cc
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "node/run_state.h"
+#include "sched/evacuation.h"
 }
 
 namespace {
@@ -250,8 +251,8 @@
 {
     std::vector<Rule> rules;
 
-    for (run_event_t event :
-         {RUN_EVENT_CALL_DUE, RUN_EVENT_CALL_DUE_LEAVING}) {
+    for (run_event_t event : {RUN_EVENT_CALL_DUE, RUN_EVENT_CALL_DUE_LEAVING,
+                              RUN_EVENT_CALL_DUE_EVACUATED}) {
         rules.insert(
             rules.end(),
             {
@@ -289,6 +290,14 @@
              {"queued, perhaps begun", "perhaps begun"},
              then(want_stop, RUN_ACTION_SEND_STOP),
              "a rejection without a stop after an unanswered start"},
+            {RUN_EVENT_CALL_DUE_EVACUATED,
+             {"queued", "failed"},
+             reject(EVACUATION_REASON),
+             "a start in an evacuated data centre"},
+            {RUN_EVENT_CALL_DUE_EVACUATED,
+             {"queued, perhaps begun", "perhaps begun"},
+             then(want_stop, RUN_ACTION_SEND_STOP),
+             "a start that is repeated in an evacuated data centre"},
         });
     return rules;
 }
