node: send no start long after the newest orders

An agent that is cut off from the leader could send a start that it held for as long as its lease lasted, up to 6 s, while an evacuation has to be in force after 5 s. It now sends starts only within 2 s after the newest orders, which a leader sends every 500 ms. Without an evacuation this delays only starts that were held when the leader was lost; the next connection drops these in any case, and the leader repeats them. The test fails without the limit.

--- a/libteasel/node/node.c
+++ b/libteasel/node/node.c
@@ -240,6 +240,7 @@
         drop_old_orders(node);
     }
     node->epoch = MAX(node->epoch, orders->epoch);
+    node->ordered_ms = node_now_ms(node);
     learn_longest_lease(node, orders);
     learn_evacuation(node, orders->evacuation);
     LIST_FOREACH (executor, &node->executors, node_executor_t, link) {
--- a/libteasel/node/node_internal.h
+++ b/libteasel/node/node_internal.h
@@ -162,6 +162,7 @@
  * @epoch: highest epoch of a leader that sent orders
  * @longest_lease_ms: no leader grants a longer lease, also not to an earlier
  *     agent process
+ * @ordered_ms: time of the newest orders of a leader
  * @evacuated: names of the evacuated data centres, NULL before any leader has
  *     named them
  * @heartbeat_us: time of the last heartbeat, which differs from that of every
@@ -178,6 +179,7 @@
     loop_timer_t flush;
     uint64_t epoch;
     int64_t longest_lease_ms;
+    int64_t ordered_ms;
     char **evacuated;
     uint64_t heartbeat_us;
     int64_t reported_ms;
--- a/libteasel/node/run.c
+++ b/libteasel/node/run.c
@@ -9,6 +9,10 @@
     /* Start calls in progress per executor; further ones wait in order. */
     MAX_STARTING = 8,
     RETRY_MS = 200,
+    /* A start is not sent this long after the newest orders of the leader, as
+       an evacuation may have begun since: it has to be in force after 5 s, of
+       which the leader may need 2 s to learn of it. */
+    ORDERS_VALID_MS = 2000,
 };
 
 /* Effect of a best-effort run that the leader does not know. */
@@ -281,6 +285,12 @@
     return false;
 }
 
+static bool
+has_recent_orders(const node_t *node)
+{
+    return node_now_ms(node) - node->ordered_ms <= ORDERS_VALID_MS;
+}
+
 static void
 send_start(run_t *run)
 {
@@ -295,6 +305,7 @@
     };
 
     if (start.deadline_ms == 0 || executor->starting >= MAX_STARTING ||
+        !has_recent_orders(executor->node) ||
         (run->state.phase == RUN_QUEUED && must_wait_for_others(run))) {
         return;
     }
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -1047,4 +1047,21 @@
     EXPECT_TRUE(rejected.empty());
 }
 
+// Guards against a start that an agent without a leader sends or resends,
+// while a data centre is evacuated without its knowledge.
+TEST_F(Node, SendsNoStartLongAfterTheNewestOrders)
+{
+    join();
+    executor.work_ms = -1;
+    executor.late_starts = 1;
+    executor.late_ms = 60000;
+    grant(heartbeat_us, 60000, {{"j.0.0.0", 1}});
+    ASSERT_TRUE(wait([&] { return executor.late.size() == 1; }));
+    clock.leap_ms += 2100;
+    run_ms(800);
+    EXPECT_EQ(executor.starts.count("j.0.0.0"), 0U);
+    grant(heartbeat_us, 60000);
+    EXPECT_TRUE(wait([&] { return executor.starts["j.0.0.0"] == 1; }));
+}
+
 } // namespace
