base, scheduler: give up a call to the store when nothing moves

Behind a link of 2 Mbit/s to the store no scheduler loads 600 stored jobs after the leader was killed: each one is elected, resigns or gives the page up after 1 s, and the next one does the same.

Cause: the limit of 1 s for a call to the store covers the whole transfer, and each try asks for the same page again. Also, the leader took the store for away 0.5 s after it had begun to load, whatever arrived.

A call without progress fails as early as before. While the leader loads, only a call that fails counts against the store.

--- a/libteasel/base/http_client.c
+++ b/libteasel/base/http_client.c
@@ -11,6 +11,10 @@
        the time of day: after a step ahead connections are made anew, after a
        step back idle ones stay for longer. */
     IDLE_TIMEOUT_MS = 5000,
+    PROGRESS_INTERVAL_MS = 50,
+    /* A slower transfer counts as stalled. The slowest links carry 2 Mbit/s,
+       which several calls may share. */
+    MIN_BYTES_PER_S = 16 * 1024,
 };
 
 /* Pool of idle connections. A replaced pool is freed after the last call that
@@ -51,6 +55,10 @@
     bool finished;
     bool delimited; /* the response states where it ends */
     bool sent;
+    int64_t left_ms;      /* until the call fails */
+    int64_t checked_ms;   /* when left_ms was last brought up to date */
+    int64_t stall_ms;     /* 0: progress does not count */
+    uint64_t moved_bytes; /* by the connection, as last read */
     int status;
     GArray *headers; /* http_header_t */
     GStringChunk *strings;
@@ -166,6 +174,42 @@
     }
 }
 
+static void
+start_timer(http_call_t *call)
+{
+    call->checked_ms = loop_get_now_ms(call->client->loop);
+    loop_timer_start(&call->timer,
+                     (uint64_t)(call->stall_ms > 0
+                                    ? MIN(call->left_ms, PROGRESS_INTERVAL_MS)
+                                    : call->left_ms));
+}
+
+/* Returns the bytes that have moved since the last call. */
+static uint64_t
+take_moved_bytes(http_call_t *call)
+{
+    uint64_t before = call->moved_bytes;
+
+    call->moved_bytes =
+        socket_get_moved_bytes(h2o_socket_get_fd(call->transport->sock));
+    return call->moved_bytes > before ? call->moved_bytes - before : 0;
+}
+
+/* Extends the time limit by what the moved bytes take at the lowest rate. */
+static void
+extend_limit(http_call_t *call)
+{
+    uint64_t credit_ms;
+
+    if (call->stall_ms == 0 || !call->sent) {
+        return;
+    }
+    credit_ms = take_moved_bytes(call) * 1000 / MIN_BYTES_PER_S;
+    call->left_ms =
+        MAX(call->left_ms,
+            MIN(call->stall_ms, call->left_ms + (int64_t)credit_ms));
+}
+
 static void
 on_timer(loop_timer_t *timer)
 {
@@ -175,6 +219,12 @@
         deliver(call);
         return;
     }
+    call->left_ms -= loop_get_now_ms(call->client->loop) - call->checked_ms;
+    extend_limit(call);
+    if (call->left_ms > 0) {
+        start_timer(call);
+        return;
+    }
     h2o_http1client_cancel(call->transport);
     finish(call, false, call->sent ? ERROR_TIMEOUT : ERROR_CONNECT,
            "no response before the deadline");
@@ -242,6 +292,9 @@
         return NULL;
     }
     call->status = status;
+    if (call->stall_ms > 0) {
+        call->left_ms = MIN(call->left_ms, call->stall_ms);
+    }
     for (size_t i = 0; i < header_count; i++) {
         store_header(call, headers[i].name, headers[i].value);
     }
@@ -272,6 +325,9 @@
         return NULL;
     }
     call->sent = true;
+    if (call->stall_ms > 0) {
+        take_moved_bytes(call);
+    }
     *buffers = call->buffers;
     *buffer_count = call->buffer_count;
     *method_is_head = call->is_head;
@@ -350,6 +406,8 @@
     call->cb = cb;
     call->data = data;
     call->max_response = opts->max_response;
+    call->left_ms = (int64_t)opts->timeout_ms;
+    call->stall_ms = (int64_t)opts->stall_ms;
     call->is_head = strcmp(opts->method, "HEAD") == 0;
     call->headers = g_array_new(FALSE, FALSE, sizeof(http_header_t));
     call->strings = g_string_chunk_new(256);
@@ -368,7 +426,12 @@
         connect_with_pool(call);
     }
     call->starting = false;
-    loop_timer_start(&call->timer, call->finished ? 0 : opts->timeout_ms);
+    if (call->finished) {
+        loop_timer_start(&call->timer, 0);
+    }
+    else {
+        start_timer(call);
+    }
     return call;
 }
 
--- a/libteasel/base/http_client.h
+++ b/libteasel/base/http_client.h
@@ -32,6 +32,10 @@
  * struct http_call_opts - one request
  * @target: path and query
  * @timeout_ms: from http_client_send() to the end of the response
+ * @stall_ms: 0, or the longest time without progress: bytes that move extend
+ *     @timeout_ms, up to this time from now, by the time that they take at the
+ *     lowest useful rate. The response may then take as long as its size
+ *     allows; once it has begun, it fails after this time without a byte.
  * @max_response: bytes; a longer body fails with ERROR_TOO_LARGE
  * @fresh_connection: open a new connection; the server may close an idle one
  *     at the moment that it is reused
@@ -46,6 +50,7 @@
     const void *body;
     size_t body_length;
     uint64_t timeout_ms;
+    uint64_t stall_ms;
     size_t max_response;
     bool fresh_connection;
     bool reused_connection;
--- a/libteasel/base/loop.c
+++ b/libteasel/base/loop.c
@@ -142,6 +142,12 @@
     return loop->h2o;
 }
 
+int64_t
+loop_get_now_ms(const loop_t *loop)
+{
+    return get_now_us(loop) / 1000;
+}
+
 uint64_t
 loop_get_h2o_limit_ms(const loop_t *loop)
 {
--- a/libteasel/base/loop.h
+++ b/libteasel/base/loop.h
@@ -57,6 +57,11 @@
 
 h2o_loop_t *loop_get_h2o(loop_t *loop);
 
+/**
+ * loop_get_now_ms() - return the time by the clock of the timers
+ */
+int64_t loop_get_now_ms(const loop_t *loop);
+
 /**
  * loop_get_h2o_limit_ms() - return a time limit for h2o itself, so long that
  * timers of the loop decide
--- a/libteasel/base/socket.c
+++ b/libteasel/base/socket.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -64,3 +65,15 @@
     }
     return -1;
 }
+
+uint64_t
+socket_get_moved_bytes(int fd)
+{
+    struct tcp_info info = {0};
+    socklen_t length = sizeof(info);
+
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_acked + info.tcpi_bytes_received;
+}
--- a/libteasel/base/socket.h
+++ b/libteasel/base/socket.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -22,6 +23,17 @@
 gboolean socket_resolve(const char *address, struct sockaddr_in *out,
                         GError **error);
 
+/**
+ * socket_get_moved_bytes() - return how many bytes a TCP connection has
+ * carried
+ *
+ * Counts the bytes sent that the other end has acknowledged, and the bytes
+ * received, also those that have not been read.
+ *
+ * Return: the count, or 0 if the system does not tell.
+ */
+uint64_t socket_get_moved_bytes(int fd);
+
 #ifdef __cplusplus
 }
 #endif
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -8,11 +8,8 @@
 
 enum {
     TICK_MS = 100,
-    WRITE_RETRY_MS = 50,
     /* Exceeds the slowest write latency that the platform specifies. */
     WRITE_SLOW_MS = 500,
-    /* The store is unavailable if it has refused calls for this long. */
-    UNAVAILABLE_AFTER_MS = 200,
     /* A write is repeated if it is not answered within the timeout. The store
        answers the repeat like the first attempt. The timeout is a multiple of
        the average write latency, and doubles with each repeat. */
@@ -103,8 +100,8 @@
     }
 }
 
-static void
-set_writes_failing(leader_t *leader, bool failing)
+void
+leader_set_writes_failing(leader_t *leader, bool failing)
 {
     if (leader->writes_failing == failing) {
         return;
@@ -122,7 +119,6 @@
 }
 
 static void send_write(leader_t *leader);
-static void load(leader_t *leader);
 
 static void
 on_retry(loop_timer_t *timer)
@@ -130,7 +126,7 @@
     leader_t *leader = timer->data;
 
     if (leader->stage == LEADER_LOADING) {
-        load(leader);
+        leader_load(leader);
         return;
     }
     send_write(leader);
@@ -149,7 +145,7 @@
          leader->write_latency_ms);
     leader->writes++;
     histogram_add(leader->write_us, (uint64_t)MAX(0, took_ms) * 1000);
-    set_writes_failing(leader, false);
+    leader_set_writes_failing(leader, false);
 }
 
 static void
@@ -158,7 +154,7 @@
     leader->writing = false;
     if (leader->stage == LEADER_FENCING) {
         leader->stage = LEADER_LOADING;
-        load(leader);
+        leader_begin_load(leader);
         return;
     }
     if (leader->renewing) {
@@ -183,12 +179,12 @@
     leader->write_retries++;
     if (status == STORE_UNKNOWN) {
         leader->write_timeouts++;
-        set_writes_failing(leader, took_ms > WRITE_SLOW_MS);
+        leader_set_writes_failing(leader, took_ms > WRITE_SLOW_MS);
         loop_timer_start(&leader->retry, 0);
         return;
     }
-    set_writes_failing(leader, took_ms > UNAVAILABLE_AFTER_MS);
-    loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+    leader_set_writes_failing(leader, took_ms > LEADER_UNAVAILABLE_AFTER_MS);
+    loop_timer_start(&leader->retry, LEADER_WRITE_RETRY_MS);
 }
 
 static void
@@ -386,9 +382,11 @@
     loop_timer_start(timer, TICK_MS);
     leader_check_pause(leader);
     leader_expire_calls(leader);
-    if (is_write_pending(leader) &&
+    /* A listing that arrives slowly is no sign that the store is away; one
+       that stops arriving fails. */
+    if (is_write_pending(leader) && leader->stage != LEADER_LOADING &&
         leader_now_ms(leader) - leader->write_began_ms > WRITE_SLOW_MS) {
-        set_writes_failing(leader, true);
+        leader_set_writes_failing(leader, true);
     }
     if (leader->stage == LEADER_READY) {
         if (leader_now_ms(leader) - leader->confirmed_ms >= RENEW_AFTER_MS) {
@@ -399,103 +397,6 @@
     }
 }
 
-static void
-become_ready(leader_t *leader)
-{
-    guint jobs = 0;
-
-    leader->stage = LEADER_READY;
-    LIST_FOREACH (job, sched_get_active_jobs(leader->sched), sched_job_t,
-                  link) {
-        jobs++;
-    }
-    event_log(EVENT_LEADING_READY,
-              "epoch=%" G_GUINT64_FORMAT " active_jobs=%u", leader->opts.epoch,
-              jobs);
-    LIST_FOREACH (session, &leader->sessions, session_t, link) {
-        session->lease_due = true;
-    }
-    leader_handle_deferred_calls(leader);
-    leader_schedule_flush(leader);
-}
-
-static void
-load_job(leader_t *leader, const store_record_t *record)
-{
-    g_autoptr(GError) error = NULL;
-
-    if (!sched_load(leader->sched, record->key, record->value, record->length,
-                    &error)) {
-        event_log(EVENT_JOB_RECORD_INVALID,
-                  "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
-                  record->key, record->offset, error->message);
-    }
-}
-
-static void
-load_record(leader_t *leader, const store_record_t *record)
-{
-    bool readable = true;
-
-    if (record->value == NULL) {
-        return;
-    }
-    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
-        readable =
-            sched_load_learned(leader->sched, record->value, record->length);
-    }
-    else if (g_str_has_prefix(record->key, CANCELLED_KEY_PREFIX)) {
-        readable = cancelled_ids_load(leader->cancelled_ids, record);
-    }
-    else {
-        load_job(leader, record);
-    }
-    if (!readable) {
-        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
-                  JOBS_TOPIC, record->offset);
-    }
-}
-
-static void
-on_loaded(store_status_t status, const store_page_t *page, void *data)
-{
-    leader_t *leader = data;
-
-    leader->writing = false;
-    if (leader->stage == LEADER_STOPPED) {
-        g_free(leader->write_us);
-        g_free(leader);
-        return;
-    }
-    if (status != STORE_OK) {
-        set_writes_failing(leader,
-                           leader_now_ms(leader) - leader->write_began_ms >
-                               UNAVAILABLE_AFTER_MS);
-        loop_timer_start(&leader->retry, WRITE_RETRY_MS);
-        return;
-    }
-    set_writes_failing(leader, false);
-    for (size_t i = 0; i < page->count; i++) {
-        load_record(leader, &page->records[i]);
-    }
-    if (!page->more) {
-        become_ready(leader);
-        return;
-    }
-    g_free(leader->load_after);
-    leader->load_after = g_strdup(page->after);
-    load(leader);
-}
-
-/* No other process writes between the pages, as the epoch is already set. */
-static void
-load(leader_t *leader)
-{
-    leader->writing = true;
-    store_list(leader->opts.store, JOBS_TOPIC, leader->load_after, on_loaded,
-               leader);
-}
-
 /* Returns how long a lease from before this leader may last. */
 static int64_t
 add_clock_error(int64_t lease_ms)
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -10,6 +10,13 @@
 #define JOBS_TOPIC "jobs"
 #define JOBS_PRODUCER "jobs"
 
+enum {
+    /* After a refused call to the store. */
+    LEADER_WRITE_RETRY_MS = 50,
+    /* The store is unavailable if it has refused calls for this long. */
+    LEADER_UNAVAILABLE_AFTER_MS = 200,
+};
+
 /**
  * struct session - connection of a node agent
  * @echo_us: sent_us of the newest report that was applied; leases are counted
@@ -74,7 +81,8 @@
     bool writing;       /* waits for an answer of the store */
     bool renewing;      /* the pending write only confirms the epoch */
     uint64_t sequence;
-    int64_t write_began_ms;  /* first attempt of the pending write */
+    int64_t write_began_ms;  /* first attempt of the pending write, or of the
+                                pending page of the listing */
     int64_t write_sent_ms;   /* last attempt */
     unsigned write_timeouts; /* unanswered attempts of the pending write */
     double write_latency_ms; /* moving average */
@@ -121,6 +129,23 @@
  */
 void leader_schedule_flush(leader_t *leader);
 
+/**
+ * leader_set_writes_failing() - note whether the store takes writes and
+ * answers listings
+ */
+void leader_set_writes_failing(leader_t *leader, bool failing);
+
+/**
+ * leader_begin_load() - ask for the next page of the stored jobs; the leader
+ * becomes ready after the last one
+ */
+void leader_begin_load(leader_t *leader);
+
+/**
+ * leader_load() - ask for a page, also again after a failure
+ */
+void leader_load(leader_t *leader);
+
 /**
  * leader_answer_stored() - answer the calls whose effect is stored
  */
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -281,7 +281,7 @@
     auto *view = reinterpret_cast<FakeStoreView *>(base);
     std::string name = topic;
 
-    view->deliver_after(view->silent ? view->silence_ms : 0, [=] {
+    view->deliver_after(view->silent ? view->silence_ms : view->list_ms, [=] {
         std::map<std::string, FakeStore::Record> newest;
         std::vector<store_record_t> out;
         store_page_t page = {};
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -53,6 +53,7 @@
     bool hold = false;        /* answers wait for release() */
     int lose_answers = 0;     /* next appends to apply without an answer */
     uint64_t silence_ms = 30; /* timeout of a call without an answer */
+    uint64_t list_ms = 0;     /* time until a listing has arrived */
     std::vector<uint64_t> lost_timeouts; /* of the appends without an answer */
 
     struct Call {
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -36,6 +36,7 @@
     bool alone = false;   /* no other scheduler is known */
     int64_t acked_ms = 0; /* send time of what all others acknowledged */
     int asked = 0;        /* requests for acknowledgements */
+    int store_failures = 0;
 
     int64_t
     now_ms()
@@ -72,7 +73,9 @@
             static_cast<Leader *>(data)->asked++;
         };
         opts.data = this;
-        opts.on_store_change = [](bool, void *) {};
+        opts.on_store_change = [](bool available, void *data) {
+            static_cast<Leader *>(data)->store_failures += !available;
+        };
         opts.on_fenced = [](const char *, void *) {};
         leader = leader_new(&opts);
     }
@@ -811,4 +814,31 @@
     EXPECT_EQ(submit("j", {{}}), JOB_OUTCOME_CALL_REFUSED);
 }
 
+// Guards against a leader that gives its place up while it loads the stored
+// jobs through a slow link: the next one would do the same.
+TEST_F(Leader, ReachesTheStoreWhileAListingArrivesSlowly)
+{
+    view.list_ms = 1500;
+    begin();
+    ASSERT_TRUE(
+        loop_wait(loop, 4000, [&] { return leader_is_ready(leader); }));
+    EXPECT_EQ(store_failures, 0);
+}
+
+// Guards against a leader that holds its place though its link has stopped
+// while it loads the stored jobs.
+TEST_F(Leader, DoesNotReachAStoreWhoseListingFails)
+{
+    view.silence_ms = 300;
+    begin();
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] {
+        view.silent = leader->stage == LEADER_LOADING;
+        return view.silent;
+    }));
+    EXPECT_TRUE(loop_wait(loop, DONE_MS, [&] { return store_failures == 1; }));
+    view.silent = false;
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return leader_is_ready(leader); }));
+}
+
 } // namespace
