scheduler, sched: bound writes by what the link has carried

After a store outage of 4.2 s the leader behind a link of 2 Mbit/s writes the records of 360 jobs in one append, which takes 1.4 s. It is given up and sent again as it was, without end; nothing is stored.

Cause: a write held up to 1 MB of records and any number of removals, and its time was limited to 1 s whatever its size.

Change: a write ends at a size that begins at 64 KB, doubles after full writes that are quick, and halves after slow ones or ones without an answer. What a link of 2 Mbit/s takes for the write is added to its timeout, and to the time after which the leader takes the store for away. Removals count in the size and come before the records, as they used to remove a new job with the same id.

--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -158,6 +158,7 @@
 /**
  * sched_take_changes() - begin a write of the changed records
  * @changes: from sched_changes_new()
+ * @max_bytes: the write ends with the record with which it reaches this size
  *
  * A record that the store would refuse is kept back, with the orders of its
  * job, until it has become shorter.
@@ -167,7 +168,7 @@
  *
  * Return: true if sched_commit() has to be called, even if @changes is empty.
  */
-bool sched_take_changes(sched_t *sched, GPtrArray *changes);
+bool sched_take_changes(sched_t *sched, GPtrArray *changes, size_t max_bytes);
 
 /**
  * sched_commit() - complete the pending write after its records are stored
--- a/libteasel/scheduler/cancelled_ids.c
+++ b/libteasel/scheduler/cancelled_ids.c
@@ -9,7 +9,7 @@
 enum {
     MAX_IDS = 16384,
     /* Leaves most of an append to the records of jobs. */
-    MAX_RECORDS_PER_WRITE = 1024,
+    MAX_RECORDS_PER_WRITE = 256,
 };
 
 /* Where the newest value of a record is. */
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -12,7 +12,8 @@
     WRITE_SLOW_MS = 500,
     /* A write is repeated if it is not answered within the timeout. The store
        answers the repeat like the first attempt. The timeout is a multiple of
-       the average write latency, and doubles with each repeat. */
+       the average write latency, and doubles with each repeat. The time that
+       the slowest link takes for the write is added. */
     MIN_WRITE_TIMEOUT_MS = 150,
     MAX_WRITE_TIMEOUT_MS = 1000,
     TIMEOUT_LATENCY_FACTOR = 4,
@@ -135,14 +136,18 @@
 static void
 record_write_success(leader_t *leader)
 {
-    int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
+    int64_t now_ms = leader_now_ms(leader);
+    int64_t took_ms = now_ms - leader->write_began_ms;
+    int64_t answered_ms = now_ms - leader->write_sent_ms;
 
     leader->confirmed_ms = leader->proof_sent_ms;
     leader->proven_attempt = leader->proof_attempt;
     leader->write_latency_ms +=
-        LATENCY_WEIGHT *
-        ((double)(leader_now_ms(leader) - leader->write_sent_ms) -
-         leader->write_latency_ms);
+        LATENCY_WEIGHT * ((double)answered_ms - leader->write_latency_ms);
+    if (leader->write_timeouts == 0) {
+        write_limit_note_written(&leader->write_limit, leader->write_bytes,
+                                 answered_ms);
+    }
     leader->writes++;
     histogram_add(leader->write_us, (uint64_t)MAX(0, took_ms) * 1000);
     leader_set_writes_failing(leader, false);
@@ -171,6 +176,13 @@
     leader_schedule_flush(leader);
 }
 
+/* Returns the time after which a write counts as failing. */
+static int64_t
+get_slow_ms(const leader_t *leader)
+{
+    return WRITE_SLOW_MS + write_limit_get_transfer_ms(leader->write_bytes);
+}
+
 static void
 retry_write(leader_t *leader, store_status_t status)
 {
@@ -179,7 +191,8 @@
     leader->write_retries++;
     if (status == STORE_UNKNOWN) {
         leader->write_timeouts++;
-        leader_set_writes_failing(leader, took_ms > WRITE_SLOW_MS);
+        write_limit_note_timeout(&leader->write_limit, leader->write_bytes);
+        leader_set_writes_failing(leader, took_ms > get_slow_ms(leader));
         loop_timer_start(&leader->retry, 0);
         return;
     }
@@ -225,7 +238,8 @@
     for (unsigned i = 0; i < leader->write_timeouts; i++) {
         timeout_ms = MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms * 2);
     }
-    return (uint64_t)MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms);
+    return (uint64_t)MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms) +
+           (uint64_t)write_limit_get_transfer_ms(leader->write_bytes);
 }
 
 /* Sends the pending write or repeats it; the store recognises a repeat by its
@@ -266,9 +280,24 @@
     store_append(leader->opts.store, &append, on_written, leader);
 }
 
+static size_t
+count_bytes(const GPtrArray *changes)
+{
+    size_t bytes = 0;
+
+    for (guint i = 0; changes != NULL && i < changes->len; i++) {
+        const sched_change_t *change = g_ptr_array_index(changes, i);
+
+        bytes += strlen(change->key);
+        bytes += change->value != NULL ? change->value->len : 0;
+    }
+    return bytes;
+}
+
 static void
 begin_write(leader_t *leader)
 {
+    leader->write_bytes = count_bytes(leader->changes);
     leader->write_began_ms = leader_now_ms(leader);
     leader->write_timeouts = 0;
     send_write(leader);
@@ -289,7 +318,8 @@
     if (is_write_pending(leader)) {
         return;
     }
-    taken = sched_take_changes(leader->sched, changes);
+    taken =
+        sched_take_changes(leader->sched, changes, leader->write_limit.bytes);
     cancelled_ids_take_changes(leader->cancelled_ids,
                                leader_get_wall_ms(leader), changes);
     if (changes->len > 0) {
@@ -385,7 +415,7 @@
     /* A listing that arrives slowly is no sign that the store is away; one
        that stops arriving fails. */
     if (is_write_pending(leader) && leader->stage != LEADER_LOADING &&
-        leader_now_ms(leader) - leader->write_began_ms > WRITE_SLOW_MS) {
+        leader_now_ms(leader) - leader->write_began_ms > get_slow_ms(leader)) {
         leader_set_writes_failing(leader, true);
     }
     if (leader->stage == LEADER_READY) {
@@ -420,6 +450,7 @@
     leader->opts = *opts;
     leader->sched = sched_new(&sched_opts);
     leader->write_us = g_new0(histogram_t, 1);
+    write_limit_init(&leader->write_limit);
     list_init(&leader->sessions);
     leader->sessions_by_node = g_hash_table_new(g_str_hash, g_str_equal);
     list_init(&leader->waiting);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "scheduler/cancelled_ids.h"
 #include "scheduler/leader.h"
+#include "scheduler/write_limit.h"
 
 #define JOBS_TOPIC "jobs"
 #define JOBS_PRODUCER "jobs"
@@ -81,9 +82,11 @@
     bool writing;       /* waits for an answer of the store */
     bool renewing;      /* the pending write only confirms the epoch */
     uint64_t sequence;
-    int64_t write_began_ms;  /* first attempt of the pending write, or of the
-                                pending page of the listing */
-    int64_t write_sent_ms;   /* last attempt */
+    int64_t write_began_ms; /* first attempt of the pending write, or of the
+                               pending page of the listing */
+    int64_t write_sent_ms;  /* last attempt */
+    size_t write_bytes;     /* of the pending write */
+    write_limit_t write_limit;
     unsigned write_timeouts; /* unanswered attempts of the pending write */
     double write_latency_ms; /* moving average */
     uint64_t proof_attempt;  /* number of the newest attempt of a write whose
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -48,12 +48,14 @@
     store_t base;
     FakeStore *store;
     loop_t *loop;
-    bool refuse = false;      /* calls are refused and have no effect */
-    bool silent = false;      /* calls get no answer and have no effect */
-    bool hold = false;        /* answers wait for release() */
-    int lose_answers = 0;     /* next appends to apply without an answer */
-    uint64_t silence_ms = 30; /* timeout of a call without an answer */
-    uint64_t list_ms = 0;     /* time until a listing has arrived */
+    bool refuse = false;       /* calls are refused and have no effect */
+    bool silent = false;       /* calls get no answer and have no effect */
+    bool hold = false;         /* answers wait for release() */
+    int lose_answers = 0;      /* next appends to apply without an answer */
+    uint64_t silence_ms = 30;  /* timeout of a call without an answer */
+    uint64_t list_ms = 0;      /* time until a listing has arrived */
+    size_t bytes_per_ms = 0;   /* rate of appends; 0 for no limit */
+    size_t longest_append = 0; /* bytes of keys and values */
     std::vector<uint64_t> lost_timeouts; /* of the appends without an answer */
 
     struct Call {
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -841,4 +841,33 @@
         loop_wait(loop, DONE_MS, [&] { return leader_is_ready(leader); }));
 }
 
+// Guards against a write that takes a slow link so long that it is given up,
+// and sent again as it was.
+TEST_F(Leader, WritesNoMoreAtATimeThanASlowLinkCarries)
+{
+    enum {
+        JOBS = 120, /* carried before a call is abandoned */
+        RECORD_BYTES = 1000,
+        MAX_WRITE_BYTES = 100 * 1000,
+    };
+    std::string text(RECORD_BYTES, 'x');
+
+    start();
+    view.bytes_per_ms = 250; /* 2 Mbit/s */
+    for (int i = 0; i < JOBS; i++) {
+        Teasel__JobSpec *spec = make_spec("j" + std::to_string(i), {{}});
+
+        g_free(spec->payload);
+        spec->payload = g_strdup(text.c_str());
+        send(JOB_VERB_SUBMIT, spec->id, spec);
+        teasel__job_spec__free_unpacked(spec, nullptr);
+    }
+    EXPECT_TRUE(
+        loop_wait(loop, 5000, [&] { return outcomes.size() == JOBS; }));
+    EXPECT_GT(view.longest_append, (size_t)RECORD_BYTES);
+    EXPECT_LT(view.longest_append, (size_t)MAX_WRITE_BYTES);
+    EXPECT_EQ(store_failures, 0);
+    EXPECT_EQ(leader->write_retries, 0U);
+}
+
 } // namespace
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -1829,4 +1829,71 @@
     }
 }
 
+// Guards against a record whose deletion, of a removed job with the same id,
+// is written after it.
+TEST(Sched, KeepsANewJobWithTheIdOfARemovedOne)
+{
+    Core core;
+    Report report(A);
+
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    core.orders(A);
+    report.ends(1, {"j.0.0.0", 1}, SCHED_END_DONE);
+    core.report(report);
+    core.run_and_commit();
+    fake_clock_advance_ms(&core.clock, 700000);
+    sched_run(core.sched);
+    ASSERT_EQ(sched_find(core.sched, "j"), nullptr);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.begin_write();
+    core.end_write();
+    EXPECT_EQ(core.stored.count("j"), 1U);
+}
+
+// Guards against writes that a slow link can't carry in time: after an outage
+// of the store all jobs may have changed, and many may be due for removal.
+TEST(Sched, EndsAWriteAtItsLimit)
+{
+    enum {
+        JOBS = 40,
+        LIMIT = 1000,
+        MAX_RECORD = 600,
+    };
+    Core core;
+    int writes = 0;
+    auto write = [&] {
+        size_t bytes = 0;
+
+        sched_run(core.sched);
+        core.begin_write();
+        for (auto &[key, value] : core.pending_changes) {
+            bytes += key.size() + value.size();
+        }
+        EXPECT_LT(bytes, (size_t)LIMIT + MAX_RECORD);
+        writes += bytes > 0;
+        core.end_write();
+        return bytes > 0;
+    };
+
+    core.write_bytes = LIMIT;
+    for (int i = 0; i < JOBS; i++) {
+        const std::string id = std::string(100, 'j') + std::to_string(i);
+
+        sched_submit(core.sched, make_spec(id, {{}}));
+        sched_cancel(core.sched, sched_find(core.sched, id.c_str()));
+    }
+    while (write()) {
+    }
+    EXPECT_EQ(core.stored.size(), (size_t)JOBS);
+    EXPECT_GT(writes, 4);
+    fake_clock_advance_ms(&core.clock, 700000);
+    writes = 0;
+    while (write()) {
+    }
+    EXPECT_EQ(core.stored.size(), 0U);
+    EXPECT_GT(writes, 2);
+}
+
 } // namespace
