--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -7,14 +7,12 @@
 
 enum {
     TICK_MS = 100,
-    WRITE_RETRY_MS = 50,
     /* Exceeds the slowest write latency that the platform specifies. */
     WRITE_SLOW_MS = 500,
-    /* The store is unavailable if it has refused calls for this long. */
-    UNAVAILABLE_AFTER_MS = 200,
     /* A write is repeated if it is not answered within the timeout. The store
        answers the repeat like the first attempt. The timeout is a multiple of
-       the average write latency, and doubles with each repeat. */
+       the average write latency, and doubles with each repeat. The time that
+       the slowest link takes for the write is added. */
     MIN_WRITE_TIMEOUT_MS = 150,
     MAX_WRITE_TIMEOUT_MS = 1000,
     TIMEOUT_LATENCY_FACTOR = 4,
@@ -102,8 +100,8 @@
     }
 }
 
-static void
-set_writes_failing(leader_t *leader, bool failing)
+void
+leader_set_writes_failing(leader_t *leader, bool failing)
 {
     if (leader->writes_failing == failing) {
         return;
@@ -121,7 +119,6 @@
 }
 
 static void send_write(leader_t *leader);
-static void load(leader_t *leader);
 
 static void
 on_retry(loop_timer_t *timer)
@@ -129,7 +126,7 @@
     leader_t *leader = timer->data;
 
     if (leader->stage == LEADER_LOADING) {
-        load(leader);
+        leader_load(leader);
         return;
     }
     send_write(leader);
@@ -138,17 +135,21 @@
 static void
 record_write_success(leader_t *leader)
 {
-    int64_t took_ms = leader_now_ms(leader) - leader->write_began_ms;
+    int64_t now_ms = leader_now_ms(leader);
+    int64_t took_ms = now_ms - leader->write_began_ms;
+    int64_t answered_ms = now_ms - leader->write_sent_ms;
 
     leader->confirmed_ms = leader->proof_sent_ms;
     leader->proven_attempt = leader->proof_attempt;
     leader->write_latency_ms +=
-        LATENCY_WEIGHT *
-        ((double)(leader_now_ms(leader) - leader->write_sent_ms) -
-         leader->write_latency_ms);
+        LATENCY_WEIGHT * ((double)answered_ms - leader->write_latency_ms);
+    if (leader->write_timeouts == 0) {
+        write_limit_note_written(&leader->write_limit, leader->write_bytes,
+                                 answered_ms);
+    }
     leader->writes++;
     histogram_add(leader->write_us, (uint64_t)MAX(0, took_ms) * 1000);
-    set_writes_failing(leader, false);
+    leader_set_writes_failing(leader, false);
 }
 
 static void
@@ -157,7 +158,7 @@
     leader->writing = false;
     if (leader->stage == LEADER_FENCING) {
         leader->stage = LEADER_LOADING;
-        load(leader);
+        leader_begin_load(leader);
         return;
     }
     if (leader->renewing) {
@@ -174,6 +175,13 @@
     leader_schedule_flush(leader);
 }
 
+/* Returns the time after which a write counts as failing. */
+static int64_t
+get_slow_ms(const leader_t *leader)
+{
+    return WRITE_SLOW_MS + write_limit_get_transfer_ms(leader->write_bytes);
+}
+
 static void
 retry_write(leader_t *leader, store_status_t status)
 {
@@ -182,12 +190,13 @@
     leader->write_retries++;
     if (status == STORE_UNKNOWN) {
         leader->write_timeouts++;
-        set_writes_failing(leader, took_ms > WRITE_SLOW_MS);
+        write_limit_note_timeout(&leader->write_limit, leader->write_bytes);
+        leader_set_writes_failing(leader, took_ms > get_slow_ms(leader));
         loop_timer_start(&leader->retry, 0);
         return;
     }
-    set_writes_failing(leader, took_ms > UNAVAILABLE_AFTER_MS);
-    loop_timer_start(&leader->retry, WRITE_RETRY_MS);
+    leader_set_writes_failing(leader, took_ms > LEADER_UNAVAILABLE_AFTER_MS);
+    loop_timer_start(&leader->retry, LEADER_WRITE_RETRY_MS);
 }
 
 static void
@@ -228,7 +237,8 @@
     for (unsigned i = 0; i < leader->write_timeouts; i++) {
         timeout_ms = MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms * 2);
     }
-    return (uint64_t)MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms);
+    return (uint64_t)MIN(MAX_WRITE_TIMEOUT_MS, timeout_ms) +
+           (uint64_t)write_limit_get_transfer_ms(leader->write_bytes);
 }
 
 /* Sends the pending write or repeats it; the store recognises a repeat by its
@@ -269,9 +279,24 @@
     store_append(leader->opts.store, &append, on_written, leader);
 }
 
+static size_t
+count_bytes(const GPtrArray *changes)
+{
+    size_t bytes = 0;
+
+    for (guint i = 0; changes != NULL && i < changes->len; i++) {
+        const sched_change_t *change = g_ptr_array_index(changes, i);
+
+        bytes += strlen(change->key);
+        bytes += change->value != NULL ? change->value->len : 0;
+    }
+    return bytes;
+}
+
 static void
 begin_write(leader_t *leader)
 {
+    leader->write_bytes = count_bytes(leader->changes);
     leader->write_began_ms = leader_now_ms(leader);
     leader->write_timeouts = 0;
     send_write(leader);
@@ -292,7 +317,8 @@
     if (is_write_pending(leader)) {
         return;
     }
-    taken = sched_take_changes(leader->sched, changes);
+    taken =
+        sched_take_changes(leader->sched, changes, leader->write_limit.bytes);
     cancelled_ids_take_changes(leader->cancelled_ids,
                                leader_get_wall_ms(leader), changes);
     if (changes->len > 0) {
@@ -385,9 +411,11 @@
     loop_timer_start(timer, TICK_MS);
     leader_check_pause(leader);
     leader_expire_calls(leader);
-    if (is_write_pending(leader) &&
-        leader_now_ms(leader) - leader->write_began_ms > WRITE_SLOW_MS) {
-        set_writes_failing(leader, true);
+    /* A listing that arrives slowly is no sign that the store is away; one
+       that stops arriving fails. */
+    if (is_write_pending(leader) && leader->stage != LEADER_LOADING &&
+        leader_now_ms(leader) - leader->write_began_ms > get_slow_ms(leader)) {
+        leader_set_writes_failing(leader, true);
     }
     if (leader->stage == LEADER_READY) {
         if (leader_now_ms(leader) - leader->confirmed_ms >= RENEW_AFTER_MS) {
@@ -398,103 +426,6 @@
     }
 }
 
-static void
-become_ready(leader_t *leader)
-{
-    guint jobs = 0;
-
-    leader->stage = LEADER_READY;
-    LIST_FOREACH (job, sched_get_active_jobs(leader->sched), sched_job_t,
-                  link) {
-        jobs++;
-    }
-    event_log(EVENT_LEADING_READY,
-              "epoch=%" G_GUINT64_FORMAT " active_jobs=%u", leader->opts.epoch,
-              jobs);
-    LIST_FOREACH (session, &leader->sessions, session_t, link) {
-        session->lease_due = true;
-    }
-    leader_handle_deferred_calls(leader);
-    leader_schedule_flush(leader);
-}
-
-static void
-load_job(leader_t *leader, const store_record_t *record)
-{
-    g_autoptr(GError) error = NULL;
-
-    if (!sched_load(leader->sched, record->key, record->value, record->length,
-                    &error)) {
-        event_log(EVENT_JOB_RECORD_INVALID,
-                  "key=%s offset=%" G_GUINT64_FORMAT " error=\"%s\"",
-                  record->key, record->offset, error->message);
-    }
-}
-
-static void
-load_record(leader_t *leader, const store_record_t *record)
-{
-    bool readable = true;
-
-    if (record->value == NULL) {
-        return;
-    }
-    if (strcmp(record->key, SCHED_LEARNED_KEY) == 0) {
-        readable =
-            sched_load_learned(leader->sched, record->value, record->length);
-    }
-    else if (g_str_has_prefix(record->key, CANCELLED_KEY_PREFIX)) {
-        readable = cancelled_ids_load(leader->cancelled_ids, record);
-    }
-    else {
-        load_job(leader, record);
-    }
-    if (!readable) {
-        event_log(EVENT_RECORD_MALFORMED, "topic=%s offset=%" G_GUINT64_FORMAT,
-                  JOBS_TOPIC, record->offset);
-    }
-}
-
-static void
-on_loaded(store_status_t status, const store_page_t *page, void *data)
-{
-    leader_t *leader = data;
-
-    leader->writing = false;
-    if (leader->stage == LEADER_STOPPED) {
-        g_free(leader->write_us);
-        g_free(leader);
-        return;
-    }
-    if (status != STORE_OK) {
-        set_writes_failing(leader,
-                           leader_now_ms(leader) - leader->write_began_ms >
-                               UNAVAILABLE_AFTER_MS);
-        loop_timer_start(&leader->retry, WRITE_RETRY_MS);
-        return;
-    }
-    set_writes_failing(leader, false);
-    for (size_t i = 0; i < page->count; i++) {
-        load_record(leader, &page->records[i]);
-    }
-    if (!page->more) {
-        become_ready(leader);
-        return;
-    }
-    g_free(leader->load_after);
-    leader->load_after = g_strdup(page->after);
-    load(leader);
-}
-
-/* No other process writes between the pages, as the epoch is already set. */
-static void
-load(leader_t *leader)
-{
-    leader->writing = true;
-    store_list(leader->opts.store, JOBS_TOPIC, leader->load_after, on_loaded,
-               leader);
-}
-
 /* Returns how long a lease from before this leader may last. */
 static int64_t
 add_clock_error(int64_t lease_ms)
@@ -519,6 +450,7 @@
     leader->opts = *opts;
     leader->sched = sched_new(&sched_opts);
     leader->write_us = g_new0(histogram_t, 1);
+    write_limit_init(&leader->write_limit);
     list_init(&leader->sessions);
     leader->sessions_by_node = g_hash_table_new(g_str_hash, g_str_equal);
     list_init(&leader->waiting);
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -37,6 +37,7 @@
     int64_t acked_ms = 0; /* send time of what all others acknowledged */
     int asked = 0;        /* requests for acknowledgements */
     evacuation_t *evacuation = evacuation_new();
+    int store_failures = 0;
 
     int64_t
     now_ms()
@@ -74,7 +75,9 @@
             static_cast<Leader *>(data)->asked++;
         };
         opts.data = this;
-        opts.on_store_change = [](bool, void *) {};
+        opts.on_store_change = [](bool available, void *data) {
+            static_cast<Leader *>(data)->store_failures += !available;
+        };
         opts.on_fenced = [](const char *, void *) {};
         leader = leader_new(&opts);
     }
@@ -900,4 +903,60 @@
     EXPECT_EQ(agent.count_starts(), 0U);
 }
 
+// Guards against a leader that gives its place up while it loads the stored
+// jobs through a slow link: the next one would do the same.
+TEST_F(Leader, ReachesTheStoreWhileAListingArrivesSlowly)
+{
+    view.list_ms = 1500;
+    begin();
+    ASSERT_TRUE(
+        loop_wait(loop, 4000, [&] { return leader_is_ready(leader); }));
+    EXPECT_EQ(store_failures, 0);
+}
+
+// Guards against a leader that holds its place though its link has stopped
+// while it loads the stored jobs.
+TEST_F(Leader, DoesNotReachAStoreWhoseListingFails)
+{
+    view.silence_ms = 300;
+    begin();
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] {
+        view.silent = leader->stage == LEADER_LOADING;
+        return view.silent;
+    }));
+    EXPECT_TRUE(loop_wait(loop, DONE_MS, [&] { return store_failures == 1; }));
+    view.silent = false;
+    EXPECT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return leader_is_ready(leader); }));
+}
+
+// Guards against a write that takes a slow link so long that it is given up,
+// and sent again as it was.
+TEST_F(Leader, WritesNoMoreAtATimeThanASlowLinkCarries)
+{
+    enum {
+        JOBS = 120, /* carried before a call is abandoned */
+        RECORD_BYTES = 1000,
+        MAX_WRITE_BYTES = 100 * 1000,
+    };
+    std::string text(RECORD_BYTES, 'x');
+
+    start();
+    view.bytes_per_ms = 250; /* 2 Mbit/s */
+    for (int i = 0; i < JOBS; i++) {
+        Teasel__JobSpec *spec = make_spec("j" + std::to_string(i), {{}});
+
+        g_free(spec->payload);
+        spec->payload = g_strdup(text.c_str());
+        send(JOB_VERB_SUBMIT, spec->id, spec);
+        teasel__job_spec__free_unpacked(spec, nullptr);
+    }
+    EXPECT_TRUE(
+        loop_wait(loop, 5000, [&] { return outcomes.size() == JOBS; }));
+    EXPECT_GT(view.longest_append, (size_t)RECORD_BYTES);
+    EXPECT_LT(view.longest_append, (size_t)MAX_WRITE_BYTES);
+    EXPECT_EQ(store_failures, 0);
+    EXPECT_EQ(leader->write_retries, 0U);
+}
+
 } // namespace
