scheduler: follow the evacuations in the operator's topic

Each scheduler now applies the records of evacuations, and passes the set to the leader that it runs, which tells the agents at once. Records without effect are logged. A new listing of the topic ends what it lacks. The feed of the configuration is a type of its own, as it has to know whether a record is part of a listing.

The tests run schedulers and an agent with the feed: begin, end, invalid and repeated records, history dropped in between, and a new leader. They fail without the end of a listing, and if an invalid record ends an evacuation in a listing. platform_test begins and ends an evacuation with the programs; its function that writes the configuration takes any record now. Schedulers in the tests of deployments have no feed, so that their fixture reports an empty listing.

--- a/cli/teasel-scheduler.c
+++ b/cli/teasel-scheduler.c
@@ -14,7 +14,7 @@
     scheduler_t *scheduler;
     http_server_t *ingress;
     http_server_t *readiness;
-    follower_t *config;
+    config_feed_t *config;
     settings_watch_t *watch;
 } process_t;
 
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -21,6 +21,7 @@
     gateway_t *gateway;
     leader_t *leader;
     queue_table_t *queues;
+    evacuation_t *evacuation;
     http_server_t *metrics;
     loop_timer_t tick;
     loop_timer_t fenced_timer;
@@ -101,6 +102,7 @@
         .retain_ms = settings->retain_ms,
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
+        .evacuation = scheduler->evacuation,
         .get_acked_ms = get_acked_ms,
         .is_alone = is_alone,
         .request_acks = request_acks,
@@ -261,8 +263,13 @@
         "# HELP teasel_leading Whether this scheduler leads.\n"
         "# TYPE teasel_leading gauge\nteasel_leading %d\n"
         "# HELP teasel_calls_pending Calls without an answer.\n"
-        "# TYPE teasel_calls_pending gauge\nteasel_calls_pending %zu\n",
-        scheduler->leader != NULL, gateway_count_calls(scheduler->gateway));
+        "# TYPE teasel_calls_pending gauge\nteasel_calls_pending %zu\n"
+        "# HELP teasel_evacuated_data_centres Data centres in which nothing "
+        "is started.\n"
+        "# TYPE teasel_evacuated_data_centres gauge\n"
+        "teasel_evacuated_data_centres %u\n",
+        scheduler->leader != NULL, gateway_count_calls(scheduler->gateway),
+        evacuation_count(scheduler->evacuation));
     if (scheduler->leader != NULL) {
         leader_write_metrics(scheduler->leader, out);
     }
@@ -324,6 +331,7 @@
     scheduler_t *scheduler = g_new0(scheduler_t, 1);
 
     scheduler->opts = *opts;
+    scheduler->evacuation = evacuation_new();
     loop_timer_init(&scheduler->tick, opts->loop, on_tick, scheduler);
     loop_timer_init(&scheduler->fenced_timer, opts->loop, resign_fenced,
                     scheduler);
@@ -352,6 +360,7 @@
     gateway_free(scheduler->gateway);
     http_server_free(scheduler->metrics);
     queue_table_free(scheduler->queues);
+    evacuation_free(scheduler->evacuation);
     g_free(scheduler);
 }
 
@@ -385,6 +394,63 @@
     return scheduler->queues;
 }
 
+static void
+note_evacuation(scheduler_t *scheduler)
+{
+    if (scheduler->leader != NULL) {
+        leader_note_evacuation(scheduler->leader);
+    }
+}
+
+bool
+scheduler_begin_evacuation(scheduler_t *scheduler, const char *data_centre,
+                           uint64_t offset, bool listed)
+{
+    evacuation_change_t change =
+        evacuation_begin(scheduler->evacuation, data_centre, offset, listed);
+
+    if (change == EVACUATION_BEGUN) {
+        event_log(EVENT_EVACUATION_BEGUN,
+                  "data_centre=%s offset=%" G_GUINT64_FORMAT, data_centre,
+                  offset);
+        note_evacuation(scheduler);
+    }
+    return change != EVACUATION_REPEATED;
+}
+
+void
+scheduler_end_evacuation(scheduler_t *scheduler, const char *data_centre,
+                         uint64_t offset)
+{
+    if (evacuation_end(scheduler->evacuation, data_centre, offset) ==
+        EVACUATION_ENDED) {
+        event_log(EVENT_EVACUATION_ENDED,
+                  "data_centre=%s offset=%" G_GUINT64_FORMAT, data_centre,
+                  offset);
+        note_evacuation(scheduler);
+    }
+}
+
+void
+scheduler_keep_evacuation(scheduler_t *scheduler, const char *data_centre)
+{
+    evacuation_keep(scheduler->evacuation, data_centre);
+}
+
+void
+scheduler_finish_evacuation_listing(scheduler_t *scheduler)
+{
+    g_autoptr(GPtrArray) ended =
+        evacuation_finish_listing(scheduler->evacuation);
+
+    for (guint i = 0; i < ended->len; i++) {
+        event_log(EVENT_EVACUATION_ENDED,
+                  "data_centre=%s reason=\"missing from a new listing\"",
+                  (const char *)g_ptr_array_index(ended, i));
+    }
+    note_evacuation(scheduler);
+}
+
 bool
 scheduler_is_ready(const scheduler_t *scheduler)
 {
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -97,6 +97,34 @@
  */
 const queue_table_t *scheduler_get_queues(const scheduler_t *scheduler);
 
+/**
+ * scheduler_begin_evacuation() - apply a record that asks that nothing more is
+ * started in a data centre; see evacuation_begin()
+ *
+ * Return: false if the evacuation is in force already.
+ */
+bool scheduler_begin_evacuation(scheduler_t *scheduler,
+                                const char *data_centre, uint64_t offset,
+                                bool listed);
+
+/**
+ * scheduler_end_evacuation() - apply a record that withdraws this
+ */
+void scheduler_end_evacuation(scheduler_t *scheduler, const char *data_centre,
+                              uint64_t offset);
+
+/**
+ * scheduler_keep_evacuation() - see evacuation_keep()
+ */
+void scheduler_keep_evacuation(scheduler_t *scheduler,
+                               const char *data_centre);
+
+/**
+ * scheduler_finish_evacuation_listing() - end the evacuations that a listing
+ * lacks; this scheduler places nothing before its first listing
+ */
+void scheduler_finish_evacuation_listing(scheduler_t *scheduler);
+
 /**
  * scheduler_is_ready() - return whether the scheduler can serve calls
  *
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -121,6 +121,7 @@
         queue.service = const_cast<char *>("service");
         queue_table_add(table, &queue);
         scheduler_set_queues(scheduler.scheduler, table);
+        scheduler_finish_evacuation_listing(scheduler.scheduler);
     }
     void
     kill_scheduler(int i)
--- a/tests/system/platform.bash
+++ b/tests/system/platform.bash
@@ -12,11 +12,16 @@
 
 # put_config VERSION: writes a configuration, as the operator does
 put_config() {
-    local value='{"Version":'$1',"Routes":[{"Name":"q","Host":"host.example","PathPrefix":"/q/","Service":"work","MaxAttempts":3,"Priority":0,"TargetLatencyMs":300,"SlackFactor":2.0}]}'
-    python3 - "$value" >"$work/record" <<'P'
+    put_record config '{"Version":'$1',"Routes":[{"Name":"q","Host":"host.example","PathPrefix":"/q/","Service":"work","MaxAttempts":3,"Priority":0,"TargetLatencyMs":300,"SlackFactor":2.0}]}'
+}
+
+# put_record KEY VALUE: writes a record of the operator; an empty value removes
+# the key
+put_record() {
+    python3 - "$1" "$2" >"$work/record" <<'P'
 import struct, sys
-value = sys.argv[1].encode()
-record = bytes([6]) + b"config" + value
+key = sys.argv[1].encode()
+record = bytes([len(key)]) + key + sys.argv[2].encode()
 sys.stdout.buffer.write(struct.pack(">I", len(record)) + record)
 P
     curl -fsS -m 5 -o /dev/null --data-binary "@$work/record" \
--- a/tests/system/platform_test.sh
+++ b/tests/system/platform_test.sh
@@ -97,6 +97,18 @@
 put_config 2
 wait_until grep -q '"version":2,' "$work/scheduler$other.log"
 
+# Guards against an evacuation that the programs do not follow, and against one
+# that they do not end.
+put_record evacuate/dc '{}'
+for n in 0 1 2; do wait_until grep -q '"event":7030,' "$work/scheduler$n.log"; done
+for n in 0 1; do wait_until grep -q '"event":8017,' "$work/node$n.log"; done
+id=00000000000000a5
+accept $other $id "$two_steps"
+sleep 1
+[ "$(count_starts "$id.0.0.0")" = 0 ] || fail "$id runs in an evacuated data centre"
+put_record evacuate/dc ''
+wait_until has_state $other $id completed
+
 # Guards against planned stops that never complete.
 for n in 0 1 2; do kill -TERM "${scheduler_pids[$n]}"; done
 for n in 0 1 2; do
