request: send a new member no more than the others

Cause: the unknown service time of a member that has just joined counts as 1 ms. Where the others take 20 ms, it gets 56 of 60 requests until it reports; an agent holds 40.

Change: a member without a service time is compared with others by the number of its requests.

Before: Router.SendsANewMemberNoMoreThanTheOthers fails (56 instead of 20).

--- a/libteasel/request/route.c
+++ b/libteasel/request/route.c
@@ -72,6 +72,18 @@
     return ahead <= slots ? cost / ahead : cost / slots;
 }
 
+/* A member that has not reported its service time is taken for as fast as the
+   other one. As a fast one it would get all requests until it reports. */
+static bool
+is_cheaper(const member_t *member, const member_t *other)
+{
+    if (member->load.service_time_us == 0 ||
+        other->load.service_time_us == 0) {
+        return member_estimate_load(member) < member_estimate_load(other);
+    }
+    return route_get_cost(member) < route_get_cost(other);
+}
+
 /* Partial Fisher-Yates shuffle: swaps random members to the front until enough
    candidates are found, which draws without replacement. */
 static member_t *
@@ -90,7 +102,7 @@
             continue;
         }
         found++;
-        if (best == NULL || route_get_cost(member) < route_get_cost(best)) {
+        if (best == NULL || is_cheaper(member, best)) {
             best = member;
         }
     }
--- a/tests/unit/member_test.cc
+++ b/tests/unit/member_test.cc
@@ -252,4 +252,23 @@
     EXPECT_EQ(fixture.choose(), first);
 }
 
+// Guards against an agent that has just started and gets all requests, until
+// it refuses most of them: its service time is not known yet.
+TEST(Router, SendsANewMemberNoMoreThanTheOthers)
+{
+    Router fixture("p3c");
+    std::map<std::string, int> chosen;
+
+    for (int i = 0; i < 3; i++) {
+        fixture.add(i, "accra", i == 0 ? 0 : 20000);
+    }
+    for (int i = 0; i < 60; i++) {
+        member_t *member = fixture.choose();
+
+        member->in_flight++;
+        chosen[member->agent_id]++;
+    }
+    EXPECT_EQ(chosen["agent-0"], 20);
+}
+
 } // namespace
