scheduler: let Retry-After follow from how long an outage has lasted

Callers that were refused were always told to come back after 1 s. With 4 retries they had used up their attempts before an outage of 5 s ended, and callers that were refused together returned together.

One pure module computes the time for the leader, the gateway and the platform's adapter: about as long as the outage has lasted, 1 to 5 s, drawn from at least two whole seconds. The leader counts from the first attempt of the write that fails, a gateway without a leader from the first call that found none, and a scheduler without queues from its start.

--- a/libteasel/scheduler/gateway.c
+++ b/libteasel/scheduler/gateway.c
@@ -2,6 +2,7 @@
 
 #include "base/events.h"
 #include "base/list.h"
+#include "scheduler/retry_after.h"
 #include "wire/message.h"
 
 enum {
@@ -11,7 +12,6 @@
     NO_LEADER_TIMEOUT_MS = 60,
     /* A failed leader is usually replaced within this time. */
     ANSWER_TIMEOUT_MS = 1500,
-    RETRY_AFTER_MS = 1000,
 };
 
 typedef struct pending {
@@ -25,11 +25,18 @@
     bool resent; /* an earlier leader may have processed it */
 } pending_t;
 
+/**
+ * struct gateway - calls that wait for the leader
+ * @leaderless_since_ms: when a call first found no leader, or 0 if the last
+ *     one found one
+ */
 struct gateway {
     loop_t *loop;
     const clock_source_t *clock;
     cluster_t *cluster;
     leader_t *leader;
+    GRand *random;
+    int64_t leaderless_since_ms;
     list_t pending;
     size_t count;
     uint64_t next_id;
@@ -95,6 +102,15 @@
     gateway_handle_answer(data, answer);
 }
 
+/* Returns how long calls have found no leader. */
+static int64_t
+get_leaderless_ms(const gateway_t *gateway)
+{
+    return gateway->leaderless_since_ms == 0
+               ? 0
+               : now_ms(gateway) - gateway->leaderless_since_ms;
+}
+
 /* May call the answer function and free the pending call. */
 static void
 send_call(pending_t *pending)
@@ -102,6 +118,7 @@
     gateway_t *gateway = pending->gateway;
 
     if (gateway->leader != NULL) {
+        gateway->leaderless_since_ms = 0;
         pending->resent = pending->sent;
         pending->sent = true;
         leader_handle_call(gateway->leader, pending->call, on_local_answer,
@@ -109,9 +126,13 @@
     }
     else if (gateway->cluster != NULL &&
              cluster_send_call(gateway->cluster, pending->call)) {
+        gateway->leaderless_since_ms = 0;
         pending->resent = pending->sent;
         pending->sent = true;
     }
+    else if (gateway->leaderless_since_ms == 0) {
+        gateway->leaderless_since_ms = now_ms(gateway);
+    }
 }
 
 static void
@@ -121,7 +142,8 @@
 
     answer.outcome =
         pending->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_CALL_REFUSED;
-    answer.retry_after_ms = RETRY_AFTER_MS;
+    answer.retry_after_ms = retry_after_get_outage_ms(
+        get_leaderless_ms(pending->gateway), pending->gateway->random);
     event_log(EVENT_CALL_UNANSWERED,
               "job=%s verb=%u waited_ms=%" G_GINT64_FORMAT
               " outcome=%s reason=\"%s\"",
@@ -181,13 +203,15 @@
 }
 
 gateway_t *
-gateway_new(loop_t *loop, const clock_source_t *clock, cluster_t *cluster)
+gateway_new(loop_t *loop, const clock_source_t *clock, cluster_t *cluster,
+            GRand *random)
 {
     gateway_t *gateway = g_new0(gateway_t, 1);
 
     gateway->loop = loop;
     gateway->clock = clock;
     gateway->cluster = cluster;
+    gateway->random = random;
     list_init(&gateway->pending);
     loop_timer_init(&gateway->tick, loop, on_tick, gateway);
     return gateway;
--- a/libteasel/scheduler/gateway.h
+++ b/libteasel/scheduler/gateway.h
@@ -18,8 +18,13 @@
 
 typedef struct gateway gateway_t;
 
+/**
+ * gateway_new() - create a gateway
+ * @random: draws the times after which refused callers try again; must outlive
+ *     the gateway
+ */
 gateway_t *gateway_new(loop_t *loop, const clock_source_t *clock,
-                       cluster_t *cluster);
+                       cluster_t *cluster, GRand *random);
 void gateway_free(gateway_t *gateway);
 
 /**
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -33,6 +33,8 @@
  * @retain_ms: retention period of final jobs
  * @stop_ms: longest time that an executor takes to stop a run
  * @record_bytes: longest record that the store takes, with its key
+ * @random: draws the times after which refused callers try again; must outlive
+ *     the leader
  * @get_acked_ms: see cluster_get_acked_ms()
  * @is_alone: whether no other scheduler is known
  * @request_acks: ask the other schedulers to confirm that they follow this
@@ -51,6 +53,7 @@
     int64_t retain_ms;
     int64_t stop_ms;
     size_t record_bytes;
+    GRand *random;
     int64_t (*get_acked_ms)(void *data);
     bool (*is_alone)(void *data);
     void (*request_acks)(void *data);
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -2,30 +2,32 @@
 
 #include "base/events.h"
 #include "scheduler/leader_internal.h"
+#include "scheduler/retry_after.h"
 #include "wire/message.h"
 
-enum {
-    RETRY_AFTER_MS = 1000,
-};
-
-static void
-send_answer(job_answer_fn answer, void *owner, Teasel__JobAnswer *message)
+/* Returns how long the store has not taken writes, or 0 if it takes them. */
+static int64_t
+get_outage_ms(const leader_t *leader)
 {
-    if (message->outcome == JOB_OUTCOME_REFUSED ||
-        message->outcome == JOB_OUTCOME_CALL_REFUSED) {
-        message->retry_after_ms = RETRY_AFTER_MS;
-    }
-    answer(message, owner);
+    return leader->writes_failing
+               ? leader_now_ms(leader) - leader->write_began_ms
+               : 0;
 }
 
 void
-leader_answer_request(const request_t *request, job_outcome_t outcome)
+leader_answer_request(const leader_t *leader, const request_t *request,
+                      job_outcome_t outcome)
 {
     Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
 
     message.call_id = request->call->call_id;
     message.outcome = outcome;
-    send_answer(request->answer, request->owner, &message);
+    if (outcome == JOB_OUTCOME_REFUSED ||
+        outcome == JOB_OUTCOME_CALL_REFUSED) {
+        message.retry_after_ms = retry_after_get_outage_ms(
+            get_outage_ms(leader), leader->opts.random);
+    }
+    request->answer(&message, request->owner);
 }
 
 static void
@@ -36,7 +38,7 @@
     message.call_id = request->call->call_id;
     message.outcome = job->stored ? JOB_OUTCOME_DONE : JOB_OUTCOME_UNKNOWN;
     message.state = sched_job_get_visible_state(job);
-    send_answer(request->answer, request->owner, &message);
+    request->answer(&message, request->owner);
 }
 
 static void
@@ -47,7 +49,7 @@
     message.call_id = request->call->call_id;
     message.outcome = JOB_OUTCOME_DONE;
     message.count = count;
-    send_answer(request->answer, request->owner, &message);
+    request->answer(&message, request->owner);
 }
 
 static void
@@ -86,12 +88,9 @@
     event_log(EVENT_JOB_REFUSED,
               "job=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
               " epoch=%" G_GUINT64_FORMAT " proof_age_ms=%" G_GINT64_FORMAT,
-              request->call->id, reason,
-              leader->writes_failing
-                  ? leader_now_ms(leader) - leader->write_began_ms
-                  : 0,
+              request->call->id, reason, get_outage_ms(leader),
               leader->opts.epoch, leader_get_proof_age_ms(leader));
-    leader_answer_request(request, JOB_OUTCOME_REFUSED);
+    leader_answer_request(leader, request, JOB_OUTCOME_REFUSED);
 }
 
 /* While writes fail, only the other schedulers can give a proof. */
@@ -125,7 +124,7 @@
     }
     else {
         log_unproven(leader, request, reason);
-        leader_answer_request(request, JOB_OUTCOME_UNKNOWN);
+        leader_answer_request(leader, request, JOB_OUTCOME_UNKNOWN);
     }
 }
 
@@ -151,14 +150,14 @@
     g_autoptr(GError) error = NULL;
 
     if (job != NULL && job->stored) {
-        leader_answer_request(request, JOB_OUTCOME_DONE);
+        leader_answer_request(leader, request, JOB_OUTCOME_DONE);
         return;
     }
     if (call->spec == NULL || !sched_job_check(call->spec, &error) ||
         !sched_check_size(leader->sched, call->spec, &error)) {
         event_log(EVENT_JOB_REFUSED, "job=%s reason=\"%s\"", call->id,
                   error ? error->message : "missing job specification");
-        leader_answer_request(request, JOB_OUTCOME_INVALID);
+        leader_answer_request(leader, request, JOB_OUTCOME_INVALID);
         return;
     }
     if (job != NULL) {
@@ -191,7 +190,7 @@
               "reason=\"too many cancelled jobs" JOB_CALL_ONLY_TEXT "\"",
               call->id, call->verb,
               job_outcome_to_string(JOB_OUTCOME_CALL_REFUSED));
-    leader_answer_request(request, JOB_OUTCOME_CALL_REFUSED);
+    leader_answer_request(leader, request, JOB_OUTCOME_CALL_REFUSED);
 }
 
 bool
@@ -227,7 +226,7 @@
         return;
     }
     if (job == NULL) {
-        leader_answer_request(request, JOB_OUTCOME_NOT_FOUND);
+        leader_answer_request(leader, request, JOB_OUTCOME_NOT_FOUND);
         return;
     }
     answer_state(request, job);
@@ -261,7 +260,7 @@
         get(leader, request);
         return;
     }
-    leader_answer_request(request, JOB_OUTCOME_INVALID);
+    leader_answer_request(leader, request, JOB_OUTCOME_INVALID);
 }
 
 void
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -135,7 +135,13 @@
  * leader_handle_request() - answer a call, or let it wait
  */
 void leader_handle_request(leader_t *leader, const request_t *request);
-void leader_answer_request(const request_t *request, job_outcome_t outcome);
+
+/**
+ * leader_answer_request() - answer a call without a result; a refusal contains
+ * a time after which the caller tries again
+ */
+void leader_answer_request(const leader_t *leader, const request_t *request,
+                           job_outcome_t outcome);
 
 /**
  * leader_is_final() - return whether a job has a stored final state, which
--- a/libteasel/scheduler/leader_waiting.c
+++ b/libteasel/scheduler/leader_waiting.c
@@ -158,7 +158,7 @@
         }
         outcome = get_stored_outcome(leader, waiting);
         if (outcome != JOB_OUTCOME_UNKNOWN) {
-            leader_answer_request(&waiting->request, outcome);
+            leader_answer_request(leader, &waiting->request, outcome);
             free_waiting(waiting);
         }
     }
@@ -245,7 +245,7 @@
                   job_outcome_to_string(outcome), wait_names[waiting->wait],
                   outcome == JOB_OUTCOME_CALL_REFUSED ? JOB_CALL_ONLY_TEXT
                                                       : "");
-        leader_answer_request(&waiting->request, outcome);
+        leader_answer_request(leader, &waiting->request, outcome);
         free_waiting(waiting);
     }
 }
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -5,6 +5,7 @@
 #include "cluster/cluster.h"
 #include "scheduler/gateway.h"
 #include "scheduler/leader.h"
+#include "scheduler/retry_after.h"
 
 enum {
     TICK_MS = 100,
@@ -21,6 +22,8 @@
     gateway_t *gateway;
     leader_t *leader;
     queue_table_t *queues;
+    GRand *random;
+    int64_t started_ms;
     http_server_t *metrics;
     loop_timer_t tick;
     loop_timer_t fenced_timer;
@@ -101,6 +104,7 @@
         .retain_ms = settings->retain_ms,
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
+        .random = scheduler->random,
         .get_acked_ms = get_acked_ms,
         .is_alone = is_alone,
         .request_acks = request_acks,
@@ -324,10 +328,13 @@
     scheduler_t *scheduler = g_new0(scheduler_t, 1);
 
     scheduler->opts = *opts;
+    scheduler->random = g_rand_new();
+    scheduler->started_ms = now_ms(scheduler);
     loop_timer_init(&scheduler->tick, opts->loop, on_tick, scheduler);
     loop_timer_init(&scheduler->fenced_timer, opts->loop, resign_fenced,
                     scheduler);
-    scheduler->gateway = gateway_new(opts->loop, opts->clock, NULL);
+    scheduler->gateway =
+        gateway_new(opts->loop, opts->clock, NULL, scheduler->random);
     if (!start_metrics(scheduler, error) || !start_cluster(scheduler, error)) {
         scheduler_free(scheduler);
         return NULL;
@@ -352,6 +359,7 @@
     gateway_free(scheduler->gateway);
     http_server_free(scheduler->metrics);
     queue_table_free(scheduler->queues);
+    g_rand_free(scheduler->random);
     g_free(scheduler);
 }
 
@@ -385,6 +393,14 @@
     return scheduler->queues;
 }
 
+uint32_t
+scheduler_get_retry_after_ms(const scheduler_t *scheduler)
+{
+    int64_t age_ms = now_ms(scheduler) - scheduler->started_ms;
+
+    return retry_after_get_outage_ms(age_ms, scheduler->random);
+}
+
 bool
 scheduler_is_ready(const scheduler_t *scheduler)
 {
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -97,6 +97,15 @@
  */
 const queue_table_t *scheduler_get_queues(const scheduler_t *scheduler);
 
+/**
+ * scheduler_get_retry_after_ms() - return the time after which a caller tries
+ * again that was refused as no queues were set yet
+ *
+ * They come from the store, so its outage has lasted as long as the process
+ * has waited for them.
+ */
+uint32_t scheduler_get_retry_after_ms(const scheduler_t *scheduler);
+
 /**
  * scheduler_is_ready() - return whether the scheduler can serve calls
  *
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -30,7 +30,9 @@
     FakeStoreView successor_view{&store, loop};
     const clock_source_t *clock = clock_system();
     leader_t *leader = nullptr;
+    GRand *random = g_rand_new_with_seed(1);
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
+    std::map<uint64_t, uint32_t> retry_ms;      /* by call */
     uint64_t calls = 0;
     uint64_t epoch = 0;   /* of the leader */
     bool alone = false;   /* no other scheduler is known */
@@ -62,6 +64,7 @@
         opts.retain_ms = 60000;
         opts.stop_ms = 100;
         opts.record_bytes = store.record_bytes;
+        opts.random = random;
         opts.get_acked_ms = [](void *data) {
             return static_cast<Leader *>(data)->acked_ms;
         };
@@ -82,6 +85,7 @@
         leader_free(leader);
         loop_run_ms(loop, 50); /* the view must outlive its last call */
         loop_free(loop);
+        g_rand_free(random);
     }
     static void
     on_answer(const Teasel__JobAnswer *answer, void *data)
@@ -89,6 +93,7 @@
         auto *self = static_cast<Leader *>(data);
 
         self->outcomes[answer->call_id] = (job_outcome_t)answer->outcome;
+        self->retry_ms[answer->call_id] = answer->retry_after_ms;
     }
     /* Sets the epoch of a later leader, which this one has not heard of. */
     void
@@ -572,6 +577,30 @@
     EXPECT_EQ(outcomes[number], JOB_OUTCOME_REFUSED);
 }
 
+// Guards against callers that use up their retries within an outage, as they
+// are told to come back after a second for as long as it lasts.
+TEST_F(Leader, SendsCallersAwayForLongerInALongOutage)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    start();
+    fake_clock_advance_ms(&fake, 2000);
+    view.refuse = true;
+    loop_run_ms(loop, 200);
+    fake_clock_advance_ms(&fake, 4000);
+    ASSERT_TRUE(loop_wait(loop, 3000, [&] { return leader->writes_failing; }));
+    acked_ms = now_ms();
+    uint64_t number = send_submission("j");
+    fake_clock_advance_ms(&fake, 2);
+    acked_ms = now_ms();
+    leader_answer_proven(leader);
+    ASSERT_EQ(outcomes[number], JOB_OUTCOME_REFUSED);
+    EXPECT_GE(retry_ms[number], 3000U);
+    EXPECT_LE(retry_ms[number], 5000U);
+}
+
 // Guards against a refusal on an acknowledgement of what was sent before the
 // call arrived.
 TEST_F(Leader, TakesNoProofFromAnEarlierAcknowledgement)
--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -185,6 +185,8 @@
     Trace lines;
     loop_t loop;
     FakeStore store;
+    std::unique_ptr<GRand, decltype(&g_rand_free)> random{
+        g_rand_new_with_seed(1), g_rand_free};
     std::vector<std::unique_ptr<peer_t>> peers;
     std::vector<std::unique_ptr<Leader>> leaders;
     std::vector<Node> nodes;
@@ -302,6 +304,7 @@
         opts.lease_ms = LEASE_MS;
         opts.retain_ms = 600000;
         opts.record_bytes = store.record_bytes;
+        opts.random = random.get();
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
         opts.is_alone = [](void *) { return false; };
