sched: refuse jobs that cannot be done while they are of use

Nothing was refused for lack of capacity: a caller whose job could not end within three times its objective learned nothing of it.

The leader refuses such a job before it accepts it, by an optimistic projection: the waiting work that goes before it in job_order over the drain rate, then its longest chain, from its first refusal on. It refuses only if no executor of the service has room for a task of the widest step, and accepts one job of each queue and size class every 5 s whatever the backlog. Long-running, serving and scheduled jobs are not refused. The refusal needs the proof that all refusals of a leader need. Retry-After is the time in which the work before the job drains. A refused job that is submitted again keeps its age and is counted once for its size class.

teasel_jobs_refused_total has a label for the reason now. Event 7010 contains the values that decided.

--- a/libteasel/sched/job_order.c
+++ b/libteasel/sched/job_order.c
@@ -55,6 +55,35 @@
     return (double)tasks * step->estimated_ms * step->cpu_milli / 1000.0;
 }
 
+double
+job_order_get_chain_ms(const Teasel__JobSpec *spec)
+{
+    return get_longest_chain_ms(spec, NULL, get_full_time);
+}
+
+double
+job_order_get_objective_ms(const Teasel__JobSpec *spec, double chain_ms)
+{
+    return spec->allowance_ms + chain_ms * spec->slack_percent / 100.0;
+}
+
+double
+job_order_get_useful_ms(double objective_ms)
+{
+    return objective_ms * MAX_LATENESS;
+}
+
+job_outlook_t
+job_order_get_outlook(double needed_ms, double objective_ms)
+{
+    if (needed_ms <= objective_ms) {
+        return JOB_OUTLOOK_IN_TIME;
+    }
+    return needed_ms <= job_order_get_useful_ms(objective_ms)
+               ? JOB_OUTLOOK_LATE
+               : JOB_OUTLOOK_TOO_LATE;
+}
+
 double
 job_order_get_total_work(const Teasel__JobSpec *spec)
 {
@@ -96,31 +125,32 @@
 void
 job_order_update(sched_job_t *job, double estimate_error, int64_t now_ms)
 {
-    const Teasel__JobSpec *spec = job->spec;
-    double chain_ms =
-        get_longest_chain_ms(spec, NULL, get_full_time) * estimate_error;
-    double allowed_ms =
-        spec->allowance_ms + chain_ms * spec->slack_percent / 100.0;
+    double chain_ms = job_order_get_chain_ms(job->spec) * estimate_error;
     double needed_ms = (double)(now_ms - job->known_since_ms) +
                        get_remaining_ms(job) * estimate_error;
 
     job->remaining_work = get_remaining_work(job);
-    if (needed_ms <= allowed_ms) {
-        job->outlook = JOB_OUTLOOK_IN_TIME;
-    }
-    else if (needed_ms <= allowed_ms * MAX_LATENESS) {
-        job->outlook = JOB_OUTLOOK_LATE;
-    }
-    else {
-        job->outlook = JOB_OUTLOOK_TOO_LATE;
-    }
+    job->outlook = (uint8_t)job_order_get_outlook(
+        needed_ms, job_order_get_objective_ms(job->spec, chain_ms));
+}
+
+job_rank_t
+job_order_get_rank(const sched_job_t *job)
+{
+    return (job_rank_t){
+        .priority = job->spec->priority,
+        .favoured = job->favoured,
+        .outlook = (job_outlook_t)job->outlook,
+        .remaining_work = job->remaining_work,
+        .sequence = job->sequence,
+    };
 }
 
 int
-job_order_compare(const sched_job_t *a, const sched_job_t *b)
+job_order_compare_ranks(const job_rank_t *a, const job_rank_t *b)
 {
-    if (a->spec->priority != b->spec->priority) {
-        return a->spec->priority < b->spec->priority ? -1 : 1;
+    if (a->priority != b->priority) {
+        return a->priority < b->priority ? -1 : 1;
     }
     if (a->favoured != b->favoured) {
         return a->favoured ? -1 : 1;
@@ -133,3 +163,12 @@
     }
     return a->sequence < b->sequence ? -1 : a->sequence > b->sequence;
 }
+
+int
+job_order_compare(const sched_job_t *a, const sched_job_t *b)
+{
+    job_rank_t left = job_order_get_rank(a);
+    job_rank_t right = job_order_get_rank(b);
+
+    return job_order_compare_ranks(&left, &right);
+}
--- a/libteasel/sched/job_order.h
+++ b/libteasel/sched/job_order.h
@@ -24,6 +24,42 @@
     JOB_OUTLOOK_COUNT,
 } job_outlook_t;
 
+/**
+ * struct job_rank - what determines the position of a job
+ * @remaining_work: in core-ms
+ */
+typedef struct job_rank {
+    uint32_t priority;
+    bool favoured;
+    job_outlook_t outlook;
+    double remaining_work;
+    uint64_t sequence;
+} job_rank_t;
+
+/**
+ * job_order_get_chain_ms() - return the estimated time of the longest chain of
+ * dependent steps
+ */
+double job_order_get_chain_ms(const Teasel__JobSpec *spec);
+
+/**
+ * job_order_get_objective_ms() - return the age at which a job is due
+ */
+double job_order_get_objective_ms(const Teasel__JobSpec *spec,
+                                  double chain_ms);
+
+/**
+ * job_order_get_useful_ms() - return the age up to which the result of a job
+ * is of some use
+ */
+double job_order_get_useful_ms(double objective_ms);
+
+/**
+ * job_order_get_outlook() - return what a job can achieve
+ * @needed_ms: its expected age when it is done
+ */
+job_outlook_t job_order_get_outlook(double needed_ms, double objective_ms);
+
 /**
  * job_order_get_total_work() - return the estimated work of one occurrence, in
  * core-ms
@@ -37,6 +73,18 @@
  */
 void job_order_update(sched_job_t *job, double estimate_error, int64_t now_ms);
 
+/**
+ * job_order_get_rank() - return the rank of an updated job
+ */
+job_rank_t job_order_get_rank(const sched_job_t *job);
+
+/**
+ * job_order_compare_ranks() - compare two ranks
+ *
+ * Return: a negative value if @a goes first.
+ */
+int job_order_compare_ranks(const job_rank_t *a, const job_rank_t *b);
+
 /**
  * job_order_compare() - compare two updated jobs
  *
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -49,9 +49,10 @@
     return refusal_names[refusal];
 }
 
-static bool
-has_resources(const sched_placement_t *placement,
-              const sched_executor_t *executor, const Teasel__StepSpec *step)
+bool
+sched_placement_has_resources(const sched_placement_t *placement,
+                              const sched_executor_t *executor,
+                              const Teasel__StepSpec *step)
 {
     const sched_resources_t *capacity = &executor->capacity;
     const sched_resources_t *reserved = &executor->reserved;
@@ -123,7 +124,7 @@
     if (!step->spec->long_running && is_on_probation(placement, executor)) {
         return SCHED_REFUSAL_PROBATION;
     }
-    if (!has_resources(placement, executor, step->spec)) {
+    if (!sched_placement_has_resources(placement, executor, step->spec)) {
         return SCHED_REFUSAL_RESOURCES;
     }
     if (!meets_constraints(executor, step) ||
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -48,6 +48,14 @@
 
 const char *sched_refusal_to_string(sched_refusal_t refusal);
 
+/**
+ * sched_placement_has_resources() - check whether an executor has the
+ * processors, memory and accelerators for a task of a step
+ */
+bool sched_placement_has_resources(const sched_placement_t *placement,
+                                   const sched_executor_t *executor,
+                                   const Teasel__StepSpec *step);
+
 /**
  * sched_placement_check() - check whether an executor takes a task of a step
  */
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -52,6 +52,7 @@
     sched->estimate_errors =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sched->size_share = size_share_new();
+    sched->admission = sched_admission_new();
     sched->jobs_in_write = g_ptr_array_new();
     sched->deleted_keys = g_ptr_array_new_with_free_func(g_free);
     list_init(&sched->executor_list);
@@ -87,6 +88,7 @@
     interference_free(sched->interference);
     g_hash_table_unref(sched->estimate_errors);
     size_share_free(sched->size_share);
+    sched_admission_free(sched->admission);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->executors);
     g_hash_table_unref(sched->nodes);
@@ -137,8 +139,7 @@
         list_append(&sched->finished_jobs, &job->link);
         return;
     }
-    job->size_class = size_share_add_job(sched->size_share, job->spec->queue,
-                                         job_order_get_total_work(job->spec));
+    job->size_class = (uint8_t)sched_count_size(sched, job->spec);
     while (position->prev != &sched->active_jobs &&
            goes_before(job, LIST_ENTRY(position->prev, sched_job_t, link))) {
         position = position->prev;
@@ -232,20 +233,6 @@
     return true;
 }
 
-bool
-sched_check_size(const sched_t *sched, const Teasel__JobSpec *spec,
-                 GError **error)
-{
-    if (sched_job_fits(spec, 1, sched->opts.record_bytes)) {
-        return true;
-    }
-    g_set_error(error, TEASEL_ERROR, ERROR_TOO_LARGE,
-                "job \"%s\" does not fit into a record of the store, which "
-                "takes %zu bytes",
-                spec->id, sched->opts.record_bytes);
-    return false;
-}
-
 static bool
 is_occurrence_due(const sched_t *sched, const sched_job_t *job)
 {
@@ -316,15 +303,18 @@
 sched_submit(sched_t *sched, Teasel__JobSpec *spec)
 {
     sched_job_t *job = g_hash_table_lookup(sched->jobs, spec->id);
+    int64_t age_ms;
 
     if (job != NULL) {
         teasel__job_spec__free_unpacked(spec, NULL);
         return job;
     }
     job = sched_job_new(spec, ++sched->last_sequence);
-    job->known_since_ms = sched_now_ms(sched);
-    job->accepted_ms = sched_wall_ms(sched);
+    age_ms = sched_get_refused_age_ms(sched, spec->id);
+    job->known_since_ms = sched_now_ms(sched) - age_ms;
+    job->accepted_ms = sched_wall_ms(sched) - age_ms;
     insert_job(sched, job);
+    sched_note_accepted(sched, job);
     sched_mark_dirty(sched, job);
     sched_add_due_occurrences(sched, job);
     event_log(EVENT_JOB_ACCEPTED, "job=%s queue=%s steps=%zu priority=%u",
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "sched/executor.h"
 #include "sched/job.h"
+#include "sched/job_admission.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -90,6 +91,22 @@
 bool sched_check_size(const sched_t *sched, const Teasel__JobSpec *spec,
                       GError **error);
 
+/**
+ * sched_check_admission() - check whether there will be capacity for a new job
+ * while it is of use
+ * @admission: receives the values that decided
+ *
+ * Return: false if the job has to be refused.
+ */
+bool sched_check_admission(sched_t *sched, const Teasel__JobSpec *spec,
+                           job_admission_t *admission);
+
+/**
+ * sched_note_refused() - record that a new job was refused, for whatever
+ * reason; if it is submitted again, its age counts from the first time
+ */
+void sched_note_refused(sched_t *sched, const Teasel__JobSpec *spec);
+
 /**
  * sched_submit() - accept a job, unless a job with the same id exists
  * @spec: ownership is taken in either case
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -5,6 +5,7 @@
 #include "sched/placement.h"
 #include "sched/run_view.h"
 #include "sched/sched.h"
+#include "sched/sched_admission.h"
 #include "sched/size_share.h"
 
 /**
@@ -14,6 +15,7 @@
  * @nodes: name -> sched_node_t with at least one executor, owned
  * @estimate_errors: queue -> double, moving average of run time over estimate
  * @size_share: started jobs by their size
+ * @admission: what decides whether new jobs are accepted
  * @active_jobs: jobs that are not final, in scheduling order
  * @finished_jobs: final jobs, oldest first
  * @dirty_jobs: jobs whose record has to be written
@@ -48,6 +50,7 @@
     interference_t *interference;
     GHashTable *estimate_errors;
     size_share_t *size_share;
+    sched_admission_t *admission;
     list_t active_jobs;
     list_t finished_jobs;
     list_t dirty_jobs;
@@ -72,6 +75,13 @@
     int64_t created_ms;
 };
 
+/**
+ * sched_get_estimate_error() - return the average run time of the tasks of a
+ * job's queue, relative to their estimates
+ */
+double sched_get_estimate_error(const sched_t *sched,
+                                const Teasel__JobSpec *spec);
+
 /**
  * sched_update_estimate_error() - include a measured run time in the estimate
  * error of its queue
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -140,7 +140,6 @@
 update_run_time_ratio(sched_t *sched, sched_task_t *task)
 {
     sched_step_t *step = task->step;
-    sched_executor_t *executor = task->executor;
     double ran_ms = (double)(sched_now_ms(sched) - task->running_ms);
 
     if (task->running_ms == 0 || task->checkpoint != NULL ||
@@ -151,9 +150,8 @@
     if (step->timed_runs > 0 && step->run_ms_total > 0) {
         double ratio = ran_ms * step->timed_runs / step->run_ms_total;
 
-        ratio = CLAMP(ratio, 0.25, 4.0);
-        executor->run_time_ratio +=
-            RUN_TIME_RATIO_WEIGHT * (ratio - executor->run_time_ratio);
+        ratio = CLAMP(ratio, 0.25, 4.0) - task->executor->run_time_ratio;
+        task->executor->run_time_ratio += RUN_TIME_RATIO_WEIGHT * ratio;
     }
     step->timed_runs++;
     step->run_ms_total += ran_ms;
@@ -164,6 +162,7 @@
 {
     if (how == SCHED_END_DONE) {
         task->executor->consecutive_failures = 0;
+        sched_note_finished(sched, task);
         update_run_time_ratio(sched, task);
     }
     if (how == SCHED_END_FAILED) {
--- a/libteasel/sched/sched_sort.c
+++ b/libteasel/sched/sched_sort.c
@@ -10,11 +10,11 @@
 /* Weight of a new run in the moving average of a queue. */
 static const double ESTIMATE_WEIGHT = 0.05;
 
-static double
-get_estimate_error(const sched_t *sched, const sched_job_t *job)
+double
+sched_get_estimate_error(const sched_t *sched, const Teasel__JobSpec *spec)
 {
     const double *error =
-        g_hash_table_lookup(sched->estimate_errors, job->spec->queue);
+        g_hash_table_lookup(sched->estimate_errors, spec->queue);
 
     return error != NULL ? *error : 1.0;
 }
@@ -31,7 +31,7 @@
         return;
     }
     error = g_new(double, 1);
-    *error = get_estimate_error(sched, job);
+    *error = sched_get_estimate_error(sched, job->spec);
     *error += ESTIMATE_WEIGHT * (ran_ms / estimate_ms - *error);
     g_hash_table_insert(sched->estimate_errors, g_strdup(job->spec->queue),
                         error);
@@ -131,7 +131,8 @@
     sched->last_sort_ms = now_ms;
     jobs = g_ptr_array_new();
     LIST_FOREACH_SAFE (job, &sched->active_jobs, sched_job_t, link) {
-        job_order_update(job, get_estimate_error(sched, job), now_ms);
+        job_order_update(job, sched_get_estimate_error(sched, job->spec),
+                         now_ms);
         list_remove(&job->link);
         g_ptr_array_add(jobs, job);
     }
@@ -142,4 +143,5 @@
 
         list_append(&sched->active_jobs, &job->link);
     }
+    sched_summarize_backlogs(sched);
 }
--- a/libteasel/sched/size_share.c
+++ b/libteasel/sched/size_share.c
@@ -77,6 +77,16 @@
     queue->recent_count = MIN(queue->recent_count + 1, RECENT_JOBS);
 }
 
+size_class_t
+size_share_get_class(const size_share_t *share, const char *queue_name,
+                     double work)
+{
+    const queue_share_t *queue =
+        g_hash_table_lookup(share->queues, queue_name);
+
+    return queue != NULL ? get_class(queue, work) : SIZE_CLASS_USUAL;
+}
+
 size_class_t
 size_share_add_job(size_share_t *share, const char *queue_name, double work)
 {
--- a/libteasel/sched/size_share.h
+++ b/libteasel/sched/size_share.h
@@ -29,6 +29,13 @@
 size_share_t *size_share_new(void);
 void size_share_free(size_share_t *share);
 
+/**
+ * size_share_get_class() - return the size class that a new job would have
+ * @work: see size_share_add_job()
+ */
+size_class_t size_share_get_class(const size_share_t *share,
+                                  const char *queue_name, double work);
+
 /**
  * size_share_add_job() - count a new job
  * @work: estimated work of the job, in any unit
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -566,9 +566,7 @@
 {
     metrics_write_counter(out, "teasel_jobs_accepted_total", "Jobs accepted.",
                           leader->accepted);
-    metrics_write_counter(out, "teasel_jobs_refused_total",
-                          "Jobs refused while the store does not answer.",
-                          leader->refused);
+    leader_write_refusals(leader, out);
     metrics_write_counter(out, "teasel_calls_awaiting_proof_total",
                           "Calls that waited until the leader knew that no "
                           "other scheduler led when they arrived.",
--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -5,6 +5,13 @@
 #include "scheduler/retry_after.h"
 #include "wire/message.h"
 
+static const char *const refusal_texts[] = {
+    [LEADER_REFUSAL_NONE] = "none",
+    [LEADER_REFUSAL_STORE] = "store unavailable",
+    [LEADER_REFUSAL_CANCELLED] = "cancelled before",
+    [LEADER_REFUSAL_CAPACITY] = "lack of capacity",
+};
+
 /* Returns how long the store has not taken writes, or 0 if it takes them. */
 static int64_t
 get_outage_ms(const leader_t *leader)
@@ -14,20 +21,29 @@
                : 0;
 }
 
-void
-leader_answer_request(const leader_t *leader, const request_t *request,
-                      job_outcome_t outcome)
+static void
+answer(const request_t *request, job_outcome_t outcome, uint32_t retry_ms)
 {
     Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
 
     message.call_id = request->call->call_id;
     message.outcome = outcome;
+    message.retry_after_ms = retry_ms;
+    request->answer(&message, request->owner);
+}
+
+void
+leader_answer_request(const leader_t *leader, const request_t *request,
+                      job_outcome_t outcome)
+{
+    uint32_t retry_ms = 0;
+
     if (outcome == JOB_OUTCOME_REFUSED ||
         outcome == JOB_OUTCOME_CALL_REFUSED) {
-        message.retry_after_ms = retry_after_get_outage_ms(
-            get_outage_ms(leader), leader->opts.random);
+        retry_ms = retry_after_get_outage_ms(get_outage_ms(leader),
+                                             leader->opts.random);
     }
-    request->answer(&message, request->owner);
+    answer(request, outcome, retry_ms);
 }
 
 static void
@@ -68,27 +84,55 @@
     leader_seek_proof(leader);
 }
 
-/* Returns why a new job cannot be accepted, or NULL. */
-static const char *
-get_refusal(const leader_t *leader, const char *id)
+/* Returns why a new job cannot be accepted. */
+static leader_refusal_t
+get_refusal(const leader_t *leader, const Teasel__JobCall *call,
+            job_admission_t *admission)
 {
     if (leader->writes_failing) {
-        return "store unavailable";
+        return LEADER_REFUSAL_STORE;
     }
-    if (cancelled_ids_contains(leader->cancelled_ids, id)) {
-        return "cancelled before";
+    if (cancelled_ids_contains(leader->cancelled_ids, call->id)) {
+        return LEADER_REFUSAL_CANCELLED;
     }
-    return NULL;
+    return sched_check_admission(leader->sched, call->spec, admission)
+               ? LEADER_REFUSAL_NONE
+               : LEADER_REFUSAL_CAPACITY;
 }
 
 static void
-refuse(leader_t *leader, const request_t *request, const char *reason)
+refuse_for_capacity(leader_t *leader, const request_t *request,
+                    const job_admission_t *admission)
 {
-    leader->refused++;
+    int64_t wait_ms = (int64_t)job_admission_get_wait_ms(admission);
+    uint32_t retry_ms =
+        retry_after_get_backlog_ms(wait_ms, leader->opts.random);
+
+    event_log(EVENT_JOB_REFUSED,
+              "job=%s reason=\"%s\" age_ms=%.0f wait_ms=%" G_GINT64_FORMAT
+              " chain_ms=%.0f useful_ms=%.0f work_before_core_ms=%.0f "
+              "drain_cores=%.1f retry_after_ms=%u",
+              request->call->id, refusal_texts[LEADER_REFUSAL_CAPACITY],
+              admission->age_ms, wait_ms, admission->chain_ms,
+              admission->useful_ms, admission->work_before, admission->rate,
+              retry_ms);
+    answer(request, JOB_OUTCOME_REFUSED, retry_ms);
+}
+
+static void
+refuse(leader_t *leader, const request_t *request, leader_refusal_t refusal,
+       const job_admission_t *admission)
+{
+    leader->refused[refusal]++;
+    sched_note_refused(leader->sched, request->call->spec);
+    if (refusal == LEADER_REFUSAL_CAPACITY) {
+        refuse_for_capacity(leader, request, admission);
+        return;
+    }
     event_log(EVENT_JOB_REFUSED,
               "job=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
               " epoch=%" G_GUINT64_FORMAT " proof_age_ms=%" G_GINT64_FORMAT,
-              request->call->id, reason, get_outage_ms(leader),
+              request->call->id, refusal_texts[refusal], get_outage_ms(leader),
               leader->opts.epoch, leader_get_proof_age_ms(leader));
     leader_answer_request(leader, request, JOB_OUTCOME_REFUSED);
 }
@@ -114,16 +158,16 @@
 /* A successor may have accepted the job, so a refusal needs a proof. */
 static void
 refuse_if_proven(leader_t *leader, const request_t *request,
-                 const char *reason)
+                 leader_refusal_t refusal, const job_admission_t *admission)
 {
     if (request->proven) {
-        refuse(leader, request, reason);
+        refuse(leader, request, refusal, admission);
     }
     else if (can_be_proven(leader)) {
         await_proof(leader, request);
     }
     else {
-        log_unproven(leader, request, reason);
+        log_unproven(leader, request, refusal_texts[refusal]);
         leader_answer_request(leader, request, JOB_OUTCOME_UNKNOWN);
     }
 }
@@ -131,10 +175,11 @@
 static void
 submit_new(leader_t *leader, const request_t *request)
 {
-    const char *refusal = get_refusal(leader, request->call->id);
+    job_admission_t admission = {0};
+    leader_refusal_t refusal = get_refusal(leader, request->call, &admission);
 
-    if (refusal != NULL) {
-        refuse_if_proven(leader, request, refusal);
+    if (refusal != LEADER_REFUSAL_NONE) {
+        refuse_if_proven(leader, request, refusal, &admission);
         return;
     }
     sched_submit(leader->sched, message_copy(&request->call->spec->base));
@@ -243,6 +288,19 @@
                  sched_count_pending(leader->sched, request->call->queue));
 }
 
+void
+leader_write_refusals(const leader_t *leader, GString *out)
+{
+    g_string_append(out, "# HELP teasel_jobs_refused_total Jobs refused.\n"
+                         "# TYPE teasel_jobs_refused_total counter\n");
+    for (int i = LEADER_REFUSAL_STORE; i < LEADER_REFUSAL_COUNT; i++) {
+        g_string_append_printf(
+            out,
+            "teasel_jobs_refused_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
+            refusal_texts[i], leader->refused[i]);
+    }
+}
+
 void
 leader_handle_request(leader_t *leader, const request_t *request)
 {
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -34,6 +34,15 @@
     CALL_WAITS_FOR_WRITE, /* until its effect is stored */
 } call_wait_t;
 
+/* Why a new job is refused. */
+typedef enum leader_refusal {
+    LEADER_REFUSAL_NONE = 0,
+    LEADER_REFUSAL_STORE,     /* it cannot be stored */
+    LEADER_REFUSAL_CANCELLED, /* its caller has cancelled it */
+    LEADER_REFUSAL_CAPACITY,  /* it cannot be done while it is of use */
+    LEADER_REFUSAL_COUNT,
+} leader_refusal_t;
+
 /**
  * struct request - call that is being handled
  * @proven: no other scheduler led when the call arrived
@@ -87,9 +96,9 @@
     int64_t load_logged_ms;
 
     uint64_t accepted;
-    uint64_t refused;
-    uint64_t proof_waits; /* calls that waited for a proof */
-    uint64_t unproven;    /* calls without a proof in time */
+    uint64_t refused[LEADER_REFUSAL_COUNT]; /* by reason */
+    uint64_t proof_waits;                   /* calls that waited for a proof */
+    uint64_t unproven;                      /* calls without a proof in time */
     uint64_t writes;
     uint64_t write_retries;
     histogram_t *write_us;
@@ -143,6 +152,11 @@
 void leader_answer_request(const leader_t *leader, const request_t *request,
                            job_outcome_t outcome);
 
+/**
+ * leader_write_refusals() - append the metrics of refused jobs
+ */
+void leader_write_refusals(const leader_t *leader, GString *out);
+
 /**
  * leader_is_final() - return whether a job has a stored final state, which
  * never changes
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -556,6 +556,95 @@
     EXPECT_EQ(call(JOB_VERB_COUNT_PENDING, "", nullptr), JOB_OUTCOME_DONE);
 }
 
+/* Makes a leader with one executor, of one core, that finishes a task a
+   second. */
+struct BusyLeader : public Leader {
+    fake_clock_t fake;
+    uint64_t ends = 0;
+
+    job_outcome_t
+    submit_timed(const std::string &id, uint32_t count, uint32_t priority)
+    {
+        Teasel__JobSpec *spec = make_spec(id, {{.count = count}}, 2, priority);
+        job_outcome_t outcome;
+
+        spec->steps[0]->estimated_ms = 1000;
+        spec->slack_percent = 100;
+        outcome = call(JOB_VERB_SUBMIT, id, spec);
+        teasel__job_spec__free_unpacked(spec, nullptr);
+        return outcome;
+    }
+    bool
+    is_placed(const std::string &id)
+    {
+        sched_job_t *job = sched_find(leader->sched, id.c_str());
+        sched_task_t *task = sched_job_find_task(job, 0, 0, 0);
+
+        return task->executor != nullptr;
+    }
+    void
+    begin_busy()
+    {
+        Report report("10.0.0.1:80/a/100", 1000);
+
+        fake_clock_init(&fake);
+        clock = &fake.clock;
+        start();
+        sched_apply_report(leader->sched, "node", report.get());
+        for (int i = 0; i < 10; i++) {
+            std::string id = "done" + std::to_string(i);
+            Report end("10.0.0.1:80/a/100", 1000);
+
+            ASSERT_EQ(submit_timed(id, 1, 0), JOB_OUTCOME_DONE);
+            ASSERT_TRUE(
+                loop_wait(loop, DONE_MS, [&] { return is_placed(id); }));
+            fake_clock_advance_ms(&fake, 1000);
+            end.message.listed = false;
+            end.ends(++ends, {id + ".0.0.0", 1}, SCHED_END_DONE);
+            sched_apply_report(leader->sched, "node", end.get());
+        }
+    }
+};
+
+// Guards against a job that is accepted although it certainly ends too late,
+// and against a refusal that another leader could contradict.
+TEST_F(BusyLeader, RefusesAJobThatCannotBeOfUse)
+{
+    g_autoptr(GString) metrics = g_string_new(nullptr);
+    uint64_t proof_waits;
+
+    begin_busy();
+    ASSERT_EQ(submit_timed("urgent", 50, 0), JOB_OUTCOME_DONE);
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return is_placed("urgent"); }));
+    fake_clock_advance_ms(&fake, 300);
+    loop_run_ms(loop, 150);
+    proof_waits = leader->proof_waits;
+    EXPECT_EQ(submit_timed("late", 1, 2), JOB_OUTCOME_REFUSED);
+    EXPECT_EQ(leader->proof_waits, proof_waits + 1);
+    EXPECT_GE(retry_ms[calls], 30000U);
+    leader_write_metrics(leader, metrics);
+    EXPECT_NE(
+        strstr(metrics->str,
+               "teasel_jobs_refused_total{reason=\"lack of capacity\"} 1"),
+        nullptr);
+    EXPECT_EQ(submit_timed("urgent-too", 1, 0), JOB_OUTCOME_DONE);
+    EXPECT_EQ(call(JOB_VERB_GET, "late", nullptr), JOB_OUTCOME_NOT_FOUND);
+}
+
+// Guards against refusals while there is capacity.
+TEST_F(BusyLeader, AcceptsJobsWhileAnExecutorHasRoom)
+{
+    Report other("10.0.0.2:80/b/100", 1500);
+
+    begin_busy();
+    ASSERT_EQ(submit_timed("urgent", 50, 0), JOB_OUTCOME_DONE);
+    ASSERT_TRUE(loop_wait(loop, DONE_MS, [&] { return is_placed("urgent"); }));
+    fake_clock_advance_ms(&fake, 300);
+    loop_run_ms(loop, 150);
+    sched_apply_report(leader->sched, "node", other.get());
+    EXPECT_EQ(submit_timed("late", 1, 2), JOB_OUTCOME_DONE);
+}
+
 // Guards against refusals that are late or indefinite while the store is away,
 // although all other schedulers confirm the leader.
 TEST_F(Leader, RefusesWhileTheStoreIsAwayOnceTheOthersConfirm)
