--- a/tests/unit/job_admission_test.cc
+++ b/tests/unit/job_admission_test.cc
@@ -105,6 +105,17 @@
     seen_jobs_free(seen);
 }
 
+Teasel__JobSpec *
+make_timed_spec(const std::string &id, uint32_t count, uint32_t cpu,
+                uint32_t estimated_ms)
+{
+    Teasel__JobSpec *spec = make_spec(id, {{.count = count, .cpu = cpu}});
+
+    spec->steps[0]->estimated_ms = estimated_ms;
+    spec->slack_percent = 100;
+    return spec;
+}
+
 /* A replay of callers that submit jobs, and retry those that are refused. */
 struct Replay {
     enum {
@@ -160,19 +171,17 @@
     {
         return kind == 0 ? 3 * SHORT_MS : BATCH_ALLOWANCE_MS + BATCH_MS;
     }
-    Teasel__JobSpec *
+    static Teasel__JobSpec *
     make(const Job &job)
     {
-        bool is_short = job.kind == 0;
-        Teasel__JobSpec *spec = make_spec(
-            job.id, {{.count = job.count, .cpu = is_short ? 250U : 1000U}}, 2,
-            is_short ? 0 : 2);
-
-        spec->steps[0]->estimated_ms = is_short ? SHORT_MS : BATCH_MS;
-        spec->allowance_ms = is_short ? 2 * SHORT_MS : BATCH_ALLOWANCE_MS;
-        spec->slack_percent = 100;
+        Teasel__JobSpec *spec =
+            job.kind == 0 ? make_timed_spec(job.id, job.count, 250, SHORT_MS)
+                          : make_timed_spec(job.id, job.count, 1000, BATCH_MS);
+
+        spec->priority = job.kind == 0 ? 0 : 2;
+        spec->allowance_ms = job.kind == 0 ? 2 * SHORT_MS : BATCH_ALLOWANCE_MS;
         g_free(spec->queue);
-        spec->queue = g_strdup(is_short ? "short" : "batch");
+        spec->queue = g_strdup(job.kind == 0 ? "short" : "batch");
         return spec;
     }
     void
@@ -353,8 +362,8 @@
     EXPECT_EQ(replay.refusals, 0);
 }
 
-// Guards against refusals that cost more than they bring: in a burst, the jobs
-// that are served are as many as without refusals, of each size and priority.
+// Guards against refusals that cost more than they bring: in a burst, about as
+// many jobs are served as without refusals, and none of the sizes is given up.
 TEST_P(Admission, ServesAsMuchOfABurstAsWithoutRefusals)
 {
     Replay all(GetParam(), false);
