--- a/libteasel/scheduler/leader_calls.c
+++ b/libteasel/scheduler/leader_calls.c
@@ -2,30 +2,48 @@
 
 #include "base/events.h"
 #include "scheduler/leader_internal.h"
+#include "scheduler/retry_after.h"
 #include "wire/message.h"
 
-enum {
-    RETRY_AFTER_MS = 1000,
+static const char *const refusal_texts[] = {
+    [LEADER_REFUSAL_NONE] = "none",
+    [LEADER_REFUSAL_STORE] = "store unavailable",
+    [LEADER_REFUSAL_CANCELLED] = "cancelled before",
+    [LEADER_REFUSAL_CAPACITY] = "lack of capacity",
 };
 
-static void
-send_answer(job_answer_fn answer, void *owner, Teasel__JobAnswer *message)
+/* Returns how long the store has not taken writes, or 0 if it takes them. */
+static int64_t
+get_outage_ms(const leader_t *leader)
 {
-    if (message->outcome == JOB_OUTCOME_REFUSED ||
-        message->outcome == JOB_OUTCOME_CALL_REFUSED) {
-        message->retry_after_ms = RETRY_AFTER_MS;
-    }
-    answer(message, owner);
+    return leader->writes_failing
+               ? leader_now_ms(leader) - leader->write_began_ms
+               : 0;
 }
 
-void
-leader_answer_request(const request_t *request, job_outcome_t outcome)
+static void
+answer(const request_t *request, job_outcome_t outcome, uint32_t retry_ms)
 {
     Teasel__JobAnswer message = TEASEL__JOB_ANSWER__INIT;
 
     message.call_id = request->call->call_id;
     message.outcome = outcome;
-    send_answer(request->answer, request->owner, &message);
+    message.retry_after_ms = retry_ms;
+    request->answer(&message, request->owner);
+}
+
+void
+leader_answer_request(const leader_t *leader, const request_t *request,
+                      job_outcome_t outcome)
+{
+    uint32_t retry_ms = 0;
+
+    if (outcome == JOB_OUTCOME_REFUSED ||
+        outcome == JOB_OUTCOME_CALL_REFUSED) {
+        retry_ms = retry_after_get_outage_ms(get_outage_ms(leader),
+                                             leader->opts.random);
+    }
+    answer(request, outcome, retry_ms);
 }
 
 static void
@@ -36,7 +54,7 @@
     message.call_id = request->call->call_id;
     message.outcome = job->stored ? JOB_OUTCOME_DONE : JOB_OUTCOME_UNKNOWN;
     message.state = sched_job_get_visible_state(job);
-    send_answer(request->answer, request->owner, &message);
+    request->answer(&message, request->owner);
 }
 
 static void
@@ -47,7 +65,7 @@
     message.call_id = request->call->call_id;
     message.outcome = JOB_OUTCOME_DONE;
     message.count = count;
-    send_answer(request->answer, request->owner, &message);
+    request->answer(&message, request->owner);
 }
 
 static void
@@ -66,32 +84,57 @@
     leader_seek_proof(leader);
 }
 
-/* Returns why a new job cannot be accepted, or NULL. */
-static const char *
-get_refusal(const leader_t *leader, const char *id)
+/* Returns why a new job cannot be accepted. */
+static leader_refusal_t
+get_refusal(const leader_t *leader, const Teasel__JobCall *call,
+            job_admission_t *admission)
 {
     if (leader->writes_failing) {
-        return "store unavailable";
+        return LEADER_REFUSAL_STORE;
     }
-    if (cancelled_ids_contains(leader->cancelled_ids, id)) {
-        return "cancelled before";
+    if (cancelled_ids_contains(leader->cancelled_ids, call->id)) {
+        return LEADER_REFUSAL_CANCELLED;
     }
-    return NULL;
+    return sched_check_admission(leader->sched, call->spec, admission)
+               ? LEADER_REFUSAL_NONE
+               : LEADER_REFUSAL_CAPACITY;
 }
 
 static void
-refuse(leader_t *leader, const request_t *request, const char *reason)
+refuse_for_capacity(leader_t *leader, const request_t *request,
+                    const job_admission_t *admission)
 {
-    leader->refused++;
+    int64_t wait_ms = (int64_t)job_admission_get_wait_ms(admission);
+    uint32_t retry_ms =
+        retry_after_get_backlog_ms(wait_ms, leader->opts.random);
+
+    event_log(EVENT_JOB_REFUSED,
+              "job=%s reason=\"%s\" age_ms=%.0f wait_ms=%" G_GINT64_FORMAT
+              " chain_ms=%.0f useful_ms=%.0f work_before_core_ms=%.0f "
+              "drain_cores=%.1f retry_after_ms=%u",
+              request->call->id, refusal_texts[LEADER_REFUSAL_CAPACITY],
+              admission->age_ms, wait_ms, admission->chain_ms,
+              admission->useful_ms, admission->work_before, admission->rate,
+              retry_ms);
+    answer(request, JOB_OUTCOME_REFUSED, retry_ms);
+}
+
+static void
+refuse(leader_t *leader, const request_t *request, leader_refusal_t refusal,
+       const job_admission_t *admission)
+{
+    leader->refused[refusal]++;
+    sched_note_refused(leader->sched, request->call->spec);
+    if (refusal == LEADER_REFUSAL_CAPACITY) {
+        refuse_for_capacity(leader, request, admission);
+        return;
+    }
     event_log(EVENT_JOB_REFUSED,
               "job=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
               " epoch=%" G_GUINT64_FORMAT " proof_age_ms=%" G_GINT64_FORMAT,
-              request->call->id, reason,
-              leader->writes_failing
-                  ? leader_now_ms(leader) - leader->write_began_ms
-                  : 0,
+              request->call->id, refusal_texts[refusal], get_outage_ms(leader),
               leader->opts.epoch, leader_get_proof_age_ms(leader));
-    leader_answer_request(request, JOB_OUTCOME_REFUSED);
+    leader_answer_request(leader, request, JOB_OUTCOME_REFUSED);
 }
 
 /* While writes fail, only the other schedulers can give a proof. */
@@ -115,27 +158,28 @@
 /* A successor may have accepted the job, so a refusal needs a proof. */
 static void
 refuse_if_proven(leader_t *leader, const request_t *request,
-                 const char *reason)
+                 leader_refusal_t refusal, const job_admission_t *admission)
 {
     if (request->proven) {
-        refuse(leader, request, reason);
+        refuse(leader, request, refusal, admission);
     }
     else if (can_be_proven(leader)) {
         await_proof(leader, request);
     }
     else {
-        log_unproven(leader, request, reason);
-        leader_answer_request(request, JOB_OUTCOME_UNKNOWN);
+        log_unproven(leader, request, refusal_texts[refusal]);
+        leader_answer_request(leader, request, JOB_OUTCOME_UNKNOWN);
     }
 }
 
 static void
 submit_new(leader_t *leader, const request_t *request)
 {
-    const char *refusal = get_refusal(leader, request->call->id);
+    job_admission_t admission = {0};
+    leader_refusal_t refusal = get_refusal(leader, request->call, &admission);
 
-    if (refusal != NULL) {
-        refuse_if_proven(leader, request, refusal);
+    if (refusal != LEADER_REFUSAL_NONE) {
+        refuse_if_proven(leader, request, refusal, &admission);
         return;
     }
     sched_submit(leader->sched, message_copy(&request->call->spec->base));
@@ -151,14 +195,14 @@
     g_autoptr(GError) error = NULL;
 
     if (job != NULL && job->stored) {
-        leader_answer_request(request, JOB_OUTCOME_DONE);
+        leader_answer_request(leader, request, JOB_OUTCOME_DONE);
         return;
     }
     if (call->spec == NULL || !sched_job_check(call->spec, &error) ||
         !sched_check_size(leader->sched, call->spec, &error)) {
         event_log(EVENT_JOB_REFUSED, "job=%s reason=\"%s\"", call->id,
                   error ? error->message : "missing job specification");
-        leader_answer_request(request, JOB_OUTCOME_INVALID);
+        leader_answer_request(leader, request, JOB_OUTCOME_INVALID);
         return;
     }
     if (job != NULL) {
@@ -191,7 +235,7 @@
               "reason=\"too many cancelled jobs" JOB_CALL_ONLY_TEXT "\"",
               call->id, call->verb,
               job_outcome_to_string(JOB_OUTCOME_CALL_REFUSED));
-    leader_answer_request(request, JOB_OUTCOME_CALL_REFUSED);
+    leader_answer_request(leader, request, JOB_OUTCOME_CALL_REFUSED);
 }
 
 bool
@@ -227,7 +271,7 @@
         return;
     }
     if (job == NULL) {
-        leader_answer_request(request, JOB_OUTCOME_NOT_FOUND);
+        leader_answer_request(leader, request, JOB_OUTCOME_NOT_FOUND);
         return;
     }
     answer_state(request, job);
@@ -244,6 +288,19 @@
                  sched_count_pending(leader->sched, request->call->queue));
 }
 
+void
+leader_write_refusals(const leader_t *leader, GString *out)
+{
+    g_string_append(out, "# HELP teasel_jobs_refused_total Jobs refused.\n"
+                         "# TYPE teasel_jobs_refused_total counter\n");
+    for (int i = LEADER_REFUSAL_STORE; i < LEADER_REFUSAL_COUNT; i++) {
+        g_string_append_printf(
+            out,
+            "teasel_jobs_refused_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
+            refusal_texts[i], leader->refused[i]);
+    }
+}
+
 void
 leader_handle_request(leader_t *leader, const request_t *request)
 {
@@ -261,7 +318,7 @@
         get(leader, request);
         return;
     }
-    leader_answer_request(request, JOB_OUTCOME_INVALID);
+    leader_answer_request(leader, request, JOB_OUTCOME_INVALID);
 }
 
 void
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -5,6 +5,7 @@
 #include "cluster/cluster.h"
 #include "scheduler/gateway.h"
 #include "scheduler/leader.h"
+#include "scheduler/retry_after.h"
 
 enum {
     TICK_MS = 100,
@@ -22,6 +23,8 @@
     leader_t *leader;
     queue_table_t *queues;
     evacuation_t *evacuation;
+    GRand *random;
+    int64_t started_ms;
     http_server_t *metrics;
     loop_timer_t tick;
     loop_timer_t fenced_timer;
@@ -103,6 +106,7 @@
         .stop_ms = settings->stop_run_ms,
         .record_bytes = (size_t)settings->record_bytes,
         .evacuation = scheduler->evacuation,
+        .random = scheduler->random,
         .get_acked_ms = get_acked_ms,
         .is_alone = is_alone,
         .request_acks = request_acks,
@@ -332,10 +336,13 @@
 
     scheduler->opts = *opts;
     scheduler->evacuation = evacuation_new();
+    scheduler->random = g_rand_new();
+    scheduler->started_ms = now_ms(scheduler);
     loop_timer_init(&scheduler->tick, opts->loop, on_tick, scheduler);
     loop_timer_init(&scheduler->fenced_timer, opts->loop, resign_fenced,
                     scheduler);
-    scheduler->gateway = gateway_new(opts->loop, opts->clock, NULL);
+    scheduler->gateway =
+        gateway_new(opts->loop, opts->clock, NULL, scheduler->random);
     if (!start_metrics(scheduler, error) || !start_cluster(scheduler, error)) {
         scheduler_free(scheduler);
         return NULL;
@@ -361,6 +368,7 @@
     http_server_free(scheduler->metrics);
     queue_table_free(scheduler->queues);
     evacuation_free(scheduler->evacuation);
+    g_rand_free(scheduler->random);
     g_free(scheduler);
 }
 
@@ -451,6 +459,14 @@
     note_evacuation(scheduler);
 }
 
+uint32_t
+scheduler_get_retry_after_ms(const scheduler_t *scheduler)
+{
+    int64_t age_ms = now_ms(scheduler) - scheduler->started_ms;
+
+    return retry_after_get_outage_ms(age_ms, scheduler->random);
+}
+
 bool
 scheduler_is_ready(const scheduler_t *scheduler)
 {
