sched: let the cost of remote data follow the deployment's factor

Callers saw the same placement whether a run far from its data takes half as long again or three times as long: the cost was a constant.

The setting remote_factor gives the factor (1.5 if it is missing). The cost is 1.4 for each run time by which a task takes longer, which is the former 0.7 at 1.5.

--- a/cli/teasel-scheduler.c
+++ b/cli/teasel-scheduler.c
@@ -18,10 +18,27 @@
     settings_watch_t *watch;
 } process_t;
 
+static char *remote_factor;
+
+static const GOptionEntry options[] = {
+    {"remote-factor", 0, 0, G_OPTION_ARG_STRING, &remote_factor,
+     "Take the setting remote_factor from here", "FACTOR"},
+    G_OPTION_ENTRY_NULL,
+};
+
+/* An option goes before the settings file, also after a reload. */
 static bool
 load_settings(const char *path, void *settings, GError **error)
 {
-    return scheduler_settings_load(path, settings, error);
+    if (!scheduler_settings_load(path, settings, error)) {
+        return false;
+    }
+    if (remote_factor != NULL && !scheduler_settings_set_remote_factor(
+                                     settings, remote_factor, error)) {
+        scheduler_settings_clear(settings);
+        return false;
+    }
+    return true;
 }
 
 static void
@@ -116,6 +133,7 @@
     program_opts_t opts = {
         .name = "teasel-scheduler",
         .summary = "Accepts jobs and assigns their tasks to executors.",
+        .options = options,
         .settings = &settings,
         .load_settings = load_settings,
         .clear_settings = clear_settings,
--- a/libteasel/base/program.c
+++ b/libteasel/base/program.c
@@ -20,12 +20,16 @@
 };
 
 static bool
-parse_options(const char *summary, int argc, char **argv, GError **error)
+parse_options(const program_opts_t *opts, int argc, char **argv,
+              GError **error)
 {
     g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 
-    g_option_context_set_summary(context, summary);
+    g_option_context_set_summary(context, opts->summary);
     g_option_context_add_main_entries(context, options, NULL);
+    if (opts->options != NULL) {
+        g_option_context_add_main_entries(context, opts->options, NULL);
+    }
     return g_option_context_parse(context, &argc, &argv, error);
 }
 
@@ -43,7 +47,7 @@
 
     setlocale(LC_ALL, "");
     events_init(opts->name);
-    if (!parse_options(opts->summary, argc, argv, &error)) {
+    if (!parse_options(opts, argc, argv, &error)) {
         fprintf(stderr, "%s: %s\n", opts->name, error->message);
         return PROGRAM_EXIT_USAGE;
     }
--- a/libteasel/base/program.h
+++ b/libteasel/base/program.h
@@ -18,6 +18,8 @@
  * struct program_opts - a daemon that is configured by a settings file
  * @name: program name in error messages and the log
  * @summary: one sentence for --help
+ * @options: options besides the common ones, ended by G_OPTION_ENTRY_NULL; or
+ *     NULL
  * @settings: settings struct, passed to the callbacks
  * @load_settings: fills @settings; leaves nothing allocated on failure
  * @clear_settings: frees what @load_settings allocated
@@ -26,6 +28,7 @@
 typedef struct program_opts {
     const char *name;
     const char *summary;
+    const GOptionEntry *options;
     void *settings;
     bool (*load_settings)(const char *path, void *settings, GError **error);
     void (*clear_settings)(void *settings);
--- a/libteasel/base/settings.c
+++ b/libteasel/base/settings.c
@@ -113,6 +113,17 @@
     return true;
 }
 
+static bool
+store_text(const char *path, const setting_t *setting,
+           struct json_object *value, void *field, GError **error)
+{
+    if (!json_object_is_type(value, json_type_string)) {
+        return set_value_error(path, setting, value, "a string", error);
+    }
+    *(char **)field = g_strdup(json_object_get_string(value));
+    return true;
+}
+
 static bool
 store_choice(const char *path, const setting_t *setting,
              struct json_object *value, void *field, GError **error)
@@ -180,7 +191,7 @@
     [SETTING_STRING] = store_string,    [SETTING_INTEGER] = store_integer,
     [SETTING_BOOLEAN] = store_boolean,  [SETTING_CHOICE] = store_choice,
     [SETTING_ADDRESS] = store_address,  [SETTING_ADDRESS_LIST] = store_list,
-    [SETTING_STRING_LIST] = store_list,
+    [SETTING_STRING_LIST] = store_list, [SETTING_TEXT] = store_text,
 };
 
 static void
@@ -388,6 +399,7 @@
         case SETTING_STRING:
         case SETTING_CHOICE:
         case SETTING_ADDRESS:
+        case SETTING_TEXT:
             append_if_changed(setting, live, fresh, kept);
             break;
         default:
--- a/libteasel/base/settings.h
+++ b/libteasel/base/settings.h
@@ -18,6 +18,7 @@
     SETTING_ADDRESS,      /* char *, IPv4:PORT */
     SETTING_ADDRESS_LIST, /* char **, NULL-terminated */
     SETTING_STRING_LIST,  /* char **, NULL-terminated */
+    SETTING_TEXT,         /* char *, may be empty */
 } setting_type_t;
 
 /**
--- a/libteasel/sched/executor.c
+++ b/libteasel/sched/executor.c
@@ -345,3 +345,12 @@
     return executor->labels != NULL &&
            g_strv_contains((const char *const *)executor->labels, label);
 }
+
+bool
+sched_step_is_remote(const sched_step_t *step,
+                     const sched_executor_t *executor)
+{
+    const char *rack = step->spec->data_rack;
+
+    return rack[0] != '\0' && !sched_executor_has_label(executor, rack);
+}
--- a/libteasel/sched/executor.h
+++ b/libteasel/sched/executor.h
@@ -264,6 +264,13 @@
 bool sched_executor_has_label(const sched_executor_t *executor,
                               const char *label);
 
+/**
+ * sched_step_is_remote() - check whether a step's data is on another rack than
+ * an executor
+ */
+bool sched_step_is_remote(const sched_step_t *step,
+                          const sched_executor_t *executor);
+
 #ifdef __cplusplus
 }
 #endif
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -5,7 +5,8 @@
 
 /* Costs are in shares of an executor: 1.0 equals the difference in load
    between an empty and a full executor. */
-static const double COST_REMOTE_DATA = 0.7;
+/* For each run time by which a task takes longer far from its data. */
+static const double COST_REMOTE_DATA = 1.4;
 static const double COST_BEST_EFFORT_BESIDE_SERVING = 1.0;
 static const double COST_SERVING_BESIDE_BEST_EFFORT = 1.0;
 static const double COST_SERVING_SPREAD = 1.0;
@@ -214,9 +215,8 @@
     cost = get_base_cost(executor, spec);
     cost += COST_RUN_TIME_RATIO *
             fmax(0, executor->run_time_ratio - NORMAL_RUN_TIME_RATIO);
-    if (spec->data_rack[0] != '\0' &&
-        !sched_executor_has_label(executor, spec->data_rack)) {
-        cost += COST_REMOTE_DATA;
+    if (sched_step_is_remote(step, executor)) {
+        cost += COST_REMOTE_DATA * (placement->remote_factor - 1.0);
     }
     cost += get_best_effort_cost(placement, executor, step);
     if (is_on_probation(placement, executor)) {
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -21,6 +21,8 @@
  *     placed where no processor time is left, or where it raises tail
  *     latencies above target; the agent throttles it there
  * @ignore_trials: also take executors that are closed by a trial
+ * @remote_factor: how many times as long a task runs on another rack than its
+ *     data's
  * @no_trial_since_ms: only executors on which no trial has failed since; 0 for
  *     any
  * @now_ms: monotonic clock
@@ -32,6 +34,7 @@
     const char *rack;
     bool may_overcommit;
     bool ignore_trials;
+    double remote_factor;
     int64_t no_trial_since_ms;
     int64_t now_ms;
 } sched_placement_t;
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -11,6 +11,7 @@
     sched_t *sched = g_new0(sched_t, 1);
 
     sched->opts = *opts;
+    sched->opts.remote_factor = MAX(1.0, opts->remote_factor);
     sched->created_ms = sched_now_ms(sched);
     sched->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     sched->executors = g_hash_table_new(g_str_hash, g_str_equal);
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -36,6 +36,8 @@
  * @evacuation: data centres in which no run may be started; owned by the
  *     caller, which calls sched_note_evacuation() after a change. Nothing is
  *     placed before the set is known. NULL for none.
+ * @remote_factor: how many times as long a task runs on another rack than its
+ *     data's; below 1.0 for 1.0
  */
 typedef struct sched_opts {
     const clock_source_t *clock;
@@ -45,6 +47,7 @@
     int64_t stop_ms;
     size_t record_bytes;
     const evacuation_t *evacuation;
+    double remote_factor;
 } sched_opts_t;
 
 /**
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -94,6 +94,12 @@
 void sched_update_estimate_error(sched_t *sched, const sched_task_t *task,
                                  double ran_ms);
 
+/**
+ * sched_learn_run_time() - learn from the run time of a task that is done
+ * @task: still has the run
+ */
+void sched_learn_run_time(sched_t *sched, sched_task_t *task);
+
 /**
  * sched_sort_jobs() - sort the active jobs by the order of job_order_compare()
  */
--- a/libteasel/sched/sched_place.c
+++ b/libteasel/sched/sched_place.c
@@ -38,6 +38,7 @@
         .executors = &sched->executor_list,
         .interference = sched->interference,
         .evacuation = sched->opts.evacuation,
+        .remote_factor = sched->opts.remote_factor,
         .now_ms = sched_now_ms(sched),
     };
 
--- a/libteasel/sched/sched_report.c
+++ b/libteasel/sched/sched_report.c
@@ -12,9 +12,6 @@
     MIGRATE_SLOWDOWN_PERCENT = 50,
 };
 
-/* Weight of a new run in the moving average of an executor. */
-static const double RUN_TIME_RATIO_WEIGHT = 0.25;
-
 sched_task_t *
 sched_find_task(sched_t *sched, const char *name)
 {
@@ -134,36 +131,13 @@
     sched_finish_job(sched, sched_task_get_job(task), SCHED_JOB_FAILED);
 }
 
-/* Compares the run time with those of the other tasks of the step, because the
-   estimates in job specifications are inaccurate. */
-static void
-update_run_time_ratio(sched_t *sched, sched_task_t *task)
-{
-    sched_step_t *step = task->step;
-    double ran_ms = (double)(sched_now_ms(sched) - task->running_ms);
-
-    if (task->running_ms == 0 || task->checkpoint != NULL ||
-        step->spec->long_running) {
-        return;
-    }
-    sched_update_estimate_error(sched, task, ran_ms);
-    if (step->timed_runs > 0 && step->run_ms_total > 0) {
-        double ratio = ran_ms * step->timed_runs / step->run_ms_total;
-
-        ratio = CLAMP(ratio, 0.25, 4.0) - task->executor->run_time_ratio;
-        task->executor->run_time_ratio += RUN_TIME_RATIO_WEIGHT * ratio;
-    }
-    step->timed_runs++;
-    step->run_ms_total += ran_ms;
-}
-
 static void
 update_executor_health(sched_t *sched, sched_task_t *task, sched_end_t how)
 {
     if (how == SCHED_END_DONE) {
         task->executor->consecutive_failures = 0;
         sched_note_finished(sched, task);
-        update_run_time_ratio(sched, task);
+        sched_learn_run_time(sched, task);
     }
     if (how == SCHED_END_FAILED) {
         sched_count_failure(sched, task);
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -445,6 +445,7 @@
         .stop_ms = opts->stop_ms,
         .record_bytes = opts->record_bytes,
         .evacuation = opts->evacuation,
+        .remote_factor = opts->remote_factor,
     };
 
     leader->opts = *opts;
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -36,6 +36,7 @@
  * @evacuation: evacuated data centres, see sched_opts_t
  * @random: draws the times after which refused callers try again; must outlive
  *     the leader
+ * @remote_factor: see struct sched_opts
  * @get_acked_ms: see cluster_get_acked_ms()
  * @is_alone: whether no other scheduler is known
  * @request_acks: ask the other schedulers to confirm that they follow this
@@ -56,6 +57,7 @@
     size_t record_bytes;
     const evacuation_t *evacuation;
     GRand *random;
+    double remote_factor;
     int64_t (*get_acked_ms)(void *data);
     bool (*is_alone)(void *data);
     void (*request_acks)(void *data);
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -107,6 +107,7 @@
         .record_bytes = (size_t)settings->record_bytes,
         .evacuation = scheduler->evacuation,
         .random = scheduler->random,
+        .remote_factor = settings->remote_run_factor,
         .get_acked_ms = get_acked_ms,
         .is_alone = is_alone,
         .request_acks = request_acks,
--- a/libteasel/scheduler/scheduler.h
+++ b/libteasel/scheduler/scheduler.h
@@ -28,6 +28,9 @@
  * @cpu_share: share of a core that the instance provides, such as "0.25"; the
  *     schedulers with the most lead first
  * @cpu_milli: the same in thousandths
+ * @remote_factor: how many times as long a task runs on another rack than its
+ *     data's, such as "1.5"
+ * @remote_run_factor: the same as a number
  * @max_lease_ms: longest lease that executors accept; upper limit of @lease_ms
  * @record_bytes: longest record that the store takes, with its key
  */
@@ -41,6 +44,8 @@
     char *store_address;
     char *cpu_share;
     uint32_t cpu_milli;
+    char *remote_factor;
+    double remote_run_factor;
     int64_t lease_ms;
     int64_t max_lease_ms;
     int64_t retain_ms;
@@ -55,6 +60,13 @@
 
 bool scheduler_settings_load(const char *path, scheduler_settings_t *out,
                              GError **error);
+
+/**
+ * scheduler_settings_set_remote_factor() - replace the setting remote_factor
+ * @text: a number, or empty for the default
+ */
+bool scheduler_settings_set_remote_factor(scheduler_settings_t *settings,
+                                          const char *text, GError **error);
 void scheduler_settings_clear(scheduler_settings_t *settings);
 
 /**
--- a/tests/support/sched_fixture.h
+++ b/tests/support/sched_fixture.h
@@ -25,6 +25,8 @@
     uint32_t max_per_executor = 0;
     std::string label = "";
     bool checkpointing = false;
+    std::string data_rack = "";
+    uint32_t estimated_ms = 0;
 };
 
 inline Teasel__JobSpec *
@@ -56,7 +58,8 @@
         out->max_per_executor = step.max_per_executor;
         out->checkpointing = step.checkpointing;
         out->required_label = g_strdup(step.label.c_str());
-        out->data_rack = g_strdup("");
+        out->data_rack = g_strdup(step.data_rack.c_str());
+        out->estimated_ms = step.estimated_ms;
         out->image = g_strdup("image");
         out->after = g_new(uint32_t, step.after.size() + 1);
         for (uint32_t before : step.after) {
@@ -181,8 +184,10 @@
     size_t record_bytes;
     int64_t max_lease_ms = 0;
     const evacuation_t *evacuation = nullptr; /* from the next leader on */
+    double remote_factor;
 
-    Core(size_t record_bytes = 262144) : record_bytes(record_bytes)
+    Core(size_t record_bytes = 262144, double remote_factor = 1.5)
+        : record_bytes(record_bytes), remote_factor(remote_factor)
     {
         fake_clock_init(&clock);
         sched = create();
@@ -204,6 +209,7 @@
         opts.stop_ms = 500;
         opts.record_bytes = record_bytes;
         opts.evacuation = evacuation;
+        opts.remote_factor = remote_factor;
         return sched_new(&opts);
     }
     /* Replaces the leader by one that loads the stored records. */
