--- a/tests/unit/job_admission_test.cc
+++ b/tests/unit/job_admission_test.cc
@@ -375,7 +375,7 @@
     EXPECT_EQ(some.refused_with_room, 0);
     EXPECT_GE(some.count_useful(), all.count_useful() * 95 / 100);
     for (int kind = 0; kind < Replay::KINDS; kind++) {
-        EXPECT_GE(some.useful[kind], all.useful[kind] / 2)
+        EXPECT_GE(some.useful[kind], all.useful[kind] * 3 / 4)
             << "of kind " << kind;
     }
 }
