sched: log jobs that stand still, and what they wait for

Only long-running tasks without a run were logged. The logs of a job that could run and did not could not tell a job that pauses between its tasks from one whose placements are lost, from executors that the leader does not use, and from runs that it counts as running.

step-placed now has the time that the job had nothing running, load the number of such jobs, and job-idle (7035) names them after 2.5 s with the executors by why they take no task; those where the task would make a serving task miss its target are counted apart, also in task-idle.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -115,6 +115,7 @@
     EVENT(EVENT_RUNS_EVACUATED, 7033, G_LOG_LEVEL_MESSAGE, "runs-evacuated")  \
     EVENT(EVENT_EVACUATION_UNMATCHED, 7034, G_LOG_LEVEL_WARNING,              \
           "evacuation-unmatched")                                             \
+    EVENT(EVENT_JOB_IDLE, 7035, G_LOG_LEVEL_MESSAGE, "job-idle")              \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -244,6 +244,21 @@
     return count_tasks(job, is_placed);
 }
 
+const sched_step_t *
+sched_job_get_waiting_step(const sched_job_t *job)
+{
+    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
+        for (size_t i = 0; i < job->spec->n_steps; i++) {
+            const sched_step_t *step = &occurrence->steps[i];
+
+            if (step->waiting > 0 && sched_step_is_ready(step)) {
+                return step;
+            }
+        }
+    }
+    return NULL;
+}
+
 int64_t
 sched_job_get_start_ms(const sched_job_t *job, uint32_t occurrence)
 {
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -258,6 +258,12 @@
  */
 uint32_t sched_job_count_placed(const sched_job_t *job);
 
+/**
+ * sched_job_get_waiting_step() - return the first step that is ready and has
+ * waiting tasks, or NULL
+ */
+const sched_step_t *sched_job_get_waiting_step(const sched_job_t *job);
+
 /**
  * sched_job_get_start_ms() - return the wall-clock time at which an occurrence
  * may start, 0 if the job does not repeat
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -16,17 +16,20 @@
 };
 
 static void
-log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms)
+log_placed(const sched_step_t *step, uint32_t placed, int64_t now_ms,
+           int64_t idle_ms)
 {
     const sched_job_t *job = step->occurrence->job;
 
     if (placed > 0) {
         event_log(EVENT_STEP_PLACED,
                   "job=%s occurrence=%u step=%u placed=%u waiting=%u "
-                  "filler=%d target_ms=%u age_ms=%" G_GINT64_FORMAT,
+                  "filler=%d target_ms=%u age_ms=%" G_GINT64_FORMAT
+                  " idle_ms=%" G_GINT64_FORMAT,
                   job->spec->id, step->occurrence->number, step->number,
                   placed, step->waiting, step->spec->filler,
-                  step->spec->latency_target_ms, now_ms - job->known_since_ms);
+                  step->spec->latency_target_ms, now_ms - job->known_since_ms,
+                  idle_ms);
     }
 }
 
@@ -252,11 +255,19 @@
     return false;
 }
 
+/* How long the job has had no running task, in ms. */
+static int64_t
+get_idle_ms(const pass_t *pass, const sched_job_t *job)
+{
+    return job->idle_since_ms != 0 ? pass->now_ms - job->idle_since_ms : 0;
+}
+
 void
 pass_place_tasks(pass_t *pass, sched_step_t *step)
 {
     sched_job_t *job = step->occurrence->job;
     uint32_t waiting = step->waiting;
+    int64_t idle_ms = get_idle_ms(pass, job);
 
     if (!has_taken_task(pass, step)) {
         return;
@@ -275,5 +286,5 @@
     if (step->waiting == 0) {
         count_start(pass->sched, job);
     }
-    log_placed(step, waiting - step->waiting, pass->now_ms);
+    log_placed(step, waiting - step->waiting, pass->now_ms, idle_ms);
 }
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -238,8 +238,8 @@
 void sched_log_load(const sched_t *sched);
 
 /**
- * sched_log_idle() - log long-running tasks that have had no run for some
- * time, and why
+ * sched_log_idle() - log long-running tasks and other jobs that have had no
+ * run for some time, and why
  */
 void sched_log_idle(const sched_t *sched);
 
--- a/libteasel/sched/sched_idle_log.c
+++ b/libteasel/sched/sched_idle_log.c
@@ -1,4 +1,7 @@
-/* Logs long-running tasks without a run, and what each of them waits for. */
+/* Logs long-running tasks and other jobs without a run, and what each of them
+   waits for. */
+
+#include <math.h>
 
 #include "base/events.h"
 #include "sched/placement.h"
@@ -8,6 +11,9 @@
     /* Covers a restart of the executor and the delay after failures. */
     IDLE_LOG_MS = 4000,
     MAX_LOGGED_TASKS = 4,
+    /* A best-effort job may overcommit an executor before. */
+    IDLE_JOB_LOG_MS = 2500,
+    MAX_LOGGED_JOBS = 4,
 };
 
 int64_t
@@ -56,32 +62,49 @@
               executor->expiry_ms - now_ms);
 }
 
-static void
-log_waiting(const sched_t *sched, const sched_task_t *task, const char *name,
-            int64_t idle_ms)
+/* Returns the number of executors by why they don't take a task of a step, and
+   of those that have room where it would disturb serving tasks. */
+static GString *
+count_refusals(const sched_t *sched, const sched_step_t *step)
 {
-    sched_placement_t placement = {
-        .executors = &sched->executor_list,
-        .interference = sched->interference,
-        .evacuation = sched->opts.evacuation,
-        .now_ms = sched_now_ms(sched),
-    };
+    sched_placement_t placement =
+        sched_new_placement(sched, step->occurrence->job);
     unsigned counts[SCHED_REFUSAL_COUNT] = {0};
-    g_autoptr(GString) text = g_string_new(NULL);
+    unsigned disturbed = 0;
+    GString *text = g_string_new(NULL);
 
+    placement.may_overcommit = false;
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
-        counts[sched_placement_check(&placement, executor, task->step)]++;
+        sched_refusal_t refusal =
+            sched_placement_check(&placement, executor, step);
+
+        counts[refusal]++;
+        disturbed +=
+            refusal == SCHED_REFUSAL_NONE &&
+            isinf(sched_placement_get_cost(&placement, executor, step));
     }
     for (unsigned i = 0; i < SCHED_REFUSAL_COUNT; i++) {
         g_string_append_printf(text, " %s=%u",
                                sched_refusal_to_string((sched_refusal_t)i),
                                counts[i]);
     }
+    g_string_append_printf(text, " disturbed=%u", disturbed);
+    return text;
+}
+
+static void
+log_waiting(const sched_t *sched, const sched_task_t *task, const char *name,
+            int64_t idle_ms)
+{
+    GString *refusals = count_refusals(sched, task->step);
+
     event_log(EVENT_TASK_IDLE,
               "task=%s run=%u idle_ms=%" G_GINT64_FORMAT
               " delay_ms=%" G_GINT64_FORMAT "%s",
               name, task->run, idle_ms,
-              MAX(0, task->not_before_ms - placement.now_ms), text->str);
+              MAX(0, task->not_before_ms - sched_now_ms(sched)),
+              refusals->str);
+    g_string_free(refusals, TRUE);
 }
 
 static void
@@ -119,8 +142,8 @@
     return logged;
 }
 
-void
-sched_log_idle(const sched_t *sched)
+static void
+log_tasks(const sched_t *sched)
 {
     unsigned logged = 0;
 
@@ -134,3 +157,48 @@
         }
     }
 }
+
+/* Returns whether the job was logged. */
+static bool
+log_job(const sched_t *sched, const sched_job_t *job)
+{
+    int64_t idle_ms = sched_now_ms(sched) - job->idle_since_ms;
+    const sched_step_t *step;
+    GString *refusals;
+
+    if (job->idle_since_ms == 0 || idle_ms < IDLE_JOB_LOG_MS) {
+        return false;
+    }
+    step = sched_job_get_waiting_step(job);
+    if (step == NULL || step->spec->long_running) {
+        return false;
+    }
+    refusals = count_refusals(sched, step);
+    event_log(EVENT_JOB_IDLE,
+              "job=%s step=%u waiting=%u filler=%d idle_ms=%" G_GINT64_FORMAT
+              "%s",
+              job->spec->id, step->number, step->waiting, step->spec->filler,
+              idle_ms, refusals->str);
+    g_string_free(refusals, TRUE);
+    return true;
+}
+
+static void
+log_jobs(const sched_t *sched)
+{
+    unsigned logged = 0;
+
+    LIST_FOREACH (job, &sched->active_jobs, sched_job_t, link) {
+        if (logged == MAX_LOGGED_JOBS) {
+            return;
+        }
+        logged += log_job(sched, job);
+    }
+}
+
+void
+sched_log_idle(const sched_t *sched)
+{
+    log_tasks(sched);
+    log_jobs(sched);
+}
--- a/libteasel/sched/sched_load_log.c
+++ b/libteasel/sched/sched_load_log.c
@@ -9,6 +9,7 @@
     unsigned placed;
     unsigned waiting;
     unsigned waiting_best_effort;
+    unsigned idle_jobs; /* with waiting tasks and none that runs */
     unsigned best_effort;
     unsigned slowed; /* best-effort tasks below half of their speed */
     unsigned serving;
@@ -39,6 +40,8 @@
 static void
 add_job(load_summary_t *load, const sched_job_t *job)
 {
+    load->idle_jobs +=
+        job->running == 0 && sched_job_get_waiting_step(job) != NULL;
     LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
         for (size_t i = 0; i < job->spec->n_steps; i++) {
             const sched_step_t *step = &occurrence->steps[i];
@@ -70,14 +73,15 @@
     LIST_FOREACH (job, &sched->active_jobs, sched_job_t, link) {
         add_job(&load, job);
     }
-    event_log(EVENT_LOAD,
-              "executors=%u connected=%u placed=%u waiting=%u "
-              "waiting_fillers=%u fillers=%u slowed=%u serving=%u missed=%u "
-              "room_cpu=%" G_GUINT64_FORMAT " reserved_cpu=%" G_GUINT64_FORMAT
-              " filler_cpu=%" G_GUINT64_FORMAT
-              " filler_use=%" G_GUINT64_FORMAT,
-              load.executors, load.connected, load.placed, load.waiting,
-              load.waiting_best_effort, load.best_effort, load.slowed,
-              load.serving, load.missed, load.capacity_cpu, load.reserved_cpu,
-              load.best_effort_cpu, load.best_effort_used_cpu);
+    event_log(
+        EVENT_LOAD,
+        "executors=%u connected=%u placed=%u waiting=%u "
+        "waiting_fillers=%u idle_jobs=%u fillers=%u slowed=%u serving=%u "
+        "missed=%u "
+        "room_cpu=%" G_GUINT64_FORMAT " reserved_cpu=%" G_GUINT64_FORMAT
+        " filler_cpu=%" G_GUINT64_FORMAT " filler_use=%" G_GUINT64_FORMAT,
+        load.executors, load.connected, load.placed, load.waiting,
+        load.waiting_best_effort, load.idle_jobs, load.best_effort,
+        load.slowed, load.serving, load.missed, load.capacity_cpu,
+        load.reserved_cpu, load.best_effort_cpu, load.best_effort_used_cpu);
 }
--- a/libteasel/sched/sched_sort.c
+++ b/libteasel/sched/sched_sort.c
@@ -54,21 +54,6 @@
     }
 }
 
-static bool
-has_ready_tasks(const sched_job_t *job)
-{
-    LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t, link) {
-        for (size_t i = 0; i < job->spec->n_steps; i++) {
-            const sched_step_t *step = &occurrence->steps[i];
-
-            if (step->waiting > 0 && sched_step_is_ready(step)) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 static bool
 may_be_favoured(const sched_t *sched, const sched_job_t *job)
 {
@@ -103,7 +88,7 @@
 
         check_started_job(sched, job);
         job->favoured &= job->outlook != JOB_OUTLOOK_TOO_LATE;
-        if (job->favoured && has_ready_tasks(job)) {
+        if (job->favoured && sched_job_get_waiting_step(job) != NULL) {
             g_hash_table_add(favoured, job->spec->queue);
         }
     }
--- a/tests/unit/sched_idle_test.cc
+++ b/tests/unit/sched_idle_test.cc
@@ -1,4 +1,4 @@
-/* The log lines on long-running tasks without a run. */
+/* The log lines on long-running tasks and other jobs without a run. */
 
 #include <gtest/gtest.h>
 
@@ -78,4 +78,33 @@
         << lines[0];
 }
 
+// Guards against a job that stands still without a line that tells why no
+// executor takes its tasks.
+TEST(SchedIdle, SaysWhyAJobHasNothingRunning)
+{
+    Core core;
+    Report report(A, 2000);
+
+    core.report(report);
+    sched_submit(core.sched, make_spec("j", {{.count = 2, .cpu = 3000}}));
+    core.run_and_commit();
+    keep_log_lines();
+    fake_clock_advance_ms(&core.clock, 2400);
+    sched_log_idle(core.sched);
+    EXPECT_TRUE(lines_of("job-idle").empty());
+
+    fake_clock_advance_ms(&core.clock, 200);
+    sched_log_idle(core.sched);
+    auto lines = lines_of("job-idle");
+
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_NE(lines[0].find("job=j step=0 waiting=2 filler=0 idle_ms=2600 "
+                            "none=0"),
+              std::string::npos)
+        << lines[0];
+    EXPECT_NE(lines[0].find("resources=1 constraints=0 disturbed=0"),
+              std::string::npos)
+        << lines[0];
+}
+
 } // namespace
