sched: let a best-effort job that has begun go on without a pause

Cause: a job whose tasks would disturb serving tasks on every executor may overcommit one after 2 s without a run, and the time counted anew for each task.

Now the wait of 2 s is for jobs that have not begun, and for executors most of whose processors are reserved. A job that has begun may overcommit one of the other executors as soon as none of its tasks runs or is being started.

The property of demand lists now draws the kind of overcommitment, and the models recount starting tasks.

--- a/libteasel/sched/demand.c
+++ b/libteasel/sched/demand.c
@@ -11,7 +11,7 @@
     const char *service;
     const Teasel__StepSpec *spec;
     uint16_t image_id;
-    bool may_overcommit;
+    sched_overcommit_t overcommit;
 } demand_t;
 
 struct demand_list {
@@ -35,13 +35,13 @@
 }
 
 static demand_t
-get_demand(const sched_step_t *step, bool may_overcommit)
+get_demand(const sched_step_t *step, sched_overcommit_t overcommit)
 {
     return (demand_t){
         .service = step->occurrence->job->spec->service,
         .spec = step->spec,
         .image_id = sched_step_get_image_id(step),
-        .may_overcommit = may_overcommit,
+        .overcommit = overcommit,
     };
 }
 
@@ -61,8 +61,8 @@
     return a->spec->filler == b->spec->filler &&
            a->spec->long_running == b->spec->long_running &&
            (!a->spec->filler ||
-            (a->may_overcommit == b->may_overcommit &&
-             a->image_id == b->image_id && a->image_id != SCHED_NO_IMAGE)) &&
+            (a->overcommit == b->overcommit && a->image_id == b->image_id &&
+             a->image_id != SCHED_NO_IMAGE)) &&
            strcmp(a->service, b->service) == 0;
 }
 
@@ -78,9 +78,9 @@
 
 void
 demand_list_add(demand_list_t *list, const sched_step_t *step,
-                bool may_overcommit)
+                sched_overcommit_t overcommit)
 {
-    demand_t demand = get_demand(step, may_overcommit);
+    demand_t demand = get_demand(step, overcommit);
 
     /* A limit on the tasks of the step may have been the reason. */
     if (step->spec->max_per_executor == 0 &&
@@ -91,9 +91,9 @@
 
 bool
 demand_list_covers(const demand_list_t *list, const sched_step_t *step,
-                   bool may_overcommit)
+                   sched_overcommit_t overcommit)
 {
-    demand_t demand = get_demand(step, may_overcommit);
+    demand_t demand = get_demand(step, overcommit);
 
     for (guint i = 0; i < list->demands->len; i++) {
         if (implies(&g_array_index(list->demands, demand_t, i), &demand)) {
--- a/libteasel/sched/demand.h
+++ b/libteasel/sched/demand.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
-#include "sched/job.h"
+#include "sched/placement.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -27,14 +27,14 @@
  * a step
  */
 void demand_list_add(demand_list_t *list, const sched_step_t *step,
-                     bool may_overcommit);
+                     sched_overcommit_t overcommit);
 
 /**
  * demand_list_covers() - check whether a recorded demand implies that no
  * executor has the resources for a task of a step
  */
 bool demand_list_covers(const demand_list_t *list, const sched_step_t *step,
-                        bool may_overcommit);
+                        sched_overcommit_t overcommit);
 
 #ifdef __cplusplus
 }
--- a/libteasel/sched/job.c
+++ b/libteasel/sched/job.c
@@ -296,6 +296,8 @@
 
     job->running -= task->phase == SCHED_TASK_RUNNING;
     job->running += phase == SCHED_TASK_RUNNING;
+    job->starting -= task->phase == SCHED_TASK_PLACED;
+    job->starting += phase == SCHED_TASK_PLACED;
     if (task->executor != NULL) {
         task->executor->stopping -= task->phase == SCHED_TASK_STOPPING;
         task->executor->stopping += phase == SCHED_TASK_STOPPING;
--- a/libteasel/sched/job.h
+++ b/libteasel/sched/job.h
@@ -177,6 +177,7 @@
  * @image_ids: number of the image of each step, see
  *     interference_get_image_id()
  * @running: number of tasks in phase SCHED_TASK_RUNNING
+ * @starting: number of tasks in phase SCHED_TASK_PLACED
  * @outlook: a job_outlook_t, as of the last sort of the jobs
  * @size_class: a size_class_t among the jobs of its queue
  * @favoured: goes before smaller jobs, see size_share.h
@@ -205,6 +206,7 @@
     list_t occurrences;
     uint16_t *image_ids;
     uint32_t running;
+    uint32_t starting;
     int64_t finished_ms;
     uint8_t outlook;
     uint8_t size_class;
--- a/libteasel/sched/job_record.c
+++ b/libteasel/sched/job_record.c
@@ -386,6 +386,7 @@
         task->phase = SCHED_TASK_WAITING;
         step->waiting++;
     }
+    sched_task_get_job(task)->starting += task->phase == SCHED_TASK_PLACED;
 }
 
 static void
--- a/libteasel/sched/pass_step.c
+++ b/libteasel/sched/pass_step.c
@@ -85,6 +85,13 @@
     return false;
 }
 
+static bool
+may_overcommit(const pass_t *pass, const sched_task_t *task)
+{
+    return sched_get_overcommit(pass->sched, task, pass->now_ms) !=
+           SCHED_OVERCOMMIT_NONE;
+}
+
 /* Tasks that avoid an executor have costs of their own. So have tasks that may
    overcommit one; the first task of an idle job ends the idle time by its
    placement. A task on trial keeps other tasks away from its executor. */
@@ -92,8 +99,7 @@
 is_special(const pass_t *pass, const sched_task_t *task)
 {
     return task->avoided != NULL || task->crashed_worker != 0 ||
-           sched_task_is_suspect(task) ||
-           sched_may_overcommit(pass->sched, task, pass->now_ms);
+           sched_task_is_suspect(task) || may_overcommit(pass, task);
 }
 
 /* Suspects that go first may find no executor only because trials have just
@@ -124,8 +130,7 @@
 
     for (uint32_t i = 0; i < step->spec->count; i++) {
         sched_task_t *task = &step->tasks[i];
-        bool overcommits =
-            sched_may_overcommit(pass->sched, task, pass->now_ms);
+        bool overcommits = may_overcommit(pass, task);
         bool tried_first = is_tried_first(pass, task);
         sched_executor_t *executor;
 
@@ -206,18 +211,24 @@
     }
 }
 
-static bool
-has_overcommitting_task(const pass_t *pass, const sched_step_t *step)
+/* Returns which executors the tasks of a step may overcommit. */
+static sched_overcommit_t
+get_step_overcommit(const pass_t *pass, const sched_step_t *step)
 {
+    sched_overcommit_t most = SCHED_OVERCOMMIT_NONE;
+
+    if (!step->spec->filler) {
+        return most;
+    }
     for (uint32_t i = 0; i < step->spec->count; i++) {
         const sched_task_t *task = &step->tasks[i];
 
-        if (is_taken(pass, task) && is_special(pass, task) &&
-            sched_may_overcommit(pass->sched, task, pass->now_ms)) {
-            return true;
+        if (is_taken(pass, task)) {
+            most = MAX(most,
+                       sched_get_overcommit(pass->sched, task, pass->now_ms));
         }
     }
-    return false;
+    return most;
 }
 
 /* Checks whether a trial keeps a task from an executor with room for it. */
@@ -273,14 +284,13 @@
         return;
     }
     if (demand_list_covers(pass->failed, step,
-                           has_overcommitting_task(pass, step))) {
+                           get_step_overcommit(pass, step))) {
         pass->overdue |= has_overdue_task(pass, step);
         return;
     }
     if (!place_special_tasks(pass, step) ||
         (has_equal_task(pass, step) && !place_equal_tasks(pass, step))) {
-        demand_list_add(pass->failed, step,
-                        has_overcommitting_task(pass, step));
+        demand_list_add(pass->failed, step, get_step_overcommit(pass, step));
     }
     pass->overdue |= has_overdue_task(pass, step);
     if (step->waiting == 0) {
--- a/libteasel/sched/placement.c
+++ b/libteasel/sched/placement.c
@@ -25,6 +25,8 @@
     /* No slack is left where a best-effort task is throttled more than
        this. */
     MAX_SLOWDOWN_PERCENT = 20,
+    /* Up to this share most processors of an executor aren't reserved. */
+    UNRESERVED_PERCENT = 50,
 };
 
 /* Best-effort tasks are added up to this predicted ratio of tail latency to
@@ -51,6 +53,21 @@
     return refusal_names[refusal];
 }
 
+static bool
+may_overcommit(const sched_placement_t *placement,
+               const sched_executor_t *executor)
+{
+    switch (placement->overcommit) {
+    case SCHED_OVERCOMMIT_ANY:
+        return true;
+    case SCHED_OVERCOMMIT_UNRESERVED:
+        return executor->reserved.cpu_milli * 100 <=
+               executor->capacity.cpu_milli * UNRESERVED_PERCENT;
+    default:
+        return false;
+    }
+}
+
 bool
 sched_placement_has_resources(const sched_placement_t *placement,
                               const sched_executor_t *executor,
@@ -62,7 +79,7 @@
 
     /* Best-effort tasks use the CPU that other tasks leave unused, so they
        need some to be unused unless they may overcommit the executor. */
-    if (step->filler && placement->may_overcommit) {
+    if (step->filler && may_overcommit(placement, executor)) {
         cpu = 0;
     }
     else if (step->filler) {
@@ -193,7 +210,7 @@
         return COST_BEST_EFFORT_BESIDE_SERVING * prediction.effect /
                fmax(slack, NEGLIGIBLE_EFFECT);
     }
-    if (!placement->may_overcommit) {
+    if (!may_overcommit(placement, executor)) {
         return INFINITY;
     }
     return COST_BEST_EFFORT_BESIDE_SERVING *
--- a/libteasel/sched/placement.h
+++ b/libteasel/sched/placement.h
@@ -11,15 +11,22 @@
 extern "C" {
 #endif
 
+/* Where a best-effort task may be placed although no processor time is left
+   there, or although it raises tail latencies above target; the agent
+   throttles it there. */
+typedef enum sched_overcommit {
+    SCHED_OVERCOMMIT_NONE,
+    SCHED_OVERCOMMIT_UNRESERVED, /* most processors aren't reserved there */
+    SCHED_OVERCOMMIT_ANY,
+} sched_overcommit_t;
+
 /**
  * struct sched_placement - inputs of a placement decision
  * @executors: list of sched_executor_t
  * @interference: model of the effect of best-effort tasks on serving tasks
  * @evacuation: no executor in these data centres; NULL for none
  * @rack: only executors in this rack; NULL for any
- * @may_overcommit: a best-effort task has waited for so long that it may be
- *     placed where no processor time is left, or where it raises tail
- *     latencies above target; the agent throttles it there
+ * @overcommit: which executors a best-effort task may overcommit
  * @ignore_trials: also take executors that are closed by a trial
  * @remote_factor: how many times as long a task runs on another rack than its
  *     data's
@@ -32,7 +39,7 @@
     const interference_t *interference;
     const evacuation_t *evacuation;
     const char *rack;
-    bool may_overcommit;
+    sched_overcommit_t overcommit;
     bool ignore_trials;
     double remote_factor;
     int64_t no_trial_since_ms;
--- a/libteasel/sched/sched_idle_log.c
+++ b/libteasel/sched/sched_idle_log.c
@@ -73,7 +73,7 @@
     unsigned disturbed = 0;
     GString *text = g_string_new(NULL);
 
-    placement.may_overcommit = false;
+    placement.overcommit = SCHED_OVERCOMMIT_NONE;
     LIST_FOREACH (executor, &sched->executor_list, sched_executor_t, link) {
         sched_refusal_t refusal =
             sched_placement_check(&placement, executor, step);
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -160,11 +160,12 @@
 void sched_repeat_orders(sched_t *sched, sched_executor_t *executor);
 
 /**
- * sched_may_overcommit() - check whether a best-effort task has waited for so
- * long that it may overcommit an executor
+ * sched_get_overcommit() - return which executors a task may overcommit, as it
+ * is a best-effort one whose job stands still
  */
-bool sched_may_overcommit(const sched_t *sched, const sched_task_t *task,
-                          int64_t now_ms);
+sched_overcommit_t sched_get_overcommit(const sched_t *sched,
+                                        const sched_task_t *task,
+                                        int64_t now_ms);
 
 /**
  * sched_new_placement() - return the inputs of a decision for the tasks of a
--- a/libteasel/sched/sched_place.c
+++ b/libteasel/sched/sched_place.c
@@ -3,32 +3,48 @@
 #include "sched/sched_internal.h"
 
 enum {
-    /* The best-effort tasks of a job without a running task for this long, and
-       lasting ones without a run, may overcommit an executor. */
+    /* The best-effort tasks of a job that stands still for this long, and
+       lasting ones without a run, may overcommit any executor. */
     IDLE_TIMEOUT_MS = 2000,
 };
 
+/* A job that has begun goes on without a pause where there is most room:
+   otherwise it would pause before each of its tasks, and stand still most of
+   the time. One start at a time is enough for that. */
+static sched_overcommit_t
+get_job_overcommit(const sched_job_t *job, int64_t now_ms)
+{
+    if (job->idle_since_ms == 0) {
+        return SCHED_OVERCOMMIT_NONE;
+    }
+    if (now_ms - job->idle_since_ms > IDLE_TIMEOUT_MS) {
+        return SCHED_OVERCOMMIT_ANY;
+    }
+    return job->started && job->starting == 0 ? SCHED_OVERCOMMIT_UNRESERVED
+                                              : SCHED_OVERCOMMIT_NONE;
+}
+
 static bool
-is_idle(const sched_job_t *job, int64_t now_ms)
+is_overdue_lasting(const sched_t *sched, const sched_task_t *task,
+                   int64_t now_ms)
 {
-    return job->idle_since_ms != 0 &&
-           now_ms - job->idle_since_ms > IDLE_TIMEOUT_MS;
+    return task->step->spec->long_running &&
+           task->phase == SCHED_TASK_WAITING &&
+           now_ms - sched_get_idle_since_ms(sched, task) > IDLE_TIMEOUT_MS;
 }
 
 /* A job makes progress with one of its tasks, but each lasting task has to
    run. */
-bool
-sched_may_overcommit(const sched_t *sched, const sched_task_t *task,
+sched_overcommit_t
+sched_get_overcommit(const sched_t *sched, const sched_task_t *task,
                      int64_t now_ms)
 {
-    const Teasel__StepSpec *spec = task->step->spec;
-
-    if (is_idle(sched_task_get_job(task), now_ms)) {
-        return true;
+    if (!task->step->spec->filler) {
+        return SCHED_OVERCOMMIT_NONE;
     }
-    return spec->long_running && spec->filler &&
-           task->phase == SCHED_TASK_WAITING &&
-           now_ms - sched_get_idle_since_ms(sched, task) > IDLE_TIMEOUT_MS;
+    return is_overdue_lasting(sched, task, now_ms)
+               ? SCHED_OVERCOMMIT_ANY
+               : get_job_overcommit(sched_task_get_job(task), now_ms);
 }
 
 sched_placement_t
@@ -42,7 +58,7 @@
         .now_ms = sched_now_ms(sched),
     };
 
-    placement.may_overcommit = is_idle(job, placement.now_ms);
+    placement.overcommit = get_job_overcommit(job, placement.now_ms);
     return placement;
 }
 
@@ -52,8 +68,7 @@
     sched_placement_t placement =
         sched_new_placement(sched, sched_task_get_job(task));
 
-    placement.may_overcommit =
-        sched_may_overcommit(sched, task, placement.now_ms);
+    placement.overcommit = sched_get_overcommit(sched, task, placement.now_ms);
     return placement;
 }
 
--- a/tests/support/sched_world.h
+++ b/tests/support/sched_world.h
@@ -461,11 +461,12 @@
                task->phase == SCHED_TASK_RUNNING ||
                task->phase == SCHED_TASK_STOPPING;
     }
-    /* Returns the number of running tasks. */
-    uint32_t
+    /* Returns the numbers of running and of starting tasks. */
+    std::pair<uint32_t, uint32_t>
     recount_step(const sched_job_t *job, const sched_step_t *step)
     {
         uint32_t running = 0;
+        uint32_t starting = 0;
         uint32_t waiting = 0;
         uint32_t finished = 0;
 
@@ -475,26 +476,32 @@
             waiting += task->phase == SCHED_TASK_WAITING;
             finished += task->phase == SCHED_TASK_DONE;
             running += task->phase == SCHED_TASK_RUNNING;
+            starting += task->phase == SCHED_TASK_PLACED;
             expect(is_placed(task) == (task->executor != nullptr),
                    "phase and executor");
             expect(!task->on_trial || is_placed(task), "on_trial");
         }
         expect(step->done == finished, "done");
         expect(step->waiting == waiting || sched_job_is_final(job), "waiting");
-        return running;
+        return {running, starting};
     }
     void
     recount_job(const sched_job_t *job)
     {
         uint32_t running = 0;
+        uint32_t starting = 0;
 
         LIST_FOREACH (occurrence, &job->occurrences, sched_occurrence_t,
                       link) {
             for (size_t i = 0; i < job->spec->n_steps; i++) {
-                running += recount_step(job, &occurrence->steps[i]);
+                auto counts = recount_step(job, &occurrence->steps[i]);
+
+                running += counts.first;
+                starting += counts.second;
             }
         }
         expect(job->running == running, "running");
+        expect(job->starting == starting, "starting");
     }
     void
     recount()
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -180,14 +180,17 @@
     for (int i = 0; i < 12; i++) {
         sched_step_t *step = site.add_step(draw_step(), draw_image());
         sched_placement_t placement = site.placement();
-        sched_executor_t *executor =
-            sched_placement_choose(&placement, &step->tasks[0]);
+        auto overcommit = static_cast<sched_overcommit_t>(
+            *rc::gen::inRange<int>(0, SCHED_OVERCOMMIT_ANY + 1));
+        sched_executor_t *executor;
 
-        if (demand_list_covers(failed, step, false)) {
+        placement.overcommit = overcommit;
+        executor = sched_placement_choose(&placement, &step->tasks[0]);
+        if (demand_list_covers(failed, step, overcommit)) {
             RC_ASSERT(executor == nullptr);
         }
         if (executor == nullptr) {
-            demand_list_add(failed, step, false);
+            demand_list_add(failed, step, overcommit);
         }
         else {
             sched_executor_attach(executor, &step->tasks[0]);
@@ -207,10 +210,15 @@
 
     small.best_effort = large.best_effort = true;
     large.cpu = 2000;
-    demand_list_add(failed, site.add_step(small, "a"), false);
-    EXPECT_TRUE(demand_list_covers(failed, site.add_step(large, "a"), false));
-    EXPECT_FALSE(demand_list_covers(failed, site.add_step(large, "b"), false));
-    EXPECT_FALSE(demand_list_covers(failed, site.add_step(large, "a"), true));
+    demand_list_add(failed, site.add_step(small, "a"), SCHED_OVERCOMMIT_NONE);
+    EXPECT_TRUE(demand_list_covers(failed, site.add_step(large, "a"),
+                                   SCHED_OVERCOMMIT_NONE));
+    EXPECT_FALSE(demand_list_covers(failed, site.add_step(large, "b"),
+                                    SCHED_OVERCOMMIT_NONE));
+    EXPECT_FALSE(demand_list_covers(failed, site.add_step(large, "a"),
+                                    SCHED_OVERCOMMIT_UNRESERVED));
+    EXPECT_FALSE(demand_list_covers(failed, site.add_step(large, "a"),
+                                    SCHED_OVERCOMMIT_ANY));
     demand_list_free(failed);
 }
 
