tests: look for jobs that stand still in the timed model of the leader

The model looked at tasks that last only; no test looked at whether a job of tasks that end stands still in calm time, with room for its tasks twice over. The bound is the rule's 3 s.

--- a/tests/unit/sched_lasting_time_test.cc
+++ b/tests/unit/sched_lasting_time_test.cc
@@ -6,8 +6,8 @@
  * executors crash, restart under their id, are lost, drain and change their
  * capacity, agents are silent, and leaders change. In the pauses between the
  * bursts, as in any other calm time, a task may not wait while executors have
- * room for it twice over. TEASEL_MODEL gives the first seed and the number of
- * seeds, as in "100:50".
+ * room for it twice over, nor may a job of tasks that end stand still.
+ * TEASEL_MODEL gives the first seed and the number of seeds, as in "100:50".
  */
 
 #include <gtest/gtest.h>
@@ -40,10 +40,11 @@
 };
 
 struct TimedWorld : SchedWorld {
-    std::map<std::string, Observed> observed; /* by lasting task */
-    std::set<std::string> hopeless;           /* jobs */
-    std::set<std::string> deadly;             /* tasks */
-    std::vector<int64_t> connected_since_ms;  /* by executor, or 0 */
+    std::map<std::string, Observed> observed;      /* by lasting task */
+    std::map<std::string, Observed> observed_jobs; /* of tasks that end */
+    std::set<std::string> hopeless;                /* jobs */
+    std::set<std::string> deadly;                  /* tasks */
+    std::vector<int64_t> connected_since_ms;       /* by executor, or 0 */
     int64_t calm_since_ms = 0;
     unsigned failure_chance;
     uint32_t lasting_cpu = 0;
@@ -73,6 +74,9 @@
         for (uint32_t i = 0; step.long_running && i < step.count; i++) {
             observed[name_task(id, i)] = {now(), 0, false};
         }
+        if (!step.long_running) {
+            observed_jobs[id] = {now(), 0, false};
+        }
     }
     /* More tasks that last than fit. */
     void
@@ -299,10 +303,8 @@
         return room >= 2;
     }
     void
-    observe_task(const std::string &name, Observed &task, bool room)
+    observe_runs(Observed &task, bool runs, bool room)
     {
-        bool runs = count_runs(name) > 0;
-
         if (runs || task.runs) {
             task.last_end_ms = now();
         }
@@ -367,13 +369,56 @@
             if (sched_job_is_final(job)) {
                 continue;
             }
-            observe_task(name, task,
+            observe_runs(task, count_runs(name) > 0,
                          has_room_twice(id) && !is_contained(name));
             if (waits_too_long(task)) {
                 violations.push_back(describe(name));
             }
         }
     }
+    int
+    count_job_runs(const std::string &id)
+    {
+        int count = 0;
+
+        for (uint32_t i = 0; i < steps[id].count; i++) {
+            count += count_runs(name_task(id, i));
+        }
+        return count;
+    }
+    std::string
+    find_waiting_task(const std::string &id)
+    {
+        for (uint32_t i = 0; i < steps[id].count; i++) {
+            std::string name = name_task(id, i);
+
+            if (sched_find_task(core.sched, name.c_str())->phase ==
+                SCHED_TASK_WAITING) {
+                return name;
+            }
+        }
+        return "";
+    }
+    void
+    observe_jobs()
+    {
+        for (auto &[id, entry] : observed_jobs) {
+            sched_job_t *job = sched_find(core.sched, id.c_str());
+            std::string waiting;
+
+            if (sched_job_is_final(job)) {
+                continue;
+            }
+            waiting = find_waiting_task(id);
+            observe_runs(entry, count_job_runs(id) > 0,
+                         !waiting.empty() && has_room_twice(id));
+            if (entry.room_since_ms != 0 &&
+                now() - entry.room_since_ms >= ROOM_MS &&
+                now() - calm_since_ms >= CALM_MS) {
+                violations.push_back("job stands still: " + describe(waiting));
+            }
+        }
+    }
 
     /* The passing of time. */
 
@@ -412,6 +457,7 @@
         }
         recount();
         observe();
+        observe_jobs();
     }
     void
     run_for(int64_t ms)
