leader: log on what a leader extends leases without the store

A leader whose writes fail extends leases if all other schedulers confirm that they follow it, or if it knows no other one.

--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -116,6 +116,8 @@
     EVENT(EVENT_EVACUATION_UNMATCHED, 7034, G_LOG_LEVEL_WARNING,              \
           "evacuation-unmatched")                                             \
     EVENT(EVENT_JOB_IDLE, 7035, G_LOG_LEVEL_MESSAGE, "job-idle")              \
+    EVENT(EVENT_LEASES_UNCONFIRMED, 7036, G_LOG_LEVEL_WARNING,                \
+          "leases-unconfirmed")                                               \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -62,6 +62,14 @@
     bool proven;
 } request_t;
 
+/* What allows a leader to extend leases while the store doesn't confirm it. */
+typedef enum lease_basis {
+    LEASE_BASIS_STORE, /* it does confirm it */
+    LEASE_BASIS_ACKNOWLEDGED,
+    LEASE_BASIS_ALONE,
+    LEASE_BASIS_NONE,
+} lease_basis_t;
+
 typedef enum leader_stage {
     LEADER_FENCING, /* sets the epoch in the store */
     LEADER_LOADING, /* reads the stored jobs */
@@ -104,6 +112,7 @@
     uint64_t proven_attempt; /* number of the newest one that succeeded */
     int64_t confirmed_ms;    /* when that one was made */
     bool writes_failing;
+    lease_basis_t lease_basis; /* of the last lease that was granted */
     int64_t load_logged_ms;
 
     uint64_t accepted;
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -96,12 +96,52 @@
     return MAX(0, leader->opts.lease_ms - leader_get_proof_age_ms(leader));
 }
 
+static const char *const basis_names[] = {
+    [LEASE_BASIS_STORE] = "store",
+    [LEASE_BASIS_ACKNOWLEDGED] = "acknowledged",
+    [LEASE_BASIS_ALONE] = "alone",
+    [LEASE_BASIS_NONE] = "none",
+};
+
+static lease_basis_t
+get_lease_basis(const leader_t *leader)
+{
+    if (!leader->writes_failing) {
+        return LEASE_BASIS_STORE;
+    }
+    if (leader->opts.is_alone(leader->opts.data)) {
+        return LEASE_BASIS_ALONE;
+    }
+    return leader->opts.get_acked_ms(leader->opts.data) > leader->confirmed_ms
+               ? LEASE_BASIS_ACKNOWLEDGED
+               : LEASE_BASIS_NONE;
+}
+
+static void
+log_lease_basis(leader_t *leader)
+{
+    lease_basis_t basis = get_lease_basis(leader);
+
+    if (basis == leader->lease_basis) {
+        return;
+    }
+    leader->lease_basis = basis;
+    if (basis != LEASE_BASIS_STORE) {
+        event_log(EVENT_LEASES_UNCONFIRMED,
+                  "epoch=%" G_GUINT64_FORMAT " basis=%s"
+                  " store_proof_ms=%" G_GINT64_FORMAT,
+                  leader->opts.epoch, basis_names[basis],
+                  leader_now_ms(leader) - leader->confirmed_ms);
+    }
+}
+
 static void
 grant_lease(leader_t *leader, const session_t *session,
             Teasel__NodeOrders *orders)
 {
     int64_t lease_ms = get_lease_ms(leader);
 
+    log_lease_basis(leader);
     orders->lease_ms = (uint32_t)lease_ms;
     orders->longest_lease_ms = (uint32_t)leader->opts.lease_ms;
     orders->echo_us = session->echo_us;
