--- a/libteasel/base/events.h
+++ b/libteasel/base/events.h
@@ -118,6 +118,8 @@
     EVENT(EVENT_JOB_IDLE, 7035, G_LOG_LEVEL_MESSAGE, "job-idle")              \
     EVENT(EVENT_LEASES_UNCONFIRMED, 7036, G_LOG_LEVEL_WARNING,                \
           "leases-unconfirmed")                                               \
+    EVENT(EVENT_STALE_LEADER, 7037, G_LOG_LEVEL_WARNING, "stale-leader")      \
+    EVENT(EVENT_LATER_LEADER, 7038, G_LOG_LEVEL_WARNING, "later-leader")      \
     EVENT(EVENT_NODE_STARTED, 8001, G_LOG_LEVEL_MESSAGE, "node-started")      \
     EVENT(EVENT_LEADER_CONNECTED, 8002, G_LOG_LEVEL_MESSAGE,                  \
           "leader-connected")                                                 \
--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -189,11 +189,13 @@
     cluster_send_status(cluster);
 }
 
-bool
-cluster_is_alone(const cluster_t *cluster)
+int64_t
+cluster_get_member_acked_ms(const member_t *member)
 {
-    return list_is_empty(&cluster->members) &&
-           g_hash_table_size(cluster->strangers) == 0;
+    bool follows = member->open && member->leader_alive &&
+                   member->epoch == member->cluster->epoch;
+
+    return follows ? member->acked_ms : 0;
 }
 
 int64_t
@@ -206,11 +208,7 @@
         return 0;
     }
     LIST_FOREACH (member, &cluster->members, member_t, link) {
-        if (!member->open || member->epoch != cluster->epoch ||
-            !member->leader_alive) {
-            return 0;
-        }
-        oldest_ms = MIN(oldest_ms, member->acked_ms);
+        oldest_ms = MIN(oldest_ms, cluster_get_member_acked_ms(member));
     }
     return oldest_ms;
 }
@@ -231,6 +229,16 @@
         if (record->value != NULL) {
             cluster_apply_leader_record(cluster, record);
         }
+        /* Until its own record is read, the topic ends beyond this process. */
+        if (record->offset + 1 == cluster->epoch) {
+            cluster_update_view(cluster, cluster_now_ms(cluster));
+        }
+        return;
+    }
+    if (strcmp(record->key, CONTROL_KEY_VIEW) == 0) {
+        if (record->value != NULL) {
+            cluster_apply_view_record(cluster, record);
+        }
         return;
     }
     if (!g_str_has_prefix(record->key, CONTROL_SCHEDULER_PREFIX)) {
@@ -245,6 +253,18 @@
     }
 }
 
+/* The record of an earlier process with this name is read before it is
+   replaced. */
+static void
+on_caught_up(void *data)
+{
+    cluster_t *cluster = data;
+
+    if (!cluster->view.registered) {
+        loop_timer_start(&cluster->register_timer, 0);
+    }
+}
+
 static gboolean
 is_stale(gpointer name G_GNUC_UNUSED, gpointer status_ms, gpointer now_ms)
 {
@@ -276,6 +296,7 @@
     }
     forget_strangers(cluster, now_ms);
     cluster_check_leader(cluster);
+    cluster_update_view(cluster, now_ms);
 }
 
 static bool
@@ -308,6 +329,7 @@
         .topic = CONTROL_TOPIC,
         .wait_ms = FOLLOW_WAIT_MS,
         .on_record = on_record,
+        .on_caught_up = on_caught_up,
         .data = cluster,
     };
 
@@ -315,6 +337,7 @@
     cluster->name = g_strdup(opts->name);
     cluster->address = g_strdup(opts->address);
     cluster->started_ms = cluster_now_ms(cluster);
+    cluster->view.own_offset = OFFSET_UNKNOWN;
     list_init(&cluster->members);
     cluster->strangers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -326,7 +349,6 @@
         return NULL;
     }
     cluster->follower = follower_new(&follower_opts);
-    loop_timer_start(&cluster->register_timer, 0);
     loop_timer_start(&cluster->tick, TICK_MS);
     return cluster;
 }
@@ -347,6 +369,8 @@
     }
     g_free(cluster->leader_name);
     g_free(cluster->leader_address);
+    g_free(cluster->reported_address);
+    g_free(cluster->view.leader);
     g_free(cluster->name);
     g_free(cluster->address);
     if (cluster->calls > 0) {
--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -25,6 +25,14 @@
  * of the number of schedulers.
  */
 
+enum {
+    /* A leader extends leases for at most this long without a write to the
+       store. A new leader that its predecessor may not know waits for as long,
+       and then for a lease, before it treats an executor as lost that it has
+       not heard of. All schedulers have to use the same value. */
+    CLUSTER_MAX_STORELESS_MS = 60000,
+};
+
 typedef struct cluster cluster_t;
 
 /**
@@ -124,11 +132,31 @@
 int64_t cluster_get_acked_ms(const cluster_t *cluster);
 
 /**
- * cluster_is_alone() - return whether no other scheduler is known, neither
- * from the store nor from a connection
+ * cluster_get_view_acked_ms() - as cluster_get_acked_ms(), for leases
+ *
+ * A scheduler that the stored view of this leader does not cover need not
+ * confirm anything, as it waits after its election (see
+ * cluster_has_stale_leader()).
+ *
+ * Return: 0 also if the view of this leader is not stored yet.
+ */
+int64_t cluster_get_view_acked_ms(const cluster_t *cluster);
+
+/**
+ * cluster_is_alone() - return whether the stored view of this leader covers no
+ * other scheduler, and none is known from a connection
  */
 bool cluster_is_alone(const cluster_t *cluster);
 
+/**
+ * cluster_has_stale_leader() - return whether an earlier leader may not know
+ * of this one, and so may extend leases without the store
+ *
+ * That is at most for CLUSTER_MAX_STORELESS_MS after the election, and only
+ * until the process of the earlier leader has ended or confirms this one.
+ */
+bool cluster_has_stale_leader(cluster_t *cluster);
+
 /**
  * cluster_request_acks() - ask all other schedulers to confirm that they
  * follow this leader
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -16,6 +16,9 @@
  * @status_ms: when the last status arrived, 0 before the first
  * @acked_ms: send time of the newest status that it has acknowledged
  * @store_reached_ms: when it last reported that it reaches the store
+ * @registered: its own record was read, not only that of the leader
+ * @excluded: the stored view of this leader names it as unreachable
+ * @excluding: the view that is being written does
  */
 typedef struct member {
     list_t link;
@@ -35,9 +38,50 @@
     uint64_t epoch;
     bool leading;
     bool leader_alive;
+    bool registered;
+    bool excluded;
+    bool excluding;
     loop_timer_t redial;
 } member_t;
 
+#define OFFSET_UNKNOWN UINT64_MAX
+
+/**
+ * struct view - the newest view that was read from the store, and that of this
+ * process while it leads
+ * @leader: name of the scheduler that wrote the one that was read, or NULL
+ * @incarnation: of that scheduler
+ * @offset: of that record
+ * @excludes_self: it names this process as unreachable
+ * @own_offset: from which on the topic has had a record with the name of this
+ *     process; OFFSET_UNKNOWN before one is read
+ * @registered: the record of this process was read
+ * @members_offset: of the newest record of another scheduler
+ * @members_changed_ms: when that one was read
+ * @stored: the view of this leader is stored
+ * @stored_offset: of its record
+ * @writing: a write of it is pending
+ * @written_epoch: epoch of the leader that began this write
+ * @elected_ms: when this process was elected
+ * @stale_leader: see cluster_has_stale_leader()
+ */
+struct view {
+    char *leader;
+    uint64_t incarnation;
+    uint64_t offset;
+    bool excludes_self;
+    uint64_t own_offset;
+    bool registered;
+    uint64_t members_offset;
+    int64_t members_changed_ms;
+    bool stored;
+    uint64_t stored_offset;
+    bool writing;
+    uint64_t written_epoch;
+    int64_t elected_ms;
+    bool stale_leader;
+};
+
 /**
  * struct inbound - connection opened by another process
  */
@@ -57,6 +101,7 @@
     GHashTable *strangers; /* names of schedulers that have connected, while
                               their record has not been read -> int64_t, time
                               of the last status */
+    struct view view;
     loop_timer_t tick;
     loop_timer_t register_timer;
     int64_t started_ms;
@@ -75,6 +120,9 @@
     int64_t leader_lost_ms; /* when the leader was found missing, or 0 */
     bool claiming;
 
+    uint64_t reported_epoch; /* of the newest leader known to an agent */
+    char *reported_address;
+
     bool writes_failing; /* writes of this leader to the store */
     int64_t store_failed_ms;
     bool probing;
@@ -140,6 +188,56 @@
  */
 void cluster_update_registration(loop_timer_t *timer);
 
+/**
+ * cluster_note_own_record() - note a record with the name of this process
+ * @incarnation: of the process that wrote it
+ */
+void cluster_note_own_record(cluster_t *cluster, uint64_t offset,
+                             uint64_t incarnation);
+void cluster_note_own_removal(cluster_t *cluster);
+
+/**
+ * cluster_note_member_record() - note the offset of the record of another
+ * scheduler
+ */
+void cluster_note_member_record(cluster_t *cluster, uint64_t offset);
+
+/**
+ * cluster_apply_view_record() - note which schedulers the leader knows
+ */
+void cluster_apply_view_record(cluster_t *cluster,
+                               const store_record_t *stored);
+
+/**
+ * cluster_begin_view() - find out after the election whether an earlier leader
+ * may not know this one
+ */
+void cluster_begin_view(cluster_t *cluster);
+
+/**
+ * cluster_update_view() - store the view of this leader if it has changed
+ */
+void cluster_update_view(cluster_t *cluster, int64_t now_ms);
+
+/**
+ * cluster_note_later_leader() - note that an agent knows another leader, and
+ * resign if that one is later
+ */
+void cluster_note_later_leader(cluster_t *cluster,
+                               const Teasel__LeaderAddress *leader);
+
+/**
+ * cluster_get_member_acked_ms() - return the send time of the last status that
+ * another scheduler acknowledged; 0 if it does not follow this leader
+ */
+int64_t cluster_get_member_acked_ms(const member_t *member);
+
+/**
+ * cluster_is_member_unreachable() - return whether another scheduler has had
+ * no connection for long
+ */
+bool cluster_is_member_unreachable(const member_t *member);
+
 member_t *cluster_find_member(cluster_t *cluster, const char *name);
 
 /**
--- a/libteasel/cluster/election.c
+++ b/libteasel/cluster/election.c
@@ -51,6 +51,25 @@
     cluster_update_connections(cluster);
 }
 
+void
+cluster_note_later_leader(cluster_t *cluster,
+                          const Teasel__LeaderAddress *leader)
+{
+    if (leader->epoch <= MAX(cluster->epoch, cluster->reported_epoch) ||
+        strcmp(leader->address, cluster->address) == 0 ||
+        !address_parse(leader->address, NULL, NULL, NULL)) {
+        return;
+    }
+    event_log(EVENT_LATER_LEADER,
+              "epoch=%" G_GUINT64_FORMAT " later=%" G_GUINT64_FORMAT
+              " address=%s",
+              cluster->epoch, leader->epoch, leader->address);
+    cluster->reported_epoch = leader->epoch;
+    g_free(cluster->reported_address);
+    cluster->reported_address = g_strdup(leader->address);
+    cluster_resign(cluster, "an agent follows a later leader");
+}
+
 void
 cluster_leave(cluster_t *cluster)
 {
@@ -76,6 +95,7 @@
     cluster->leader_name = g_strdup(cluster->name);
     cluster->leader_address = g_strdup(cluster->address);
     event_log(EVENT_LEADING, "epoch=%" G_GUINT64_FORMAT, epoch);
+    cluster_begin_view(cluster);
     cluster->opts.handler->on_elected(epoch, cluster->opts.data);
     cluster_send_status(cluster);
     cluster_update_connections(cluster);
--- a/libteasel/cluster/member.c
+++ b/libteasel/cluster/member.c
@@ -48,6 +48,10 @@
     Teasel__PeerStatus status = TEASEL__PEER_STATUS__INIT;
 
     cluster_fill_status(cluster, &status);
+    if (cluster->reported_epoch > cluster->epoch) {
+        status.epoch = cluster->reported_epoch;
+        status.leader_address = cluster->reported_address;
+    }
     g_ptr_array_add(addresses, cluster->address);
     LIST_FOREACH (member, &cluster->members, member_t, link) {
         g_ptr_array_add(addresses, member->address);
@@ -213,13 +217,15 @@
     g_free(member->address);
     member->address = g_strdup(address);
     member->incarnation = incarnation;
+    member->excluded = false;
+    member->excluding = false;
     close_member(member);
     loop_timer_stop(&member->redial);
     return member;
 }
 
-static bool
-is_unreachable(const member_t *member)
+bool
+cluster_is_member_unreachable(const member_t *member)
 {
     return !member->open && member->dialled_ms != 0 &&
            cluster_now_ms(member->cluster) -
@@ -255,8 +261,8 @@
     unsigned before = 0;
 
     LIST_FOREACH (member, &cluster->members, member_t, link) {
-        before +=
-            !is_unreachable(member) && stands_before(member, cpu_milli, name);
+        before += !cluster_is_member_unreachable(member) &&
+                  stands_before(member, cpu_milli, name);
     }
     before += cluster->opts.cpu_milli > cpu_milli ||
               (cluster->opts.cpu_milli == cpu_milli &&
@@ -369,6 +375,23 @@
     send_status_to(inbound->peer, cluster, status->sent_us);
 }
 
+static void
+on_inbound_report(inbound_t *inbound, const Teasel__NodeReport *report)
+{
+    cluster_t *cluster = inbound->cluster;
+
+    if (report->later_leader != NULL) {
+        cluster_note_later_leader(cluster, report->later_leader);
+    }
+    if (!cluster->leading) {
+        send_status_to_node(inbound->peer, cluster);
+    }
+    else if (inbound->name != NULL) {
+        cluster->opts.handler->on_report(inbound->peer, inbound->name, report,
+                                         cluster->opts.data);
+    }
+}
+
 static void
 on_inbound_message(peer_t *peer, const Teasel__Envelope *message, void *data)
 {
@@ -386,13 +409,7 @@
         opts->handler->on_call(peer, message->job_call, opts->data);
         break;
     case TEASEL__ENVELOPE__BODY_NODE_REPORT:
-        if (!inbound->cluster->leading) {
-            send_status_to_node(peer, inbound->cluster);
-        }
-        else if (inbound->name != NULL) {
-            opts->handler->on_report(peer, inbound->name, message->node_report,
-                                     opts->data);
-        }
+        on_inbound_report(inbound, message->node_report);
         break;
     default:
         break;
--- a/libteasel/cluster/registration.c
+++ b/libteasel/cluster/registration.c
@@ -25,11 +25,24 @@
                                    record->incarnation);
     if (member != NULL) {
         member->cpu_milli = record->cpu_milli;
+        member->registered = true;
     }
     cluster_update_connections(cluster);
     return true;
 }
 
+static void
+note_registration(cluster_t *cluster, const store_record_t *stored,
+                  const Teasel__SchedulerRecord *record)
+{
+    if (strcmp(record->name, cluster->name) == 0) {
+        cluster_note_own_record(cluster, stored->offset, record->incarnation);
+    }
+    else {
+        cluster_note_member_record(cluster, stored->offset);
+    }
+}
+
 void
 cluster_apply_scheduler_record(cluster_t *cluster,
                                const store_record_t *stored)
@@ -38,7 +51,10 @@
     Teasel__SchedulerRecord *record =
         teasel__scheduler_record__unpack(NULL, stored->length, stored->value);
 
-    if (!update_scheduler(cluster, name, record)) {
+    if (update_scheduler(cluster, name, record)) {
+        note_registration(cluster, stored, record);
+    }
+    else {
         cluster_log_malformed(stored);
         /* Replaces the record if it hides this process from others. */
         if (strcmp(name, cluster->name) == 0 && !cluster->leaving) {
@@ -58,11 +74,14 @@
         cluster_forget_member(cluster, name);
         cluster_update_connections(cluster);
     }
-    else if (cluster->leaving) {
-        loop_timer_stop(&cluster->register_timer);
-    }
     else {
-        loop_timer_start(&cluster->register_timer, 0);
+        cluster_note_own_removal(cluster);
+        if (cluster->leaving) {
+            loop_timer_stop(&cluster->register_timer);
+        }
+        else {
+            loop_timer_start(&cluster->register_timer, 0);
+        }
     }
 }
 
--- /dev/null
+++ b/libteasel/cluster/view.c
@@ -0,0 +1,243 @@
+/* The view of the leader: which schedulers it knows, and so which of them have
+   to confirm that they follow it when the store cannot. */
+
+#include <string.h>
+
+#include "base/events.h"
+#include "cluster/cluster_internal.h"
+#include "cluster/control.h"
+
+enum {
+    /* Schedulers that start together are covered by one more write. */
+    VIEW_DELAY_MS = 300,
+};
+
+/* Only for leases: they can only be extended by mistake for the time for which
+   a scheduler that the view doesn't cover waits. */
+static bool
+needs_ack(const member_t *member)
+{
+    return !member->excluded;
+}
+
+int64_t
+cluster_get_view_acked_ms(const cluster_t *cluster)
+{
+    int64_t oldest_ms = cluster_now_ms(cluster);
+    bool others = false;
+
+    if (!cluster->view.stored || g_hash_table_size(cluster->strangers) > 0) {
+        return 0;
+    }
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (needs_ack(member)) {
+            others = true;
+            oldest_ms = MIN(oldest_ms, cluster_get_member_acked_ms(member));
+        }
+    }
+    return others ? oldest_ms : 0;
+}
+
+bool
+cluster_is_alone(const cluster_t *cluster)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (needs_ack(member)) {
+            return false;
+        }
+    }
+    return cluster->view.stored && g_hash_table_size(cluster->strangers) == 0;
+}
+
+/* A scheduler without contact for long is left out, so that work outlasts an
+   outage of the store after it was lost for good. */
+static bool
+has_changed(const cluster_t *cluster)
+{
+    if (!cluster->view.stored ||
+        cluster->view.members_offset > cluster->view.stored_offset) {
+        return true;
+    }
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        if (member->excluded != cluster_is_member_unreachable(member)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The record may be stored without an answer, and late, so that it counts as
+   stored for the members that it covers before it is, and for those that it
+   leaves out after it is. */
+static void
+prepare_members(cluster_t *cluster, GPtrArray *unreachable)
+{
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        member->excluding = cluster_is_member_unreachable(member);
+        member->excluded &= member->excluding;
+        if (member->excluding) {
+            g_ptr_array_add(unreachable, member->name);
+        }
+    }
+}
+
+static void
+on_view_stored(store_status_t status, uint64_t offset, void *data)
+{
+    cluster_t *cluster = data;
+
+    if (!cluster_end_call(cluster)) {
+        return;
+    }
+    cluster->view.writing = false;
+    if (status != STORE_OK || !cluster->leading ||
+        cluster->view.written_epoch != cluster->epoch) {
+        return;
+    }
+    cluster->view.stored = true;
+    cluster->view.stored_offset = offset;
+    LIST_FOREACH (member, &cluster->members, member_t, link) {
+        member->excluded = member->excluding;
+    }
+}
+
+/* Appended at the end of the topic only, so that it covers all schedulers that
+   have registered before it. */
+static void
+write_view(cluster_t *cluster)
+{
+    Teasel__ViewRecord record = TEASEL__VIEW_RECORD__INIT;
+    g_autoptr(GPtrArray) unreachable = g_ptr_array_new();
+    g_autoptr(GByteArray) value = g_byte_array_new();
+    store_record_t stored = {.key = CONTROL_KEY_VIEW};
+
+    prepare_members(cluster, unreachable);
+    record.leader = cluster->name;
+    record.incarnation = cluster->opts.incarnation;
+    record.n_unreachable = unreachable->len;
+    record.unreachable = (char **)unreachable->pdata;
+    g_byte_array_set_size(value,
+                          teasel__view_record__get_packed_size(&record));
+    teasel__view_record__pack(&record, value->data);
+    stored.value = value->data;
+    stored.length = value->len;
+    cluster->view.writing = true;
+    cluster->view.written_epoch = cluster->epoch;
+    cluster_append_at_end(cluster, &stored, on_view_stored);
+}
+
+void
+cluster_update_view(cluster_t *cluster, int64_t now_ms)
+{
+    if (!cluster->leading || cluster->view.writing ||
+        !cluster->view.registered ||
+        !follower_is_available(cluster->follower) ||
+        cluster_has_stale_leader(cluster) || !has_changed(cluster) ||
+        (cluster->view.stored &&
+         now_ms - cluster->view.members_changed_ms < VIEW_DELAY_MS)) {
+        return;
+    }
+    write_view(cluster);
+}
+
+/* The leader that knows an earlier process by its record waits for the
+   confirmation of the name, which then is up to this process. */
+void
+cluster_note_own_record(cluster_t *cluster, uint64_t offset,
+                        uint64_t incarnation)
+{
+    if (cluster->view.own_offset == OFFSET_UNKNOWN) {
+        cluster->view.own_offset = offset;
+    }
+    cluster->view.registered |= incarnation == cluster->opts.incarnation;
+}
+
+void
+cluster_note_own_removal(cluster_t *cluster)
+{
+    cluster->view.own_offset = OFFSET_UNKNOWN;
+    cluster->view.registered = false;
+}
+
+void
+cluster_note_member_record(cluster_t *cluster, uint64_t offset)
+{
+    if (offset > cluster->view.members_offset) {
+        cluster->view.members_offset = offset;
+        cluster->view.members_changed_ms = cluster_now_ms(cluster);
+    }
+}
+
+static bool
+names_self(const cluster_t *cluster, const Teasel__ViewRecord *record)
+{
+    for (size_t i = 0; i < record->n_unreachable; i++) {
+        if (strcmp(record->unreachable[i], cluster->name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+cluster_apply_view_record(cluster_t *cluster, const store_record_t *stored)
+{
+    Teasel__ViewRecord *record =
+        teasel__view_record__unpack(NULL, stored->length, stored->value);
+
+    if (record == NULL) {
+        cluster_log_malformed(stored);
+        return;
+    }
+    g_free(cluster->view.leader);
+    cluster->view.leader = g_strdup(record->leader);
+    cluster->view.incarnation = record->incarnation;
+    cluster->view.offset = stored->offset;
+    cluster->view.excludes_self = names_self(cluster, record);
+    teasel__view_record__free_unpacked(record, NULL);
+}
+
+/* Returns whether the process that wrote the view may still act as the
+   leader. */
+static bool
+may_author_lead(cluster_t *cluster)
+{
+    const member_t *author =
+        cluster_find_member(cluster, cluster->view.leader);
+
+    /* It removes its record when it stops; a new process replaces it. */
+    if (author == NULL || !author->registered ||
+        author->incarnation != cluster->view.incarnation) {
+        return false;
+    }
+    return !cluster_has_fresh_status(author) || author->leading ||
+           author->epoch < cluster->epoch;
+}
+
+void
+cluster_begin_view(cluster_t *cluster)
+{
+    const struct view *view = &cluster->view;
+    bool covered = view->own_offset < view->offset && !view->excludes_self;
+
+    cluster->view.stored = false;
+    cluster->view.elected_ms = cluster_now_ms(cluster);
+    cluster->view.stale_leader =
+        view->leader != NULL && !covered && may_author_lead(cluster);
+    if (cluster->view.stale_leader) {
+        event_log(EVENT_STALE_LEADER,
+                  "epoch=%" G_GUINT64_FORMAT " leader=%s at_most_ms=%d",
+                  cluster->epoch, view->leader, CLUSTER_MAX_STORELESS_MS);
+    }
+}
+
+bool
+cluster_has_stale_leader(cluster_t *cluster)
+{
+    struct view *view = &cluster->view;
+
+    view->stale_leader =
+        view->stale_leader && may_author_lead(cluster) &&
+        cluster_now_ms(cluster) - view->elected_ms < CLUSTER_MAX_STORELESS_MS;
+    return view->stale_leader;
+}
--- a/libteasel/node/node_link.c
+++ b/libteasel/node/node_link.c
@@ -9,6 +9,9 @@
 
 enum {
     RECONNECT_MS = 100,
+    /* A connection that is left stays open for this long, so that its last
+       message is written. */
+    LEAVE_MS = 200,
     /* The connected scheduler reports changes of the leader by itself. Reading
        the store covers a leader that is cut off from the other schedulers. */
     READ_WAIT_MS = 5000,
@@ -20,6 +23,7 @@
     node_link_opts_t opts;
     follower_t *follower;
     peer_t *peer;
+    peer_t *left; /* connection that was left, until it is closed */
     bool open;
     bool orders_received; /* orders arrived on this connection */
     char *address;        /* of the connection */
@@ -29,6 +33,7 @@
     guint next_scheduler;
     bool tried_leader;
     loop_timer_t reconnect;
+    loop_timer_t close_left;
 };
 
 static void
@@ -69,6 +74,39 @@
     loop_timer_start(&link->reconnect, ms);
 }
 
+/* Whether the connected scheduler is another one than the newest leader that
+   this agent knows. */
+static bool
+knows_later_leader(const node_link_t *link)
+{
+    return link->leader != NULL && g_strcmp0(link->address, link->leader) != 0;
+}
+
+/* A leader that is cut off from the store and the other schedulers learns from
+   its agents that there is a later one. The caller connects anew. */
+static void
+leave_for_later_leader(node_link_t *link)
+{
+    Teasel__NodeReport report = TEASEL__NODE_REPORT__INIT;
+
+    if (!node_link_send(link, &report)) {
+        return;
+    }
+    peer_close(link->left);
+    link->left = link->peer;
+    link->peer = NULL;
+    loop_timer_start(&link->close_left, LEAVE_MS);
+}
+
+static void
+on_close_left(loop_timer_t *timer)
+{
+    node_link_t *link = timer->data;
+
+    peer_close(link->left);
+    link->left = NULL;
+}
+
 static void
 update_leader(node_link_t *link, const char *address, uint64_t epoch)
 {
@@ -80,7 +118,10 @@
     link->leader = g_strdup(address);
     link->tried_leader = false;
     add_scheduler_address(link, address);
-    if (g_strcmp0(link->address, address) != 0 || !link->open) {
+    if (knows_later_leader(link)) {
+        leave_for_later_leader(link);
+    }
+    if (knows_later_leader(link) || !link->open) {
         reconnect_after(link, 0);
     }
 }
@@ -129,12 +170,16 @@
 {
     node_link_t *link = data;
 
+    if (peer != link->peer) {
+        return;
+    }
     switch (message->body_case) {
     case TEASEL__ENVELOPE__BODY_PEER_STATUS:
         handle_status(link, message->peer_status);
         break;
     case TEASEL__ENVELOPE__BODY_NODE_ORDERS:
         if (message->node_orders->epoch < link->epoch) {
+            leave_for_later_leader(link);
             reconnect_after(link, RECONNECT_MS);
             break;
         }
@@ -156,6 +201,10 @@
 {
     node_link_t *link = data;
 
+    if (peer == link->left) {
+        link->left = NULL;
+        return;
+    }
     handle_disconnect(link);
     loop_timer_start(&link->reconnect, RECONNECT_MS);
 }
@@ -285,6 +334,7 @@
     link->opts = *opts;
     link->scheduler_addresses = g_ptr_array_new_with_free_func(g_free);
     loop_timer_init(&link->reconnect, opts->loop, connect_to_scheduler, link);
+    loop_timer_init(&link->close_left, opts->loop, on_close_left, link);
     loop_timer_start(&link->reconnect, RECONNECT_MS);
     link->follower = follower_new(&follower_opts);
     return link;
@@ -298,7 +348,9 @@
     }
     follower_free(link->follower);
     loop_timer_stop(&link->reconnect);
+    loop_timer_stop(&link->close_left);
     peer_close(link->peer);
+    peer_close(link->left);
     g_ptr_array_unref(link->scheduler_addresses);
     g_free(link->address);
     g_free(link->leader);
@@ -314,12 +366,21 @@
 bool
 node_link_send(node_link_t *link, Teasel__NodeReport *report)
 {
+    Teasel__LeaderAddress later = TEASEL__LEADER_ADDRESS__INIT;
     Teasel__Envelope envelope = TEASEL__ENVELOPE__INIT;
+    bool sent;
 
     if (!link->open) {
         return false;
     }
+    if (knows_later_leader(link)) {
+        later.epoch = link->epoch;
+        later.address = link->leader;
+        report->later_leader = &later;
+    }
     envelope.body_case = TEASEL__ENVELOPE__BODY_NODE_REPORT;
     envelope.node_report = report;
-    return peer_send(link->peer, &envelope);
+    sent = peer_send(link->peer, &envelope);
+    report->later_leader = NULL;
+    return sent;
 }
--- a/libteasel/sched/sched.c
+++ b/libteasel/sched/sched.c
@@ -147,6 +147,24 @@
     return executor;
 }
 
+void
+sched_set_stale_leader(sched_t *sched, bool possible)
+{
+    int64_t now_ms = sched_now_ms(sched);
+
+    if (sched->stale_leader && !possible) {
+        /* It may have extended them until now. */
+        LIST_FOREACH (executor, &sched->executor_list, sched_executor_t,
+                      link) {
+            if (executor->heard_ms == 0) {
+                executor->expiry_ms =
+                    now_ms + get_unknown_lease_ms(sched, executor->key);
+            }
+        }
+    }
+    sched->stale_leader = possible;
+}
+
 static sched_executor_t *
 lookup_executor(const char *key, void *data)
 {
--- a/libteasel/sched/sched.h
+++ b/libteasel/sched/sched.h
@@ -156,6 +156,15 @@
  */
 void sched_apply_crash(sched_t *sched, const Teasel__CrashedRun *run);
 
+/**
+ * sched_set_stale_leader() - note whether an earlier leader may still extend
+ * leases
+ *
+ * While it may, no executor of which nothing was heard is treated as lost, and
+ * after that not before the end of the longest lease.
+ */
+void sched_set_stale_leader(sched_t *sched, bool possible);
+
 /**
  * sched_note_pause() - note that the caller has just stood still
  * @pause_ms: how long; no report was applied in this time, so no run is judged
--- a/libteasel/sched/sched_internal.h
+++ b/libteasel/sched/sched_internal.h
@@ -54,6 +54,7 @@
     GHashTable *estimate_errors;
     size_share_t *size_share;
     sched_admission_t *admission;
+    bool stale_leader; /* see sched_set_stale_leader() */
     list_t active_jobs;
     list_t finished_jobs;
     list_t dirty_jobs;
--- a/libteasel/sched/sched_timers.c
+++ b/libteasel/sched/sched_timers.c
@@ -14,12 +14,23 @@
     CHECK_INTERVAL_MS = 50,
 };
 
+/* An earlier leader may go on extending the lease of an executor whose agent
+   has not come to this one. */
+static bool
+has_lease_expired(const sched_t *sched, const sched_executor_t *executor,
+                  int64_t now_ms)
+{
+    bool unknown = sched->stale_leader && executor->heard_ms == 0;
+
+    return !executor->connected && !unknown && now_ms >= executor->expiry_ms;
+}
+
 static void
 expire_executors(sched_t *sched, int64_t now_ms)
 {
     LIST_FOREACH_SAFE (executor, &sched->executor_list, sched_executor_t,
                        link) {
-        if (!executor->connected && now_ms >= executor->expiry_ms) {
+        if (has_lease_expired(sched, executor, now_ms)) {
             sched_expire_executor(sched, executor);
         }
     }
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -377,6 +377,8 @@
         return;
     }
     leader_check_pause(leader);
+    sched_set_stale_leader(leader->sched,
+                           leader->opts.has_stale_leader(leader->opts.data));
     /* Pauses that follow each other don't put off all passes. */
     if (leader->pass_due || !loop_timer_is_active(&leader->resume)) {
         leader->pass_due = false;
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -37,8 +37,12 @@
  * @random: draws the times after which refused callers try again; must outlive
  *     the leader
  * @remote_factor: see struct sched_opts
+ * @max_storeless_ms: leases are extended for at most this long without the
+ *     store
  * @get_acked_ms: see cluster_get_acked_ms()
- * @is_alone: whether no other scheduler is known
+ * @get_view_acked_ms: see cluster_get_view_acked_ms()
+ * @is_alone: see cluster_is_alone()
+ * @has_stale_leader: see cluster_has_stale_leader()
  * @request_acks: ask the other schedulers to confirm that they follow this
  *     leader; the callee calls leader_answer_proven() when one of them does
  * @on_store_change: writes to the store started to fail, or succeed again
@@ -58,8 +62,11 @@
     const evacuation_t *evacuation;
     GRand *random;
     double remote_factor;
+    int64_t max_storeless_ms;
     int64_t (*get_acked_ms)(void *data);
+    int64_t (*get_view_acked_ms)(void *data);
     bool (*is_alone)(void *data);
+    bool (*has_stale_leader)(void *data);
     void (*request_acks)(void *data);
     void (*on_store_change)(bool available, void *data);
     void (*on_fenced)(const char *reason, void *data);
--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -83,19 +83,6 @@
     }
 }
 
-/* Returns the lease counted from the last time at which this leader is known
-   to have been the only one. A later leader waits for the longest lease before
-   it treats an executor as lost. While the store is away, work goes on at a
-   leader that knows no other scheduler. */
-static int64_t
-get_lease_ms(const leader_t *leader)
-{
-    if (leader->writes_failing && leader->opts.is_alone(leader->opts.data)) {
-        return leader->opts.lease_ms;
-    }
-    return MAX(0, leader->opts.lease_ms - leader_get_proof_age_ms(leader));
-}
-
 static const char *const basis_names[] = {
     [LEASE_BASIS_STORE] = "store",
     [LEASE_BASIS_ACKNOWLEDGED] = "acknowledged",
@@ -103,25 +90,50 @@
     [LEASE_BASIS_NONE] = "none",
 };
 
+/* A later leader waits for the longest lease before it treats an executor as
+   lost; one that this leader may not know, for the longest time without the
+   store besides. */
 static lease_basis_t
 get_lease_basis(const leader_t *leader)
 {
+    int64_t store_age_ms = leader_now_ms(leader) - leader->confirmed_ms;
+    void *data = leader->opts.data;
+
     if (!leader->writes_failing) {
         return LEASE_BASIS_STORE;
     }
-    if (leader->opts.is_alone(leader->opts.data)) {
+    if (store_age_ms >= leader->opts.max_storeless_ms) {
+        return LEASE_BASIS_NONE;
+    }
+    if (leader->opts.is_alone(data)) {
         return LEASE_BASIS_ALONE;
     }
-    return leader->opts.get_acked_ms(leader->opts.data) > leader->confirmed_ms
+    return leader->opts.get_view_acked_ms(data) > leader->confirmed_ms
                ? LEASE_BASIS_ACKNOWLEDGED
                : LEASE_BASIS_NONE;
 }
 
-static void
-log_lease_basis(leader_t *leader)
+/* Returns the lease counted from the last time at which this leader is known
+   to have been the only one. */
+static int64_t
+get_lease_ms(const leader_t *leader, lease_basis_t basis)
 {
-    lease_basis_t basis = get_lease_basis(leader);
+    int64_t now_ms = leader_now_ms(leader);
+    int64_t proof_ms = leader->confirmed_ms;
 
+    if (basis == LEASE_BASIS_ALONE) {
+        proof_ms = now_ms;
+    }
+    else if (now_ms - proof_ms < leader->opts.max_storeless_ms) {
+        proof_ms =
+            MAX(proof_ms, leader->opts.get_view_acked_ms(leader->opts.data));
+    }
+    return MAX(0, leader->opts.lease_ms - (now_ms - proof_ms));
+}
+
+static void
+log_lease_basis(leader_t *leader, lease_basis_t basis)
+{
     if (basis == leader->lease_basis) {
         return;
     }
@@ -139,9 +151,10 @@
 grant_lease(leader_t *leader, const session_t *session,
             Teasel__NodeOrders *orders)
 {
-    int64_t lease_ms = get_lease_ms(leader);
+    lease_basis_t basis = get_lease_basis(leader);
+    int64_t lease_ms = get_lease_ms(leader, basis);
 
-    log_lease_basis(leader);
+    log_lease_basis(leader, basis);
     orders->lease_ms = (uint32_t)lease_ms;
     orders->longest_lease_ms = (uint32_t)leader->opts.lease_ms;
     orders->echo_us = session->echo_us;
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -47,6 +47,22 @@
     return cluster_get_acked_ms(scheduler->cluster);
 }
 
+static int64_t
+get_view_acked_ms(void *data)
+{
+    const scheduler_t *scheduler = data;
+
+    return cluster_get_view_acked_ms(scheduler->cluster);
+}
+
+static bool
+has_stale_leader(void *data)
+{
+    const scheduler_t *scheduler = data;
+
+    return cluster_has_stale_leader(scheduler->cluster);
+}
+
 static bool
 is_alone(void *data)
 {
@@ -108,8 +124,11 @@
         .evacuation = scheduler->evacuation,
         .random = scheduler->random,
         .remote_factor = settings->remote_run_factor,
+        .max_storeless_ms = CLUSTER_MAX_STORELESS_MS,
         .get_acked_ms = get_acked_ms,
+        .get_view_acked_ms = get_view_acked_ms,
         .is_alone = is_alone,
+        .has_stale_leader = has_stale_leader,
         .request_acks = request_acks,
         .on_store_change = on_store_change,
         .on_fenced = on_fenced,
--- a/libteasel/wire/sched.pb-c.c
+++ b/libteasel/wire/sched.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &teasel__leader_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__view_record__init
+                     (Teasel__ViewRecord         *message)
+{
+  static const Teasel__ViewRecord init_value = TEASEL__VIEW_RECORD__INIT;
+  *message = init_value;
+}
+size_t teasel__view_record__get_packed_size
+                     (const Teasel__ViewRecord *message)
+{
+  assert(message->base.descriptor == &teasel__view_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__view_record__pack
+                     (const Teasel__ViewRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__view_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__view_record__pack_to_buffer
+                     (const Teasel__ViewRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__view_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__ViewRecord *
+       teasel__view_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__ViewRecord *)
+     protobuf_c_message_unpack (&teasel__view_record__descriptor,
+                                allocator, len, data);
+}
+void   teasel__view_record__free_unpacked
+                     (Teasel__ViewRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__view_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__scheduler_record__init
                      (Teasel__SchedulerRecord         *message)
 {
@@ -997,6 +1042,51 @@
   assert(message->base.descriptor == &teasel__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   teasel__leader_address__init
+                     (Teasel__LeaderAddress         *message)
+{
+  static const Teasel__LeaderAddress init_value = TEASEL__LEADER_ADDRESS__INIT;
+  *message = init_value;
+}
+size_t teasel__leader_address__get_packed_size
+                     (const Teasel__LeaderAddress *message)
+{
+  assert(message->base.descriptor == &teasel__leader_address__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t teasel__leader_address__pack
+                     (const Teasel__LeaderAddress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &teasel__leader_address__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t teasel__leader_address__pack_to_buffer
+                     (const Teasel__LeaderAddress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &teasel__leader_address__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Teasel__LeaderAddress *
+       teasel__leader_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Teasel__LeaderAddress *)
+     protobuf_c_message_unpack (&teasel__leader_address__descriptor,
+                                allocator, len, data);
+}
+void   teasel__leader_address__free_unpacked
+                     (Teasel__LeaderAddress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &teasel__leader_address__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   teasel__crashed_run__init
                      (Teasel__CrashedRun         *message)
 {
@@ -2323,6 +2413,70 @@
   (ProtobufCMessageInit) teasel__leader_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor teasel__view_record__field_descriptors[3] =
+{
+  {
+    "leader",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ViewRecord, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__ViewRecord, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreachable",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Teasel__ViewRecord, n_unreachable),
+    offsetof(Teasel__ViewRecord, unreachable),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__view_record__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = leader */
+  2,   /* field[2] = unreachable */
+};
+static const ProtobufCIntRange teasel__view_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor teasel__view_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.ViewRecord",
+  "ViewRecord",
+  "Teasel__ViewRecord",
+  "teasel",
+  sizeof(Teasel__ViewRecord),
+  3,
+  teasel__view_record__field_descriptors,
+  teasel__view_record__field_indices_by_name,
+  1,  teasel__view_record__number_ranges,
+  (ProtobufCMessageInit) teasel__view_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor teasel__scheduler_record__field_descriptors[4] =
 {
   {
@@ -3431,7 +3585,7 @@
   (ProtobufCMessageInit) teasel__capacity__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor teasel__node_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor teasel__node_report__field_descriptors[4] =
 {
   {
     "sent_us",
@@ -3469,16 +3623,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "later_leader",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__NodeReport, later_leader),
+    &teasel__leader_address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned teasel__node_report__field_indices_by_name[] = {
   2,   /* field[2] = crashed */
   1,   /* field[1] = executors */
+  3,   /* field[3] = later_leader */
   0,   /* field[0] = sent_us */
 };
 static const ProtobufCIntRange teasel__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor teasel__node_report__descriptor =
 {
@@ -3488,13 +3655,64 @@
   "Teasel__NodeReport",
   "teasel",
   sizeof(Teasel__NodeReport),
-  3,
+  4,
   teasel__node_report__field_descriptors,
   teasel__node_report__field_indices_by_name,
   1,  teasel__node_report__number_ranges,
   (ProtobufCMessageInit) teasel__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor teasel__leader_address__field_descriptors[2] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LeaderAddress, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Teasel__LeaderAddress, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned teasel__leader_address__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = epoch */
+};
+static const ProtobufCIntRange teasel__leader_address__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor teasel__leader_address__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "teasel.LeaderAddress",
+  "LeaderAddress",
+  "Teasel__LeaderAddress",
+  "teasel",
+  sizeof(Teasel__LeaderAddress),
+  2,
+  teasel__leader_address__field_descriptors,
+  teasel__leader_address__field_indices_by_name,
+  1,  teasel__leader_address__number_ranges,
+  (ProtobufCMessageInit) teasel__leader_address__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor teasel__crashed_run__field_descriptors[5] =
 {
   {
--- a/libteasel/wire/sched.pb-c.h
+++ b/libteasel/wire/sched.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Teasel__LearnedQueue Teasel__LearnedQueue;
 typedef struct Teasel__LearnedRecord Teasel__LearnedRecord;
 typedef struct Teasel__LeaderRecord Teasel__LeaderRecord;
+typedef struct Teasel__ViewRecord Teasel__ViewRecord;
 typedef struct Teasel__SchedulerRecord Teasel__SchedulerRecord;
 typedef struct Teasel__PeerHello Teasel__PeerHello;
 typedef struct Teasel__PeerStatus Teasel__PeerStatus;
@@ -37,6 +38,7 @@
 typedef struct Teasel__ExecutorReport Teasel__ExecutorReport;
 typedef struct Teasel__Capacity Teasel__Capacity;
 typedef struct Teasel__NodeReport Teasel__NodeReport;
+typedef struct Teasel__LeaderAddress Teasel__LeaderAddress;
 typedef struct Teasel__CrashedRun Teasel__CrashedRun;
 typedef struct Teasel__StartOrder Teasel__StartOrder;
 typedef struct Teasel__RunTraits Teasel__RunTraits;
@@ -281,6 +283,29 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Value of the key of the leader's view: it knows the schedulers that were
+ * registered before this record.
+ */
+struct  Teasel__ViewRecord
+{
+  ProtobufCMessage base;
+  /*
+   * name of the scheduler that wrote it
+   */
+  char *leader;
+  uint64_t incarnation;
+  /*
+   * names; their confirmation isn't needed
+   */
+  size_t n_unreachable;
+  char **unreachable;
+};
+#define TEASEL__VIEW_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__view_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 /*
  * Value of the key of a scheduler.
  */
@@ -509,10 +534,25 @@
   Teasel__ExecutorReport **executors;
   size_t n_crashed;
   Teasel__CrashedRun **crashed;
+  /*
+   * Set if the agent knows a later leader than the receiver.
+   */
+  Teasel__LeaderAddress *later_leader;
 };
 #define TEASEL__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&teasel__node_report__descriptor) \
-    , 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, NULL }
+
+
+struct  Teasel__LeaderAddress
+{
+  ProtobufCMessage base;
+  uint64_t epoch;
+  char *address;
+};
+#define TEASEL__LEADER_ADDRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&teasel__leader_address__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -842,6 +882,25 @@
 void   teasel__leader_record__free_unpacked
                      (Teasel__LeaderRecord *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__ViewRecord methods */
+void   teasel__view_record__init
+                     (Teasel__ViewRecord         *message);
+size_t teasel__view_record__get_packed_size
+                     (const Teasel__ViewRecord   *message);
+size_t teasel__view_record__pack
+                     (const Teasel__ViewRecord   *message,
+                      uint8_t             *out);
+size_t teasel__view_record__pack_to_buffer
+                     (const Teasel__ViewRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__ViewRecord *
+       teasel__view_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__view_record__free_unpacked
+                     (Teasel__ViewRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__SchedulerRecord methods */
 void   teasel__scheduler_record__init
                      (Teasel__SchedulerRecord         *message);
@@ -1070,6 +1129,25 @@
 void   teasel__node_report__free_unpacked
                      (Teasel__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Teasel__LeaderAddress methods */
+void   teasel__leader_address__init
+                     (Teasel__LeaderAddress         *message);
+size_t teasel__leader_address__get_packed_size
+                     (const Teasel__LeaderAddress   *message);
+size_t teasel__leader_address__pack
+                     (const Teasel__LeaderAddress   *message,
+                      uint8_t             *out);
+size_t teasel__leader_address__pack_to_buffer
+                     (const Teasel__LeaderAddress   *message,
+                      ProtobufCBuffer     *buffer);
+Teasel__LeaderAddress *
+       teasel__leader_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   teasel__leader_address__free_unpacked
+                     (Teasel__LeaderAddress *message,
+                      ProtobufCAllocator *allocator);
 /* Teasel__CrashedRun methods */
 void   teasel__crashed_run__init
                      (Teasel__CrashedRun         *message);
@@ -1216,6 +1294,9 @@
 typedef void (*Teasel__LeaderRecord_Closure)
                  (const Teasel__LeaderRecord *message,
                   void *closure_data);
+typedef void (*Teasel__ViewRecord_Closure)
+                 (const Teasel__ViewRecord *message,
+                  void *closure_data);
 typedef void (*Teasel__SchedulerRecord_Closure)
                  (const Teasel__SchedulerRecord *message,
                   void *closure_data);
@@ -1252,6 +1333,9 @@
 typedef void (*Teasel__NodeReport_Closure)
                  (const Teasel__NodeReport *message,
                   void *closure_data);
+typedef void (*Teasel__LeaderAddress_Closure)
+                 (const Teasel__LeaderAddress *message,
+                  void *closure_data);
 typedef void (*Teasel__CrashedRun_Closure)
                  (const Teasel__CrashedRun *message,
                   void *closure_data);
@@ -1286,6 +1370,7 @@
 extern const ProtobufCMessageDescriptor teasel__learned_queue__descriptor;
 extern const ProtobufCMessageDescriptor teasel__learned_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__leader_record__descriptor;
+extern const ProtobufCMessageDescriptor teasel__view_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__scheduler_record__descriptor;
 extern const ProtobufCMessageDescriptor teasel__peer_hello__descriptor;
 extern const ProtobufCMessageDescriptor teasel__peer_status__descriptor;
@@ -1298,6 +1383,7 @@
 extern const ProtobufCMessageDescriptor teasel__executor_report__descriptor;
 extern const ProtobufCMessageDescriptor teasel__capacity__descriptor;
 extern const ProtobufCMessageDescriptor teasel__node_report__descriptor;
+extern const ProtobufCMessageDescriptor teasel__leader_address__descriptor;
 extern const ProtobufCMessageDescriptor teasel__crashed_run__descriptor;
 extern const ProtobufCMessageDescriptor teasel__start_order__descriptor;
 extern const ProtobufCMessageDescriptor teasel__run_traits__descriptor;
--- a/tests/soak/cases/case.py
+++ b/tests/soak/cases/case.py
@@ -15,7 +15,7 @@
 
 import wire
 from executor import Executor
-from system import run_scenario
+from system import System, run_scenario
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PORTS_PER_CASE = 250
@@ -97,9 +97,9 @@
     return 1 if found else 2 if missed else 0
 
 
-def run_case(play):
+def run_case(play, make=System):
     """Play a case with ports of its own, and exit."""
     base = int(os.environ.get("TEST_PORT_BASE", "20000"))
     wire.PORTS = iter(range(base, base + PORTS_PER_CASE))
     with tempfile.TemporaryDirectory() as folder:
-        run_scenario(os.environ.get("RECORD_DIR", folder), play)
+        run_scenario(os.environ.get("RECORD_DIR", folder), play, make)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -31,6 +31,7 @@
         self.target = target
         self.delay_s = 0.0
         self.resets = False
+        self.rewrite = lambda data: data  # applied to what is forwarded
         self.open = {way: asyncio.Event() for way in WAYS}
         self.writers = set()
         self.pumps = set()
@@ -129,5 +130,5 @@
             await self.open[way].wait()
             if not data:
                 return
-            writer.write(data)
+            writer.write(self.rewrite(data))
             await writer.drain()
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -220,16 +220,17 @@
 EXIT_BROKEN = 10
 
 
-def run_scenario(folder, play):
+def run_scenario(folder, play, make=System):
     """Play a scenario and exit.
 
     The exit code is 0 if the rule held, EXIT_BROKEN if it was broken, and 2 if
     the scenario could not run.
 
     play: coroutine that returns 1 if the rule was broken, else 0
+    make: creates the System
     """
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
-    system = System(folder)
+    system = make(folder)
     try:
         code = asyncio.run(play(system))
     except Exception:
--- a/tests/system/review_cases_test.sh
+++ b/tests/system/review_cases_test.sh
@@ -4,18 +4,24 @@
 # exercise its disruption fails, too.
 # shellcheck source=tests/system/session.bash
 . "$(dirname "$0")/session.bash"
+# Each is the name of a case, with its variant behind a colon.
 cases=(start_after_restart late_start_after_agent_restart
-    start_lost_with_agent gang_member_lost_before_end calls_to_a_former_life)
+    start_lost_with_agent gang_member_lost_before_end calls_to_a_former_life
+    cut_off_leader:planned cut_off_leader:planned_in_two
+    cut_off_leader:store_away)
 ports_per_case=250 # PORTS_PER_CASE in tests/soak/cases/case.py
 limit_s=95
 
 # start_case N: starts a case with the Nth range of ports
 start_case() {
     local name=${cases[$1]}
+    local variant=()
+    [[ $name = *:* ]] && variant=("${name#*:}")
     mkdir "$work/$name"
     RECORD_DIR=$work/$name PYTHONDONTWRITEBYTECODE=1 \
         TEST_PORT_BASE=$((base_port + $1 * ports_per_case)) \
-        timeout -k 10 $limit_s python3 "tests/soak/cases/$name.py" \
+        timeout -k 10 $limit_s python3 "tests/soak/cases/${name%:*}.py" \
+        "${variant[@]}" \
         >"$work/$name/output" 2>&1 &
     pids+=($!)
 }
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <climits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,6 +69,7 @@
         std::unique_ptr<FakeStoreView> view;
         Owner owner;
         cluster_t *cluster = nullptr;
+        uint64_t incarnation = 0;
     };
     fake_clock_t clock;
     int64_t clock_us = g_get_monotonic_time(); /* time up to which it shows */
@@ -112,7 +114,7 @@
         opts.store = &process.view->base;
         opts.name = process.name.c_str();
         opts.address = process.address;
-        opts.incarnation = 1;
+        opts.incarnation = ++process.incarnation;
         opts.cpu_milli = process.cpu_milli;
         opts.silence_ms = 800;
         opts.status_ms = 100;
@@ -199,6 +201,17 @@
         }
         return open;
     }
+    /* Waits until the stored view of the leader covers all others. */
+    bool
+    wait_for_view(size_t leader)
+    {
+        const cluster_t *cluster = processes[leader]->cluster;
+
+        return wait([&] {
+            return cluster->view.stored &&
+                   cluster->view.members_offset < cluster->view.stored_offset;
+        });
+    }
     bool
     all_follow(int expected)
     {
@@ -385,6 +398,167 @@
         schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
 }
 
+// Guards against a task that runs twice: a scheduler that stopped as planned,
+// and that the cut-off leader cannot know again, waited for one lease only.
+TEST(Cluster, KnowsALeaderThatMayNotKnowIt)
+{
+    Schedulers schedulers({STRONG_MILLI, WEAK_MILLI});
+    auto &first = *schedulers.processes[0];
+    auto &second = *schedulers.processes[1];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait_for_view(0));
+    cluster_leave(second.cluster);
+    ASSERT_TRUE(
+        schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
+    schedulers.kill(1);
+    /* One that is gone without a trace may as well be cut off. */
+    schedulers.kill(0);
+    schedulers.start(1);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
+    EXPECT_FALSE(cluster_is_alone(second.cluster));
+    /* Its next process proves that the one before has ended. */
+    schedulers.start(0);
+    EXPECT_TRUE(schedulers.wait(
+        [&] { return !cluster_has_stale_leader(second.cluster); }));
+}
+
+// Guards against lost tasks that wait for long after each change of the
+// leader.
+TEST(Cluster, WaitsForNoLeaderThatKnewIt)
+{
+    Schedulers schedulers({STRONG_MILLI, WEAK_MILLI});
+    auto &second = *schedulers.processes[1];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait_for_view(0));
+    schedulers.kill(0);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+}
+
+// Guards against the same after a restart without a planned stop: the leader
+// needs the confirmation of the name, which only the next process can give.
+TEST(Cluster, WaitsForNoLeaderThatKnewItsEarlierProcess)
+{
+    Schedulers schedulers({STRONG_MILLI, WEAK_MILLI});
+    auto &second = *schedulers.processes[1];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait_for_view(0));
+    schedulers.kill(1);
+    schedulers.kill(0);
+    schedulers.start(1);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+}
+
+// Guards against the same after a leader that stopped as planned.
+TEST(Cluster, WaitsForNoLeaderThatHasLeft)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    auto process = std::make_unique<Schedulers::Process>();
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait_for_view(0));
+    cluster_leave(schedulers.processes[0]->cluster);
+    schedulers.run_ms(ANSWERS_MS);
+    schedulers.kill(0);
+    process->name = "s30";
+    process->cpu_milli = WEAK_MILLI;
+    test_address(process->address, PORT + 30);
+    schedulers.processes.push_back(std::move(process));
+    schedulers.start(1);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    EXPECT_FALSE(cluster_has_stale_leader(schedulers.processes[1]->cluster));
+}
+
+// Guards against a wait without an end for a leader that never comes back.
+TEST(Cluster, WaitsForAnEarlierLeaderForALimitedTime)
+{
+    Schedulers schedulers({STRONG_MILLI, WEAK_MILLI});
+    auto &second = *schedulers.processes[1];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait_for_view(0));
+    cluster_leave(second.cluster);
+    schedulers.run_ms(ANSWERS_MS);
+    schedulers.kill(1);
+    schedulers.kill(0);
+    schedulers.start(1);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    fake_clock_advance_ms(&schedulers.clock, CLUSTER_MAX_STORELESS_MS - 500);
+    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
+    fake_clock_advance_ms(&schedulers.clock, 500);
+    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+}
+
+// Guards against a leader that extends leases as the only scheduler before the
+// store says so, on which a scheduler that starts then relies.
+TEST(Cluster, IsNotAloneBeforeItsViewIsStored)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    auto &first = *schedulers.processes[0];
+
+    ASSERT_TRUE(
+        schedulers.wait([&] { return first.cluster->view.registered; }));
+    ASSERT_TRUE(schedulers.wait([&] { return first.cluster->claiming; }));
+    first.view->lose_answers = INT_MAX;
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    schedulers.run_ms(ANSWERS_MS);
+    EXPECT_FALSE(cluster_is_alone(first.cluster));
+    first.view->lose_answers = 0;
+    EXPECT_TRUE(
+        schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
+}
+
+// Guards against work that ends in each later outage of the store, because a
+// scheduler was lost for good; if it comes back, it has to wait.
+TEST(Cluster, IsAloneOnceTheOthersAreLostForLong)
+{
+    Schedulers schedulers({STRONG_MILLI, WEAK_MILLI});
+    auto &first = *schedulers.processes[0];
+    auto &second = *schedulers.processes[1];
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    ASSERT_TRUE(schedulers.wait(
+        [&] { return cluster_get_view_acked_ms(first.cluster) > 0; }));
+    schedulers.kill(1);
+    EXPECT_FALSE(cluster_is_alone(first.cluster));
+    fake_clock_advance_ms(&schedulers.clock, 11000);
+    ASSERT_TRUE(
+        schedulers.wait([&] { return cluster_is_alone(first.cluster); }));
+    EXPECT_EQ(cluster_get_acked_ms(first.cluster), 0);
+    schedulers.kill(0);
+    schedulers.start(1);
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
+    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
+}
+
+// Guards against leases that a cut-off leader extends though an agent told it
+// of the next one, and against agents that it keeps from that one.
+TEST(Cluster, ResignsWhenAnAgentFollowsALaterLeader)
+{
+    Schedulers schedulers({WEAK_MILLI});
+    cluster_t *cluster = schedulers.processes[0]->cluster;
+    Teasel__LeaderAddress later = TEASEL__LEADER_ADDRESS__INIT;
+
+    ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 0; }));
+    later.address = const_cast<char *>("127.0.0.1:1");
+    later.epoch = cluster->epoch;
+    cluster_note_later_leader(cluster, &later);
+    EXPECT_TRUE(cluster_is_leading(cluster));
+    later.epoch = cluster->epoch + 1;
+    later.address = schedulers.processes[0]->address;
+    cluster_note_later_leader(cluster, &later);
+    EXPECT_TRUE(cluster_is_leading(cluster));
+    later.address = const_cast<char *>("127.0.0.1:1");
+    cluster_note_later_leader(cluster, &later);
+    EXPECT_FALSE(cluster_is_leading(cluster));
+    EXPECT_STREQ(cluster->reported_address, "127.0.0.1:1");
+}
+
 // Guards against all work that ends in each later outage of the store, because
 // a scheduler that was killed before it could register counts for ever.
 TEST(Cluster, ForgetsASchedulerThatWasKilledBeforeItRegistered)
@@ -511,8 +685,7 @@
     Schedulers::Process &process = *schedulers.processes[0];
 
     ASSERT_TRUE(schedulers.wait([&] {
-        return follower_is_caught_up(process.cluster->follower) &&
-               !process.cluster->claiming;
+        return process.cluster->view.registered && !process.cluster->claiming;
     }));
     process.view->hold = true;
     ASSERT_TRUE(schedulers.wait([&] { return process.cluster->claiming; }));
@@ -543,8 +716,11 @@
     Schedulers schedulers({WEAK_MILLI});
     Schedulers::Process &process = *schedulers.processes[0];
 
-    process.view->hold = true;
     process.view->lose_answers = 1;
+    /* It registers once it has read the topic. */
+    ASSERT_TRUE(schedulers.wait(
+        [&] { return follower_is_caught_up(process.cluster->follower); }));
+    process.view->hold = true;
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.store.appends > 0; }));
     schedulers.kill_before_answers(0);
     EXPECT_EQ(schedulers.store.appends, 1U);
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -34,8 +34,10 @@
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
     std::map<uint64_t, uint32_t> retry_ms;      /* by call */
     uint64_t calls = 0;
-    uint64_t epoch = 0;   /* of the leader */
-    bool alone = false;   /* no other scheduler is known */
+    uint64_t epoch = 0;        /* of the leader */
+    bool alone = false;        /* no other scheduler is known */
+    bool stale_leader = false; /* an earlier leader may extend leases */
+    int64_t max_storeless_ms = 60000;
     int64_t acked_ms = 0; /* send time of what all others acknowledged */
     int asked = 0;        /* requests for acknowledgements */
     evacuation_t *evacuation = evacuation_new();
@@ -71,6 +73,11 @@
         opts.get_acked_ms = [](void *data) {
             return static_cast<Leader *>(data)->acked_ms;
         };
+        opts.max_storeless_ms = max_storeless_ms;
+        opts.get_view_acked_ms = opts.get_acked_ms;
+        opts.has_stale_leader = [](void *data) {
+            return static_cast<Leader *>(data)->stale_leader;
+        };
         opts.is_alone = [](void *data) {
             return static_cast<Leader *>(data)->alone;
         };
@@ -405,6 +412,35 @@
     EXPECT_EQ(agent.report(), 0U);
 }
 
+// Guards against a task that runs twice in a long cut: a leader that nobody
+// contradicts went on extending its lease after its successor's longest wait.
+TEST_F(Leader, ExtendsLeasesWithoutTheStoreForALimitedTime)
+{
+    fake_clock_t fake;
+
+    fake_clock_init(&fake);
+    clock = &fake.clock;
+    alone = true;
+    start();
+    Agent agent(this);
+    ASSERT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    view.refuse = true;
+    fake_clock_advance_ms(&fake, 2000);
+    loop_run_ms(loop, 200); /* a write begins */
+    fake_clock_advance_ms(&fake, max_storeless_ms - 3000);
+    ASSERT_TRUE(
+        loop_wait(loop, DONE_MS, [&] { return leader->writes_failing; }));
+    EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    alone = false;
+    acked_ms = now_ms();
+    EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS);
+    fake_clock_advance_ms(&fake, 1000);
+    acked_ms = now_ms();
+    EXPECT_EQ(agent.report(), 0U);
+    alone = true;
+    EXPECT_EQ(agent.report(), 0U);
+}
+
 // Guards against leases that outlast a leadership which ended before the
 // answer to a repeated write: the store answers a repeat as it answered the
 // first.
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -72,6 +72,8 @@
     uint64_t sequence = 0;              /* of the newest announcement */
     bool draining = false;              /* announced */
     std::string known;                  /* to the leader; see describe() */
+    uint64_t later_epoch = 0;           /* of a later leader; reported */
+    std::string later_address;          /* of that one */
     char leader_address[32];
     char executor_address[32];
 
@@ -174,6 +176,10 @@
         if (message->body_case != TEASEL__ENVELOPE__BODY_NODE_REPORT) {
             return;
         }
+        if (message->node_report->later_leader != nullptr) {
+            self->later_epoch = message->node_report->later_leader->epoch;
+            self->later_address = message->node_report->later_leader->address;
+        }
         for (size_t i = 0; i < message->node_report->n_crashed; i++) {
             const Teasel__CrashedRun *run = message->node_report->crashed[i];
 
@@ -573,6 +579,25 @@
     EXPECT_EQ(executor.starts.count("j.0.0.1"), 0U);
 }
 
+// Guards against a task that runs twice: a leader that was cut off from the
+// store went on extending leases, though agents that left it knew the next
+// one.
+TEST_F(Node, TellsALeaderThatItLeavesOfALaterOne)
+{
+    ASSERT_TRUE(wait([&] { return heartbeat_us != 0; }));
+    epoch = 1; /* as its record is the first one */
+    grant(heartbeat_us, 5000);
+    run_ms(100);
+    EXPECT_EQ(later_epoch, 0U);
+    test_address(leader_address, PORT + 2);
+    uint64_t offset =
+        store.put(CONTROL_TOPIC, CONTROL_KEY_LEADER, leader_record());
+    store.remove(CONTROL_TOPIC, "wake"); /* ends the read that waits */
+    ASSERT_TRUE(wait([&] { return peer == nullptr; }));
+    EXPECT_EQ(later_epoch, offset + 1);
+    EXPECT_EQ(later_address, leader_address);
+}
+
 // Guards against a task that is never suspected of crashes, as its executors
 // crash after starts that they leave unanswered; seen on grown teddy, day
 // deadly-late-orders.
--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -307,7 +307,10 @@
         opts.random = random.get();
         opts.stop_ms = 100;
         opts.get_acked_ms = get_acked_ms;
+        opts.max_storeless_ms = INT64_MAX;
+        opts.get_view_acked_ms = get_acked_ms;
         opts.is_alone = [](void *) { return false; };
+        opts.has_stale_leader = [](void *) { return false; };
         opts.request_acks = request_acks;
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -387,6 +387,54 @@
               (std::vector<TaskRun>{{"j.0.0.0", 2}}));
 }
 
+/* Starts a job on A under a leader that is then replaced by one which it may
+   not know, and to which only B has come. */
+void
+replace_cut_off_leader(Core &core)
+{
+    connect(core, A);
+    sched_submit(core.sched, make_spec("j", {{}}));
+    core.run_and_commit();
+    ASSERT_EQ(core.orders(A).starts.size(), 1U);
+    core.restart();
+    sched_set_stale_leader(core.sched, true);
+    connect(core, B, 4000, "other");
+}
+
+// Guards against a task that runs twice: an earlier leader, which is cut off
+// and does not know its successor, went on extending the lease of the
+// executor.
+TEST(Sched, WaitsForAnEarlierLeaderThatMayExtendLeases)
+{
+    Core core;
+
+    replace_cut_off_leader(core);
+    fake_clock_advance_ms(&core.clock, 20000);
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders(B).starts.empty());
+    sched_set_stale_leader(core.sched, false);
+    fake_clock_advance_ms(&core.clock, 5900);
+    core.run_and_commit();
+    EXPECT_TRUE(core.orders(B).starts.empty());
+    fake_clock_advance_ms(&core.clock, 200);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(B).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
+// Guards against a task that waits for an earlier leader though its executor
+// has come to this one, and was lost after that.
+TEST(Sched, WaitsForNoEarlierLeaderOnceAnExecutorHasReported)
+{
+    Core core;
+
+    replace_cut_off_leader(core);
+    connect(core, A);
+    sched_disconnect(core.sched, "node");
+    fake_clock_advance_ms(&core.clock, 6100);
+    core.run_and_commit();
+    EXPECT_EQ(core.orders(B).starts, (std::vector<TaskRun>{{"j.0.0.0", 2}}));
+}
+
 // Guards against a lease that is extended for ever for an executor that was
 // lost while its agent was restarted: the agent does not know it, so its tasks
 // never ran again.
