cluster: count the wait for an earlier leader from the write that fences it

A new leader that its predecessor may not know waited for 60 s from its election. The predecessor counts its 60 s from its last write, which the store takes until the new leader has set its epoch, seconds later if the store is slow; and each counts on its own clock. It counts from that write now, and waits 5% longer.

A leader whose view cannot be stored tries again after 300 ms, not with each tick.

--- a/libteasel/cluster/cluster.h
+++ b/libteasel/cluster/cluster.h
@@ -27,10 +27,12 @@
 
 enum {
     /* A leader extends leases for at most this long without a write to the
-       store. A new leader that its predecessor may not know waits for as long,
-       and then for a lease, before it treats an executor as lost that it has
-       not heard of. All schedulers have to use the same value. */
+       store. All schedulers have to use the same value. */
     CLUSTER_MAX_STORELESS_MS = 60000,
+    /* A new leader that its predecessor may not know waits for this time, and
+       then for a lease, before it treats an executor as lost that it has not
+       heard of. It allows for the drift of both clocks. */
+    CLUSTER_STALE_LEADER_MS = CLUSTER_MAX_STORELESS_MS * 105 / 100,
 };
 
 typedef struct cluster cluster_t;
@@ -151,11 +153,13 @@
 /**
  * cluster_has_stale_leader() - return whether an earlier leader may not know
  * of this one, and so may extend leases without the store
+ * @fenced_ms: from which time on the store rejects the writes of earlier
+ *     leaders
  *
- * That is at most for CLUSTER_MAX_STORELESS_MS after the election, and only
- * until the process of the earlier leader has ended or confirms this one.
+ * That is at most for CLUSTER_STALE_LEADER_MS, and only until the process of
+ * the earlier leader has ended or confirms this one.
  */
-bool cluster_has_stale_leader(cluster_t *cluster);
+bool cluster_has_stale_leader(cluster_t *cluster, int64_t fenced_ms);
 
 /**
  * cluster_request_acks() - ask all other schedulers to confirm that they
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -62,7 +62,7 @@
  * @stored_offset: of its record
  * @writing: a write of it is pending
  * @written_epoch: epoch of the leader that began this write
- * @elected_ms: when this process was elected
+ * @written_ms: when it was begun, 0 before the first one of this leader
  * @stale_leader: see cluster_has_stale_leader()
  */
 struct view {
@@ -78,7 +78,7 @@
     uint64_t stored_offset;
     bool writing;
     uint64_t written_epoch;
-    int64_t elected_ms;
+    int64_t written_ms;
     bool stale_leader;
 };
 
--- a/libteasel/cluster/view.c
+++ b/libteasel/cluster/view.c
@@ -10,6 +10,7 @@
 enum {
     /* Schedulers that start together are covered by one more write. */
     VIEW_DELAY_MS = 300,
+    VIEW_INTERVAL_MS = 300,
 };
 
 /* Only for leases: they can only be extended by mistake for the time for which
@@ -132,11 +133,13 @@
     if (!cluster->leading || cluster->view.writing ||
         !cluster->view.registered ||
         !follower_is_available(cluster->follower) ||
-        cluster_has_stale_leader(cluster) || !has_changed(cluster) ||
+        cluster->view.stale_leader || !has_changed(cluster) ||
+        now_ms - cluster->view.written_ms < VIEW_INTERVAL_MS ||
         (cluster->view.stored &&
          now_ms - cluster->view.members_changed_ms < VIEW_DELAY_MS)) {
         return;
     }
+    cluster->view.written_ms = now_ms;
     write_view(cluster);
 }
 
@@ -221,23 +224,23 @@
     bool covered = view->own_offset < view->offset && !view->excludes_self;
 
     cluster->view.stored = false;
-    cluster->view.elected_ms = cluster_now_ms(cluster);
+    cluster->view.written_ms = 0;
     cluster->view.stale_leader =
         view->leader != NULL && !covered && may_author_lead(cluster);
     if (cluster->view.stale_leader) {
         event_log(EVENT_STALE_LEADER,
                   "epoch=%" G_GUINT64_FORMAT " leader=%s at_most_ms=%d",
-                  cluster->epoch, view->leader, CLUSTER_MAX_STORELESS_MS);
+                  cluster->epoch, view->leader, CLUSTER_STALE_LEADER_MS);
     }
 }
 
 bool
-cluster_has_stale_leader(cluster_t *cluster)
+cluster_has_stale_leader(cluster_t *cluster, int64_t fenced_ms)
 {
     struct view *view = &cluster->view;
+    int64_t age_ms = cluster_now_ms(cluster) - fenced_ms;
 
-    view->stale_leader =
-        view->stale_leader && may_author_lead(cluster) &&
-        cluster_now_ms(cluster) - view->elected_ms < CLUSTER_MAX_STORELESS_MS;
+    view->stale_leader = view->stale_leader && may_author_lead(cluster) &&
+                         age_ms < CLUSTER_STALE_LEADER_MS;
     return view->stale_leader;
 }
--- a/libteasel/scheduler/leader.c
+++ b/libteasel/scheduler/leader.c
@@ -157,6 +157,7 @@
 {
     leader->writing = false;
     if (leader->stage == LEADER_FENCING) {
+        leader->fenced_ms = leader_now_ms(leader);
         leader->stage = LEADER_LOADING;
         leader_begin_load(leader);
         return;
@@ -377,8 +378,9 @@
         return;
     }
     leader_check_pause(leader);
-    sched_set_stale_leader(leader->sched,
-                           leader->opts.has_stale_leader(leader->opts.data));
+    sched_set_stale_leader(
+        leader->sched,
+        leader->opts.has_stale_leader(leader->fenced_ms, leader->opts.data));
     /* Pauses that follow each other don't put off all passes. */
     if (leader->pass_due || !loop_timer_is_active(&leader->resume)) {
         leader->pass_due = false;
--- a/libteasel/scheduler/leader.h
+++ b/libteasel/scheduler/leader.h
@@ -66,7 +66,7 @@
     int64_t (*get_acked_ms)(void *data);
     int64_t (*get_view_acked_ms)(void *data);
     bool (*is_alone)(void *data);
-    bool (*has_stale_leader)(void *data);
+    bool (*has_stale_leader)(int64_t fenced_ms, void *data);
     void (*request_acks)(void *data);
     void (*on_store_change)(bool available, void *data);
     void (*on_fenced)(const char *reason, void *data);
--- a/libteasel/scheduler/leader_internal.h
+++ b/libteasel/scheduler/leader_internal.h
@@ -111,6 +111,7 @@
     int64_t proof_sent_ms;   /* when it was made */
     uint64_t proven_attempt; /* number of the newest one that succeeded */
     int64_t confirmed_ms;    /* when that one was made */
+    int64_t fenced_ms;       /* when the store had taken the epoch */
     bool writes_failing;
     lease_basis_t lease_basis; /* of the last lease that was granted */
     int64_t load_logged_ms;
--- a/libteasel/scheduler/scheduler.c
+++ b/libteasel/scheduler/scheduler.c
@@ -56,11 +56,11 @@
 }
 
 static bool
-has_stale_leader(void *data)
+has_stale_leader(int64_t fenced_ms, void *data)
 {
     const scheduler_t *scheduler = data;
 
-    return cluster_has_stale_leader(scheduler->cluster);
+    return cluster_has_stale_leader(scheduler->cluster, fenced_ms);
 }
 
 static bool
--- a/tests/unit/cluster_test.cc
+++ b/tests/unit/cluster_test.cc
@@ -60,6 +60,13 @@
     .on_peer_closed = [](peer_t *, void *) {},
 };
 
+/* Asks a leader that has just fenced its predecessors. */
+bool
+has_stale_leader(cluster_t *cluster)
+{
+    return cluster_has_stale_leader(cluster, cluster_now_ms(cluster));
+}
+
 /* Schedulers in one process that share a store. */
 struct Schedulers {
     struct Process {
@@ -416,12 +423,12 @@
     schedulers.kill(0);
     schedulers.start(1);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
+    EXPECT_TRUE(has_stale_leader(second.cluster));
     EXPECT_FALSE(cluster_is_alone(second.cluster));
     /* Its next process proves that the one before has ended. */
     schedulers.start(0);
-    EXPECT_TRUE(schedulers.wait(
-        [&] { return !cluster_has_stale_leader(second.cluster); }));
+    EXPECT_TRUE(
+        schedulers.wait([&] { return !has_stale_leader(second.cluster); }));
 }
 
 // Guards against lost tasks that wait for long after each change of the
@@ -435,7 +442,7 @@
     ASSERT_TRUE(schedulers.wait_for_view(0));
     schedulers.kill(0);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+    EXPECT_FALSE(has_stale_leader(second.cluster));
 }
 
 // Guards against the same after a restart without a planned stop: the leader
@@ -451,7 +458,7 @@
     schedulers.kill(0);
     schedulers.start(1);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+    EXPECT_FALSE(has_stale_leader(second.cluster));
 }
 
 // Guards against the same after a leader that stopped as planned.
@@ -471,7 +478,7 @@
     schedulers.processes.push_back(std::move(process));
     schedulers.start(1);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    EXPECT_FALSE(cluster_has_stale_leader(schedulers.processes[1]->cluster));
+    EXPECT_FALSE(has_stale_leader(schedulers.processes[1]->cluster));
 }
 
 // Guards against a wait without an end for a leader that never comes back.
@@ -488,10 +495,11 @@
     schedulers.kill(0);
     schedulers.start(1);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    fake_clock_advance_ms(&schedulers.clock, CLUSTER_MAX_STORELESS_MS - 500);
-    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
-    fake_clock_advance_ms(&schedulers.clock, 500);
-    EXPECT_FALSE(cluster_has_stale_leader(second.cluster));
+    int64_t fenced_ms = cluster_now_ms(second.cluster);
+    fake_clock_advance_ms(&schedulers.clock, CLUSTER_STALE_LEADER_MS - 1);
+    EXPECT_TRUE(cluster_has_stale_leader(second.cluster, fenced_ms));
+    fake_clock_advance_ms(&schedulers.clock, 1);
+    EXPECT_FALSE(cluster_has_stale_leader(second.cluster, fenced_ms));
 }
 
 // Guards against a leader that extends leases as the only scheduler before the
@@ -533,7 +541,7 @@
     schedulers.kill(0);
     schedulers.start(1);
     ASSERT_TRUE(schedulers.wait([&] { return schedulers.leader() == 1; }));
-    EXPECT_TRUE(cluster_has_stale_leader(second.cluster));
+    EXPECT_TRUE(has_stale_leader(second.cluster));
 }
 
 // Guards against leases that a cut-off leader extends though an agent told it
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -75,7 +75,7 @@
         };
         opts.max_storeless_ms = max_storeless_ms;
         opts.get_view_acked_ms = opts.get_acked_ms;
-        opts.has_stale_leader = [](void *data) {
+        opts.has_stale_leader = [](int64_t, void *data) {
             return static_cast<Leader *>(data)->stale_leader;
         };
         opts.is_alone = [](void *data) {
--- a/tests/unit/run_model_test.cc
+++ b/tests/unit/run_model_test.cc
@@ -310,7 +310,7 @@
         opts.max_storeless_ms = INT64_MAX;
         opts.get_view_acked_ms = get_acked_ms;
         opts.is_alone = [](void *) { return false; };
-        opts.has_stale_leader = [](void *) { return false; };
+        opts.has_stale_leader = [](int64_t, void *) { return false; };
         opts.request_acks = request_acks;
         opts.on_store_change = on_store_change;
         opts.on_fenced = on_fenced;
