--- a/libteasel/cluster/view.c
+++ b/libteasel/cluster/view.c
@@ -8,13 +8,13 @@
 #include "cluster/control.h"
 
 enum {
-    /* Schedulers that start together are covered by one more write. */
-    VIEW_DELAY_MS = 300,
+    /* Time between two writes of the view, and from a registration to the next
+       one, so that schedulers which start together cause one. */
     VIEW_INTERVAL_MS = 300,
 };
 
-/* Only for leases: they can only be extended by mistake for the time for which
-   a scheduler that the view doesn't cover waits. */
+/* A scheduler that the stored view leaves out waits after its election, so
+   that leases don't need its confirmation. */
 static bool
 needs_ack(const member_t *member)
 {
@@ -67,9 +67,9 @@
     return false;
 }
 
-/* The record may be stored without an answer, and late, so that it counts as
-   stored for the members that it covers before it is, and for those that it
-   leaves out after it is. */
+/* An append without an answer may be stored all the same. A member that the
+   new record covers therefore has to confirm from now on; one that it leaves
+   out need not only once the record is known to be stored. */
 static void
 prepare_members(cluster_t *cluster, GPtrArray *unreachable)
 {
@@ -127,20 +127,37 @@
     cluster_append_at_end(cluster, &stored, on_view_stored);
 }
 
+/* While an earlier leader may go on, a later one has to wait for that, and so
+   must not find a view of this one in its place. */
+static bool
+may_write(const cluster_t *cluster)
+{
+    const struct view *view = &cluster->view;
+
+    return cluster->leading && !view->writing && view->registered &&
+           !view->stale_leader && follower_is_available(cluster->follower);
+}
+
+/* The first view is stored at once, as leases depend on it. */
+static bool
+is_due(const cluster_t *cluster, int64_t now_ms)
+{
+    const struct view *view = &cluster->view;
+    int64_t since_ms = view->stored
+                           ? MAX(view->written_ms, view->members_changed_ms)
+                           : view->written_ms;
+
+    return now_ms - since_ms >= VIEW_INTERVAL_MS;
+}
+
 void
 cluster_update_view(cluster_t *cluster, int64_t now_ms)
 {
-    if (!cluster->leading || cluster->view.writing ||
-        !cluster->view.registered ||
-        !follower_is_available(cluster->follower) ||
-        cluster->view.stale_leader || !has_changed(cluster) ||
-        now_ms - cluster->view.written_ms < VIEW_INTERVAL_MS ||
-        (cluster->view.stored &&
-         now_ms - cluster->view.members_changed_ms < VIEW_DELAY_MS)) {
-        return;
+    if (may_write(cluster) && has_changed(cluster) &&
+        is_due(cluster, now_ms)) {
+        cluster->view.written_ms = now_ms;
+        write_view(cluster);
     }
-    cluster->view.written_ms = now_ms;
-    write_view(cluster);
 }
 
 /* The leader that knows an earlier process by its record waits for the
