cluster: walk the acknowledgements of the others in one place

cluster_get_view_acked_ms() had a walk of its own over the same members, with the same test of strangers, as cluster_get_acked_ms(). One function serves both and skips, for leases, those that the stored view leaves out. Behaviour is the same: without members the walk finds none, which the other one tested first.

--- a/libteasel/cluster/cluster.c
+++ b/libteasel/cluster/cluster.c
@@ -189,8 +189,8 @@
     cluster_send_status(cluster);
 }
 
-int64_t
-cluster_get_member_acked_ms(const member_t *member)
+static int64_t
+get_member_acked_ms(const member_t *member)
 {
     bool follows = member->open && member->leader_alive &&
                    member->epoch == member->cluster->epoch;
@@ -199,18 +199,27 @@
 }
 
 int64_t
-cluster_get_acked_ms(const cluster_t *cluster)
+cluster_get_oldest_ack_ms(const cluster_t *cluster, bool skip_excluded)
 {
     int64_t oldest_ms = cluster_now_ms(cluster);
+    bool others = false;
 
-    if (list_is_empty(&cluster->members) ||
-        g_hash_table_size(cluster->strangers) > 0) {
+    if (g_hash_table_size(cluster->strangers) > 0) {
         return 0;
     }
     LIST_FOREACH (member, &cluster->members, member_t, link) {
-        oldest_ms = MIN(oldest_ms, cluster_get_member_acked_ms(member));
+        if (!skip_excluded || !member->excluded) {
+            others = true;
+            oldest_ms = MIN(oldest_ms, get_member_acked_ms(member));
+        }
     }
-    return oldest_ms;
+    return others ? oldest_ms : 0;
+}
+
+int64_t
+cluster_get_acked_ms(const cluster_t *cluster)
+{
+    return cluster_get_oldest_ack_ms(cluster, false);
 }
 
 void
--- a/libteasel/cluster/cluster_internal.h
+++ b/libteasel/cluster/cluster_internal.h
@@ -227,10 +227,15 @@
                                const Teasel__LeaderAddress *leader);
 
 /**
- * cluster_get_member_acked_ms() - return the send time of the last status that
- * another scheduler acknowledged; 0 if it does not follow this leader
+ * cluster_get_oldest_ack_ms() - return the earliest of the send times of the
+ * last status that each other scheduler acknowledged
+ * @skip_excluded: leave out those that the stored view leaves out
+ *
+ * Return: 0 if one of them does not follow this leader or is not known from
+ * the store yet, or if there is none.
  */
-int64_t cluster_get_member_acked_ms(const member_t *member);
+int64_t cluster_get_oldest_ack_ms(const cluster_t *cluster,
+                                  bool skip_excluded);
 
 /**
  * cluster_is_member_unreachable() - return whether another scheduler has had
--- a/libteasel/cluster/view.c
+++ b/libteasel/cluster/view.c
@@ -15,35 +15,17 @@
 
 /* A scheduler that the stored view leaves out waits after its election, so
    that leases don't need its confirmation. */
-static bool
-needs_ack(const member_t *member)
-{
-    return !member->excluded;
-}
-
 int64_t
 cluster_get_view_acked_ms(const cluster_t *cluster)
 {
-    int64_t oldest_ms = cluster_now_ms(cluster);
-    bool others = false;
-
-    if (!cluster->view.stored || g_hash_table_size(cluster->strangers) > 0) {
-        return 0;
-    }
-    LIST_FOREACH (member, &cluster->members, member_t, link) {
-        if (needs_ack(member)) {
-            others = true;
-            oldest_ms = MIN(oldest_ms, cluster_get_member_acked_ms(member));
-        }
-    }
-    return others ? oldest_ms : 0;
+    return cluster->view.stored ? cluster_get_oldest_ack_ms(cluster, true) : 0;
 }
 
 bool
 cluster_is_alone(const cluster_t *cluster)
 {
     LIST_FOREACH (member, &cluster->members, member_t, link) {
-        if (needs_ack(member)) {
+        if (!member->excluded) {
             return false;
         }
     }
