leader: decide once on what a lease rests

Each grant asked twice whether this leader is alone and what the others confirm, once for the basis in the log and once for the lease, with the same limit of time written down in both. One function returns the time of the proof and its basis. Behaviour is the same; the grant reads the clock once.

leader_test, node_test, deployment_test, run_model_test: passed.

--- a/libteasel/scheduler/leader_nodes.c
+++ b/libteasel/scheduler/leader_nodes.c
@@ -90,45 +90,31 @@
     [LEASE_BASIS_NONE] = "none",
 };
 
-/* A later leader waits for the longest lease before it treats an executor as
-   lost; one that this leader may not know, for the longest time without the
+/* Returns the last time at which this leader is known to have been the only
+   one. A later leader waits for the longest lease before it treats an executor
+   as lost; one that this leader may not know, for the longest time without the
    store besides. */
-static lease_basis_t
-get_lease_basis(const leader_t *leader)
-{
-    int64_t store_age_ms = leader_now_ms(leader) - leader->confirmed_ms;
-    void *data = leader->opts.data;
-
-    if (!leader->writes_failing) {
-        return LEASE_BASIS_STORE;
-    }
-    if (store_age_ms >= leader->opts.max_storeless_ms) {
-        return LEASE_BASIS_NONE;
-    }
-    if (leader->opts.is_alone(data)) {
-        return LEASE_BASIS_ALONE;
-    }
-    return leader->opts.get_view_acked_ms(data) > leader->confirmed_ms
-               ? LEASE_BASIS_ACKNOWLEDGED
-               : LEASE_BASIS_NONE;
-}
-
-/* Returns the lease counted from the last time at which this leader is known
-   to have been the only one. */
 static int64_t
-get_lease_ms(const leader_t *leader, lease_basis_t basis)
+get_proof_ms(const leader_t *leader, int64_t now_ms, lease_basis_t *basis)
 {
-    int64_t now_ms = leader_now_ms(leader);
-    int64_t proof_ms = leader->confirmed_ms;
+    int64_t acked_ms = 0;
 
-    if (basis == LEASE_BASIS_ALONE) {
-        proof_ms = now_ms;
+    if (now_ms - leader->confirmed_ms < leader->opts.max_storeless_ms) {
+        if (leader->writes_failing &&
+            leader->opts.is_alone(leader->opts.data)) {
+            *basis = LEASE_BASIS_ALONE;
+            return now_ms;
+        }
+        acked_ms = leader->opts.get_view_acked_ms(leader->opts.data);
     }
-    else if (now_ms - proof_ms < leader->opts.max_storeless_ms) {
-        proof_ms =
-            MAX(proof_ms, leader->opts.get_view_acked_ms(leader->opts.data));
+    if (!leader->writes_failing) {
+        *basis = LEASE_BASIS_STORE;
+    }
+    else {
+        *basis = acked_ms > leader->confirmed_ms ? LEASE_BASIS_ACKNOWLEDGED
+                                                 : LEASE_BASIS_NONE;
     }
-    return MAX(0, leader->opts.lease_ms - (now_ms - proof_ms));
+    return MAX(leader->confirmed_ms, acked_ms);
 }
 
 static void
@@ -151,16 +137,17 @@
 grant_lease(leader_t *leader, const session_t *session,
             Teasel__NodeOrders *orders)
 {
-    lease_basis_t basis = get_lease_basis(leader);
-    int64_t lease_ms = get_lease_ms(leader, basis);
+    lease_basis_t basis;
+    int64_t now_ms = leader_now_ms(leader);
+    int64_t proof_age_ms = now_ms - get_proof_ms(leader, now_ms, &basis);
+    int64_t lease_ms = MAX(0, leader->opts.lease_ms - proof_age_ms);
 
     log_lease_basis(leader, basis);
     orders->lease_ms = (uint32_t)lease_ms;
     orders->longest_lease_ms = (uint32_t)leader->opts.lease_ms;
     orders->echo_us = session->echo_us;
-    sched_extend_leases(
-        leader->sched, session->node,
-        sched_executor_get_lease_end_ms(leader_now_ms(leader), lease_ms));
+    sched_extend_leases(leader->sched, session->node,
+                        sched_executor_get_lease_end_ms(now_ms, lease_ms));
 }
 
 static void
