tests: remove what the cases of cut-off leaders do not use

leader_test had a switch for a stale leader that no test turned, and a bound in a variable that none changes; cut_off_leader.py a step of its own for a cut that only one variant builds on. No assertion changes.

--- a/tests/soak/cases/cut_off_leader.py
+++ b/tests/soak/cases/cut_off_leader.py
@@ -21,15 +21,13 @@
 IDLE_S = 6.0
 
 
-def cut_leader(case, leader, other, near, far):
-    """The leader's instance loses the store and the other scheduler."""
+def cut_leader_and_agent(case, leader, other, near, far):
+    """The leader loses the store and the other scheduler, one agent the store.
+
+    Only the other agents learn more.
+    """
     case.cut(leader, "store")
     case.cut(leader, other)
-
-
-def cut_leader_and_agent(case, leader, other, near, far):
-    """One agent loses the store with it; only the other ones learn more."""
-    cut_leader(case, leader, other, near, far)
     case.refuse(near)
 
 
--- a/tests/unit/leader_test.cc
+++ b/tests/unit/leader_test.cc
@@ -19,6 +19,7 @@
 enum {
     DONE_MS = 1000, /* less than the time after which a call is abandoned */
     LEASE_MS = 1000,
+    MAX_STORELESS_MS = 60000,
     SILENCE_MS = 60000,
     PAUSE_MS = 8000, /* longer than a run may be without progress */
 };
@@ -34,10 +35,8 @@
     std::map<uint64_t, job_outcome_t> outcomes; /* by call */
     std::map<uint64_t, uint32_t> retry_ms;      /* by call */
     uint64_t calls = 0;
-    uint64_t epoch = 0;        /* of the leader */
-    bool alone = false;        /* no other scheduler is known */
-    bool stale_leader = false; /* an earlier leader may extend leases */
-    int64_t max_storeless_ms = 60000;
+    uint64_t epoch = 0;   /* of the leader */
+    bool alone = false;   /* no other scheduler is known */
     int64_t acked_ms = 0; /* send time of what all others acknowledged */
     int asked = 0;        /* requests for acknowledgements */
     evacuation_t *evacuation = evacuation_new();
@@ -73,11 +72,9 @@
         opts.get_acked_ms = [](void *data) {
             return static_cast<Leader *>(data)->acked_ms;
         };
-        opts.max_storeless_ms = max_storeless_ms;
+        opts.max_storeless_ms = MAX_STORELESS_MS;
         opts.get_view_acked_ms = opts.get_acked_ms;
-        opts.has_stale_leader = [](int64_t, void *data) {
-            return static_cast<Leader *>(data)->stale_leader;
-        };
+        opts.has_stale_leader = [](int64_t, void *) { return false; };
         opts.is_alone = [](void *data) {
             return static_cast<Leader *>(data)->alone;
         };
@@ -427,7 +424,7 @@
     view.refuse = true;
     fake_clock_advance_ms(&fake, 2000);
     loop_run_ms(loop, 200); /* a write begins */
-    fake_clock_advance_ms(&fake, max_storeless_ms - 3000);
+    fake_clock_advance_ms(&fake, MAX_STORELESS_MS - 3000);
     ASSERT_TRUE(
         loop_wait(loop, DONE_MS, [&] { return leader->writes_failing; }));
     EXPECT_EQ(agent.report(), (uint32_t)LEASE_MS);
